Add the design, the build and the domain-independent modules

The design page fixes modules, owners of state, messages and failure handling; the platform contract lists each assumption with its fallback. common holds clocks, bounded rings, checked settings, counters, logs and the plug-in registry; net holds the HTTP server and client on Beast.

Ruled out: find_package(CapnProto), whose Debian package asks for a libatomic that is not installed with g++; pkg-config is used instead.

--- /dev/null
+++ b/source/core/common/clock.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace buckthornspar::common {
+
+using duration = std::chrono::microseconds;
+
+/// Tag of the process-local monotonic time line. Its epoch has no meaning outside the process.
+struct monotonic_time_line {
+    using rep = std::chrono::microseconds::rep;
+    using period = std::chrono::microseconds::period;
+    using duration = std::chrono::microseconds;
+    using time_point = std::chrono::time_point<monotonic_time_line>;
+    static constexpr bool is_steady = true;
+};
+
+using time_point = monotonic_time_line::time_point;
+
+/// Source of monotonic time. Decision logic never reads a clock: it receives a time_point.
+class clock {
+public:
+    virtual ~clock() = default;
+    [[nodiscard]] virtual time_point now() const = 0;
+
+protected:
+    clock() = default;
+    clock(const clock&) = default;
+    clock& operator=(const clock&) = default;
+};
+
+/// The operating system's monotonic clock.
+class system_clock final : public clock {
+public:
+    [[nodiscard]] time_point now() const override;
+};
+
+/// Clock that moves only when told to; for tests and benchmarks.
+class virtual_clock final : public clock {
+public:
+    [[nodiscard]] time_point now() const override { return m_now; }
+    void advance(duration by) { m_now += by; }
+    void set(time_point now) { m_now = now; }
+
+private:
+    time_point m_now{};
+};
+
+/// Milliseconds since the epoch of the monotonic time line, as put into messages.
+[[nodiscard]] constexpr std::int64_t to_milliseconds(time_point t) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(t.time_since_epoch()).count();
+}
+
+/// Wall-clock time in milliseconds since 1970, for records that people read. Never used for leases.
+[[nodiscard]] std::int64_t wall_clock_ms();
+
+} // namespace buckthornspar::common
--- /dev/null
+++ b/source/core/common/command_line.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "core/common/error.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace buckthornspar::common {
+
+/// Exit codes of all programs.
+enum class exit_code : int { success = 0, failure = 1, usage = 2, settings = 3 };
+
+/// Command line that cannot be used.
+class command_line_error : public error {
+public:
+    using error::error;
+    [[nodiscard]] std::string_view type() const noexcept override { return "command_line_error"; }
+};
+
+/// One option of a program. A flag takes no argument and reads as "true".
+struct option_spec {
+    std::string name;
+    char short_name = '\0';
+    std::string argument;
+    std::string help;
+};
+
+/// Options and operands of a program, read with popt.
+class command_line {
+public:
+    /// Throws command_line_error for an unknown option or a missing argument. usage is the text
+    /// after the program's name in the help.
+    command_line(int argc, const char* const* argv, std::vector<option_spec> options,
+                 const std::string& usage);
+
+    [[nodiscard]] bool has(std::string_view option) const;
+    [[nodiscard]] std::string get(std::string_view option, std::string_view fallback = "") const;
+    [[nodiscard]] const std::vector<std::string>& operands() const { return m_operands; }
+    [[nodiscard]] const std::string& help() const { return m_help; }
+
+private:
+    std::vector<std::pair<std::string, std::string>> m_values;
+    std::vector<std::string> m_operands;
+    std::string m_help;
+};
+
+/// What a server program shall do after its command line was read.
+enum class server_mode { run, check, done };
+
+/// Command line of a server: --config FILE, --check, --version, --help. Prints help or version
+/// itself and then answers done.
+struct server_command {
+    server_mode mode = server_mode::run;
+    std::string config_path;
+};
+[[nodiscard]] server_command read_server_command(int argc, const char* const* argv,
+                                                 const std::string& summary);
+
+} // namespace buckthornspar::common
--- /dev/null
+++ b/source/core/common/counters.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+namespace buckthornspar::common {
+
+/// A value on the metrics page: a counter that only grows or a gauge. Safe to use from all threads.
+class metric {
+public:
+    void add(std::int64_t amount = 1) { m_value.fetch_add(amount, std::memory_order_relaxed); }
+    void set(std::int64_t value) { m_value.store(value, std::memory_order_relaxed); }
+    [[nodiscard]] std::int64_t value() const { return m_value.load(std::memory_order_relaxed); }
+
+private:
+    std::atomic<std::int64_t> m_value{0};
+};
+
+/// All metrics of a process. Names follow the Prometheus conventions: counters end in _total, units
+/// are part of the name.
+class counters {
+public:
+    /// Finds or creates a metric. The reference stays valid as long as the registry.
+    [[nodiscard]] metric& get(std::string_view name);
+
+    /// The same, with one label, for example get("refusals_total", "reason", "queue_full").
+    [[nodiscard]] metric& get(std::string_view name, std::string_view label,
+                              std::string_view value);
+
+    /// Prometheus text format, sorted by name.
+    [[nodiscard]] std::string render() const;
+
+private:
+    metric& find_or_create(std::string key);
+
+    mutable std::mutex m_mutex;
+    std::map<std::string, std::unique_ptr<metric>> m_metrics;
+};
+
+} // namespace buckthornspar::common
--- /dev/null
+++ b/source/core/common/error.cpp
@@ -0,0 +1,8 @@
+#include "core/common/error.h"
+
+namespace buckthornspar::common {
+
+unknown_name_error::unknown_name_error(std::string_view table, std::string_view name)
+    : error("no " + std::string(table) + " is named '" + std::string(name) + "'") {}
+
+} // namespace buckthornspar::common
--- /dev/null
+++ b/source/core/membership/instance_list.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "core/net/endpoint.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace buckthornspar::membership {
+
+enum class instance_role { worker, runner, entry, scheduler, config };
+enum class instance_state { live, leaving };
+
+/// One instance as the platform's list shows it.
+struct instance {
+    std::string id;
+    instance_role role = instance_role::worker;
+    net::endpoint address;
+    std::string region;
+    std::string place;
+    std::string rack;
+    instance_state state = instance_state::live;
+    /// Runners only: the service that they serve and their number of slots.
+    std::string service;
+    std::uint32_t slots = 0;
+};
+
+/// A snapshot of the list. It lags behind the fleet.
+struct instance_snapshot {
+    std::uint64_t index = 0;
+    std::vector<instance> instances;
+};
+
+/// Empty when the list could not be read.
+using instance_completion = std::function<void(std::optional<instance_snapshot>)>;
+
+/// The platform's lagging list of live and leaving instances. See docs/platform-contract.md.
+class instance_list {
+public:
+    virtual ~instance_list() = default;
+
+    /// Reads the list and completes exactly once, on a thread of the implementation's choice.
+    virtual void fetch(instance_completion complete) = 0;
+
+protected:
+    instance_list() = default;
+    instance_list(const instance_list&) = default;
+    instance_list& operator=(const instance_list&) = default;
+};
+
+} // namespace buckthornspar::membership
--- /dev/null
+++ b/source/core/net/event_loop.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "core/common/clock.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace buckthornspar::net {
+
+/// One Asio event loop, run by one thread of its own from start() to stop().
+class event_loop {
+public:
+    event_loop();
+    ~event_loop();
+    event_loop(const event_loop&) = delete;
+    event_loop& operator=(const event_loop&) = delete;
+
+    void start();
+
+    /// Stops the loop and joins its thread. Pending work is dropped.
+    void stop();
+
+    /// Runs the task on the loop's thread. May be called from any thread.
+    void post(std::function<void()> task);
+
+    /// Runs the task once on the loop's thread after the delay. May be called from any thread.
+    void post_after(common::duration delay, std::function<void()> task);
+
+    [[nodiscard]] bool on_loop_thread() const;
+    [[nodiscard]] boost::asio::io_context& context();
+
+private:
+    struct state;
+    std::unique_ptr<state> m_state;
+};
+
+} // namespace buckthornspar::net
--- /dev/null
+++ b/source/core/net/http_client.cpp
@@ -0,0 +1,302 @@
+#include "core/net/http_client.h"
+
+#include "core/common/name_table.h"
+#include "core/net/event_loop.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <deque>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+
+namespace buckthornspar::net {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr common::name_table<http_failure_kind, 6> failure_names{"http failure",
+                                                                 {"connect_failed", "timed_out",
+                                                                  "connection_lost", "bad_response",
+                                                                  "cancelled", "pool_exhausted"}};
+
+http::verb to_verb(http_method method) {
+    switch (method) {
+    case http_method::get:
+        return http::verb::get;
+    case http_method::post:
+        return http::verb::post;
+    case http_method::put:
+        return http::verb::put;
+    case http_method::del:
+        return http::verb::delete_;
+    }
+    return http::verb::get;
+}
+
+struct idle_connection {
+    std::unique_ptr<beast::tcp_stream> stream;
+    std::chrono::steady_clock::time_point since;
+};
+
+struct connection_pool {
+    std::deque<idle_connection> idle;
+    std::size_t busy = 0;
+};
+
+class exchange;
+
+} // namespace
+
+struct http_client::state : std::enable_shared_from_this<state> {
+    state(event_loop& l, http_client_limits lim) : context(l.context()), limits(lim) {}
+
+    [[nodiscard]] std::unique_ptr<beast::tcp_stream> take_idle(const endpoint& to);
+    void give_back(const endpoint& to, std::unique_ptr<beast::tcp_stream> stream);
+
+    asio::io_context& context;
+    http_client_limits limits;
+    std::map<endpoint, connection_pool> pools;
+    std::unordered_map<std::uint64_t, std::shared_ptr<exchange>> exchanges;
+    std::atomic<std::uint64_t> next_id{1};
+};
+
+namespace {
+
+// One request and its response on one connection.
+class exchange : public std::enable_shared_from_this<exchange> {
+public:
+    exchange(std::shared_ptr<http_client::state> client, std::uint64_t id, endpoint to,
+             http_completion complete)
+        : m_client(std::move(client)),
+          m_id(id),
+          m_to(std::move(to)),
+          m_complete(std::move(complete)),
+          m_deadline(m_client->context) {}
+
+    void start(const http_request& request, common::duration timeout) {
+        build(request);
+        m_deadline.expires_after(timeout);
+        m_deadline.async_wait([self = shared_from_this()](beast::error_code failure) {
+            if (!failure) {
+                self->fail(http_failure_kind::timed_out);
+            }
+        });
+        connection_pool& pool = m_client->pools[m_to];
+        if (pool.busy >= m_client->limits.max_connections_per_endpoint) {
+            m_finished = true;
+            finish(http_failure{http_failure_kind::pool_exhausted, false});
+            return;
+        }
+        ++pool.busy;
+        m_stream = m_client->take_idle(m_to);
+        if (m_stream) {
+            write();
+            return;
+        }
+        connect();
+    }
+
+    void fail(http_failure_kind kind) {
+        if (m_finished) {
+            return;
+        }
+        m_finished = true;
+        --m_client->pools[m_to].busy;
+        if (m_stream) {
+            beast::error_code ignored;
+            m_stream->socket().close(ignored);
+        }
+        finish(http_failure{kind, m_request_sent});
+    }
+
+private:
+    void build(const http_request& request) {
+        m_request.version(11);
+        m_request.method(to_verb(request.method));
+        m_request.target(request.target);
+        m_request.set(http::field::host, to_string(m_to));
+        for (const auto& [name, value] : request.fields.all()) {
+            m_request.set(name, value);
+        }
+        m_request.keep_alive(true);
+        m_request.body() = request.body;
+        m_request.prepare_payload();
+    }
+
+    void connect() {
+        m_stream = std::make_unique<beast::tcp_stream>(m_client->context);
+        beast::error_code bad_address;
+        const auto address = asio::ip::make_address(m_to.address, bad_address);
+        if (bad_address) {
+            fail(http_failure_kind::connect_failed);
+            return;
+        }
+        m_stream->expires_after(m_client->limits.connect_timeout);
+        m_stream->async_connect(tcp::endpoint(address, m_to.port),
+                                [self = shared_from_this()](beast::error_code failure) {
+                                    self->on_connected(failure);
+                                });
+    }
+
+    void on_connected(beast::error_code failure) {
+        if (m_finished) {
+            return;
+        }
+        if (failure) {
+            fail(http_failure_kind::connect_failed);
+            return;
+        }
+        beast::error_code ignored;
+        m_stream->socket().set_option(tcp::no_delay(true), ignored);
+        m_stream->expires_never();
+        write();
+    }
+
+    void write() {
+        m_request_sent = true;
+        http::async_write(*m_stream, m_request,
+                          [self = shared_from_this()](beast::error_code failure, std::size_t) {
+                              self->on_written(failure);
+                          });
+    }
+
+    void on_written(beast::error_code failure) {
+        if (m_finished) {
+            return;
+        }
+        if (failure) {
+            fail(http_failure_kind::connection_lost);
+            return;
+        }
+        m_parser.emplace();
+        m_parser->body_limit(m_client->limits.max_body_bytes);
+        http::async_read(*m_stream, m_buffer, *m_parser,
+                         [self = shared_from_this()](beast::error_code read_failure, std::size_t) {
+                             self->on_read(read_failure);
+                         });
+    }
+
+    void on_read(beast::error_code failure) {
+        if (m_finished) {
+            return;
+        }
+        if (failure) {
+            const bool lost = failure == http::error::end_of_stream ||
+                              failure == http::error::partial_message ||
+                              failure.category() == asio::error::get_system_category();
+            fail(lost ? http_failure_kind::connection_lost : http_failure_kind::bad_response);
+            return;
+        }
+        auto message = m_parser->release();
+        http_response response;
+        response.status = message.result_int();
+        for (const auto& field : message) {
+            response.fields.set(field.name_string(), field.value());
+        }
+        response.body = std::move(message.body());
+        m_finished = true;
+        --m_client->pools[m_to].busy;
+        if (message.keep_alive()) {
+            m_client->give_back(m_to, std::move(m_stream));
+        }
+        finish(std::move(response));
+    }
+
+    void finish(http_result result) {
+        m_deadline.cancel();
+        const auto self = shared_from_this();
+        m_client->exchanges.erase(m_id);
+        m_complete(std::move(result));
+    }
+
+    std::shared_ptr<http_client::state> m_client;
+    std::uint64_t m_id;
+    endpoint m_to;
+    http_completion m_complete;
+    asio::steady_timer m_deadline;
+    std::unique_ptr<beast::tcp_stream> m_stream;
+    http::request<http::string_body> m_request;
+    beast::flat_buffer m_buffer;
+    std::optional<http::response_parser<http::string_body>> m_parser;
+    bool m_request_sent = false;
+    bool m_finished = false;
+};
+
+// A readable idle connection has been closed by the peer or carries bytes that belong to no
+// request.
+bool is_usable(beast::tcp_stream& stream) {
+    beast::error_code failure;
+    char byte = 0;
+    stream.socket().non_blocking(true, failure);
+    stream.socket().receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, failure);
+    return failure == asio::error::would_block;
+}
+
+} // namespace
+
+std::unique_ptr<beast::tcp_stream> http_client::state::take_idle(const endpoint& to) {
+    auto& idle = pools[to].idle;
+    const auto now = std::chrono::steady_clock::now();
+    while (!idle.empty()) {
+        idle_connection connection = std::move(idle.back());
+        idle.pop_back();
+        if (now - connection.since < limits.idle_timeout && is_usable(*connection.stream)) {
+            return std::move(connection.stream);
+        }
+    }
+    return nullptr;
+}
+
+void http_client::state::give_back(const endpoint& to, std::unique_ptr<beast::tcp_stream> stream) {
+    pools[to].idle.push_back({std::move(stream), std::chrono::steady_clock::now()});
+}
+
+http_client::http_client(event_loop& loop, http_client_limits limits)
+    : m_state(std::make_shared<state>(loop, limits)) {}
+
+http_client::~http_client() = default;
+
+std::uint64_t http_client::send(const endpoint& to, http_request request, common::duration timeout,
+                                http_completion complete) {
+    const std::uint64_t id = m_state->next_id.fetch_add(1);
+    asio::post(m_state->context, [s = m_state, id, to, request = std::move(request), timeout,
+                                  complete = std::move(complete)]() mutable {
+        const auto e = std::make_shared<exchange>(s, id, to, std::move(complete));
+        s->exchanges.emplace(id, e);
+        e->start(request, timeout);
+    });
+    return id;
+}
+
+void http_client::cancel(std::uint64_t id) {
+    asio::post(m_state->context, [s = m_state, id] {
+        const auto position = s->exchanges.find(id);
+        if (position != s->exchanges.end()) {
+            const auto e = position->second;
+            e->fail(http_failure_kind::cancelled);
+        }
+    });
+}
+
+void http_client::close_idle(const endpoint& to) {
+    asio::post(m_state->context, [s = m_state, to] { s->pools[to].idle.clear(); });
+}
+
+std::string_view to_string(http_failure_kind kind) {
+    return failure_names.name(kind);
+}
+
+} // namespace buckthornspar::net
--- /dev/null
+++ b/source/core/net/http_client.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "core/common/clock.h"
+#include "core/net/endpoint.h"
+#include "core/net/http_message.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <variant>
+
+namespace buckthornspar::net {
+
+class event_loop;
+
+enum class http_failure_kind {
+    connect_failed,
+    timed_out,
+    connection_lost,
+    bad_response,
+    cancelled,
+    pool_exhausted,
+};
+
+[[nodiscard]] std::string_view to_string(http_failure_kind kind);
+
+/// Why there is no response. When request_sent is false, no byte of the request can have reached
+/// the peer; otherwise the peer may have received and executed it.
+struct http_failure {
+    http_failure_kind kind;
+    bool request_sent;
+};
+
+using http_result = std::variant<http_response, http_failure>;
+using http_completion = std::function<void(http_result)>;
+
+struct http_client_limits {
+    std::size_t max_connections_per_endpoint = 64;
+    std::size_t max_body_bytes = 8U << 20U;
+    common::duration connect_timeout = std::chrono::seconds(1);
+    /// Idle connections older than this are closed instead of reused.
+    common::duration idle_timeout = std::chrono::seconds(30);
+};
+
+/// HTTP/1.1 client with a pool of kept-alive connections per endpoint. It never repeats a request.
+class http_client {
+public:
+    http_client(event_loop& loop, http_client_limits limits);
+    ~http_client();
+    http_client(const http_client&) = delete;
+    http_client& operator=(const http_client&) = delete;
+
+    /// Sends the request and completes exactly once, on the loop's thread. May be called from any
+    /// thread. A truncated answer is a failure, never a response.
+    std::uint64_t send(const endpoint& to, http_request request, common::duration timeout,
+                       http_completion complete);
+
+    /// Completes the request with http_failure_kind::cancelled unless it has completed.
+    void cancel(std::uint64_t id);
+
+    /// Closes all idle connections to the endpoint, for example because they may be silent.
+    void close_idle(const endpoint& to);
+
+    struct state;
+
+private:
+    std::shared_ptr<state> m_state;
+};
+
+} // namespace buckthornspar::net
--- /dev/null
+++ b/source/core/net/http_server.cpp
@@ -0,0 +1,253 @@
+#include "core/net/http_server.h"
+
+#include "core/net/event_loop.h"
+#include "core/net/net_error.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <atomic>
+#include <optional>
+#include <unordered_set>
+#include <utility>
+
+namespace buckthornspar::net {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+class session;
+} // namespace
+
+struct http_server::state : std::enable_shared_from_this<state> {
+    state(event_loop& l, http_server_limits lim, http_handler& h)
+        : context(l.context()), limits(lim), handler(h), acceptor(l.context()) {}
+
+    void accept();
+    void begin_stop();
+
+    asio::io_context& context;
+    http_server_limits limits;
+    http_handler& handler;
+    tcp::acceptor acceptor;
+    std::unordered_set<session*> sessions;
+    std::atomic<std::size_t> in_progress{0};
+    // Cleared by the server's destructor, after which the handler must not be called.
+    std::atomic<bool> open{true};
+    bool stopping = false;
+    std::uint16_t port = 0;
+};
+
+namespace {
+
+std::optional<http_method> to_method(http::verb verb) {
+    switch (verb) {
+    case http::verb::get:
+        return http_method::get;
+    case http::verb::post:
+        return http_method::post;
+    case http::verb::put:
+        return http_method::put;
+    case http::verb::delete_:
+        return http_method::del;
+    default:
+        return std::nullopt;
+    }
+}
+
+class session : public std::enable_shared_from_this<session> {
+public:
+    session(tcp::socket socket, std::shared_ptr<http_server::state> server)
+        : m_stream(std::move(socket)), m_server(std::move(server)) {
+        m_server->sessions.insert(this);
+    }
+
+    session(const session&) = delete;
+    session& operator=(const session&) = delete;
+
+    ~session() { m_server->sessions.erase(this); }
+
+    void read() {
+        m_parser.emplace();
+        m_parser->body_limit(m_server->limits.max_body_bytes);
+        m_stream.expires_after(m_server->limits.idle_timeout);
+        m_idle = true;
+        http::async_read(m_stream, m_buffer, *m_parser,
+                         [self = shared_from_this()](beast::error_code failure, std::size_t) {
+                             self->on_read(failure);
+                         });
+    }
+
+    void close_if_idle() {
+        if (m_idle) {
+            m_stream.cancel();
+        }
+    }
+
+private:
+    void on_read(beast::error_code failure) {
+        m_idle = false;
+        if (failure) {
+            on_read_failure(failure);
+            return;
+        }
+        auto message = m_parser->release();
+        m_keep_alive = message.keep_alive();
+        const auto method = to_method(message.method());
+        if (!method) {
+            write(error_response(405, "method_not_allowed", "use GET, POST, PUT or DELETE"));
+            return;
+        }
+        http_request request;
+        request.method = *method;
+        request.target = std::string(message.target());
+        for (const auto& field : message) {
+            request.fields.set(field.name_string(), field.value());
+        }
+        request.body = std::move(message.body());
+        dispatch(std::move(request));
+    }
+
+    void on_read_failure(beast::error_code failure) {
+        m_keep_alive = false;
+        if (failure == http::error::body_limit) {
+            write(error_response(413, "body_too_large",
+                                 "the body is larger than " +
+                                     std::to_string(m_server->limits.max_body_bytes) + " bytes"));
+            return;
+        }
+        const bool malformed =
+            failure.category() == make_error_code(http::error::bad_method).category();
+        if (malformed && failure != http::error::end_of_stream &&
+            failure != http::error::partial_message) {
+            write(error_response(400, "malformed_http", failure.message()));
+            return;
+        }
+        beast::error_code ignored;
+        m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    }
+
+    void dispatch(http_request request) {
+        if (!m_server->open) {
+            return;
+        }
+        m_stream.expires_never();
+        m_server->in_progress.fetch_add(1);
+        auto answered = std::make_shared<std::atomic<bool>>(false);
+        auto reply = [self = shared_from_this(), answered](http_response response) {
+            if (answered->exchange(true)) {
+                return;
+            }
+            asio::post(self->m_server->context, [self, response = std::move(response)]() mutable {
+                self->m_server->in_progress.fetch_sub(1);
+                self->write(std::move(response));
+            });
+        };
+        m_server->handler.handle(std::move(request), std::move(reply));
+    }
+
+    void write(http_response response) {
+        m_message = {};
+        m_message.version(11);
+        m_message.result(response.status);
+        for (const auto& [name, value] : response.fields.all()) {
+            m_message.set(name, value);
+        }
+        m_keep_alive = m_keep_alive && !m_server->stopping;
+        m_message.keep_alive(m_keep_alive);
+        m_message.body() = std::move(response.body);
+        m_message.prepare_payload();
+        m_stream.expires_after(m_server->limits.idle_timeout);
+        http::async_write(m_stream, m_message,
+                          [self = shared_from_this()](beast::error_code failure, std::size_t) {
+                              self->on_written(failure);
+                          });
+    }
+
+    void on_written(beast::error_code failure) {
+        if (failure) {
+            return;
+        }
+        if (!m_keep_alive || m_server->stopping) {
+            beast::error_code ignored;
+            m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+            return;
+        }
+        read();
+    }
+
+    beast::tcp_stream m_stream;
+    std::shared_ptr<http_server::state> m_server;
+    beast::flat_buffer m_buffer;
+    std::optional<http::request_parser<http::string_body>> m_parser;
+    http::response<http::string_body> m_message;
+    bool m_keep_alive = true;
+    bool m_idle = false;
+};
+
+} // namespace
+
+void http_server::state::accept() {
+    acceptor.async_accept(
+        [self = shared_from_this()](beast::error_code failure, tcp::socket socket) {
+            if (failure == asio::error::operation_aborted || self->stopping) {
+                return;
+            }
+            if (!failure && self->sessions.size() < self->limits.max_connections) {
+                beast::error_code ignored;
+                socket.set_option(tcp::no_delay(true), ignored);
+                std::make_shared<session>(std::move(socket), self)->read();
+            }
+            self->accept();
+        });
+}
+
+void http_server::state::begin_stop() {
+    stopping = true;
+    beast::error_code ignored;
+    acceptor.close(ignored);
+    for (session* const s : sessions) {
+        s->close_if_idle();
+    }
+}
+
+http_server::http_server(event_loop& loop, const endpoint& listen, http_server_limits limits,
+                         http_handler& handler)
+    : m_state(std::make_shared<state>(loop, limits, handler)) {
+    try {
+        const tcp::endpoint address(asio::ip::make_address(listen.address), listen.port);
+        m_state->acceptor.open(address.protocol());
+        m_state->acceptor.set_option(asio::socket_base::reuse_address(true));
+        m_state->acceptor.bind(address);
+        m_state->acceptor.listen();
+    } catch (const boost::system::system_error& e) {
+        throw net_error("cannot listen on " + to_string(listen) + ": " + e.code().message());
+    }
+    m_state->port = m_state->acceptor.local_endpoint().port();
+    loop.post([s = m_state] { s->accept(); });
+}
+
+http_server::~http_server() {
+    m_state->open = false;
+    stop_accepting();
+}
+
+std::uint16_t http_server::port() const {
+    return m_state->port;
+}
+
+void http_server::stop_accepting() {
+    asio::post(m_state->context, [s = m_state] { s->begin_stop(); });
+}
+
+std::size_t http_server::requests_in_progress() const {
+    return m_state->in_progress;
+}
+
+} // namespace buckthornspar::net
--- /dev/null
+++ b/source/core/net/net_error.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "core/common/error.h"
+
+namespace buckthornspar::net {
+
+/// A socket operation that failed, for example binding an address that is in use.
+class net_error : public common::error {
+public:
+    using error::error;
+    [[nodiscard]] std::string_view type() const noexcept override { return "net_error"; }
+};
+
+} // namespace buckthornspar::net
--- /dev/null
+++ b/source/schema/peer.capnp
@@ -0,0 +1,63 @@
+@0xb4d1f0a3c2e59718;
+# Protocol between the processes of the system. Every message names its sender and the sender's
+# configuration version, so that a receiver that is behind pulls the missing versions.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("buckthornspar::peer::schema");
+
+struct Sender {
+  id @0 :Text;              # instance id
+  role @1 :Text;            # entry, scheduler, config
+  configVersion @2 :UInt64; # version in force in the sender
+}
+
+enum ReplyStatus {
+  ok @0;
+  notOwner @1;      # the shard belongs to another scheduler; see ownerHint
+  refused @2;       # typed refusal; errorType and errorDetail are set
+  notFound @3;
+}
+
+struct Reply {
+  status @0 :ReplyStatus;
+  body @1 :Text;            # JSON document of the answer, empty when refused
+  errorType @2 :Text;
+  errorDetail @3 :Text;
+  errorField @4 :Text;
+  ownerHint @5 :Text;       # instance id of the owner when known
+  configVersion @6 :UInt64;
+}
+
+struct ShardLoad {
+  shard @0 :Text;
+  epoch @1 :UInt64;
+  freeCpuMilli @2 :UInt64;
+  freeMemoryMb @3 :UInt64;
+  freeAccelerators @4 :UInt64;
+  pendingTasks @5 :UInt64;
+}
+
+struct Heartbeat {
+  sender @0 :Sender;
+  shards @1 :List(ShardLoad);   # shards that the sender owns; empty for other roles
+  draining @2 :Bool;
+}
+
+struct ConfigRecord {
+  version @0 :UInt64;
+  body @1 :Text;                # JSON document of the configuration record
+}
+
+interface Peer {
+  # One interface for all roles: a process refuses the calls that its role does not serve with
+  # status refused and errorType "wrong_role".
+  heartbeat @0 (beat :Heartbeat) -> (reply :Heartbeat);
+
+  submitJob @1 (sender :Sender, job :Text, deadlineMs :UInt32) -> (reply :Reply);
+  jobStatus @2 (sender :Sender, id :Text) -> (reply :Reply);
+  explainJob @3 (sender :Sender, id :Text) -> (reply :Reply);
+  cancelJob @4 (sender :Sender, id :Text) -> (reply :Reply);
+
+  configSince @5 (sender :Sender, version :UInt64) -> (records :List(ConfigRecord), inForce :UInt64);
+  announceConfig @6 (sender :Sender, records :List(ConfigRecord)) -> (inForce :UInt64);
+}
--- /dev/null
+++ b/tests/unit/net/http_test.cpp
@@ -0,0 +1,118 @@
+#define BOOST_TEST_MODULE net
+#include "core/net/event_loop.h"
+#include "core/net/http_client.h"
+#include "core/net/http_server.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <future>
+#include <string>
+
+using namespace buckthornspar::net;
+using namespace std::chrono_literals;
+
+namespace {
+
+class echo_handler final : public http_handler {
+public:
+    void handle(http_request request, http_reply reply) override {
+        if (request.path() == "/silent") {
+            m_kept = std::move(reply);
+            return;
+        }
+        http_response response;
+        response.fields.set("X-Target", request.target);
+        response.body = request.body;
+        reply(std::move(response));
+    }
+
+private:
+    http_reply m_kept;
+};
+
+struct http_fixture {
+    http_fixture() : server(loop, {"127.0.0.1", 0}, small_limits(), handler), client(loop, {}) {
+        loop.start();
+    }
+    ~http_fixture() { loop.stop(); }
+
+    static http_server_limits small_limits() {
+        http_server_limits limits;
+        limits.max_body_bytes = 1000;
+        return limits;
+    }
+
+    http_result call(http_request request, std::chrono::milliseconds timeout = 5s) {
+        std::promise<http_result> promise;
+        client.send({"127.0.0.1", server.port()}, std::move(request), timeout,
+                    [&](http_result result) { promise.set_value(std::move(result)); });
+        return promise.get_future().get();
+    }
+
+    event_loop loop;
+    echo_handler handler;
+    http_server server;
+    http_client client;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(http_test, http_fixture)
+
+// Guards against lost bodies and headers on a reused connection.
+BOOST_AUTO_TEST_CASE(requests_are_echoed_in_sequence) {
+    for (int i = 0; i < 3; ++i) {
+        http_request request;
+        request.method = http_method::post;
+        request.target = "/a?n=" + std::to_string(i);
+        request.body = "body" + std::to_string(i);
+        const auto result = call(request);
+        BOOST_REQUIRE(std::holds_alternative<http_response>(result));
+        const auto& response = std::get<http_response>(result);
+        BOOST_TEST(response.body == request.body);
+        BOOST_TEST(response.fields.get("x-target") == request.target);
+    }
+}
+
+// Guards against an oversized body that reaches the handler or kills the process.
+BOOST_AUTO_TEST_CASE(oversized_body_gets_413) {
+    http_request request;
+    request.method = http_method::post;
+    request.target = "/a";
+    request.body = std::string(5000, 'x');
+    const auto result = call(request);
+    BOOST_REQUIRE(std::holds_alternative<http_response>(result));
+    BOOST_TEST(std::get<http_response>(result).status == 413U);
+}
+
+// Guards against a silent peer that holds a request for good, and against telling that the request
+// was never sent.
+BOOST_AUTO_TEST_CASE(silent_server_times_out_as_sent) {
+    http_request request;
+    request.target = "/silent";
+    const auto result = call(request, 100ms);
+    BOOST_REQUIRE(std::holds_alternative<http_failure>(result));
+    BOOST_TEST((std::get<http_failure>(result).kind == http_failure_kind::timed_out));
+    BOOST_TEST(std::get<http_failure>(result).request_sent);
+}
+
+// Guards against a refused connection that is reported as possibly executed.
+BOOST_AUTO_TEST_CASE(refused_connection_was_not_sent) {
+    std::promise<http_result> promise;
+    client.send({"127.0.0.1", 1}, {}, 1s, [&](http_result r) { promise.set_value(std::move(r)); });
+    const auto result = promise.get_future().get();
+    BOOST_REQUIRE(std::holds_alternative<http_failure>(result));
+    BOOST_TEST((std::get<http_failure>(result).kind == http_failure_kind::connect_failed));
+    BOOST_TEST(!std::get<http_failure>(result).request_sent);
+}
+
+// Guards against path segments and queries being split at encoded characters.
+BOOST_AUTO_TEST_CASE(targets_are_decoded) {
+    const auto segments = path_segments("/v1/jobs/a%2Fb");
+    BOOST_TEST((segments == std::vector<std::string>{"v1", "jobs", "a/b"}));
+    http_request request;
+    request.target = "/v1/x?a=1&b=c%20d";
+    BOOST_TEST(request.query("b").value() == "c d");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
