Add the protocol between the system's processes

Cap'n Proto RPC on a KJ loop in a thread of its own, with typed messages at the interface. A call that times out closes its connection, because a silent connection never recovers; a failed call tells whether the peer can have received it, so that callers are told the truth.

--- /dev/null
+++ b/source/core/peer/peer_codec.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "core/peer/peer.capnp.h"
+#include "core/peer/peer_messages.h"
+
+namespace buckthornspar::peer {
+
+// Conversion between the typed messages and their Cap'n Proto form.
+
+[[nodiscard]] sender decode(schema::Sender::Reader reader);
+void encode(const sender& value, schema::Sender::Builder builder);
+
+[[nodiscard]] heartbeat decode(schema::Heartbeat::Reader reader);
+void encode(const heartbeat& value, schema::Heartbeat::Builder builder);
+
+[[nodiscard]] job_reply decode(schema::Reply::Reader reader);
+void encode(const job_reply& value, schema::Reply::Builder builder);
+
+[[nodiscard]] std::vector<config_record> decode(capnp::List<schema::ConfigRecord>::Reader reader);
+void encode(const std::vector<config_record>& value,
+            capnp::List<schema::ConfigRecord>::Builder builder);
+
+} // namespace buckthornspar::peer
--- /dev/null
+++ b/source/core/peer/peer_handler.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "core/peer/peer_messages.h"
+
+#include <functional>
+
+namespace buckthornspar::peer {
+
+/// Receives the calls of other processes, on the peer thread. Completions may be called from any
+/// thread, once. A role overrides the calls that it serves; the others are refused with the type
+/// wrong_role.
+class peer_handler {
+public:
+    virtual ~peer_handler() = default;
+
+    virtual void on_heartbeat(const heartbeat& beat, std::function<void(heartbeat)> complete) = 0;
+    virtual void on_job_call(job_call call, std::function<void(job_reply)> complete);
+    virtual void on_config_since(const sender& from, std::uint64_t version,
+                                 std::function<void(config_records)> complete);
+    /// Answers with the version in force after the records were taken over.
+    virtual void on_config_announced(const sender& from, std::vector<config_record> records,
+                                     std::function<void(std::uint64_t)> complete);
+
+protected:
+    peer_handler() = default;
+    peer_handler(const peer_handler&) = default;
+    peer_handler& operator=(const peer_handler&) = default;
+};
+
+} // namespace buckthornspar::peer
--- /dev/null
+++ b/source/core/peer/peer_messages.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace buckthornspar::peer {
+
+/// Who sent a message, and the configuration version in force there.
+struct sender {
+    std::string id;
+    std::string role;
+    std::uint64_t config_version = 0;
+};
+
+/// Load of one shard, as its owner reports it.
+struct shard_load {
+    std::string shard;
+    std::uint64_t epoch = 0;
+    std::uint64_t free_cpu_milli = 0;
+    std::uint64_t free_memory_mb = 0;
+    std::uint64_t free_accelerators = 0;
+    std::uint64_t pending_tasks = 0;
+};
+
+struct heartbeat {
+    sender from;
+    /// Shards that the sender owns; empty for roles other than scheduler.
+    std::vector<shard_load> shards;
+    bool draining = false;
+};
+
+enum class job_operation { submit, status, explain, cancel };
+
+/// A call about one job. text is the JSON of the job for submit, otherwise the job's id.
+struct job_call {
+    job_operation operation = job_operation::status;
+    sender from;
+    std::string text;
+    /// submit only: how long the caller waits, in milliseconds.
+    std::uint32_t deadline_ms = 0;
+};
+
+enum class reply_status {
+    ok,
+    not_owner, ///< another scheduler owns the shard; see owner_hint
+    refused,   ///< typed refusal: nothing was done
+    not_found,
+    not_sent,  ///< the peer cannot have received the call
+    no_answer, ///< the peer may have executed the call
+};
+
+[[nodiscard]] std::string_view to_string(reply_status status);
+
+struct job_reply {
+    reply_status status = reply_status::ok;
+    /// JSON of the answer; empty unless ok.
+    std::string body;
+    std::string error_type;
+    std::string error_detail;
+    std::string error_field;
+    std::string owner_hint;
+    std::uint64_t config_version = 0;
+};
+
+/// One record of the configuration log. body is its JSON.
+struct config_record {
+    std::uint64_t version = 0;
+    std::string body;
+};
+
+struct config_records {
+    std::vector<config_record> records;
+    std::uint64_t in_force = 0;
+};
+
+} // namespace buckthornspar::peer
--- /dev/null
+++ b/source/core/peer/peer_node.cpp
@@ -0,0 +1,361 @@
+#include "core/peer/peer_node.h"
+
+#include "core/common/bounded_ring.h"
+#include "core/common/counters.h"
+#include "core/net/net_error.h"
+#include "core/peer/peer_codec.h"
+#include "core/peer/peer_service.h"
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+
+#include <atomic>
+#include <future>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace buckthornspar::peer {
+
+namespace {
+
+kj::Duration to_kj(common::duration d) {
+    return d.count() * kj::MICROSECONDS;
+}
+
+// A connection to one peer. Calls made before it is established are queued by the client.
+struct connection {
+    bool established = false;
+    kj::Own<kj::AsyncIoStream> stream;
+    kj::Own<capnp::TwoPartyClient> rpc;
+    kj::Maybe<schema::Peer::Client> client;
+};
+
+using connection_ptr = std::shared_ptr<connection>;
+
+// Everything that lives on the peer thread.
+class peer_loop final : private kj::TaskSet::ErrorHandler {
+public:
+    peer_loop(peer_handler& handler, peer_limits limits, common::counters& counters)
+        : m_io(kj::setupAsyncIo()),
+          m_limits(limits),
+          m_counters(counters),
+          m_server(kj::heap<peer_service>(handler)),
+          m_tasks(*this) {}
+
+    std::uint16_t listen(const net::endpoint& address) {
+        const auto text = net::to_string(address);
+        auto parsed = m_io.provider->getNetwork().parseAddress(text.c_str()).wait(m_io.waitScope);
+        m_listener = parsed->listen();
+        m_tasks.add(m_server.listen(*m_listener));
+        return static_cast<std::uint16_t>(m_listener->getPort());
+    }
+
+    kj::WaitScope& wait_scope() { return m_io.waitScope; }
+
+    // Connections are destroyed here, outside of their own callbacks.
+    void destroy_closed() { m_closed.clear(); }
+
+    // send makes the call and returns a promise of the result; complete gets the result, or the
+    // failure as "may have been executed".
+    template <typename Result, typename Send, typename Complete>
+    void call(const net::endpoint& to, common::duration timeout, Send send, Complete complete) {
+        const connection_ptr c = connect(to);
+        auto shared = std::make_shared<Complete>(std::move(complete));
+        kj::Promise<Result> answer = send(KJ_ASSERT_NONNULL(c->client));
+        m_tasks.add(m_io.provider->getTimer()
+                        .timeoutAfter(to_kj(timeout), kj::mv(answer))
+                        .then([shared](Result result) { shared->succeeded(std::move(result)); },
+                              [this, shared, c, to](const kj::Exception& failure) {
+                                  const bool sent = c->established;
+                                  close(to, c, failure);
+                                  shared->failed(sent);
+                              }));
+    }
+
+private:
+    connection_ptr connect(const net::endpoint& to) {
+        connection_ptr& slot = m_connections[to];
+        if (slot) {
+            return slot;
+        }
+        slot = std::make_shared<connection>();
+        auto ready = open(to, slot).fork();
+        slot->client = schema::Peer::Client(ready.addBranch());
+        return slot;
+    }
+
+    kj::Promise<schema::Peer::Client> open(const net::endpoint& to, const connection_ptr& c) {
+        const auto text = net::to_string(to);
+        auto connected = m_io.provider->getNetwork()
+                             .parseAddress(text.c_str())
+                             .then([](kj::Own<kj::NetworkAddress> address) {
+                                 auto promise = address->connect();
+                                 return promise.attach(kj::mv(address));
+                             });
+        return m_io.provider->getTimer()
+            .timeoutAfter(to_kj(m_limits.connect_timeout), kj::mv(connected))
+            .then([c](kj::Own<kj::AsyncIoStream> stream) -> schema::Peer::Client {
+                c->stream = kj::mv(stream);
+                c->rpc = kj::heap<capnp::TwoPartyClient>(*c->stream);
+                c->established = true;
+                return c->rpc->bootstrap().castAs<schema::Peer>();
+            });
+    }
+
+    void close(const net::endpoint& to, const connection_ptr& c, const kj::Exception& failure) {
+        const bool overdue = failure.getType() == kj::Exception::Type::OVERLOADED;
+        m_counters.get("peer_call_failures_total", "reason", overdue ? "timeout" : "disconnected")
+            .add();
+        const auto position = m_connections.find(to);
+        if (position != m_connections.end() && position->second == c) {
+            m_connections.erase(position);
+        }
+        m_closed.push_back(c);
+    }
+
+    // Only the accept loop and completed calls end up here; calls handle their own failures.
+    void taskFailed(kj::Exception&&) override { m_counters.get("peer_task_failures_total").add(); }
+
+    kj::AsyncIoContext m_io;
+    peer_limits m_limits;
+    common::counters& m_counters;
+    std::map<net::endpoint, connection_ptr> m_connections;
+    std::vector<connection_ptr> m_closed;
+    kj::Own<kj::ConnectionReceiver> m_listener;
+    capnp::TwoPartyServer m_server;
+    // Last member: its destructor cancels the calls before their connections go.
+    kj::TaskSet m_tasks;
+};
+
+template <typename T>
+struct optional_completion {
+    std::function<void(std::optional<T>)> complete;
+    void succeeded(T value) { complete(std::move(value)); }
+    void failed(bool) { complete(std::nullopt); }
+};
+
+struct job_completion {
+    std::function<void(job_reply)> complete;
+    void succeeded(job_reply reply) { complete(std::move(reply)); }
+    void failed(bool sent) {
+        job_reply reply;
+        reply.status = sent ? reply_status::no_answer : reply_status::not_sent;
+        complete(std::move(reply));
+    }
+};
+
+using loop_task = std::function<void(peer_loop&)>;
+
+template <typename Response>
+job_reply reply_of(const Response& response) {
+    return decode(response.getReply());
+}
+
+kj::Promise<job_reply> send_job_call(schema::Peer::Client client, const job_call& call) {
+    const auto take_reply = [](auto response) { return decode(response.getReply()); };
+    switch (call.operation) {
+    case job_operation::submit: {
+        auto request = client.submitJobRequest();
+        encode(call.from, request.initSender());
+        request.setJob(call.text.c_str());
+        request.setDeadlineMs(call.deadline_ms);
+        return request.send().then(take_reply);
+    }
+    case job_operation::explain: {
+        auto request = client.explainJobRequest();
+        encode(call.from, request.initSender());
+        request.setId(call.text.c_str());
+        return request.send().then(take_reply);
+    }
+    case job_operation::cancel: {
+        auto request = client.cancelJobRequest();
+        encode(call.from, request.initSender());
+        request.setId(call.text.c_str());
+        return request.send().then(take_reply);
+    }
+    case job_operation::status:
+        break;
+    }
+    auto request = client.jobStatusRequest();
+    encode(call.from, request.initSender());
+    request.setId(call.text.c_str());
+    return request.send().then(take_reply);
+}
+
+} // namespace
+
+struct peer_node::state {
+    state(peer_handler& h, peer_limits lim, common::counters& c)
+        : handler(h), limits(lim), counters(c), tasks(lim.max_queued_calls) {}
+
+    void run(const net::endpoint& listen, std::promise<std::uint16_t>& bound);
+    void serve(peer_loop& loop);
+    void wake();
+
+    // Returns false when the ring is full or the node has stopped.
+    [[nodiscard]] bool push(loop_task task) {
+        if (!tasks.try_push(std::move(task))) {
+            counters.get("refusals_total", "reason", "peer_ring_full").add();
+            return false;
+        }
+        wake();
+        return true;
+    }
+
+    peer_handler& handler;
+    peer_limits limits;
+    common::counters& counters;
+    common::bounded_ring<loop_task> tasks;
+    std::mutex wake_mutex;
+    kj::Own<kj::CrossThreadPromiseFulfiller<void>> wake_up;
+    std::atomic<bool> stopping{false};
+    std::uint16_t port = 0;
+    std::thread thread;
+};
+
+void peer_node::state::wake() {
+    const std::lock_guard lock(wake_mutex);
+    if (wake_up) {
+        wake_up->fulfill();
+    }
+}
+
+void peer_node::state::run(const net::endpoint& listen, std::promise<std::uint16_t>& bound) {
+    peer_loop loop(handler, limits, counters);
+    try {
+        bound.set_value(loop.listen(listen));
+    } catch (const kj::Exception& e) {
+        bound.set_exception(std::make_exception_ptr(net::net_error(
+            "cannot listen on " + net::to_string(listen) + ": " + e.getDescription().cStr())));
+        return;
+    }
+    serve(loop);
+    const std::lock_guard lock(wake_mutex);
+    wake_up = nullptr;
+}
+
+void peer_node::state::serve(peer_loop& loop) {
+    while (!stopping) {
+        auto pair = kj::newPromiseAndCrossThreadFulfiller<void>();
+        {
+            const std::lock_guard lock(wake_mutex);
+            wake_up = kj::mv(pair.fulfiller);
+        }
+        // A task pushed before the new fulfiller was in place is found here.
+        for (auto& task : tasks.pop_all(std::chrono::microseconds(0))) {
+            task(loop);
+        }
+        if (stopping) {
+            return;
+        }
+        pair.promise.wait(loop.wait_scope());
+        loop.destroy_closed();
+    }
+}
+
+peer_node::peer_node(const net::endpoint& listen, peer_handler& handler, peer_limits limits,
+                     common::counters& counters)
+    : m_state(std::make_unique<state>(handler, limits, counters)) {
+    std::promise<std::uint16_t> bound;
+    auto port = bound.get_future();
+    m_state->thread = std::thread([this, listen, &bound] { m_state->run(listen, bound); });
+    try {
+        m_state->port = port.get();
+    } catch (const net::net_error&) {
+        m_state->thread.join();
+        throw;
+    }
+}
+
+peer_node::~peer_node() {
+    stop();
+}
+
+std::uint16_t peer_node::port() const {
+    return m_state->port;
+}
+
+void peer_node::stop() {
+    m_state->stopping = true;
+    m_state->tasks.close();
+    m_state->wake();
+    if (m_state->thread.joinable()) {
+        m_state->thread.join();
+    }
+}
+
+void peer_node::send_heartbeat(const net::endpoint& to, heartbeat beat,
+                               std::function<void(std::optional<heartbeat>)> complete) {
+    auto send = [beat = std::move(beat)](schema::Peer::Client client) {
+        auto request = client.heartbeatRequest();
+        encode(beat, request.initBeat());
+        return request.send().then([](auto response) { return decode(response.getReply()); });
+    };
+    const bool queued =
+        m_state->push([to, send, complete, timeout = m_state->limits.call_timeout](peer_loop& l) {
+            l.call<heartbeat>(to, timeout, send, optional_completion<heartbeat>{complete});
+        });
+    if (!queued) {
+        complete(std::nullopt);
+    }
+}
+
+void peer_node::call_job(const net::endpoint& to, job_call call,
+                         std::function<void(job_reply)> complete) {
+    const common::duration timeout = call.operation == job_operation::submit && call.deadline_ms > 0
+                                         ? std::chrono::milliseconds(call.deadline_ms)
+                                         : m_state->limits.call_timeout;
+    auto send = [call = std::move(call)](schema::Peer::Client client) {
+        return send_job_call(kj::mv(client), call);
+    };
+    const bool queued = m_state->push([to, send, complete, timeout](peer_loop& l) {
+        l.call<job_reply>(to, timeout, send, job_completion{complete});
+    });
+    if (!queued) {
+        job_completion{complete}.failed(false);
+    }
+}
+
+void peer_node::config_since(const net::endpoint& to, sender from, std::uint64_t version,
+                             std::function<void(std::optional<config_records>)> complete) {
+    auto send = [from = std::move(from), version](schema::Peer::Client client) {
+        auto request = client.configSinceRequest();
+        encode(from, request.initSender());
+        request.setVersion(version);
+        return request.send().then([](auto response) {
+            return config_records{decode(response.getRecords()), response.getInForce()};
+        });
+    };
+    const bool queued = m_state->push([to, send, complete,
+                                       timeout = m_state->limits.call_timeout](peer_loop& l) {
+        l.call<config_records>(to, timeout, send, optional_completion<config_records>{complete});
+    });
+    if (!queued) {
+        complete(std::nullopt);
+    }
+}
+
+void peer_node::announce_config(const net::endpoint& to, sender from,
+                                std::vector<config_record> records,
+                                std::function<void(std::optional<std::uint64_t>)> complete) {
+    auto send = [from = std::move(from),
+                 records = std::move(records)](schema::Peer::Client client) {
+        auto request = client.announceConfigRequest();
+        encode(from, request.initSender());
+        encode(records, request.initRecords(static_cast<unsigned>(records.size())));
+        return request.send().then(
+            [](auto response) -> std::uint64_t { return response.getInForce(); });
+    };
+    const bool queued =
+        m_state->push([to, send, complete, timeout = m_state->limits.call_timeout](peer_loop& l) {
+            l.call<std::uint64_t>(to, timeout, send, optional_completion<std::uint64_t>{complete});
+        });
+    if (!queued) {
+        complete(std::nullopt);
+    }
+}
+
+} // namespace buckthornspar::peer
--- /dev/null
+++ b/source/core/peer/peer_node.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "core/common/clock.h"
+#include "core/net/endpoint.h"
+#include "core/peer/peer_messages.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace buckthornspar::common {
+class counters;
+}
+
+namespace buckthornspar::peer {
+
+class peer_handler;
+
+struct peer_limits {
+    common::duration connect_timeout = std::chrono::seconds(1);
+    common::duration call_timeout = std::chrono::seconds(2);
+    /// Calls waiting for the peer thread; more are refused as not sent.
+    std::size_t max_queued_calls = 8192;
+};
+
+/// The process's end of the protocol between the system's processes: one thread that runs a KJ
+/// event loop, serves incoming calls and keeps one connection to each peer that it calls. A
+/// connection on which a call times out is closed and replaced, since it may have become silent for
+/// good. Completions run on the peer thread and must not block.
+class peer_node {
+public:
+    /// Listens at once. Throws net::net_error when the address cannot be bound.
+    peer_node(const net::endpoint& listen, peer_handler& handler, peer_limits limits,
+              common::counters& counters);
+    ~peer_node();
+    peer_node(const peer_node&) = delete;
+    peer_node& operator=(const peer_node&) = delete;
+
+    [[nodiscard]] std::uint16_t port() const;
+
+    /// Stops the thread. Completions of calls in progress are dropped.
+    void stop();
+
+    // Each call may be made from any thread. An empty optional means that there is no answer.
+
+    void send_heartbeat(const net::endpoint& to, heartbeat beat,
+                        std::function<void(std::optional<heartbeat>)> complete);
+
+    /// Failed calls complete with the status not_sent or no_answer. A submit call waits for its own
+    /// deadline, all others for the call timeout.
+    void call_job(const net::endpoint& to, job_call call, std::function<void(job_reply)> complete);
+
+    void config_since(const net::endpoint& to, sender from, std::uint64_t version,
+                      std::function<void(std::optional<config_records>)> complete);
+
+    void announce_config(const net::endpoint& to, sender from, std::vector<config_record> records,
+                         std::function<void(std::optional<std::uint64_t>)> complete);
+
+    struct state;
+
+private:
+    std::unique_ptr<state> m_state;
+};
+
+} // namespace buckthornspar::peer
--- /dev/null
+++ b/source/core/peer/peer_service.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "core/peer/peer.capnp.h"
+#include "core/peer/peer_handler.h"
+
+namespace buckthornspar::peer {
+
+/// Cap'n Proto service that hands incoming calls to a peer_handler.
+class peer_service final : public schema::Peer::Server {
+public:
+    explicit peer_service(peer_handler& handler) : m_handler(handler) {}
+
+protected:
+    kj::Promise<void> heartbeat(HeartbeatContext context) override;
+    kj::Promise<void> submitJob(SubmitJobContext context) override;
+    kj::Promise<void> jobStatus(JobStatusContext context) override;
+    kj::Promise<void> explainJob(ExplainJobContext context) override;
+    kj::Promise<void> cancelJob(CancelJobContext context) override;
+    kj::Promise<void> configSince(ConfigSinceContext context) override;
+    kj::Promise<void> announceConfig(AnnounceConfigContext context) override;
+
+private:
+    peer_handler& m_handler;
+};
+
+} // namespace buckthornspar::peer
--- /dev/null
+++ b/tests/unit/peer/peer_node_test.cpp
@@ -0,0 +1,120 @@
+#define BOOST_TEST_MODULE peer
+#include "core/common/counters.h"
+#include "core/net/net_error.h"
+#include "core/peer/peer_handler.h"
+#include "core/peer/peer_node.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <future>
+#include <mutex>
+
+using namespace buckthornspar;
+using namespace buckthornspar::peer;
+using namespace std::chrono_literals;
+
+namespace {
+
+class recording_handler final : public peer_handler {
+public:
+    void on_heartbeat(const heartbeat& beat, std::function<void(heartbeat)> complete) override {
+        heartbeat reply = beat;
+        reply.from.id = "answering";
+        complete(reply);
+    }
+
+    void on_job_call(job_call call, std::function<void(job_reply)> complete) override {
+        if (call.text == "silent") {
+            const std::lock_guard lock(m_mutex);
+            m_kept.push_back(std::move(complete));
+            return;
+        }
+        job_reply reply;
+        reply.body = call.text + " for " + call.from.id;
+        complete(reply);
+    }
+
+    void on_config_since(const sender&, std::uint64_t version,
+                         std::function<void(config_records)> complete) override {
+        complete({{{version + 1, "{}"}}, version + 1});
+    }
+
+private:
+    std::mutex m_mutex;
+    std::vector<std::function<void(job_reply)>> m_kept;
+};
+
+peer_limits short_limits() {
+    peer_limits limits;
+    limits.call_timeout = 200ms;
+    return limits;
+}
+
+struct peer_fixture {
+    peer_fixture()
+        : server({"127.0.0.1", 0}, handler, short_limits(), counters),
+          client({"127.0.0.1", 0}, handler, short_limits(), counters),
+          to{"127.0.0.1", server.port()} {}
+
+    job_reply call(const net::endpoint& target, const std::string& text) {
+        std::promise<job_reply> promise;
+        job_call c;
+        c.from.id = "caller";
+        c.text = text;
+        client.call_job(target, c, [&](job_reply reply) { promise.set_value(std::move(reply)); });
+        return promise.get_future().get();
+    }
+
+    common::counters counters;
+    recording_handler handler;
+    peer_node server;
+    peer_node client;
+    net::endpoint to;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(peer_node_test, peer_fixture)
+
+// Guards against lost fields of messages on the way.
+BOOST_AUTO_TEST_CASE(heartbeat_carries_shards_and_version) {
+    std::promise<std::optional<heartbeat>> promise;
+    heartbeat beat{{"a", "scheduler", 7}, {{"s1", 3, 1, 2, 3, 4}}, true};
+    client.send_heartbeat(to, beat, [&](auto reply) { promise.set_value(std::move(reply)); });
+    const auto reply = promise.get_future().get();
+    BOOST_REQUIRE(reply.has_value());
+    BOOST_TEST(reply->from.id == "answering");
+    BOOST_TEST(reply->from.config_version == 7U);
+    BOOST_TEST(reply->shards.at(0).pending_tasks == 4U);
+    BOOST_TEST(reply->draining);
+}
+
+// Guards against a call on a silent connection that blocks the calls after it.
+BOOST_AUTO_TEST_CASE(silent_call_is_no_answer_and_later_calls_work) {
+    BOOST_TEST((call(to, "silent").status == reply_status::no_answer));
+    const auto reply = call(to, "j1");
+    BOOST_TEST((reply.status == reply_status::ok));
+    BOOST_TEST(reply.body == "j1 for caller");
+}
+
+// Guards against telling a caller that a job may have been accepted when nobody listens.
+BOOST_AUTO_TEST_CASE(refused_connection_is_not_sent) {
+    BOOST_TEST((call({"127.0.0.1", 1}, "j1").status == reply_status::not_sent));
+}
+
+// Guards against an address in use that goes unnoticed.
+BOOST_AUTO_TEST_CASE(address_in_use_throws) {
+    BOOST_CHECK_THROW(peer_node(to, handler, {}, counters), net::net_error);
+}
+
+BOOST_AUTO_TEST_CASE(configuration_is_pulled) {
+    std::promise<std::optional<config_records>> promise;
+    client.config_since(to, {"a", "entry", 4}, 4,
+                        [&](auto reply) { promise.set_value(std::move(reply)); });
+    const auto reply = promise.get_future().get();
+    BOOST_REQUIRE(reply.has_value());
+    BOOST_TEST(reply->in_force == 5U);
+    BOOST_TEST(reply->records.at(0).version == 5U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
