--- /dev/null
+++ b/source/core/server/peer_mesh.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "core/common/clock.h"
+#include "core/membership/instance_list.h"
+#include "core/peer/peer_messages.h"
+
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace buckthornspar::peer {
+class peer_node;
+}
+
+namespace buckthornspar::server {
+
+/// What is known of one other process of the system.
+struct peer_status {
+    std::string id;
+    membership::instance_role role = membership::instance_role::entry;
+    net::endpoint address;
+    std::string region;
+    /// Empty when it has never been heard.
+    std::optional<common::time_point> last_heard;
+    peer::heartbeat last_beat;
+};
+
+/// Exchanges heartbeats with the other processes and remembers what they said. Safe to use from all
+/// threads.
+class peer_mesh {
+public:
+    using beat_source = std::function<peer::heartbeat()>;
+    using beat_listener = std::function<void(const peer_status&)>;
+
+    /// own_id is left out of the peers. source makes the heartbeat to send; listener is told of
+    /// each heartbeat received, on the peer thread.
+    peer_mesh(std::string own_id, peer::peer_node& node, const common::clock& clock,
+              beat_source source, beat_listener listener);
+
+    /// Takes over the processes of the roles entry, scheduler and config from the instance list.
+    /// Peers that left the list are forgotten.
+    void update_peers(const std::vector<membership::instance>& instances);
+
+    /// Sends one heartbeat to every peer.
+    void send_heartbeats();
+
+    /// Records a heartbeat that a peer sent by itself.
+    void heard(const peer::heartbeat& beat);
+
+    [[nodiscard]] std::vector<peer_status> peers() const;
+
+    /// Address of the live scheduler that owns the shard with the highest epoch.
+    [[nodiscard]] std::optional<peer_status> owner_of(const std::string& shard) const;
+
+    /// True when the peer was heard within the given time.
+    [[nodiscard]] bool heard_within(const std::string& id, common::duration age) const;
+
+private:
+    std::string m_own_id;
+    peer::peer_node& m_node;
+    const common::clock& m_clock;
+    beat_source m_source;
+    beat_listener m_listener;
+    mutable std::mutex m_mutex;
+    std::map<std::string, peer_status> m_peers;
+};
+
+} // namespace buckthornspar::server
