Add cluster membership of the server programs

A process polls the instance list, exchanges heartbeats and pulls the configuration from any peer that has a higher version, one pull at a time.

--- /dev/null
+++ b/source/core/server/cluster_member.cpp
@@ -0,0 +1,135 @@
+#include "core/server/cluster_member.h"
+
+#include "core/common/logging.h"
+#include "core/server/config_holder.h"
+#include "core/server/server_process.h"
+
+#include <utility>
+
+namespace buckthornspar::server {
+
+cluster_member::cluster_member(server_process& process, std::string role,
+                               std::unique_ptr<membership::instance_list> list,
+                               config_holder& config, member_hooks hooks)
+    : m_process(process),
+      m_role(std::move(role)),
+      m_list(std::move(list)),
+      m_config(config),
+      m_hooks(std::move(hooks)),
+      m_node(process.settings().peer_listen, *this, {}, process.counters()),
+      m_mesh(
+          process.settings().id, m_node, process.clock(), [this] { return make_heartbeat(); },
+          [this](const peer_status& status) { heard(status); }) {}
+
+cluster_member::~cluster_member() {
+    stop();
+}
+
+void cluster_member::start() {
+    poll_instances();
+    schedule_heartbeat();
+}
+
+void cluster_member::stop() {
+    m_stopped = true;
+    m_node.stop();
+}
+
+peer::sender cluster_member::self() const {
+    return {m_process.settings().id, m_role, m_config.version()};
+}
+
+peer::heartbeat cluster_member::make_heartbeat() {
+    peer::heartbeat beat;
+    beat.from = self();
+    beat.draining = m_draining;
+    if (m_hooks.fill_heartbeat) {
+        m_hooks.fill_heartbeat(beat);
+    }
+    return beat;
+}
+
+void cluster_member::on_heartbeat(const peer::heartbeat& beat,
+                                  std::function<void(peer::heartbeat)> complete) {
+    m_mesh.heard(beat);
+    complete(make_heartbeat());
+}
+
+void cluster_member::on_job_call(peer::job_call call,
+                                 std::function<void(peer::job_reply)> complete) {
+    if (m_hooks.on_job_call) {
+        m_hooks.on_job_call(std::move(call), std::move(complete));
+        return;
+    }
+    peer_handler::on_job_call(std::move(call), std::move(complete));
+}
+
+void cluster_member::on_config_since(const peer::sender&, std::uint64_t version,
+                                     std::function<void(peer::config_records)> complete) {
+    complete({m_config.since(version), m_config.version()});
+}
+
+void cluster_member::on_config_announced(const peer::sender&,
+                                         std::vector<peer::config_record> records,
+                                         std::function<void(std::uint64_t)> complete) {
+    m_config.apply(records);
+    complete(m_config.version());
+}
+
+void cluster_member::heard(const peer_status& status) {
+    if (status.last_beat.from.config_version > m_config.version()) {
+        pull_config(status.address);
+    }
+    if (m_hooks.on_peer_heard && !m_stopped) {
+        m_hooks.on_peer_heard(status);
+    }
+}
+
+// One pull at a time is enough: each answer brings this process up to that peer's version.
+void cluster_member::pull_config(const net::endpoint& from) {
+    if (m_pulling.exchange(true)) {
+        return;
+    }
+    m_process.counters().get("config_pulls_total").add();
+    m_node.config_since(from, self(), m_config.version(),
+                        [this](std::optional<peer::config_records> answer) {
+                            if (answer) {
+                                m_config.apply(answer->records);
+                            }
+                            m_pulling = false;
+                        });
+}
+
+void cluster_member::poll_instances() {
+    m_list->fetch([this](std::optional<membership::instance_snapshot> snapshot) {
+        if (m_stopped) {
+            return;
+        }
+        if (snapshot) {
+            m_mesh.update_peers(snapshot->instances);
+            if (m_hooks.on_instances) {
+                m_hooks.on_instances(*snapshot);
+            }
+        }
+        schedule_poll();
+    });
+}
+
+void cluster_member::schedule_poll() {
+    m_process.loop().post_after(m_process.settings().instance_poll_period, [this] {
+        if (!m_stopped) {
+            poll_instances();
+        }
+    });
+}
+
+void cluster_member::schedule_heartbeat() {
+    m_process.loop().post_after(m_process.settings().heartbeat_period, [this] {
+        if (!m_stopped) {
+            m_mesh.send_heartbeats();
+            schedule_heartbeat();
+        }
+    });
+}
+
+} // namespace buckthornspar::server
