--- a/source/core/peer/peer.capnp.h
+++ b/source/core/peer/peer.capnp.h
@@ -201,7 +201,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ce94b2228cdcd0e7, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(ce94b2228cdcd0e7, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -231,7 +231,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a6b68c350d50c6b7, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(a6b68c350d50c6b7, 0, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -261,7 +261,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ce109ef57a6fd9ed, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(ce109ef57a6fd9ed, 0, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -291,7 +291,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fdd23fdaeb7834b7, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(fdd23fdaeb7834b7, 0, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1164,6 +1164,9 @@
   inline bool hasSender() const;
   inline  ::buckthornspar::peer::schema::Sender::Reader getSender() const;
 
+  inline bool hasShard() const;
+  inline  ::capnp::Text::Reader getShard() const;
+
   inline bool hasJob() const;
   inline  ::capnp::Text::Reader getJob() const;
 
@@ -1204,6 +1207,13 @@
   inline void adoptSender(::capnp::Orphan< ::buckthornspar::peer::schema::Sender>&& value);
   inline ::capnp::Orphan< ::buckthornspar::peer::schema::Sender> disownSender();
 
+  inline bool hasShard();
+  inline  ::capnp::Text::Builder getShard();
+  inline void setShard( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initShard(unsigned int size);
+  inline void adoptShard(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownShard();
+
   inline bool hasJob();
   inline  ::capnp::Text::Builder getJob();
   inline void setJob( ::capnp::Text::Reader value);
@@ -1343,6 +1353,9 @@
   inline bool hasSender() const;
   inline  ::buckthornspar::peer::schema::Sender::Reader getSender() const;
 
+  inline bool hasShard() const;
+  inline  ::capnp::Text::Reader getShard() const;
+
   inline bool hasId() const;
   inline  ::capnp::Text::Reader getId() const;
 
@@ -1381,6 +1394,13 @@
   inline void adoptSender(::capnp::Orphan< ::buckthornspar::peer::schema::Sender>&& value);
   inline ::capnp::Orphan< ::buckthornspar::peer::schema::Sender> disownSender();
 
+  inline bool hasShard();
+  inline  ::capnp::Text::Builder getShard();
+  inline void setShard( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initShard(unsigned int size);
+  inline void adoptShard(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownShard();
+
   inline bool hasId();
   inline  ::capnp::Text::Builder getId();
   inline void setId( ::capnp::Text::Reader value);
@@ -1517,6 +1537,9 @@
   inline bool hasSender() const;
   inline  ::buckthornspar::peer::schema::Sender::Reader getSender() const;
 
+  inline bool hasShard() const;
+  inline  ::capnp::Text::Reader getShard() const;
+
   inline bool hasId() const;
   inline  ::capnp::Text::Reader getId() const;
 
@@ -1555,6 +1578,13 @@
   inline void adoptSender(::capnp::Orphan< ::buckthornspar::peer::schema::Sender>&& value);
   inline ::capnp::Orphan< ::buckthornspar::peer::schema::Sender> disownSender();
 
+  inline bool hasShard();
+  inline  ::capnp::Text::Builder getShard();
+  inline void setShard( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initShard(unsigned int size);
+  inline void adoptShard(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownShard();
+
   inline bool hasId();
   inline  ::capnp::Text::Builder getId();
   inline void setId( ::capnp::Text::Reader value);
@@ -1691,6 +1721,9 @@
   inline bool hasSender() const;
   inline  ::buckthornspar::peer::schema::Sender::Reader getSender() const;
 
+  inline bool hasShard() const;
+  inline  ::capnp::Text::Reader getShard() const;
+
   inline bool hasId() const;
   inline  ::capnp::Text::Reader getId() const;
 
@@ -1729,6 +1762,13 @@
   inline void adoptSender(::capnp::Orphan< ::buckthornspar::peer::schema::Sender>&& value);
   inline ::capnp::Orphan< ::buckthornspar::peer::schema::Sender> disownSender();
 
+  inline bool hasShard();
+  inline  ::capnp::Text::Builder getShard();
+  inline void setShard( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initShard(unsigned int size);
+  inline void adoptShard(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownShard();
+
   inline bool hasId();
   inline  ::capnp::Text::Builder getId();
   inline void setId( ::capnp::Text::Reader value);
@@ -2848,40 +2888,74 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::SubmitJobParams::Reader::hasJob() const {
+inline bool Peer::SubmitJobParams::Reader::hasShard() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::SubmitJobParams::Builder::hasJob() {
+inline bool Peer::SubmitJobParams::Builder::hasShard() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Peer::SubmitJobParams::Reader::getJob() const {
+inline  ::capnp::Text::Reader Peer::SubmitJobParams::Reader::getShard() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::SubmitJobParams::Builder::getJob() {
+inline  ::capnp::Text::Builder Peer::SubmitJobParams::Builder::getShard() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Peer::SubmitJobParams::Builder::setJob( ::capnp::Text::Reader value) {
+inline void Peer::SubmitJobParams::Builder::setShard( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Peer::SubmitJobParams::Builder::initJob(unsigned int size) {
+inline  ::capnp::Text::Builder Peer::SubmitJobParams::Builder::initShard(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Peer::SubmitJobParams::Builder::adoptJob(
+inline void Peer::SubmitJobParams::Builder::adoptShard(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::SubmitJobParams::Builder::disownJob() {
+inline ::capnp::Orphan< ::capnp::Text> Peer::SubmitJobParams::Builder::disownShard() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::SubmitJobParams::Reader::hasJob() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::SubmitJobParams::Builder::hasJob() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::SubmitJobParams::Reader::getJob() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::SubmitJobParams::Builder::getJob() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Peer::SubmitJobParams::Builder::setJob( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::SubmitJobParams::Builder::initJob(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Peer::SubmitJobParams::Builder::adoptJob(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::SubmitJobParams::Builder::disownJob() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::uint32_t Peer::SubmitJobParams::Reader::getDeadlineMs() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2974,40 +3048,74 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::JobStatusParams::Reader::hasId() const {
+inline bool Peer::JobStatusParams::Reader::hasShard() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::JobStatusParams::Builder::hasId() {
+inline bool Peer::JobStatusParams::Builder::hasShard() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Peer::JobStatusParams::Reader::getId() const {
+inline  ::capnp::Text::Reader Peer::JobStatusParams::Reader::getShard() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::JobStatusParams::Builder::getId() {
+inline  ::capnp::Text::Builder Peer::JobStatusParams::Builder::getShard() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Peer::JobStatusParams::Builder::setId( ::capnp::Text::Reader value) {
+inline void Peer::JobStatusParams::Builder::setShard( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Peer::JobStatusParams::Builder::initId(unsigned int size) {
+inline  ::capnp::Text::Builder Peer::JobStatusParams::Builder::initShard(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Peer::JobStatusParams::Builder::adoptId(
+inline void Peer::JobStatusParams::Builder::adoptShard(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::JobStatusParams::Builder::disownId() {
+inline ::capnp::Orphan< ::capnp::Text> Peer::JobStatusParams::Builder::disownShard() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::JobStatusParams::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::JobStatusParams::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::JobStatusParams::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::JobStatusParams::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Peer::JobStatusParams::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::JobStatusParams::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Peer::JobStatusParams::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::JobStatusParams::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool Peer::JobStatusResults::Reader::hasReply() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3086,40 +3194,74 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::ExplainJobParams::Reader::hasId() const {
+inline bool Peer::ExplainJobParams::Reader::hasShard() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::ExplainJobParams::Builder::hasId() {
+inline bool Peer::ExplainJobParams::Builder::hasShard() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Peer::ExplainJobParams::Reader::getId() const {
+inline  ::capnp::Text::Reader Peer::ExplainJobParams::Reader::getShard() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::ExplainJobParams::Builder::getId() {
+inline  ::capnp::Text::Builder Peer::ExplainJobParams::Builder::getShard() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Peer::ExplainJobParams::Builder::setId( ::capnp::Text::Reader value) {
+inline void Peer::ExplainJobParams::Builder::setShard( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Peer::ExplainJobParams::Builder::initId(unsigned int size) {
+inline  ::capnp::Text::Builder Peer::ExplainJobParams::Builder::initShard(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Peer::ExplainJobParams::Builder::adoptId(
+inline void Peer::ExplainJobParams::Builder::adoptShard(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::ExplainJobParams::Builder::disownId() {
+inline ::capnp::Orphan< ::capnp::Text> Peer::ExplainJobParams::Builder::disownShard() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::ExplainJobParams::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::ExplainJobParams::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::ExplainJobParams::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::ExplainJobParams::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Peer::ExplainJobParams::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::ExplainJobParams::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Peer::ExplainJobParams::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::ExplainJobParams::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool Peer::ExplainJobResults::Reader::hasReply() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3198,40 +3340,74 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::CancelJobParams::Reader::hasId() const {
+inline bool Peer::CancelJobParams::Reader::hasShard() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::CancelJobParams::Builder::hasId() {
+inline bool Peer::CancelJobParams::Builder::hasShard() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Peer::CancelJobParams::Reader::getId() const {
+inline  ::capnp::Text::Reader Peer::CancelJobParams::Reader::getShard() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::CancelJobParams::Builder::getId() {
+inline  ::capnp::Text::Builder Peer::CancelJobParams::Builder::getShard() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Peer::CancelJobParams::Builder::setId( ::capnp::Text::Reader value) {
+inline void Peer::CancelJobParams::Builder::setShard( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Peer::CancelJobParams::Builder::initId(unsigned int size) {
+inline  ::capnp::Text::Builder Peer::CancelJobParams::Builder::initShard(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Peer::CancelJobParams::Builder::adoptId(
+inline void Peer::CancelJobParams::Builder::adoptShard(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::CancelJobParams::Builder::disownId() {
+inline ::capnp::Orphan< ::capnp::Text> Peer::CancelJobParams::Builder::disownShard() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::CancelJobParams::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::CancelJobParams::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::CancelJobParams::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::CancelJobParams::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Peer::CancelJobParams::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::CancelJobParams::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Peer::CancelJobParams::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::CancelJobParams::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool Peer::CancelJobResults::Reader::hasReply() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/source/core/peer/peer_messages.h
+++ b/source/core/peer/peer_messages.h
@@ -37,6 +37,8 @@
 struct job_call {
     job_operation operation = job_operation::status;
     sender from;
+    /// Home shard of the job, as the sender sees it.
+    std::string shard;
     std::string text;
     /// submit only: how long the caller waits, in milliseconds.
     std::uint32_t deadline_ms = 0;
--- a/source/core/peer/peer_node.cpp
+++ b/source/core/peer/peer_node.cpp
@@ -160,6 +160,7 @@
     case job_operation::submit: {
         auto request = client.submitJobRequest();
         encode(call.from, request.initSender());
+        request.setShard(call.shard.c_str());
         request.setJob(call.text.c_str());
         request.setDeadlineMs(call.deadline_ms);
         return request.send().then(take_reply);
@@ -167,12 +168,14 @@
     case job_operation::explain: {
         auto request = client.explainJobRequest();
         encode(call.from, request.initSender());
+        request.setShard(call.shard.c_str());
         request.setId(call.text.c_str());
         return request.send().then(take_reply);
     }
     case job_operation::cancel: {
         auto request = client.cancelJobRequest();
         encode(call.from, request.initSender());
+        request.setShard(call.shard.c_str());
         request.setId(call.text.c_str());
         return request.send().then(take_reply);
     }
@@ -181,6 +184,7 @@
     }
     auto request = client.jobStatusRequest();
     encode(call.from, request.initSender());
+    request.setShard(call.shard.c_str());
     request.setId(call.text.c_str());
     return request.send().then(take_reply);
 }
--- a/source/schema/peer.capnp
+++ b/source/schema/peer.capnp
@@ -53,10 +53,10 @@
   # status refused and errorType "wrong_role".
   heartbeat @0 (beat :Heartbeat) -> (reply :Heartbeat);
 
-  submitJob @1 (sender :Sender, job :Text, deadlineMs :UInt32) -> (reply :Reply);
-  jobStatus @2 (sender :Sender, id :Text) -> (reply :Reply);
-  explainJob @3 (sender :Sender, id :Text) -> (reply :Reply);
-  cancelJob @4 (sender :Sender, id :Text) -> (reply :Reply);
+  submitJob @1 (sender :Sender, shard :Text, job :Text, deadlineMs :UInt32) -> (reply :Reply);
+  jobStatus @2 (sender :Sender, shard :Text, id :Text) -> (reply :Reply);
+  explainJob @3 (sender :Sender, shard :Text, id :Text) -> (reply :Reply);
+  cancelJob @4 (sender :Sender, shard :Text, id :Text) -> (reply :Reply);
 
   configSince @5 (sender :Sender, version :UInt64) -> (records :List(ConfigRecord), inForce :UInt64);
   announceConfig @6 (sender :Sender, records :List(ConfigRecord)) -> (inForce :UInt64);
--- a/tests/unit/peer/peer_node_test.cpp
+++ b/tests/unit/peer/peer_node_test.cpp
@@ -30,7 +30,7 @@
             return;
         }
         job_reply reply;
-        reply.body = call.text + " for " + call.from.id;
+        reply.body = call.text + " in " + call.shard + " for " + call.from.id;
         complete(reply);
     }
 
@@ -60,6 +60,7 @@
         std::promise<job_reply> promise;
         job_call c;
         c.from.id = "caller";
+        c.shard = "s1";
         c.text = text;
         client.call_job(target, c, [&](job_reply reply) { promise.set_value(std::move(reply)); });
         return promise.get_future().get();
@@ -94,7 +95,7 @@
     BOOST_TEST((call(to, "silent").status == reply_status::no_answer));
     const auto reply = call(to, "j1");
     BOOST_TEST((reply.status == reply_status::ok));
-    BOOST_TEST(reply.body == "j1 for caller");
+    BOOST_TEST(reply.body == "j1 in s1 for caller");
 }
 
 // Guards against telling a caller that a job may have been accepted when nobody listens.
