--- a/source/core/peer/peer_node.h
+++ b/source/core/peer/peer_node.h
@@ -45,17 +45,18 @@
     // Each call may be made from any thread. An empty optional means that there is no answer.
 
     void send_heartbeat(const net::endpoint& to, heartbeat beat,
-                        std::function<void(std::optional<heartbeat>)> complete);
+                        const std::function<void(std::optional<heartbeat>)>& complete);
 
     /// Failed calls complete with the status not_sent or no_answer. A submit call waits for its own
     /// deadline, all others for the call timeout.
-    void call_job(const net::endpoint& to, job_call call, std::function<void(job_reply)> complete);
+    void call_job(const net::endpoint& to, job_call call,
+                  const std::function<void(job_reply)>& complete);
 
     void config_since(const net::endpoint& to, sender from, std::uint64_t version,
-                      std::function<void(std::optional<config_records>)> complete);
+                      const std::function<void(std::optional<config_records>)>& complete);
 
     void announce_config(const net::endpoint& to, sender from, std::vector<config_record> records,
-                         std::function<void(std::optional<std::uint64_t>)> complete);
+                         const std::function<void(std::optional<std::uint64_t>)>& complete);
 
     struct state;
 
--- a/source/core/peer/peer_service.cpp
+++ b/source/core/peer/peer_service.cpp
@@ -49,6 +49,8 @@
 
 } // namespace
 
+// The parameters are taken by value because overriding classes keep them.
+// NOLINTBEGIN(performance-unnecessary-value-param)
 void peer_handler::on_job_call(job_call, std::function<void(job_reply)> complete) {
     complete(wrong_role());
 }
@@ -63,6 +65,8 @@
     complete(0);
 }
 
+// NOLINTEND(performance-unnecessary-value-param)
+
 kj::Promise<void> peer_service::heartbeat(HeartbeatContext context) {
     auto pair = kj::newPromiseAndCrossThreadFulfiller<peer::heartbeat>();
     m_handler.on_heartbeat(decode(context.getParams().getBeat()),
--- a/source/core/peer/peer_service.h
+++ b/source/core/peer/peer_service.h
@@ -6,6 +6,7 @@
 namespace buckthornspar::peer {
 
 /// Cap'n Proto service that hands incoming calls to a peer_handler.
+// NOLINTNEXTLINE(cppcoreguidelines-virtual-class-destructor): Cap'n Proto owns its servers.
 class peer_service final : public schema::Peer::Server {
 public:
     explicit peer_service(peer_handler& handler) : m_handler(handler) {}
--- a/source/core/server/cluster_member.h
+++ b/source/core/server/cluster_member.h
@@ -34,7 +34,7 @@
     cluster_member(server_process& process, std::string role,
                    std::unique_ptr<membership::instance_list> list, config_holder& config,
                    member_hooks hooks);
-    ~cluster_member();
+    ~cluster_member() override;
     cluster_member(const cluster_member&) = delete;
     cluster_member& operator=(const cluster_member&) = delete;
 
