Add the entry program with the path of jobs, and the instance list

Jobs go to the owner of their home shard, found by rendezvous hashing of the id, so that every entry agrees without state. Calls are idempotent by id and are repeated within the deadline while a shard changes its owner; a call that a scheduler may have executed is answered as unknown, never as not done.

--- /dev/null
+++ b/source/core/membership/http_instance_list.cpp
@@ -0,0 +1,52 @@
+#include "core/membership/http_instance_list.h"
+
+#include "core/common/error.h"
+#include "core/membership/instance_format.h"
+
+#include <memory>
+#include <utility>
+
+namespace buckthornspar::membership {
+
+namespace {
+
+const instance_list_registration registration("http", [](const instance_list_context& context) {
+    return std::make_unique<http_instance_list>(context);
+});
+
+} // namespace
+
+http_instance_list::http_instance_list(const instance_list_context& context)
+    : m_counters(context.counters),
+      m_address(context.address),
+      m_timeout(context.timeout),
+      m_client(context.loop, {}) {}
+
+void http_instance_list::fetch(instance_completion complete) {
+    net::http_request request;
+    request.target = "/v1/instances";
+    m_client.send(m_address, std::move(request), m_timeout,
+                  [this, complete = std::move(complete)](const net::http_result& result) {
+                      complete(to_snapshot(result));
+                  });
+}
+
+std::optional<instance_snapshot> http_instance_list::to_snapshot(const net::http_result& result) {
+    if (const auto* const failure = std::get_if<net::http_failure>(&result)) {
+        m_counters.get("instance_list_errors_total", "kind", net::to_string(failure->kind)).add();
+        return std::nullopt;
+    }
+    const auto& response = std::get<net::http_response>(result);
+    if (response.status != 200) {
+        m_counters.get("instance_list_errors_total", "kind", "status").add();
+        return std::nullopt;
+    }
+    try {
+        return read_instances(response.body);
+    } catch (const common::error&) {
+        m_counters.get("instance_list_errors_total", "kind", "format").add();
+        return std::nullopt;
+    }
+}
+
+} // namespace buckthornspar::membership
--- /dev/null
+++ b/source/core/membership/instance_format.cpp
@@ -0,0 +1,64 @@
+#include "core/membership/instance_format.h"
+
+#include "core/common/error.h"
+#include "core/common/name_table.h"
+
+#include <boost/json.hpp>
+
+namespace buckthornspar::membership {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr common::name_table<instance_role, 5> role_names{
+    "instance role", {"worker", "runner", "entry", "scheduler", "config"}};
+constexpr common::name_table<instance_state, 2> state_names{"instance state", {"live", "leaving"}};
+
+std::string optional_text(const json::object& object, std::string_view key) {
+    const json::value* const value = object.if_contains(key);
+    return value != nullptr ? std::string(value->as_string()) : std::string();
+}
+
+instance read_instance(const json::object& object) {
+    instance i;
+    i.id = std::string(object.at("id").as_string());
+    i.role = role_names.value(object.at("role").as_string());
+    i.address = net::parse_endpoint(object.at("address").as_string());
+    i.region = optional_text(object, "region");
+    i.place = optional_text(object, "place");
+    i.rack = optional_text(object, "rack");
+    i.state = state_names.value(object.at("state").as_string());
+    i.service = optional_text(object, "service");
+    if (const json::value* const slots = object.if_contains("slots")) {
+        i.slots = slots->to_number<std::uint32_t>();
+    }
+    return i;
+}
+
+} // namespace
+
+instance_snapshot read_instances(const std::string& text) {
+    try {
+        const json::value document = json::parse(text);
+        instance_snapshot snapshot;
+        snapshot.index = document.at("index").to_number<std::uint64_t>();
+        for (const auto& item : document.at("instances").as_array()) {
+            snapshot.instances.push_back(read_instance(item.as_object()));
+        }
+        return snapshot;
+    } catch (const std::exception& e) {
+        // Boost.JSON throws different standard exceptions for missing keys and wrong kinds.
+        throw common::format_error(std::string("instance list: ") + e.what());
+    }
+}
+
+std::string_view to_string(instance_role role) {
+    return role_names.name(role);
+}
+
+std::string_view to_string(instance_state state) {
+    return state_names.name(state);
+}
+
+} // namespace buckthornspar::membership
--- /dev/null
+++ b/source/programs/buckthornspar-entry/entry_application.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "core/server/server_application.h"
+#include "job_gateway.h"
+
+#include <atomic>
+#include <memory>
+
+namespace buckthornspar::server {
+class cluster_member;
+class config_holder;
+class server_process;
+} // namespace buckthornspar::server
+
+namespace buckthornspar::entry {
+
+/// HTTP interface for callers: jobs go to schedulers, requests to runners.
+class entry_application final : public server::server_application {
+public:
+    explicit entry_application(server::server_process& process);
+    ~entry_application() override;
+
+    void handle(net::http_request request, net::http_reply reply) override;
+    [[nodiscard]] std::optional<std::string> not_ready_reason() const override;
+    void begin_drain() override;
+    [[nodiscard]] bool drained() const override;
+
+private:
+    server::server_process& m_process;
+    std::unique_ptr<server::config_holder> m_config;
+    std::unique_ptr<server::cluster_member> m_member;
+    std::unique_ptr<job_gateway> m_jobs;
+    std::atomic<bool> m_draining{false};
+};
+
+} // namespace buckthornspar::entry
--- /dev/null
+++ b/source/programs/buckthornspar-entry/job_gateway.cpp
@@ -0,0 +1,263 @@
+#include "job_gateway.h"
+
+#include "core/common/counters.h"
+#include "core/server/cluster_member.h"
+#include "core/server/server_process.h"
+
+#include <boost/json.hpp>
+
+#include <map>
+#include <utility>
+
+namespace buckthornspar::entry {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr common::duration call_deadline = std::chrono::seconds(5);
+constexpr common::duration retry_delay = std::chrono::milliseconds(50);
+constexpr std::size_t max_job_id_bytes = 128;
+
+// Names of the refusals of a scheduler and the status that callers see for them.
+unsigned status_of(std::string_view error_type) {
+    static const std::map<std::string_view, unsigned> statuses{
+        {"invalid_job", 400},       {"id_conflict", 409}, {"infeasible", 422},
+        {"store_unavailable", 503}, {"queue_full", 429},  {"quota_exceeded", 429},
+        {"draining", 503},          {"wrong_role", 503},  {"not_ready", 503},
+    };
+    const auto position = statuses.find(error_type);
+    return position == statuses.end() ? 422 : position->second;
+}
+
+bool is_json(const net::http_request& request) {
+    const auto type = request.fields.get("Content-Type");
+    return type.substr(0, type.find(';')) == "application/json";
+}
+
+// A refusal that the gateway itself makes of a submission.
+struct submission_problem {
+    unsigned status;
+    std::string type;
+    std::string detail;
+    std::string field;
+};
+
+struct submission {
+    std::string id;
+    std::string region;
+    std::optional<submission_problem> problem;
+};
+
+submission invalid(std::string detail, std::string field) {
+    return {{}, {}, submission_problem{400, "invalid_job", std::move(detail), std::move(field)}};
+}
+
+// The gateway reads only what it needs to find the home shard; the scheduler checks the rest.
+submission read_submission(const std::string& body) {
+    json::error_code failure;
+    const json::value document = json::parse(body, failure);
+    if (failure) {
+        return {{}, {}, submission_problem{400, "malformed_json", failure.message(), ""}};
+    }
+    if (!document.is_object()) {
+        return invalid("the body is not a JSON object", "");
+    }
+    const auto& object = document.get_object();
+    const json::value* const id = object.if_contains("id");
+    if (id == nullptr || !id->is_string() || id->get_string().empty()) {
+        return invalid("a non-empty text is required", "id");
+    }
+    if (id->get_string().size() > max_job_id_bytes) {
+        return invalid("longer than 128 bytes", "id");
+    }
+    submission s;
+    s.id = std::string(id->get_string());
+    if (const json::value* const region = object.if_contains("region")) {
+        if (!region->is_string()) {
+            return invalid("a text is required", "region");
+        }
+        s.region = std::string(region->get_string());
+    }
+    return s;
+}
+
+} // namespace
+
+// One call of a caller, over all its attempts.
+struct job_gateway::exchange {
+    peer::job_call call;
+    std::string shard;
+    net::http_reply reply;
+    common::time_point give_up_at;
+    /// Shards that have answered that they don't know the job.
+    std::size_t shards_searched = 0;
+    bool may_have_been_executed = false;
+    /// Scheduler named by the last not_owner answer.
+    std::string owner_hint;
+};
+
+job_gateway::job_gateway(server::server_process& process, server::cluster_member& member,
+                         shard_directory directory)
+    : m_process(process),
+      m_member(member),
+      m_directory(std::move(directory)),
+      m_jitter(static_cast<std::uint64_t>(common::wall_clock_ms())) {}
+
+void job_gateway::handle(const net::http_request& request, net::http_reply reply) {
+    const auto segments = net::path_segments(request.path());
+    if (segments.size() == 2) {
+        if (request.method != net::http_method::post) {
+            reply(net::error_response(405, "method_not_allowed", "use POST"));
+            return;
+        }
+        submit(request, std::move(reply));
+        return;
+    }
+    peer::job_call call;
+    call.text = segments[2];
+    const bool explain = segments.size() == 4 && segments[3] == "explain";
+    if (request.method == net::http_method::get && (segments.size() == 3 || explain)) {
+        call.operation = explain ? peer::job_operation::explain : peer::job_operation::status;
+    } else if (request.method == net::http_method::del && segments.size() == 3) {
+        call.operation = peer::job_operation::cancel;
+    } else {
+        reply(net::error_response(404, "not_found", "no such resource"));
+        return;
+    }
+    const std::string home = m_directory.home(call.text, "");
+    start(std::move(call), home, std::move(reply));
+}
+
+void job_gateway::submit(const net::http_request& request, net::http_reply reply) {
+    if (!is_json(request)) {
+        reply(net::error_response(415, "unsupported_media_type", "use application/json"));
+        return;
+    }
+    const submission s = read_submission(request.body);
+    if (s.problem) {
+        reply(net::error_response(s.problem->status, s.problem->type, s.problem->detail,
+                                  s.problem->field));
+        return;
+    }
+    const std::string home = m_directory.home(s.id, s.region);
+    if (home.empty()) {
+        reply(net::error_response(422, "unknown_region", "no shard serves this region", "region"));
+        return;
+    }
+    peer::job_call call;
+    call.operation = peer::job_operation::submit;
+    call.text = request.body;
+    start(std::move(call), home, std::move(reply));
+}
+
+void job_gateway::start(peer::job_call call, std::string shard, net::http_reply reply) {
+    auto e = std::make_shared<exchange>();
+    e->call = std::move(call);
+    e->shard = std::move(shard);
+    e->reply = std::move(reply);
+    e->give_up_at = m_process.clock().now() + call_deadline;
+    ++m_in_progress;
+    attempt(e);
+}
+
+void job_gateway::attempt(const exchange_ptr& e) {
+    const auto now = m_process.clock().now();
+    if (now >= e->give_up_at) {
+        give_up(e);
+        return;
+    }
+    auto owner = m_member.mesh().owner_of(e->shard);
+    for (const auto& p : m_member.mesh().peers()) {
+        if (p.id == e->owner_hint) {
+            owner = p;
+        }
+    }
+    if (!owner) {
+        retry(e, "no_owner");
+        return;
+    }
+    e->call.from = m_member.self();
+    e->call.shard = e->shard;
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(e->give_up_at - now);
+    e->call.deadline_ms = static_cast<std::uint32_t>(left.count());
+    m_member.node().call_job(owner->address, e->call, [this, e](peer::job_reply reply) {
+        m_process.loop().post([this, e, reply = std::move(reply)] { on_reply(e, reply); });
+    });
+}
+
+void job_gateway::on_reply(const exchange_ptr& e, const peer::job_reply& reply) {
+    switch (reply.status) {
+    case peer::reply_status::ok: {
+        const bool created = e->call.operation == peer::job_operation::submit;
+        finish(e, net::json_response(created ? 201 : 200, reply.body));
+        return;
+    }
+    case peer::reply_status::refused:
+        m_process.counters().get("refusals_total", "reason", reply.error_type).add();
+        finish(e, net::error_response(status_of(reply.error_type), reply.error_type,
+                                      reply.error_detail, reply.error_field));
+        return;
+    case peer::reply_status::not_found:
+        search_next_shard(e, reply);
+        return;
+    case peer::reply_status::not_owner:
+        e->owner_hint = reply.owner_hint;
+        retry(e, "not_owner");
+        return;
+    case peer::reply_status::not_sent:
+        e->owner_hint.clear();
+        retry(e, "not_sent");
+        return;
+    case peer::reply_status::no_answer:
+        e->owner_hint.clear();
+        e->may_have_been_executed = true;
+        retry(e, "no_answer");
+        return;
+    }
+}
+
+// A job that was submitted with a region lives in a shard of that region, which a later query by id
+// alone doesn't tell. The home shard among all shards is asked first, then the others.
+void job_gateway::search_next_shard(const exchange_ptr& e, const peer::job_reply&) {
+    const auto& shards = m_directory.shards();
+    const std::string home = m_directory.home(e->call.text, "");
+    std::size_t index = e->shards_searched++;
+    if (index < shards.size() && shards[index].id == home) {
+        index = e->shards_searched++;
+    }
+    if (index >= shards.size()) {
+        finish(e, net::error_response(404, "unknown_job", "no shard knows a job with this id"));
+        return;
+    }
+    e->shard = shards[index].id;
+    e->owner_hint.clear();
+    attempt(e);
+}
+
+void job_gateway::retry(const exchange_ptr& e, std::string_view reason) {
+    m_process.counters().get("retries_total", "reason", reason).add();
+    const auto delay = common::duration(static_cast<std::int64_t>(
+        (0.5 + m_jitter.unit()) * static_cast<double>(retry_delay.count())));
+    m_process.loop().post_after(delay, [this, e] { attempt(e); });
+}
+
+void job_gateway::give_up(const exchange_ptr& e) {
+    if (e->may_have_been_executed) {
+        m_process.counters().get("refusals_total", "reason", "outcome_unknown").add();
+        finish(e, net::error_response(
+                      504, "outcome_unknown",
+                      "the scheduler gave no answer; repeat the call with the same id"));
+        return;
+    }
+    m_process.counters().get("refusals_total", "reason", "shard_unavailable").add();
+    finish(e, net::error_response(503, "shard_unavailable",
+                                  "no scheduler owns the job's shard now; nothing was done"));
+}
+
+void job_gateway::finish(const exchange_ptr& e, net::http_response response) {
+    --m_in_progress;
+    e->reply(std::move(response));
+}
+
+} // namespace buckthornspar::entry
--- /dev/null
+++ b/source/programs/buckthornspar-entry/job_gateway.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "core/common/rng.h"
+#include "core/net/http_server.h"
+#include "core/peer/peer_messages.h"
+#include "shard_directory.h"
+
+#include <atomic>
+#include <memory>
+
+namespace buckthornspar::server {
+class cluster_member;
+class server_process;
+} // namespace buckthornspar::server
+
+namespace buckthornspar::entry {
+
+/// Carries job submissions, queries and cancellations to the scheduler that owns the job's home
+/// shard. All of them are idempotent by the job's id, so that they are repeated within the deadline
+/// while a shard changes its owner.
+class job_gateway {
+public:
+    job_gateway(server::server_process& process, server::cluster_member& member,
+                shard_directory directory);
+
+    /// Serves a request below /v1/jobs, on the network thread.
+    void handle(const net::http_request& request, net::http_reply reply);
+
+    [[nodiscard]] std::size_t in_progress() const { return m_in_progress; }
+
+private:
+    struct exchange;
+    using exchange_ptr = std::shared_ptr<exchange>;
+
+    void submit(const net::http_request& request, net::http_reply reply);
+    void start(peer::job_call call, std::string shard, net::http_reply reply);
+    void attempt(const exchange_ptr& e);
+    void on_reply(const exchange_ptr& e, const peer::job_reply& reply);
+    void retry(const exchange_ptr& e, std::string_view reason);
+    void search_next_shard(const exchange_ptr& e, const peer::job_reply& reply);
+    void finish(const exchange_ptr& e, net::http_response response);
+    void give_up(const exchange_ptr& e);
+
+    server::server_process& m_process;
+    server::cluster_member& m_member;
+    shard_directory m_directory;
+    // Used on the network thread only.
+    common::rng m_jitter;
+    std::atomic<std::size_t> m_in_progress{0};
+};
+
+} // namespace buckthornspar::entry
--- /dev/null
+++ b/source/programs/buckthornspar-entry/main.cpp
@@ -0,0 +1,27 @@
+#include "core/server/server_main.h"
+#include "entry_application.h"
+
+namespace {
+
+using namespace buckthornspar;
+
+class entry_program final : public server::server_program {
+public:
+    [[nodiscard]] std::string summary() const override {
+        return "Serves callers over HTTP: jobs go to schedulers, requests to runners.";
+    }
+
+    void read_settings(common::settings_section&) override {}
+
+    [[nodiscard]] std::unique_ptr<server::server_application>
+    start(server::server_process& process) override {
+        return std::make_unique<entry::entry_application>(process);
+    }
+};
+
+} // namespace
+
+int main(int argc, char** argv) {
+    entry_program program;
+    return server::server_main(argc, argv, program);
+}
--- /dev/null
+++ b/source/programs/buckthornspar-entry/shard_directory.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "core/server/server_settings.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace buckthornspar::entry {
+
+/// Assigns jobs to shards by rendezvous hashing of the job's id, so that every entry finds the same
+/// home shard without keeping state.
+class shard_directory {
+public:
+    explicit shard_directory(std::vector<server::shard_settings> shards);
+
+    /// Home shard of the job among the shards of the region, or among all shards when the region is
+    /// empty. Empty when the region has no shard.
+    [[nodiscard]] std::string home(std::string_view job_id, std::string_view region) const;
+
+    [[nodiscard]] const std::vector<server::shard_settings>& shards() const { return m_shards; }
+
+private:
+    std::vector<server::shard_settings> m_shards;
+};
+
+} // namespace buckthornspar::entry
