--- a/source/core/store/sequenced_log.h
+++ b/source/core/store/sequenced_log.h
@@ -7,6 +7,7 @@
 #include "core/store/log_format.h"
 #include "core/store/snapshot_writer.h"
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -102,8 +103,8 @@
     bool withdraw_append();
 
     /// Writes the body as snapshot of the records 1 .. covers. Ends with snapshot_settled. Returns
-    /// false, without effect, when the log is not loaded, a snapshot is being written, covers is
-    /// above head(), or a snapshot that covers as much is known.
+    /// false, without effect, when the log is not loaded, a snapshot is being written or cleaned
+    /// up, covers is above head(), or a snapshot that covers as much is known.
     [[nodiscard]] bool write_snapshot(common::time_point now, std::uint64_t covers,
                                       std::string body);
 
@@ -129,7 +130,7 @@
         return m_snapshots.covered() + m_options.slots - m_head;
     }
     [[nodiscard]] bool append_pending() const { return m_append.has_value(); }
-    /// False when the latest store call that ended was not answered.
+    /// False when the store call that ended last was not answered.
     [[nodiscard]] bool store_available() const { return m_store_available; }
 
 private:
@@ -141,11 +142,11 @@
         /// Number of the record in the slot; 0 when empty.
         std::uint64_t number = 0;
     };
-    enum class call_kind { none, read, write };
+    enum class call_kind { read, write };
     /// One sequence of calls of which at most one is in flight.
     struct lane {
         std::uint64_t call = 0;
-        call_kind kind = call_kind::none;
+        call_kind kind = call_kind::read;
         std::optional<common::time_point> retry_at;
         unsigned failures = 0;
     };
@@ -156,23 +157,31 @@
     };
 
     void send(lane& l, call_kind kind, kv_request request);
-    void start_load(common::time_point now);
+    [[nodiscard]] lane* lane_of(std::uint64_t call);
+    void end_call(common::time_point now, lane& l, const kv_response& response);
+    void retry_later(common::time_point now, lane& l);
+    [[nodiscard]] std::array<lane*, 5> lanes();
+
+    void start_load();
+    void step(lane& l);
+    void step_load();
     void step_append();
     void step_watch();
     void step_refresh();
     void step_snapshot();
-    void on_load_response(common::time_point now, const kv_response& response);
-    void on_append_response(common::time_point now, call_kind kind, const kv_response& response);
-    void on_watch_response(common::time_point now, const kv_response& response);
-    void on_snapshot_response(common::time_point now, const kv_response& response);
-    void take_load(common::time_point now, const std::vector<kv_entry>& entries);
-    void take_slot(common::time_point now, std::uint64_t position, const kv_response& response);
+
+    void on_load(common::time_point now, const kv_response& response);
+    void on_append_write(common::time_point now, const kv_response& response);
+    void on_watch(common::time_point now, const kv_response& response);
+    void on_snapshot(common::time_point now, const kv_response& response);
+
+    [[nodiscard]] bool take_load(const std::vector<kv_entry>& entries);
+    void take_slot(std::uint64_t position, const kv_response& response);
+    [[nodiscard]] log_record learn_slot(std::uint64_t position, const kv_entry* entry);
     void deliver(log_record record);
     void settle_append(append_outcome outcome);
-    void settle_skipped_append(const std::vector<log_record>& records);
     void settle_with(const log_record& found);
-    void retry_later(lane& l, common::time_point now);
-    void note_answer(const lane& l, const kv_response& response);
+    void settle_skipped_append(const std::vector<log_record>& records);
     [[nodiscard]] std::uint64_t position_of(std::uint64_t number) const {
         return number % m_options.slots;
     }
--- a/source/core/store/snapshot_writer.h
+++ b/source/core/store/snapshot_writer.h
@@ -23,7 +23,8 @@
     /// complete body. Throws common::format_error when it cannot be read or a part is missing.
     [[nodiscard]] log_snapshot take_load(const std::vector<kv_entry>& entries);
 
-    /// Returns false, without effect, when a write is pending or as much is covered already.
+    /// Returns false, without effect, when a write or its clean-up is pending or as much is covered
+    /// already.
     [[nodiscard]] bool begin(std::uint64_t covers, std::string body);
 
     /// Empty when nothing is to be done. The same request is given until it is answered.
@@ -39,16 +40,17 @@
     [[nodiscard]] std::uint64_t pending_covers() const { return m_pending ? m_pending->covers : 0; }
 
 private:
-    enum class phase { parts, read_key, write_key, read_stale, delete_stale, idle };
+    enum class phase { idle, read_base, write_parts, write_key, read_back, find_stale, drop_stale };
 
-    void to_next_phase();
-    [[nodiscard]] progress on_part(const kv_response& response);
-    [[nodiscard]] progress on_key_read(const kv_response& response);
+    void start_from(std::uint64_t base_index);
+    [[nodiscard]] progress on_base_read(const kv_response& response);
+    void on_part_written(const kv_response& response);
     [[nodiscard]] progress on_key_written(const kv_response& response);
+    [[nodiscard]] progress on_read_back(const kv_response& response);
     void on_stale(const kv_response& response);
     [[nodiscard]] progress finish(progress result);
-    void start_cleaning();
-    [[nodiscard]] std::string part_name(std::size_t part) const;
+    void learn_key(const kv_response& response);
+    [[nodiscard]] bool is_own(const log_snapshot& snapshot) const;
 
     std::string m_prefix;
     std::string m_writer;
@@ -56,16 +58,19 @@
     common::metric& m_conflicts;
     common::metric& m_settled_lost;
     std::uint64_t m_covered = 0;
-    std::uint64_t m_index = 0;
-    bool m_index_known = false;
+    /// Index of the snapshot key when it is known; the store does not return it after a write.
+    std::optional<std::uint64_t> m_index;
     std::uint64_t m_next_sequence = 1;
     phase m_phase = phase::idle;
     std::optional<log_snapshot> m_pending;
+    /// Index of the snapshot key before the first part was written. A change of the key makes the
+    /// pending snapshot void, because its parts may have been deleted by the writer of the other.
+    std::uint64_t m_base_index = 0;
     std::vector<std::string> m_part_bodies;
     std::size_t m_next_part = 0;
-    bool m_maybe_written = false;
-    /// Part keys that were seen, of snapshots other than the pending one.
-    std::deque<std::string> m_other_parts;
+    bool m_lost_answer = false;
+    /// Part keys that were seen and do not belong to the pending snapshot.
+    std::vector<std::string> m_seen_parts;
     std::deque<std::string> m_stale;
     std::uint64_t m_stale_index = 0;
 };
--- /dev/null
+++ b/tests/fakes/event_queue.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "core/common/clock.h"
+
+#include <functional>
+#include <map>
+#include <utility>
+
+namespace buckthornspar::fakes {
+
+/// Events under a virtual clock, run in order of time and, for equal times, of insertion.
+class event_queue {
+public:
+    [[nodiscard]] common::time_point now() const { return m_now; }
+
+    void after(common::duration delay, std::function<void()> event) {
+        m_events.emplace(m_now + delay, std::move(event));
+    }
+
+    /// Runs all events up to and including the time; after_each is called after every event.
+    void run_until(common::time_point end, const std::function<void()>& after_each = {}) {
+        while (!m_events.empty() && m_events.begin()->first <= end) {
+            auto node = m_events.extract(m_events.begin());
+            m_now = node.key();
+            node.mapped()();
+            if (after_each) {
+                after_each();
+            }
+        }
+        m_now = end;
+    }
+
+private:
+    common::time_point m_now{};
+    std::multimap<common::time_point, std::function<void()>> m_events;
+};
+
+} // namespace buckthornspar::fakes
--- /dev/null
+++ b/tests/unit/store/sequenced_log_test.cpp
@@ -0,0 +1,211 @@
+#define BOOST_TEST_MODULE store
+#include "unit/store/log_fixture.h"
+
+#include "core/common/error.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace buckthornspar;
+using namespace buckthornspar::store;
+using namespace std::chrono_literals;
+
+BOOST_FIXTURE_TEST_SUITE(sequenced_log_suite, log_fixture)
+
+// Guards against records that are lost or reordered on the way to another reader.
+BOOST_AUTO_TEST_CASE(appended_records_reach_a_follower) {
+    load_both();
+    b.log.follow(events.now(), true);
+    b.pump();
+    for (const char* const body : {"x", "y", "z"}) {
+        BOOST_TEST((a.append(body) == append_start::started));
+        run(50ms);
+    }
+    BOOST_TEST(a.settled.size() == 3U);
+    BOOST_TEST(b.state == "xyz");
+    BOOST_TEST(b.gaps == 0);
+}
+
+// Guards against two winners for one number.
+BOOST_AUTO_TEST_CASE(racing_appends_have_one_winner) {
+    load_both();
+    a.append("a");
+    b.append("b");
+    run(100ms);
+    BOOST_REQUIRE(a.settled.size() == 1U && b.settled.size() == 1U);
+    BOOST_TEST((a.settled[0].outcome == append_outcome::written));
+    BOOST_TEST((b.settled[0].outcome == append_outcome::conflict));
+    BOOST_TEST(b.state == "a");
+}
+
+// Guards against a duplicate record, and against a lost one, when only the answer was lost.
+BOOST_AUTO_TEST_CASE(lost_answer_is_settled_by_reading_back) {
+    load_both();
+    a.path.lose_answers = true;
+    a.append("a");
+    run(100ms);
+    a.path.lose_answers = false;
+    run(3s);
+    BOOST_REQUIRE(a.settled.size() == 1U);
+    BOOST_TEST((a.settled[0].outcome == append_outcome::written));
+    BOOST_TEST(kv.entries().size() == 1U);
+    BOOST_TEST(a.counts.get("store_lost_answers_settled_total").value() == 1);
+}
+
+// Guards against a second effect when a write that was given up arrives after its repetition.
+BOOST_AUTO_TEST_CASE(late_write_and_its_repetition_give_one_record) {
+    load_both();
+    a.path.delay = 2s;
+    a.append("a");
+    run(100ms);
+    a.path.delay = 0ms;
+    run(5s);
+    b.load();
+    run(100ms);
+    BOOST_REQUIRE(a.settled.size() == 1U);
+    BOOST_TEST((a.settled[0].outcome == append_outcome::written));
+    BOOST_TEST(b.state == "a");
+}
+
+// Guards against an append that is reported as withdrawn although it may still take effect.
+BOOST_AUTO_TEST_CASE(withdrawal_is_refused_once_the_write_may_take_effect) {
+    load_both();
+    a.path.down = true;
+    a.append("never");
+    run(100ms);
+    while (!a.log.next_wakeup()) {
+        run(1ms);
+    }
+    BOOST_TEST(a.log.withdraw_append());
+    a.path = {};
+    a.path.lose_answers = true;
+    a.append("maybe");
+    run(1s);
+    BOOST_TEST(!a.log.withdraw_append());
+}
+
+// Guards against reuse of a slot whose record exists nowhere else.
+BOOST_AUTO_TEST_CASE(ring_is_reused_only_after_a_snapshot) {
+    load_both();
+    for (const char* const body : {"1", "2", "3", "4"}) {
+        a.append(body);
+        run(50ms);
+    }
+    BOOST_TEST((a.append("5") == append_start::ring_full));
+    BOOST_TEST(a.snapshot());
+    run(50ms);
+    BOOST_TEST((a.append("5") == append_start::started));
+    run(50ms);
+    b.load();
+    run(50ms);
+    BOOST_TEST(b.state == "12345");
+    BOOST_TEST(b.log.head() == 5U);
+}
+
+// Guards against a writer that was paused for a whole turn of the ring and overwrites newer
+// records.
+BOOST_AUTO_TEST_CASE(paused_writer_cannot_write_an_old_number) {
+    load_both();
+    b.path.delay = 400ms;
+    b.append("late");
+    for (int i = 0; i < 7; ++i) {
+        if (a.log.room() == 0) {
+            a.snapshot();
+            run(20ms);
+        }
+        a.append("n");
+        run(20ms);
+    }
+    run(5s);
+    BOOST_REQUIRE(b.settled.size() == 1U);
+    BOOST_TEST((b.settled[0].outcome == append_outcome::conflict));
+    BOOST_TEST(b.state == "nnnnnnn");
+    BOOST_TEST(b.log.head() == 7U);
+}
+
+// Guards against a claim to know the outcome when the ring has passed a write of unknown outcome.
+BOOST_AUTO_TEST_CASE(outcome_is_undetermined_once_the_ring_has_passed) {
+    load_both();
+    a.path.lose_answers = true;
+    a.append("?");
+    run(100ms);
+    a.path.down = true;
+    b.load();
+    run(50ms);
+    for (int i = 0; i < 7; ++i) {
+        if (b.log.room() == 0) {
+            b.snapshot();
+            run(20ms);
+        }
+        b.append("b");
+        run(20ms);
+    }
+    a.path = {};
+    run(5s);
+    BOOST_REQUIRE(a.settled.size() == 1U);
+    BOOST_TEST((a.settled[0].outcome == append_outcome::undetermined));
+    BOOST_TEST(a.state == "?bbbbbbb");
+}
+
+// Guards against calls that end for good during an outage.
+BOOST_AUTO_TEST_CASE(everything_resumes_after_an_outage) {
+    kv.faults.down = true;
+    load_both();
+    run(60s);
+    BOOST_TEST(!a.log.loaded());
+    BOOST_TEST(!a.log.store_available());
+    BOOST_TEST((a.append("x") == append_start::not_loaded));
+    kv.faults.down = false;
+    run(2s);
+    BOOST_TEST(a.log.loaded());
+    BOOST_TEST(a.log.store_available());
+}
+
+// Guards against a follower that stops after a long pause of its path.
+BOOST_AUTO_TEST_CASE(follower_catches_up_after_a_full_turn) {
+    load_both();
+    b.log.follow(events.now(), true);
+    b.pump();
+    b.path.down = true;
+    for (int i = 0; i < 10; ++i) {
+        if (a.log.room() == 0) {
+            a.snapshot();
+            run(20ms);
+        }
+        a.append("n");
+        run(20ms);
+    }
+    run(10s);
+    BOOST_TEST(b.log.head() < 10U);
+    b.path.down = false;
+    run(3s);
+    BOOST_TEST(b.log.head() == 10U);
+    BOOST_TEST(b.state == "nnnnnnnnnn");
+}
+
+// Guards against a call rate that grows while nothing happens: the contract counts every call.
+BOOST_AUTO_TEST_CASE(idle_follower_makes_one_call_per_wait) {
+    load_both();
+    b.log.follow(events.now(), true);
+    b.pump();
+    run(60s);
+    BOOST_TEST(kv.calls[kv_operation::watch] <= 14U);
+}
+
+// Guards against values that the store would refuse.
+BOOST_AUTO_TEST_CASE(oversized_record_is_refused) {
+    load_both();
+    BOOST_CHECK_THROW((void)a.append(std::string(max_log_value_bytes + 1, 'x')),
+                      common::usage_error);
+}
+
+// Guards against other writers' values that are taken for records.
+BOOST_AUTO_TEST_CASE(unreadable_values_are_refused) {
+    for (const char* const value : {"", "record 1 a 1", "record x a 1\n", "snapshot 1 a 1\n",
+                                    "record 1 a\nbody", "record 1 a 1 1\n"}) {
+        BOOST_CHECK_THROW((void)decode_record(value), common::format_error);
+    }
+    const log_record record{7, "w", 3, "line\nline 2"};
+    BOOST_TEST((decode_record(encode_record(record)) == record));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
