--- /dev/null
+++ b/tests/unit/store/http_kv_store_test.cpp
@@ -0,0 +1,142 @@
+#include "core/store/http_kv_store.h"
+
+#include "core/common/counters.h"
+#include "core/common/error.h"
+#include "core/net/event_loop.h"
+#include "core/net/http_server.h"
+#include "core/store/consul_format.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <future>
+#include <string>
+
+using namespace buckthornspar;
+using namespace buckthornspar::store;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Notes the request and gives a prepared answer, or none at all.
+class prepared_store final : public net::http_handler {
+public:
+    void handle(net::http_request request, net::http_reply reply) override {
+        target = request.target;
+        body = request.body;
+        if (silent) {
+            m_kept = std::move(reply);
+            return;
+        }
+        reply(answer);
+    }
+
+    net::http_response answer;
+    bool silent = false;
+    std::string target;
+    std::string body;
+
+private:
+    net::http_reply m_kept;
+};
+
+struct store_fixture {
+    store_fixture()
+        : server(loop, {"127.0.0.1", 0}, {}, handler),
+          kv(kv_store_registry::instance().make("http", context(server.port()))) {
+        loop.start();
+    }
+    ~store_fixture() { loop.stop(); }
+
+    kv_store_context context(std::uint16_t port) {
+        return {loop, counts, {"127.0.0.1", port}, 100ms};
+    }
+
+    kv_response call(kv_store& to, const kv_request& request) {
+        std::promise<kv_response> promise;
+        to.submit(request, [&](kv_response r) { promise.set_value(std::move(r)); });
+        return promise.get_future().get();
+    }
+
+    kv_response call(kv_operation operation, unsigned status, const std::string& body) {
+        handler.answer = {};
+        handler.answer.status = status;
+        handler.answer.body = body;
+        handler.answer.fields.set("X-Consul-Index", "42");
+        return call(*kv, {operation, "a b/c", "value", 7, 9, 20ms});
+    }
+
+    net::event_loop loop;
+    common::counters counts;
+    prepared_store handler;
+    net::http_server server;
+    std::unique_ptr<kv_store> kv;
+};
+
+const std::string one_entry = R"([{"Key":"a b/c","Value":"aGVsbG8=","ModifyIndex":12,"Flags":0}])";
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(http_kv_store_suite, store_fixture)
+
+// Guards against requests that another server of the same API would not understand.
+BOOST_AUTO_TEST_CASE(requests_follow_the_contract) {
+    (void)call(kv_operation::get, 200, one_entry);
+    BOOST_TEST(handler.target == "/v1/kv/a%20b/c");
+    (void)call(kv_operation::list, 200, one_entry);
+    BOOST_TEST(handler.target == "/v1/kv/a%20b/c?recurse=true");
+    (void)call(kv_operation::watch, 200, one_entry);
+    BOOST_TEST(handler.target == "/v1/kv/a%20b/c?index=9&wait=20ms");
+    (void)call(kv_operation::put_if, 200, "true");
+    BOOST_TEST(handler.target == "/v1/kv/a%20b/c?cas=7");
+    BOOST_TEST(handler.body == "value");
+    BOOST_TEST(counts.get("store_calls_total", "op", "put_if").value() == 1);
+}
+
+// Guards against answers that are read as something else.
+BOOST_AUTO_TEST_CASE(answers_are_read) {
+    const auto found = call(kv_operation::get, 200, one_entry);
+    BOOST_REQUIRE(found.entries.size() == 1U);
+    BOOST_TEST(found.entries[0].value == "hello");
+    BOOST_TEST(found.entries[0].modify_index == 12U);
+    BOOST_TEST(found.index == 42U);
+    BOOST_TEST((call(kv_operation::watch, 404, "").status == kv_status::not_found));
+    BOOST_TEST((call(kv_operation::list, 404, "").status == kv_status::ok));
+    BOOST_TEST((call(kv_operation::put_if, 200, "true\n").status == kv_status::ok));
+    BOOST_TEST((call(kv_operation::put_if, 200, "false").status == kv_status::conflict));
+}
+
+// Guards against a write that is reported as not executed although it may have been.
+BOOST_AUTO_TEST_CASE(failed_write_is_unknown_unless_never_sent) {
+    for (const unsigned status : {404U, 408U, 429U, 500U, 503U}) {
+        BOOST_TEST((call(kv_operation::put_if, status, "").status == kv_status::unknown));
+    }
+    BOOST_TEST((call(kv_operation::put_if, 200, "maybe").status == kv_status::unknown));
+    handler.silent = true;
+    BOOST_TEST((call(kv_operation::put_if, 200, "").status == kv_status::unknown));
+    BOOST_TEST(counts.get("store_errors_total", "kind", "timed_out").value() == 1);
+    http_kv_store nowhere(context(1));
+    const auto refused = call(nowhere, {kv_operation::put_if, "a", "v", 0, 0, 0ms});
+    BOOST_TEST((refused.status == kv_status::unavailable));
+}
+
+// Guards against a read failure that looks like an absent key.
+BOOST_AUTO_TEST_CASE(failed_read_is_unavailable) {
+    BOOST_TEST((call(kv_operation::get, 500, "").status == kv_status::unavailable));
+    for (const char* const body :
+         {"", "{}", "[1]", R"([{"Key":"k"}])", R"([{"Key":"k","Value":"a","ModifyIndex":1}])"}) {
+        BOOST_TEST((call(kv_operation::get, 200, body).status == kv_status::unavailable));
+    }
+}
+
+// Guards against values that change on the way, for each length of the padding.
+BOOST_AUTO_TEST_CASE(base64_is_decoded) {
+    BOOST_TEST(decode_base64("").empty());
+    BOOST_TEST(decode_base64("Zg==") == "f");
+    BOOST_TEST(decode_base64("Zm8=") == "fo");
+    BOOST_TEST(decode_base64("Zm9v") == "foo");
+    BOOST_CHECK_THROW((void)decode_base64("Zm9"), common::format_error);
+    BOOST_CHECK_THROW((void)decode_base64("Z==="), common::format_error);
+    BOOST_CHECK_THROW((void)decode_base64("Zm9*"), common::format_error);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
