--- /dev/null
+++ b/source/core/scheduling/worker_messages.h
@@ -0,0 +1,160 @@
+#pragma once
+
+#include "core/common/clock.h"
+#include "core/common/name_table.h"
+#include "core/placement/resources.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace buckthornspar::scheduling {
+
+/// Operations of a sync message. See docs/platform-contract.md, section Worker.
+enum class worker_op { start, reserve, release, cancel, throttle, checkpoint, stop };
+
+/// How an attempt to run a task ended.
+enum class attempt_outcome { succeeded, failed, cancelled, stopped, lapsed, refused, unknown };
+
+enum class operation_status { accepted, refused };
+
+/// Why a worker refused an operation.
+enum class operation_reason { none, full, leaving, expired, duplicate, cancelled, unknown_attempt };
+
+enum class held_state { reserved, running };
+
+enum class worker_availability { live, leaving };
+
+[[nodiscard]] std::string_view to_string(worker_op op);
+[[nodiscard]] std::string_view to_string(attempt_outcome outcome);
+[[nodiscard]] std::string_view to_string(operation_status status);
+[[nodiscard]] std::string_view to_string(operation_reason reason);
+[[nodiscard]] std::string_view to_string(held_state state);
+[[nodiscard]] std::string_view to_string(worker_availability state);
+
+/// These throw common::unknown_name_error.
+[[nodiscard]] worker_op worker_op_of(std::string_view name);
+[[nodiscard]] attempt_outcome attempt_outcome_of(std::string_view name);
+[[nodiscard]] operation_status operation_status_of(std::string_view name);
+[[nodiscard]] operation_reason operation_reason_of(std::string_view name);
+[[nodiscard]] held_state held_state_of(std::string_view name);
+[[nodiscard]] worker_availability worker_availability_of(std::string_view name);
+
+/// What the worker runs. run_ms 0 means until stopped.
+struct task_payload {
+    std::int64_t run_ms = 0;
+    bool fail = false;
+
+    bool operator==(const task_payload&) const = default;
+};
+
+struct worker_operation {
+    worker_op op = worker_op::start;
+    std::string attempt;
+    std::string task;
+    placement::resources demand;
+    task_payload payload;
+    /// Attempt id of the reservation that this start uses; empty when there is none.
+    std::string reservation;
+};
+
+struct adopt_request {
+    std::string shard;
+    std::uint64_t epoch = 0;
+    std::string owner;
+};
+
+struct sync_request {
+    std::string shard;
+    std::uint64_t epoch = 0;
+    std::string owner;
+    /// Newest stamp of this worker that the sender knows.
+    std::int64_t stamp_ms = 0;
+    std::uint64_t incarnation = 0;
+    std::int64_t lease_ms = 0;
+    std::int64_t start_validity_ms = 0;
+    bool renew = false;
+    std::vector<std::string> acknowledge;
+    std::vector<worker_operation> operations;
+};
+
+struct operation_result {
+    std::string attempt;
+    operation_status status = operation_status::accepted;
+    operation_reason reason = operation_reason::none;
+};
+
+struct ended_attempt {
+    std::string task;
+    std::string attempt;
+    attempt_outcome outcome = attempt_outcome::unknown;
+    bool started = false;
+    int exit_code = 0;
+};
+
+/// Measured use of a running attempt; it lags behind.
+struct usage_report {
+    std::string task;
+    std::string attempt;
+    placement::resources used;
+};
+
+struct sync_answer {
+    std::int64_t stamp_ms = 0;
+    std::uint64_t incarnation = 0;
+    std::vector<operation_result> results;
+    std::vector<ended_attempt> ended;
+    std::vector<usage_report> usage;
+};
+
+struct events_answer {
+    std::int64_t stamp_ms = 0;
+    std::uint64_t incarnation = 0;
+    std::uint64_t next = 0;
+    std::vector<ended_attempt> ended;
+    std::vector<usage_report> usage;
+};
+
+struct held_task {
+    std::string task;
+    std::string attempt;
+    held_state state = held_state::running;
+    placement::resources demand;
+    std::int64_t lease_end_ms = 0;
+};
+
+struct worker_inventory {
+    std::string worker;
+    std::uint64_t incarnation = 0;
+    std::int64_t stamp_ms = 0;
+    std::uint64_t accepted_epoch = 0;
+    worker_availability state = worker_availability::live;
+    placement::resources capacity;
+    std::vector<held_task> tasks;
+    std::vector<ended_attempt> ended;
+};
+
+enum class worker_failure {
+    not_sent,          ///< the request never reached the worker
+    no_answer,         ///< the worker may have executed the request
+    stale_epoch,       ///< the worker has accepted a higher epoch; nothing was executed
+    stale_incarnation, ///< the worker has restarted; nothing was executed
+    bad_answer,        ///< the answer cannot be read; the worker may have executed the request
+};
+
+[[nodiscard]] std::string_view to_string(worker_failure failure);
+
+/// Why there is no answer of a worker.
+struct worker_error {
+    worker_failure kind = worker_failure::no_answer;
+    /// With stale_epoch: the epoch that the worker has accepted.
+    std::uint64_t accepted_epoch = 0;
+};
+
+using adopt_result = std::variant<worker_inventory, worker_error>;
+using sync_result = std::variant<sync_answer, worker_error>;
+using events_result = std::variant<events_answer, worker_error>;
+
+} // namespace buckthornspar::scheduling
