Add the interface of the placement engine

The implementation is hidden behind a pointer, so that its containers can change without touching the callers.

--- /dev/null
+++ b/source/core/placement/placement_engine.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "core/placement/placement_types.h"
+
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace buckthornspar::placement {
+
+/// Decides which worker runs which task, for the workers of one shard. Pure: it takes events and
+/// times and returns decisions, which depend only on these and the seed.
+///
+/// Invariant: the resources that decide() promises on a worker never exceed its capacity. Only
+/// adopt_running() and a reduced capacity can make promised() larger; such a worker gets no work.
+class placement_engine {
+public:
+    /// Throws unknown_name_error when the scorer is not registered.
+    explicit placement_engine(placement_settings settings);
+    ~placement_engine();
+    placement_engine(placement_engine&&) noexcept;
+    placement_engine& operator=(placement_engine&&) noexcept;
+    placement_engine(const placement_engine&) = delete;
+    placement_engine& operator=(const placement_engine&) = delete;
+
+    void upsert_worker(const worker_info& info);
+
+    /// The worker gets no more work. Its tasks stay promised until each is released, so that a
+    /// worker that comes back is not overcommitted.
+    void remove_worker(const std::string& id);
+
+    /// Empty when the task can run once enough work has ended, or when no worker is known yet.
+    /// task_count is the number of tasks that must run together (1 unless all_at_once).
+    [[nodiscard]] std::optional<infeasibility> check_feasible(const task_request& request,
+                                                              std::size_t task_count) const;
+
+    /// Throws usage_error when the task is already known.
+    void submit(task_request request);
+
+    /// Tasks of one all-at-once job. Throws usage_error when a task is already known, the list is
+    /// empty or the jobs differ.
+    void submit_gang(std::vector<task_request> requests);
+
+    /// Removes a task that is not yet assigned; true when it was removed. The other tasks of its
+    /// all-at-once job stay.
+    bool withdraw(const std::string& task);
+
+    /// Assigns up to max_assignments tasks and promises their resources. An all-at-once job is
+    /// never split and counts as one.
+    [[nodiscard]] decisions decide(common::time_point now, std::size_t max_assignments);
+
+    /// The expected end of a task counts from here.
+    void confirm_started(const std::string& task, common::time_point now);
+
+    /// The task ended: frees its promise. An unknown task is ignored.
+    void release(const std::string& task, common::time_point now);
+
+    /// The start was refused before the task ran: frees the promise and queues the task again with
+    /// its original age. An all-at-once job waits until each of its tasks was requeued or released,
+    /// because its tasks start together.
+    void requeue(const std::string& task);
+
+    /// Recovery: the task was found running on this worker. Takes it out of the queue if it waits.
+    /// Throws usage_error when the worker is unknown.
+    void adopt_running(const std::string& worker, const task_request& request,
+                       common::time_point now);
+
+    [[nodiscard]] wait_reason explain(const std::string& task) const;
+
+    /// Empty when the job is not a waiting all-at-once job.
+    [[nodiscard]] std::optional<gang_wait> explain_gang(const std::string& job) const;
+
+    void set_quota(const std::string& team, const resources& limit);
+    void clear_quota(const std::string& team);
+
+    /// Zero for an unknown worker.
+    [[nodiscard]] resources promised(const std::string& worker) const;
+
+    /// Tasks that are submitted and not assigned.
+    [[nodiscard]] std::size_t waiting() const;
+
+private:
+    class state;
+    std::unique_ptr<state> m_state;
+};
+
+} // namespace buckthornspar::placement
