--- /dev/null
+++ b/source/core/routing/admission_queue.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "core/routing/request.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace buckthornspar::routing {
+
+struct queue_limits {
+    std::size_t max_waiting = 2000;
+    /// Share of the dispatches that goes to lower classes while higher ones wait.
+    double lower_class_share = 0.1;
+};
+
+/// Requests of one service that wait for a runner: class first, then earliest deadline.
+class admission_queue {
+public:
+    explicit admission_queue(queue_limits limits) : m_limits(limits) {}
+
+    struct item {
+        std::uint64_t key;
+        request_class priority;
+        time_point deadline;
+    };
+
+    enum class push_result { accepted, full };
+
+    /// When the queue is full, a request of a lower class makes room: its key is put into
+    /// displaced.
+    push_result push(const item& i, std::optional<std::uint64_t>& displaced);
+
+    /// Puts back a request that has been admitted before; never refused.
+    void put_back(const item& i) { insert(i); }
+
+    /// The request to send next. Repeated calls give the same one until it is popped.
+    [[nodiscard]] std::optional<std::uint64_t> front() const;
+    void pop_front();
+    void remove(const item& i);
+
+    [[nodiscard]] std::size_t size() const;
+    [[nodiscard]] bool empty() const { return size() == 0; }
+
+    /// Number of waiting requests that are sent before a new one of this class and deadline.
+    [[nodiscard]] std::size_t ahead_of(request_class priority, time_point deadline) const;
+
+private:
+    using level = std::set<std::pair<time_point, std::uint64_t>>;
+
+    void insert(const item& i) { m_levels[index(i.priority)].emplace(i.deadline, i.key); }
+    static std::size_t index(request_class c) { return static_cast<std::size_t>(c); }
+    [[nodiscard]] std::optional<std::size_t> top_level(std::size_t from) const;
+    [[nodiscard]] std::optional<std::size_t> next_level() const;
+
+    queue_limits m_limits;
+    std::array<level, request_class_count> m_levels;
+    double m_lower_credit = 0;
+};
+
+} // namespace buckthornspar::routing
--- /dev/null
+++ b/source/core/routing/least_outstanding.cpp
@@ -0,0 +1,43 @@
+#include "core/routing/routing_policy.h"
+
+namespace buckthornspar::routing {
+
+namespace {
+
+// Sends to the runner with the fewest requests of this entry. It knows nothing of other entries.
+class least_outstanding final : public routing_policy {
+public:
+    std::optional<std::size_t> choose(const route_query& q) override {
+        auto chosen = least(q, usable_runners(q, true));
+        if (!chosen && q.allow_remote) {
+            chosen = least(q, usable_runners(q, false));
+        }
+        return chosen;
+    }
+
+private:
+    static std::optional<std::size_t> least(const route_query& q,
+                                            const std::vector<std::size_t>& candidates) {
+        std::optional<std::size_t> best;
+        std::uint64_t ties = 0;
+        for (const std::size_t index : candidates) {
+            const std::uint32_t outstanding = q.table.at(index).outstanding;
+            if (!best || outstanding < q.table.at(*best).outstanding) {
+                best = index;
+                ties = 1;
+            } else if (outstanding == q.table.at(*best).outstanding &&
+                       q.random.below(++ties) == 0) {
+                best = index;
+            }
+        }
+        return best;
+    }
+};
+
+const policy_registration registration("least_outstanding", [](const policy_setup&) {
+    return std::make_unique<least_outstanding>();
+});
+
+} // namespace
+
+} // namespace buckthornspar::routing
--- /dev/null
+++ b/source/core/routing/routing_policy.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "core/common/plugin_registry.h"
+#include "core/common/rng.h"
+#include "core/routing/routing_messages.h"
+#include "core/routing/runner_table.h"
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace buckthornspar::routing {
+
+/// What a policy knows about its entry.
+struct policy_setup {
+    std::string entry_id;
+    std::string region;
+    std::string service;
+};
+
+/// A request that looks for a runner.
+struct route_query {
+    const runner_table& table;
+    /// Runners that must not get this request.
+    const std::vector<std::size_t>& excluded;
+    bool allow_remote;
+    time_point now;
+    common::rng& random;
+};
+
+/// An entry as the instance list shows it.
+struct peer_entry {
+    std::string id;
+    std::string region;
+};
+
+/// The state of the entry at a tick.
+struct policy_tick {
+    const runner_table& table;
+    const std::vector<peer_entry>& entries;
+    std::size_t waiting;
+    time_point now;
+};
+
+/// Chooses a runner for each request of one service.
+class routing_policy {
+public:
+    virtual ~routing_policy() = default;
+
+    /// Empty when the request shall wait at the entry.
+    [[nodiscard]] virtual std::optional<std::size_t> choose(const route_query& q) = 0;
+
+    virtual void on_runner_added(std::size_t /*index*/) {}
+    virtual void on_answer(const runner_table& /*table*/, std::size_t /*index*/,
+                           duration /*service_time*/, bool /*failed*/) {}
+    virtual void on_peer(const peer_message& /*message*/, const runner_table& /*table*/,
+                         time_point /*now*/) {}
+    /// Called every policy_tick_period; puts messages to other entries into out.
+    virtual void on_tick(const policy_tick& /*t*/, std::vector<peer_message>& /*out*/) {}
+
+protected:
+    routing_policy() = default;
+    routing_policy(const routing_policy&) = default;
+    routing_policy& operator=(const routing_policy&) = default;
+};
+
+inline constexpr duration policy_tick_period = std::chrono::milliseconds(50);
+
+using policy_registry = common::plugin_registry<routing_policy, const policy_setup&>;
+using policy_registration = common::plugin_registration<routing_policy, const policy_setup&>;
+
+/// Usable runners that are not excluded, either those of the own region or the others.
+[[nodiscard]] std::vector<std::size_t> usable_runners(const route_query& q, bool local);
+
+/// The best of the candidates by free_estimate, ties at random; empty when none has a free slot.
+[[nodiscard]] std::optional<std::size_t> most_free(const route_query& q,
+                                                   const std::vector<std::size_t>& candidates);
+
+} // namespace buckthornspar::routing
--- /dev/null
+++ b/source/core/routing/service_route.cpp
@@ -0,0 +1,112 @@
+#include "core/routing/service_route.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace buckthornspar::routing {
+
+namespace {
+
+constexpr double rate_window_s = 0.5;
+// Below this rate a figure for the wait would rest on too few answers.
+constexpr double min_rate_per_s = 4;
+// Request line and header fields.
+constexpr std::size_t message_overhead_bytes = 500;
+
+double seconds(duration d) {
+    return std::chrono::duration<double>(d).count();
+}
+
+duration from_seconds(double s) {
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(s));
+}
+
+} // namespace
+
+void event_rate::add(time_point now) {
+    m_rate = per_second(now) + 1 / rate_window_s;
+    m_last = now;
+}
+
+double event_rate::per_second(time_point now) const {
+    return m_rate * std::exp(-seconds(now - m_last) / rate_window_s);
+}
+
+bool byte_budget::has_left(time_point now) {
+    m_left = std::min(m_left + seconds(now - m_last) * m_per_second, m_per_second);
+    m_last = now;
+    return m_left > 0;
+}
+
+service_route::service_route(const route_settings& settings)
+    : queue(settings.queue),
+      table(settings.setup.region),
+      policy(policy_registry::instance().make(settings.policy, settings.setup)),
+      m_settings(settings),
+      m_budget(settings.crossing_bytes_per_s) {}
+
+std::vector<std::size_t> service_route::update(const membership::instance_snapshot& list,
+                                               time_point now) {
+    auto added = table.update(name(), list, now);
+    for (const std::size_t index : added) {
+        policy->on_runner_added(index);
+    }
+    return added;
+}
+
+std::optional<std::size_t> service_route::choose(const std::vector<std::size_t>& excluded,
+                                                 time_point submitted, time_point now,
+                                                 common::rng& random) {
+    return policy->choose({table, excluded, may_cross(submitted, now), now, random});
+}
+
+// A request crosses regions only when the wait that it avoids exceeds the trip.
+bool service_route::may_cross(time_point submitted, time_point now) {
+    if (!m_budget.has_left(now)) {
+        return false;
+    }
+    if (!table.any_available(true, now)) {
+        return true;
+    }
+    const double rate = m_local_answers.per_second(now);
+    const duration waited = now - submitted;
+    const duration expected =
+        rate < min_rate_per_s ? waited : from_seconds(static_cast<double>(queue.size()) / rate);
+    return std::max(waited, expected) > m_settings.crossing_time;
+}
+
+void service_route::on_sent(std::size_t index, std::size_t bytes) {
+    table.on_sent(index);
+    count_crossing(index, bytes);
+}
+
+void service_route::on_answer(std::size_t index, bool failed, duration service_time,
+                              std::size_t bytes, time_point now) {
+    table.on_answer(index, failed, service_time, now);
+    policy->on_answer(table, index, service_time, failed);
+    count_crossing(index, bytes);
+    m_answers.add(now);
+    if (table.is_local(index)) {
+        m_local_answers.add(now);
+    }
+}
+
+void service_route::count_crossing(std::size_t index, std::size_t bytes) {
+    if (!table.is_local(index)) {
+        const auto total = static_cast<double>(bytes + message_overhead_bytes);
+        m_budget.spend(total);
+        m_crossing_bytes += total;
+    }
+}
+
+duration service_route::expected_wait(request_class priority, time_point deadline,
+                                      time_point now) const {
+    const std::size_t ahead = queue.ahead_of(priority, deadline);
+    const double rate = m_answers.per_second(now);
+    if (ahead == 0 || rate < min_rate_per_s) {
+        return duration(0);
+    }
+    return from_seconds(static_cast<double>(ahead) / rate);
+}
+
+} // namespace buckthornspar::routing
--- /dev/null
+++ b/source/core/routing/service_route.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "core/routing/admission_queue.h"
+#include "core/routing/routing_policy.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace buckthornspar::routing {
+
+/// Events per second, averaged over about half a second.
+class event_rate {
+public:
+    void add(time_point now);
+    [[nodiscard]] double per_second(time_point now) const;
+
+private:
+    double m_rate = 0;
+    time_point m_last{};
+};
+
+/// Bytes per second that may be spent, with a burst of one second.
+class byte_budget {
+public:
+    explicit byte_budget(double bytes_per_s) : m_per_second(bytes_per_s), m_left(bytes_per_s) {}
+
+    [[nodiscard]] bool has_left(time_point now);
+    /// May overdraw the budget; nothing is left then until the debt is paid.
+    void spend(double bytes) { m_left -= bytes; }
+
+private:
+    double m_per_second;
+    double m_left;
+    time_point m_last{};
+};
+
+struct route_settings {
+    policy_setup setup;
+    std::string policy = "slot_grants";
+    queue_limits queue;
+    /// One-way trip between regions.
+    duration crossing_time = std::chrono::milliseconds(20);
+    double crossing_bytes_per_s = 10e6;
+};
+
+/// Queue, runners and policy of one service.
+class service_route {
+public:
+    explicit service_route(const route_settings& settings);
+
+    /// Returns the indices of runners that are new.
+    std::vector<std::size_t> update(const membership::instance_snapshot& list, time_point now);
+
+    /// Runner for a request that was submitted at the given time; empty when it shall wait.
+    [[nodiscard]] std::optional<std::size_t> choose(const std::vector<std::size_t>& excluded,
+                                                    time_point submitted, time_point now,
+                                                    common::rng& random);
+    void on_sent(std::size_t index, std::size_t bytes);
+    void on_answer(std::size_t index, bool failed, duration service_time, std::size_t bytes,
+                   time_point now);
+
+    /// Time until a new request of this class and deadline would be sent.
+    [[nodiscard]] duration expected_wait(request_class priority, time_point deadline,
+                                         time_point now) const;
+
+    [[nodiscard]] const std::string& name() const { return m_settings.setup.service; }
+    [[nodiscard]] double crossing_bytes() const { return m_crossing_bytes; }
+
+    admission_queue queue;
+    runner_table table;
+    std::unique_ptr<routing_policy> policy;
+
+private:
+    [[nodiscard]] bool may_cross(time_point submitted, time_point now);
+    void count_crossing(std::size_t index, std::size_t bytes);
+
+    route_settings m_settings;
+    event_rate m_local_answers;
+    event_rate m_answers;
+    byte_budget m_budget;
+    double m_crossing_bytes = 0;
+};
+
+} // namespace buckthornspar::routing
--- /dev/null
+++ b/source/core/routing/slot_grants.cpp
@@ -0,0 +1,247 @@
+#include "core/routing/routing_policy.h"
+#include "core/routing/slot_shares.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace buckthornspar::routing {
+
+namespace {
+
+constexpr duration demand_lifetime = std::chrono::seconds(2);
+// Unchanged demands and grants are repeated, because messages between entries can be lost.
+constexpr duration repeat_period = std::chrono::milliseconds(500);
+constexpr double demand_fall_weight = 0.2;
+
+struct grant {
+    std::uint32_t slots = 0;
+    time_point until{};
+};
+
+struct known_demand {
+    entry_demand demand;
+    time_point until{};
+};
+
+struct sent_demand {
+    double wanted = -1;
+    time_point at{};
+};
+
+struct sent_grants {
+    std::map<std::string, std::uint32_t> counts;
+    time_point at{};
+};
+
+// Each runner has an owner among the entries, which divides the slots among all entries by their
+// demand. A request goes to a granted slot if there is one, otherwise to a runner that is probably
+// not full.
+class slot_grants final : public routing_policy {
+public:
+    explicit slot_grants(policy_setup setup) : m_setup(std::move(setup)) {}
+
+    std::optional<std::size_t> choose(const route_query& q) override {
+        auto chosen = choose_in(q, true);
+        if (!chosen && q.allow_remote) {
+            chosen = choose_in(q, false);
+        }
+        return chosen;
+    }
+
+    void on_runner_added(std::size_t index) override {
+        if (m_grants.size() <= index) {
+            m_grants.resize(index + 1);
+        }
+        m_grants[index] = {};
+    }
+
+    void on_peer(const peer_message& message, const runner_table& table, time_point now) override {
+        if (const auto* demand = std::get_if<slot_demand>(&message.content)) {
+            m_demands[message.entry] = {{demand->region, demand->wanted}, now + demand_lifetime};
+        } else if (const auto* granted = std::get_if<slot_grant>(&message.content)) {
+            apply(*granted, table, now);
+        }
+    }
+
+    void on_tick(const policy_tick& t, std::vector<peer_message>& out) override {
+        update_own_demand(t);
+        find_owners(t);
+        send_demands(t, out);
+        send_grants(t, out);
+    }
+
+private:
+    std::optional<std::size_t> choose_in(const route_query& q, bool local) const {
+        const auto candidates = usable_runners(q, local);
+        std::optional<std::size_t> best;
+        std::uint32_t best_left = 0;
+        std::uint64_t ties = 0;
+        for (const std::size_t index : candidates) {
+            const grant& g = m_grants[index];
+            const std::uint32_t outstanding = q.table.at(index).outstanding;
+            const std::uint32_t left =
+                q.now < g.until && g.slots > outstanding ? g.slots - outstanding : 0;
+            if (left > best_left) {
+                best = index;
+                best_left = left;
+                ties = 1;
+            } else if (left == best_left && left > 0 && q.random.below(++ties) == 0) {
+                best = index;
+            }
+        }
+        return best ? best : most_free(q, candidates);
+    }
+
+    void apply(const slot_grant& granted, const runner_table& table, time_point now) {
+        for (const auto& count : granted.counts) {
+            if (const auto index = table.find(count.runner)) {
+                m_grants[*index] = {count.slots, now + slot_grant_lifetime};
+            }
+        }
+    }
+
+    // Demand rises at once and falls slowly, so that a gap between two arrivals moves no slots.
+    void update_own_demand(const policy_tick& t) {
+        const double in_use = static_cast<double>(t.table.outstanding() + t.waiting);
+        if (in_use > m_wanted) {
+            m_wanted = in_use;
+        } else {
+            m_wanted += demand_fall_weight * (in_use - m_wanted);
+        }
+        m_demands[m_setup.entry_id] = {{m_setup.region, m_wanted + 1}, t.now + demand_lifetime};
+        std::erase_if(m_demands, [&](const auto& item) { return item.second.until <= t.now; });
+    }
+
+    static std::string owner_of(const runner& r, const std::vector<peer_entry>& entries) {
+        const bool any_local = std::any_of(entries.begin(), entries.end(),
+                                           [&](const auto& e) { return e.region == r.region; });
+        std::string owner;
+        XXH64_hash_t highest = 0;
+        for (const auto& e : entries) {
+            if (any_local && e.region != r.region) {
+                continue;
+            }
+            const std::string pair = e.id + "/" + r.id;
+            const XXH64_hash_t score = XXH3_64bits(pair.data(), pair.size());
+            if (owner.empty() || score > highest) {
+                owner = e.id;
+                highest = score;
+            }
+        }
+        return owner;
+    }
+
+    void find_owners(const policy_tick& t) {
+        m_owners.clear();
+        m_owned.clear();
+        m_capacity.clear();
+        for (std::size_t index = 0; index < t.table.size(); ++index) {
+            const runner& r = t.table.at(index);
+            if (!t.table.is_available(index, t.now)) {
+                continue;
+            }
+            m_capacity[r.region] += r.slots;
+            const std::string owner = owner_of(r, t.entries);
+            if (owner == m_setup.entry_id) {
+                m_owned[r.region].push_back(index);
+            } else if (!owner.empty()) {
+                m_owners.insert(owner);
+            }
+        }
+    }
+
+    void send_demands(const policy_tick& t, std::vector<peer_message>& out) {
+        for (const auto& owner : m_owners) {
+            sent_demand& last = m_sent_demands[owner];
+            const bool changed = std::abs(m_wanted - last.wanted) >= std::max(1.0, 0.02 * m_wanted);
+            if (changed || t.now - last.at >= repeat_period) {
+                last = {m_wanted, t.now};
+                out.push_back({owner, slot_demand{m_setup.service, m_setup.region, m_wanted + 1}});
+            }
+        }
+    }
+
+    void send_grants(const policy_tick& t, std::vector<peer_message>& out) {
+        std::map<std::string, entry_demand> demands;
+        for (const auto& [entry, known] : m_demands) {
+            demands.emplace(entry, known.demand);
+        }
+        std::map<std::string, std::map<std::string, std::uint32_t>> counts;
+        for (const auto& [region, owned] : m_owned) {
+            divide(t.table, owned, slot_shares(region, m_capacity, demands), counts);
+        }
+        for (auto& [entry, by_runner] : counts) {
+            send_to(entry, by_runner, t, out);
+        }
+    }
+
+    // Fractions are carried from runner to runner, so that an entry's total is its share.
+    static void divide(const runner_table& table, const std::vector<std::size_t>& owned,
+                       const std::map<std::string, double>& shares,
+                       std::map<std::string, std::map<std::string, std::uint32_t>>& counts) {
+        std::map<std::string, double> due;
+        for (const std::size_t index : owned) {
+            const runner& r = table.at(index);
+            for (const auto& [entry, share] : shares) {
+                due[entry] += share * r.slots;
+                counts[entry][r.id] = 0;
+            }
+            for (std::uint32_t slot = 0; slot < r.slots && !due.empty(); ++slot) {
+                const auto first =
+                    std::max_element(due.begin(), due.end(), [](const auto& a, const auto& b) {
+                        return a.second < b.second;
+                    });
+                first->second -= 1;
+                ++counts[first->first][r.id];
+            }
+        }
+    }
+
+    void send_to(const std::string& entry, const std::map<std::string, std::uint32_t>& by_runner,
+                 const policy_tick& t, std::vector<peer_message>& out) {
+        slot_grant message{m_setup.service, {}};
+        sent_grants& last = m_sent_grants[entry];
+        const bool repeat = t.now - last.at >= repeat_period;
+        for (const auto& [id, slots] : by_runner) {
+            const auto before = last.counts.find(id);
+            if (repeat || before == last.counts.end() || before->second != slots) {
+                message.counts.push_back({id, slots});
+            }
+        }
+        last.counts = by_runner;
+        if (repeat) {
+            last.at = t.now;
+        }
+        if (message.counts.empty()) {
+            return;
+        }
+        if (entry == m_setup.entry_id) {
+            apply(message, t.table, t.now);
+        } else {
+            out.push_back({entry, std::move(message)});
+        }
+    }
+
+    policy_setup m_setup;
+    double m_wanted = 0;
+    std::vector<grant> m_grants;
+    std::map<std::string, known_demand> m_demands;
+    std::map<std::string, double> m_capacity;
+    std::set<std::string> m_owners;
+    std::map<std::string, std::vector<std::size_t>> m_owned;
+    std::map<std::string, sent_demand> m_sent_demands;
+    std::map<std::string, sent_grants> m_sent_grants;
+};
+
+const policy_registration registration("slot_grants", [](const policy_setup& setup) {
+    return std::make_unique<slot_grants>(setup);
+});
+
+} // namespace
+
+} // namespace buckthornspar::routing
--- /dev/null
+++ b/source/core/routing/two_choices.cpp
@@ -0,0 +1,44 @@
+#include "core/routing/routing_policy.h"
+
+#include <utility>
+
+namespace buckthornspar::routing {
+
+namespace {
+
+// Sends to the better of two random runners by the load that responses carried back. When neither
+// has a free slot by that knowledge, all runners are looked at.
+class two_choices final : public routing_policy {
+public:
+    std::optional<std::size_t> choose(const route_query& q) override {
+        auto chosen = better_of_two(q, usable_runners(q, true));
+        if (!chosen && q.allow_remote) {
+            chosen = better_of_two(q, usable_runners(q, false));
+        }
+        return chosen;
+    }
+
+private:
+    static std::optional<std::size_t> better_of_two(const route_query& q,
+                                                    const std::vector<std::size_t>& candidates) {
+        if (candidates.empty()) {
+            return std::nullopt;
+        }
+        const std::size_t first = candidates[q.random.below(candidates.size())];
+        const std::size_t second = candidates[q.random.below(candidates.size())];
+        const std::uint32_t first_free = q.table.free_estimate(first, q.now);
+        const std::uint32_t second_free = q.table.free_estimate(second, q.now);
+        if (first_free == 0 && second_free == 0) {
+            return most_free(q, candidates);
+        }
+        return first_free >= second_free ? first : second;
+    }
+};
+
+const policy_registration registration("two_choices", [](const policy_setup&) {
+    return std::make_unique<two_choices>();
+});
+
+} // namespace
+
+} // namespace buckthornspar::routing
