--- a/source/core/common/command_line.cpp
+++ b/source/core/common/command_line.cpp
@@ -88,6 +88,16 @@
     return std::string(fallback);
 }
 
+std::vector<std::string> command_line::get_all(std::string_view option) const {
+    std::vector<std::string> found;
+    for (const auto& [name, value] : m_values) {
+        if (name == option) {
+            found.push_back(value);
+        }
+    }
+    return found;
+}
+
 server_command read_server_command(int argc, const char* const* argv, const std::string& summary) {
     const command_line line(argc, argv,
                             {{"config", 'c', "FILE", "YAML settings (required)"},
--- a/source/core/common/command_line.h
+++ b/source/core/common/command_line.h
@@ -36,6 +36,8 @@
 
     [[nodiscard]] bool has(std::string_view option) const;
     [[nodiscard]] std::string get(std::string_view option, std::string_view fallback = "") const;
+    /// All values of an option that may be repeated, in the order of the command line.
+    [[nodiscard]] std::vector<std::string> get_all(std::string_view option) const;
     [[nodiscard]] const std::vector<std::string>& operands() const { return m_operands; }
     [[nodiscard]] const std::string& help() const { return m_help; }
 
