--- /dev/null
+++ b/tests/process/child_process.cpp
@@ -0,0 +1,100 @@
+#include "process/child_process.h"
+
+#include <boost/process/args.hpp>
+#include <boost/process/child.hpp>
+#include <boost/process/io.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <iterator>
+#include <stdexcept>
+#include <thread>
+#include <utility>
+
+namespace buckthornspar::process_test {
+
+namespace bp = boost::process;
+using namespace std::chrono_literals;
+
+struct child_process::state {
+    std::string program;
+    std::string log_path;
+    bp::child child;
+};
+
+child_process::child_process(const std::string& program, const std::vector<std::string>& arguments,
+                             const std::string& log_path)
+    : m_state(std::make_unique<state>()) {
+    m_state->program = program;
+    m_state->log_path = log_path;
+    m_state->child = bp::child(std::string(BTS_BIN_DIR) + "/" + program, bp::args(arguments),
+                               (bp::std_out & bp::std_err) > log_path, bp::std_in < bp::null);
+}
+
+child_process::~child_process() {
+    if (m_state) {
+        kill();
+    }
+}
+
+child_process::child_process(child_process&&) noexcept = default;
+child_process& child_process::operator=(child_process&&) noexcept = default;
+
+void child_process::send_signal(int signal) {
+    if (running()) {
+        ::kill(m_state->child.id(), signal);
+    }
+}
+
+void child_process::kill() {
+    if (!m_state->child.valid() || !running()) {
+        return;
+    }
+    std::error_code ignored;
+    m_state->child.terminate(ignored);
+    m_state->child.wait(ignored);
+}
+
+bool child_process::running() {
+    std::error_code ignored;
+    return m_state->child.running(ignored);
+}
+
+int child_process::wait(std::chrono::milliseconds timeout) {
+    const auto give_up = std::chrono::steady_clock::now() + timeout;
+    while (running()) {
+        if (std::chrono::steady_clock::now() > give_up) {
+            throw std::runtime_error(m_state->program + " did not end in time; log:\n" + log());
+        }
+        std::this_thread::sleep_for(10ms);
+    }
+    return m_state->child.exit_code();
+}
+
+int child_process::terminate(std::chrono::milliseconds timeout) {
+    send_signal(SIGTERM);
+    return wait(timeout);
+}
+
+net::endpoint child_process::wait_for_address() {
+    const auto give_up = std::chrono::steady_clock::now() + 10s;
+    const std::string marker = "listening ";
+    while (std::chrono::steady_clock::now() < give_up && running()) {
+        const std::string text = log();
+        const auto start = text.find(marker);
+        const auto end = text.find('\n', start == std::string::npos ? 0 : start);
+        if (start != std::string::npos && end != std::string::npos) {
+            const auto first = start + marker.size();
+            return net::parse_endpoint(text.substr(first, end - first));
+        }
+        std::this_thread::sleep_for(5ms);
+    }
+    throw std::runtime_error(m_state->program + " does not listen; log:\n" + log());
+}
+
+std::string child_process::log() const {
+    std::ifstream file(m_state->log_path);
+    return {std::istreambuf_iterator<char>(file), {}};
+}
+
+} // namespace buckthornspar::process_test
