--- a/source/core/common/settings.h
+++ b/source/core/common/settings.h
@@ -58,14 +58,15 @@
     /// Sequence of mappings; empty when absent.
     [[nodiscard]] std::vector<settings_section> sections(std::string_view key);
 
+    /// Throws settings_error for a value that the caller found to be wrong.
+    [[noreturn]] void fail(std::string_view key, std::string_view problem) const;
+
     /// Throws settings_error for the first key that was never asked for.
     void finish() const;
 
 private:
     struct state;
     explicit settings_section(std::unique_ptr<state> s);
-    [[noreturn]] void fail(std::string_view key, std::string_view problem) const;
-
     std::unique_ptr<state> m_state;
 };
 
--- a/source/core/server/server_settings.cpp
+++ b/source/core/server/server_settings.cpp
@@ -12,7 +12,7 @@
     try {
         return net::parse_endpoint(text);
     } catch (const common::format_error& e) {
-        throw common::settings_error(std::string(key) + ": " + e.what());
+        settings.fail(key, e.what());
     }
 }
 
--- a/source/programs/buckthornspar-entry/entry_application.cpp
+++ b/source/programs/buckthornspar-entry/entry_application.cpp
@@ -13,7 +13,8 @@
 entry_application::entry_application(server::server_process& process)
     : m_process(process),
       m_config(std::make_unique<server::config_cache>([](std::uint64_t, const std::string&) {})),
-      m_member(std::make_unique<server::cluster_member>(process, "entry", server::make_instance_list(process),
+      m_member(std::make_unique<server::cluster_member>(process, "entry",
+                                                        server::make_instance_list(process),
                                                         *m_config, server::member_hooks{})),
       m_jobs(std::make_unique<job_gateway>(process, *m_member,
                                            shard_directory(process.settings().shards))) {
