--- a/source/core/peer/peer.capnp.c++
+++ b/source/core/peer/peer.capnp.c++
@@ -529,7 +529,203 @@
   0, 2, i_8c78cc453a1160d5, nullptr, nullptr, { &s_8c78cc453a1160d5, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<94> b_e51128bb69ee9b5b = {
+static const ::capnp::_::AlignedData<62> b_a68e370aa87d9571 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    113, 149, 125, 168,  10,  55, 142, 166,
+     11,   0,   0,   0,   1,   0,   1,   0,
+     24, 151, 229, 194, 163, 240, 209, 180,
+      2,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 178,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  83, 108, 111, 116,  68,
+    101, 109,  97, 110, 100,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     80,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     77,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+     84,   0,   0,   0,   2,   0,   1,   0,
+    115, 101, 114, 118, 105,  99, 101,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101, 103, 105, 111, 110,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    119,  97, 110, 116, 101, 100,   0,   0,
+     11,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     11,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_a68e370aa87d9571 = b_a68e370aa87d9571.words;
+#if !CAPNP_LITE
+static const uint16_t m_a68e370aa87d9571[] = {1, 0, 2};
+static const uint16_t i_a68e370aa87d9571[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_a68e370aa87d9571 = {
+  0xa68e370aa87d9571, b_a68e370aa87d9571.words, 62, nullptr, m_a68e370aa87d9571,
+  0, 3, i_a68e370aa87d9571, nullptr, nullptr, { &s_a68e370aa87d9571, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<47> b_c5d55b89f50909b8 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    184,   9,   9, 245, 137,  91, 213, 197,
+     11,   0,   0,   0,   1,   0,   1,   0,
+     24, 151, 229, 194, 163, 240, 209, 180,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 170,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  83, 108, 111, 116,  67,
+    111, 117, 110, 116,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+    114, 117, 110, 110, 101, 114,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 108, 111, 116, 115,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_c5d55b89f50909b8 = b_c5d55b89f50909b8.words;
+#if !CAPNP_LITE
+static const uint16_t m_c5d55b89f50909b8[] = {0, 1};
+static const uint16_t i_c5d55b89f50909b8[] = {0, 1};
+const ::capnp::_::RawSchema s_c5d55b89f50909b8 = {
+  0xc5d55b89f50909b8, b_c5d55b89f50909b8.words, 47, nullptr, m_c5d55b89f50909b8,
+  0, 2, i_c5d55b89f50909b8, nullptr, nullptr, { &s_c5d55b89f50909b8, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<51> b_be06369ff639d671 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    113, 214,  57, 246, 159,  54,   6, 190,
+     11,   0,   0,   0,   1,   0,   0,   0,
+     24, 151, 229, 194, 163, 240, 209, 180,
+      2,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 170,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  83, 108, 111, 116,  71,
+    114,  97, 110, 116,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     68,   0,   0,   0,   2,   0,   1,   0,
+    115, 101, 114, 118, 105,  99, 101,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 117, 110, 116, 115,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    184,   9,   9, 245, 137,  91, 213, 197,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_be06369ff639d671 = b_be06369ff639d671.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_be06369ff639d671[] = {
+  &s_c5d55b89f50909b8,
+};
+static const uint16_t m_be06369ff639d671[] = {1, 0};
+static const uint16_t i_be06369ff639d671[] = {0, 1};
+const ::capnp::_::RawSchema s_be06369ff639d671 = {
+  0xbe06369ff639d671, b_be06369ff639d671.words, 51, d_be06369ff639d671, m_be06369ff639d671,
+  1, 2, i_be06369ff639d671, nullptr, nullptr, { &s_be06369ff639d671, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<116> b_e51128bb69ee9b5b = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      91, 155, 238, 105, 187,  40,  17, 229,
      11,   0,   0,   0,   3,   0,   0,   0,
@@ -539,69 +735,85 @@
      21,   0,   0,   0, 130,   0,   0,   0,
      25,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 199,   1,   0,   0,
-     73,   1,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0,  71,   2,   0,   0,
+    161,   1,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     28,   0,   0,   0,   3,   0,   5,   0,
+     36,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      32, 126, 223, 113,  48,  48, 184, 244,
      18, 213,  78,  66,  86,  22,  74, 197,
-    209,   0,   0,   0,  82,   0,   0,   0,
+     17,   1,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    201,   0,   0,   0,   7,   0,   0,   0,
+      9,   1,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     231, 208, 220, 140,  34, 178, 148, 206,
     124,  27, 224,  70, 227,  94, 170, 213,
-    189,   0,   0,   0,  82,   0,   0,   0,
+    253,   0,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    181,   0,   0,   0,   7,   0,   0,   0,
+    245,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
     183, 198,  80,  13,  53, 140, 182, 166,
     202,   3,  73, 214,  55, 156,  60, 135,
-    169,   0,   0,   0,  82,   0,   0,   0,
+    233,   0,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    161,   0,   0,   0,   7,   0,   0,   0,
+    225,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     237, 217, 111, 122, 245, 158,  16, 206,
      40, 250, 211,  76, 123, 159,  58, 172,
-    149,   0,   0,   0,  90,   0,   0,   0,
+    213,   0,   0,   0,  90,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    141,   0,   0,   0,   7,   0,   0,   0,
+    205,   0,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
     183,  52, 120, 235, 218,  63, 210, 253,
     222, 103,  56,  18, 233, 203, 204, 149,
-    129,   0,   0,   0,  82,   0,   0,   0,
+    193,   0,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    121,   0,   0,   0,   7,   0,   0,   0,
+    185,   0,   0,   0,   7,   0,   0,   0,
       5,   0,   0,   0,   0,   0,   0,   0,
      98,  61,  41,  85,  41, 252,  33, 193,
     230, 254,   1,  99,  25,  86,  47, 185,
-    109,   0,   0,   0,  98,   0,   0,   0,
+    173,   0,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    101,   0,   0,   0,   7,   0,   0,   0,
+    165,   0,   0,   0,   7,   0,   0,   0,
       6,   0,   0,   0,   0,   0,   0,   0,
     106,   3,  60,  40,  73,  84, 228, 187,
     151, 255,  11, 121,  31,  48, 217, 176,
-     89,   0,   0,   0, 122,   0,   0,   0,
+    153,   0,   0,   0, 122,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    145,   0,   0,   0,   7,   0,   0,   0,
+      7,   0,   0,   0,   0,   0,   0,   0,
+     13, 107, 247,  12,  59, 198,  71, 170,
+     29, 118,  10,  94,  33, 156,  52, 178,
+    133,   0,   0,   0,  90,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     81,   0,   0,   0,   7,   0,   0,   0,
+    125,   0,   0,   0,   7,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+     47, 147, 225, 185, 139,  95, 147, 224,
+    209, 126, 173, 114,  24, 185,  22, 141,
+    113,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    105,   0,   0,   0,   7,   0,   0,   0,
     104, 101,  97, 114, 116,  98, 101,  97,
     116,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
@@ -623,16 +835,25 @@
      97, 110, 110, 111, 117, 110,  99, 101,
      67, 111, 110, 102, 105, 103,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    115, 108, 111, 116,  68, 101, 109,  97,
+    110, 100,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
+    115, 108, 111, 116,  71, 114,  97, 110,
+    116,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_e51128bb69ee9b5b = b_e51128bb69ee9b5b.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_e51128bb69ee9b5b[] = {
   &s_873c9c37d64903ca,
+  &s_8d16b91872ad7ed1,
   &s_95cccbe9123867de,
   &s_a6b68c350d50c6b7,
+  &s_aa47c63b0cf76b0d,
   &s_ac3a9f7b4cd3fa28,
   &s_b0d9301f790bff97,
+  &s_b2349c215e0a761d,
   &s_b92f56196301fee6,
   &s_bbe45449283c036a,
   &s_c121fc2955293d62,
@@ -640,13 +861,14 @@
   &s_ce109ef57a6fd9ed,
   &s_ce94b2228cdcd0e7,
   &s_d5aa5ee346e01b7c,
+  &s_e0935f8bb9e1932f,
   &s_f4b8303071df7e20,
   &s_fdd23fdaeb7834b7,
 };
-static const uint16_t m_e51128bb69ee9b5b[] = {6, 4, 5, 3, 0, 2, 1};
+static const uint16_t m_e51128bb69ee9b5b[] = {6, 4, 5, 3, 0, 2, 7, 8, 1};
 const ::capnp::_::RawSchema s_e51128bb69ee9b5b = {
-  0xe51128bb69ee9b5b, b_e51128bb69ee9b5b.words, 94, d_e51128bb69ee9b5b, m_e51128bb69ee9b5b,
-  14, 7, nullptr, nullptr, nullptr, { &s_e51128bb69ee9b5b, nullptr, nullptr, 0, 0, nullptr }
+  0xe51128bb69ee9b5b, b_e51128bb69ee9b5b.words, 116, d_e51128bb69ee9b5b, m_e51128bb69ee9b5b,
+  18, 9, nullptr, nullptr, nullptr, { &s_e51128bb69ee9b5b, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<33> b_f4b8303071df7e20 = {
@@ -1494,6 +1716,184 @@
   0, 1, i_b0d9301f790bff97, nullptr, nullptr, { &s_b0d9301f790bff97, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<48> b_aa47c63b0cf76b0d = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     13, 107, 247,  12,  59, 198,  71, 170,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      2,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  18,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    115, 108, 111, 116,  68, 101, 109,  97,
+    110, 100,  36,  80,  97, 114,  97, 109,
+    115,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+    115, 101, 110, 100, 101, 114,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    213,  92, 103,  59, 134,  61, 171, 129,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100, 101, 109,  97, 110, 100,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    113, 149, 125, 168,  10,  55, 142, 166,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_aa47c63b0cf76b0d = b_aa47c63b0cf76b0d.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_aa47c63b0cf76b0d[] = {
+  &s_81ab3d863b675cd5,
+  &s_a68e370aa87d9571,
+};
+static const uint16_t m_aa47c63b0cf76b0d[] = {1, 0};
+static const uint16_t i_aa47c63b0cf76b0d[] = {0, 1};
+const ::capnp::_::RawSchema s_aa47c63b0cf76b0d = {
+  0xaa47c63b0cf76b0d, b_aa47c63b0cf76b0d.words, 48, d_aa47c63b0cf76b0d, m_aa47c63b0cf76b0d,
+  2, 2, i_aa47c63b0cf76b0d, nullptr, nullptr, { &s_aa47c63b0cf76b0d, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<17> b_b2349c215e0a761d = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     29, 118,  10,  94,  33, 156,  52, 178,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  26,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    115, 108, 111, 116,  68, 101, 109,  97,
+    110, 100,  36,  82, 101, 115, 117, 108,
+    116, 115,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_b2349c215e0a761d = b_b2349c215e0a761d.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_b2349c215e0a761d = {
+  0xb2349c215e0a761d, b_b2349c215e0a761d.words, 17, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_b2349c215e0a761d, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<48> b_e0935f8bb9e1932f = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     47, 147, 225, 185, 139,  95, 147, 224,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      2,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  10,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    115, 108, 111, 116,  71, 114,  97, 110,
+    116,  36,  80,  97, 114,  97, 109, 115,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+    115, 101, 110, 100, 101, 114,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    213,  92, 103,  59, 134,  61, 171, 129,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    103, 114,  97, 110, 116,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    113, 214,  57, 246, 159,  54,   6, 190,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_e0935f8bb9e1932f = b_e0935f8bb9e1932f.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_e0935f8bb9e1932f[] = {
+  &s_81ab3d863b675cd5,
+  &s_be06369ff639d671,
+};
+static const uint16_t m_e0935f8bb9e1932f[] = {1, 0};
+static const uint16_t i_e0935f8bb9e1932f[] = {0, 1};
+const ::capnp::_::RawSchema s_e0935f8bb9e1932f = {
+  0xe0935f8bb9e1932f, b_e0935f8bb9e1932f.words, 48, d_e0935f8bb9e1932f, m_e0935f8bb9e1932f,
+  2, 2, i_e0935f8bb9e1932f, nullptr, nullptr, { &s_e0935f8bb9e1932f, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<17> b_8d16b91872ad7ed1 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    209, 126, 173, 114,  24, 185,  22, 141,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  18,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    115, 108, 111, 116,  71, 114,  97, 110,
+    116,  36,  82, 101, 115, 117, 108, 116,
+    115,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_8d16b91872ad7ed1 = b_8d16b91872ad7ed1.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_8d16b91872ad7ed1 = {
+  0x8d16b91872ad7ed1, b_8d16b91872ad7ed1.words, 17, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_8d16b91872ad7ed1, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -1543,6 +1943,30 @@
 constexpr ::capnp::_::RawSchema const* ConfigRecord::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// SlotDemand
+constexpr uint16_t SlotDemand::_capnpPrivate::dataWordSize;
+constexpr uint16_t SlotDemand::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind SlotDemand::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* SlotDemand::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// SlotCount
+constexpr uint16_t SlotCount::_capnpPrivate::dataWordSize;
+constexpr uint16_t SlotCount::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind SlotCount::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* SlotCount::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// SlotGrant
+constexpr uint16_t SlotGrant::_capnpPrivate::dataWordSize;
+constexpr uint16_t SlotGrant::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind SlotGrant::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* SlotGrant::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 ::capnp::Request< ::buckthornspar::peer::schema::Peer::HeartbeatParams,  ::buckthornspar::peer::schema::Peer::HeartbeatResults>
 Peer::Client::heartbeatRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
@@ -1614,6 +2038,26 @@
       "peer.capnp:Peer", "announceConfig",
       0xe51128bb69ee9b5bull, 6);
 }
+::capnp::Request< ::buckthornspar::peer::schema::Peer::SlotDemandParams,  ::buckthornspar::peer::schema::Peer::SlotDemandResults>
+Peer::Client::slotDemandRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::buckthornspar::peer::schema::Peer::SlotDemandParams,  ::buckthornspar::peer::schema::Peer::SlotDemandResults>(
+      0xe51128bb69ee9b5bull, 7, sizeHint);
+}
+::kj::Promise<void> Peer::Server::slotDemand(SlotDemandContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "peer.capnp:Peer", "slotDemand",
+      0xe51128bb69ee9b5bull, 7);
+}
+::capnp::Request< ::buckthornspar::peer::schema::Peer::SlotGrantParams,  ::buckthornspar::peer::schema::Peer::SlotGrantResults>
+Peer::Client::slotGrantRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::buckthornspar::peer::schema::Peer::SlotGrantParams,  ::buckthornspar::peer::schema::Peer::SlotGrantResults>(
+      0xe51128bb69ee9b5bull, 8, sizeHint);
+}
+::kj::Promise<void> Peer::Server::slotGrant(SlotGrantContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "peer.capnp:Peer", "slotGrant",
+      0xe51128bb69ee9b5bull, 8);
+}
 ::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -1670,6 +2114,18 @@
              ::buckthornspar::peer::schema::Peer::AnnounceConfigParams,  ::buckthornspar::peer::schema::Peer::AnnounceConfigResults>(context)),
         false
       };
+    case 7:
+      return {
+        slotDemand(::capnp::Capability::Server::internalGetTypedContext<
+             ::buckthornspar::peer::schema::Peer::SlotDemandParams,  ::buckthornspar::peer::schema::Peer::SlotDemandResults>(context)),
+        false
+      };
+    case 8:
+      return {
+        slotGrant(::capnp::Capability::Server::internalGetTypedContext<
+             ::buckthornspar::peer::schema::Peer::SlotGrantParams,  ::buckthornspar::peer::schema::Peer::SlotGrantResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -1797,6 +2253,38 @@
 constexpr ::capnp::_::RawSchema const* Peer::AnnounceConfigResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Peer::SlotDemandParams
+constexpr uint16_t Peer::SlotDemandParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::SlotDemandParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::SlotDemandParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::SlotDemandParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::SlotDemandResults
+constexpr uint16_t Peer::SlotDemandResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::SlotDemandResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::SlotDemandResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::SlotDemandResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::SlotGrantParams
+constexpr uint16_t Peer::SlotGrantParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::SlotGrantParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::SlotGrantParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::SlotGrantParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::SlotGrantResults
+constexpr uint16_t Peer::SlotGrantResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::SlotGrantResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::SlotGrantResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::SlotGrantResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/source/core/peer/peer.capnp.h
+++ b/source/core/peer/peer.capnp.h
@@ -32,6 +32,9 @@
 CAPNP_DECLARE_SCHEMA(936a4cab5b466a2c);
 CAPNP_DECLARE_SCHEMA(daeabee7903d9cfa);
 CAPNP_DECLARE_SCHEMA(8c78cc453a1160d5);
+CAPNP_DECLARE_SCHEMA(a68e370aa87d9571);
+CAPNP_DECLARE_SCHEMA(c5d55b89f50909b8);
+CAPNP_DECLARE_SCHEMA(be06369ff639d671);
 CAPNP_DECLARE_SCHEMA(e51128bb69ee9b5b);
 CAPNP_DECLARE_SCHEMA(f4b8303071df7e20);
 CAPNP_DECLARE_SCHEMA(c54a1656424ed512);
@@ -47,6 +50,10 @@
 CAPNP_DECLARE_SCHEMA(b92f56196301fee6);
 CAPNP_DECLARE_SCHEMA(bbe45449283c036a);
 CAPNP_DECLARE_SCHEMA(b0d9301f790bff97);
+CAPNP_DECLARE_SCHEMA(aa47c63b0cf76b0d);
+CAPNP_DECLARE_SCHEMA(b2349c215e0a761d);
+CAPNP_DECLARE_SCHEMA(e0935f8bb9e1932f);
+CAPNP_DECLARE_SCHEMA(8d16b91872ad7ed1);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -132,6 +139,51 @@
   };
 };
 
+struct SlotDemand {
+  SlotDemand() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a68e370aa87d9571, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SlotCount {
+  SlotCount() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c5d55b89f50909b8, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SlotGrant {
+  SlotGrant() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(be06369ff639d671, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Peer {
   Peer() = delete;
 
@@ -154,6 +206,10 @@
   struct ConfigSinceResults;
   struct AnnounceConfigParams;
   struct AnnounceConfigResults;
+  struct SlotDemandParams;
+  struct SlotDemandResults;
+  struct SlotGrantParams;
+  struct SlotGrantResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -373,6 +429,66 @@
   };
 };
 
+struct Peer::SlotDemandParams {
+  SlotDemandParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(aa47c63b0cf76b0d, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::SlotDemandResults {
+  SlotDemandResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b2349c215e0a761d, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::SlotGrantParams {
+  SlotGrantParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e0935f8bb9e1932f, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::SlotGrantResults {
+  SlotGrantResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8d16b91872ad7ed1, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class Sender::Reader {
@@ -891,98 +1007,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Peer::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef Peer Calls;
-  typedef Peer Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::buckthornspar::peer::schema::Peer::HeartbeatParams,  ::buckthornspar::peer::schema::Peer::HeartbeatResults> heartbeatRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::buckthornspar::peer::schema::Peer::SubmitJobParams,  ::buckthornspar::peer::schema::Peer::SubmitJobResults> submitJobRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::buckthornspar::peer::schema::Peer::JobStatusParams,  ::buckthornspar::peer::schema::Peer::JobStatusResults> jobStatusRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::buckthornspar::peer::schema::Peer::ExplainJobParams,  ::buckthornspar::peer::schema::Peer::ExplainJobResults> explainJobRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::buckthornspar::peer::schema::Peer::CancelJobParams,  ::buckthornspar::peer::schema::Peer::CancelJobResults> cancelJobRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::buckthornspar::peer::schema::Peer::ConfigSinceParams,  ::buckthornspar::peer::schema::Peer::ConfigSinceResults> configSinceRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::buckthornspar::peer::schema::Peer::AnnounceConfigParams,  ::buckthornspar::peer::schema::Peer::AnnounceConfigResults> announceConfigRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class Peer::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef Peer Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::buckthornspar::peer::schema::Peer::HeartbeatParams HeartbeatParams;
-  typedef  ::buckthornspar::peer::schema::Peer::HeartbeatResults HeartbeatResults;
-  typedef ::capnp::CallContext<HeartbeatParams, HeartbeatResults> HeartbeatContext;
-  virtual ::kj::Promise<void> heartbeat(HeartbeatContext context);
-  typedef  ::buckthornspar::peer::schema::Peer::SubmitJobParams SubmitJobParams;
-  typedef  ::buckthornspar::peer::schema::Peer::SubmitJobResults SubmitJobResults;
-  typedef ::capnp::CallContext<SubmitJobParams, SubmitJobResults> SubmitJobContext;
-  virtual ::kj::Promise<void> submitJob(SubmitJobContext context);
-  typedef  ::buckthornspar::peer::schema::Peer::JobStatusParams JobStatusParams;
-  typedef  ::buckthornspar::peer::schema::Peer::JobStatusResults JobStatusResults;
-  typedef ::capnp::CallContext<JobStatusParams, JobStatusResults> JobStatusContext;
-  virtual ::kj::Promise<void> jobStatus(JobStatusContext context);
-  typedef  ::buckthornspar::peer::schema::Peer::ExplainJobParams ExplainJobParams;
-  typedef  ::buckthornspar::peer::schema::Peer::ExplainJobResults ExplainJobResults;
-  typedef ::capnp::CallContext<ExplainJobParams, ExplainJobResults> ExplainJobContext;
-  virtual ::kj::Promise<void> explainJob(ExplainJobContext context);
-  typedef  ::buckthornspar::peer::schema::Peer::CancelJobParams CancelJobParams;
-  typedef  ::buckthornspar::peer::schema::Peer::CancelJobResults CancelJobResults;
-  typedef ::capnp::CallContext<CancelJobParams, CancelJobResults> CancelJobContext;
-  virtual ::kj::Promise<void> cancelJob(CancelJobContext context);
-  typedef  ::buckthornspar::peer::schema::Peer::ConfigSinceParams ConfigSinceParams;
-  typedef  ::buckthornspar::peer::schema::Peer::ConfigSinceResults ConfigSinceResults;
-  typedef ::capnp::CallContext<ConfigSinceParams, ConfigSinceResults> ConfigSinceContext;
-  virtual ::kj::Promise<void> configSince(ConfigSinceContext context);
-  typedef  ::buckthornspar::peer::schema::Peer::AnnounceConfigParams AnnounceConfigParams;
-  typedef  ::buckthornspar::peer::schema::Peer::AnnounceConfigResults AnnounceConfigResults;
-  typedef ::capnp::CallContext<AnnounceConfigParams, AnnounceConfigResults> AnnounceConfigContext;
-  virtual ::kj::Promise<void> announceConfig(AnnounceConfigContext context);
-
-  inline  ::buckthornspar::peer::schema::Peer::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::buckthornspar::peer::schema::Peer>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class Peer::HeartbeatParams::Reader {
+class SlotDemand::Reader {
 public:
-  typedef HeartbeatParams Reads;
+  typedef SlotDemand Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -997,8 +1024,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasBeat() const;
-  inline  ::buckthornspar::peer::schema::Heartbeat::Reader getBeat() const;
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasRegion() const;
+  inline  ::capnp::Text::Reader getRegion() const;
+
+  inline double getWanted() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1012,9 +1044,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::HeartbeatParams::Builder {
+class SlotDemand::Builder {
 public:
-  typedef HeartbeatParams Builds;
+  typedef SlotDemand Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1028,12 +1060,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasBeat();
-  inline  ::buckthornspar::peer::schema::Heartbeat::Builder getBeat();
-  inline void setBeat( ::buckthornspar::peer::schema::Heartbeat::Reader value);
-  inline  ::buckthornspar::peer::schema::Heartbeat::Builder initBeat();
-  inline void adoptBeat(::capnp::Orphan< ::buckthornspar::peer::schema::Heartbeat>&& value);
-  inline ::capnp::Orphan< ::buckthornspar::peer::schema::Heartbeat> disownBeat();
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasRegion();
+  inline  ::capnp::Text::Builder getRegion();
+  inline void setRegion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRegion(unsigned int size);
+  inline void adoptRegion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRegion();
+
+  inline double getWanted();
+  inline void setWanted(double value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1045,15 +1087,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::HeartbeatParams::Pipeline {
+class SlotDemand::Pipeline {
 public:
-  typedef HeartbeatParams Pipelines;
+  typedef SlotDemand Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::buckthornspar::peer::schema::Heartbeat::Pipeline getBeat();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1062,9 +1103,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::HeartbeatResults::Reader {
+class SlotCount::Reader {
 public:
-  typedef HeartbeatResults Reads;
+  typedef SlotCount Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1079,8 +1120,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply() const;
-  inline  ::buckthornspar::peer::schema::Heartbeat::Reader getReply() const;
+  inline bool hasRunner() const;
+  inline  ::capnp::Text::Reader getRunner() const;
+
+  inline  ::uint32_t getSlots() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1094,9 +1137,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::HeartbeatResults::Builder {
+class SlotCount::Builder {
 public:
-  typedef HeartbeatResults Builds;
+  typedef SlotCount Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1110,12 +1153,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply();
-  inline  ::buckthornspar::peer::schema::Heartbeat::Builder getReply();
-  inline void setReply( ::buckthornspar::peer::schema::Heartbeat::Reader value);
-  inline  ::buckthornspar::peer::schema::Heartbeat::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::buckthornspar::peer::schema::Heartbeat>&& value);
-  inline ::capnp::Orphan< ::buckthornspar::peer::schema::Heartbeat> disownReply();
+  inline bool hasRunner();
+  inline  ::capnp::Text::Builder getRunner();
+  inline void setRunner( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRunner(unsigned int size);
+  inline void adoptRunner(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRunner();
+
+  inline  ::uint32_t getSlots();
+  inline void setSlots( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1127,15 +1173,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::HeartbeatResults::Pipeline {
+class SlotCount::Pipeline {
 public:
-  typedef HeartbeatResults Pipelines;
+  typedef SlotCount Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::buckthornspar::peer::schema::Heartbeat::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1144,9 +1189,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::SubmitJobParams::Reader {
+class SlotGrant::Reader {
 public:
-  typedef SubmitJobParams Reads;
+  typedef SlotGrant Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1161,16 +1206,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSender() const;
-  inline  ::buckthornspar::peer::schema::Sender::Reader getSender() const;
-
-  inline bool hasShard() const;
-  inline  ::capnp::Text::Reader getShard() const;
-
-  inline bool hasJob() const;
-  inline  ::capnp::Text::Reader getJob() const;
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-  inline  ::uint32_t getDeadlineMs() const;
+  inline bool hasCounts() const;
+  inline  ::capnp::List< ::buckthornspar::peer::schema::SlotCount,  ::capnp::Kind::STRUCT>::Reader getCounts() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1184,9 +1224,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::SubmitJobParams::Builder {
+class SlotGrant::Builder {
 public:
-  typedef SubmitJobParams Builds;
+  typedef SlotGrant Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1200,29 +1240,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSender();
-  inline  ::buckthornspar::peer::schema::Sender::Builder getSender();
-  inline void setSender( ::buckthornspar::peer::schema::Sender::Reader value);
-  inline  ::buckthornspar::peer::schema::Sender::Builder initSender();
-  inline void adoptSender(::capnp::Orphan< ::buckthornspar::peer::schema::Sender>&& value);
-  inline ::capnp::Orphan< ::buckthornspar::peer::schema::Sender> disownSender();
-
-  inline bool hasShard();
-  inline  ::capnp::Text::Builder getShard();
-  inline void setShard( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initShard(unsigned int size);
-  inline void adoptShard(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownShard();
-
-  inline bool hasJob();
-  inline  ::capnp::Text::Builder getJob();
-  inline void setJob( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initJob(unsigned int size);
-  inline void adoptJob(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownJob();
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline  ::uint32_t getDeadlineMs();
-  inline void setDeadlineMs( ::uint32_t value);
+  inline bool hasCounts();
+  inline  ::capnp::List< ::buckthornspar::peer::schema::SlotCount,  ::capnp::Kind::STRUCT>::Builder getCounts();
+  inline void setCounts( ::capnp::List< ::buckthornspar::peer::schema::SlotCount,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::buckthornspar::peer::schema::SlotCount,  ::capnp::Kind::STRUCT>::Builder initCounts(unsigned int size);
+  inline void adoptCounts(::capnp::Orphan< ::capnp::List< ::buckthornspar::peer::schema::SlotCount,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::buckthornspar::peer::schema::SlotCount,  ::capnp::Kind::STRUCT>> disownCounts();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1234,15 +1264,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::SubmitJobParams::Pipeline {
+class SlotGrant::Pipeline {
 public:
-  typedef SubmitJobParams Pipelines;
+  typedef SlotGrant Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::buckthornspar::peer::schema::Sender::Pipeline getSender();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1251,12 +1280,752 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::SubmitJobResults::Reader {
+#if !CAPNP_LITE
+class Peer::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef SubmitJobResults Reads;
+  typedef Peer Calls;
+  typedef Peer Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::buckthornspar::peer::schema::Peer::HeartbeatParams,  ::buckthornspar::peer::schema::Peer::HeartbeatResults> heartbeatRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::buckthornspar::peer::schema::Peer::SubmitJobParams,  ::buckthornspar::peer::schema::Peer::SubmitJobResults> submitJobRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::buckthornspar::peer::schema::Peer::JobStatusParams,  ::buckthornspar::peer::schema::Peer::JobStatusResults> jobStatusRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::buckthornspar::peer::schema::Peer::ExplainJobParams,  ::buckthornspar::peer::schema::Peer::ExplainJobResults> explainJobRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::buckthornspar::peer::schema::Peer::CancelJobParams,  ::buckthornspar::peer::schema::Peer::CancelJobResults> cancelJobRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::buckthornspar::peer::schema::Peer::ConfigSinceParams,  ::buckthornspar::peer::schema::Peer::ConfigSinceResults> configSinceRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::buckthornspar::peer::schema::Peer::AnnounceConfigParams,  ::buckthornspar::peer::schema::Peer::AnnounceConfigResults> announceConfigRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::buckthornspar::peer::schema::Peer::SlotDemandParams,  ::buckthornspar::peer::schema::Peer::SlotDemandResults> slotDemandRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::buckthornspar::peer::schema::Peer::SlotGrantParams,  ::buckthornspar::peer::schema::Peer::SlotGrantResults> slotGrantRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class Peer::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef Peer Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::buckthornspar::peer::schema::Peer::HeartbeatParams HeartbeatParams;
+  typedef  ::buckthornspar::peer::schema::Peer::HeartbeatResults HeartbeatResults;
+  typedef ::capnp::CallContext<HeartbeatParams, HeartbeatResults> HeartbeatContext;
+  virtual ::kj::Promise<void> heartbeat(HeartbeatContext context);
+  typedef  ::buckthornspar::peer::schema::Peer::SubmitJobParams SubmitJobParams;
+  typedef  ::buckthornspar::peer::schema::Peer::SubmitJobResults SubmitJobResults;
+  typedef ::capnp::CallContext<SubmitJobParams, SubmitJobResults> SubmitJobContext;
+  virtual ::kj::Promise<void> submitJob(SubmitJobContext context);
+  typedef  ::buckthornspar::peer::schema::Peer::JobStatusParams JobStatusParams;
+  typedef  ::buckthornspar::peer::schema::Peer::JobStatusResults JobStatusResults;
+  typedef ::capnp::CallContext<JobStatusParams, JobStatusResults> JobStatusContext;
+  virtual ::kj::Promise<void> jobStatus(JobStatusContext context);
+  typedef  ::buckthornspar::peer::schema::Peer::ExplainJobParams ExplainJobParams;
+  typedef  ::buckthornspar::peer::schema::Peer::ExplainJobResults ExplainJobResults;
+  typedef ::capnp::CallContext<ExplainJobParams, ExplainJobResults> ExplainJobContext;
+  virtual ::kj::Promise<void> explainJob(ExplainJobContext context);
+  typedef  ::buckthornspar::peer::schema::Peer::CancelJobParams CancelJobParams;
+  typedef  ::buckthornspar::peer::schema::Peer::CancelJobResults CancelJobResults;
+  typedef ::capnp::CallContext<CancelJobParams, CancelJobResults> CancelJobContext;
+  virtual ::kj::Promise<void> cancelJob(CancelJobContext context);
+  typedef  ::buckthornspar::peer::schema::Peer::ConfigSinceParams ConfigSinceParams;
+  typedef  ::buckthornspar::peer::schema::Peer::ConfigSinceResults ConfigSinceResults;
+  typedef ::capnp::CallContext<ConfigSinceParams, ConfigSinceResults> ConfigSinceContext;
+  virtual ::kj::Promise<void> configSince(ConfigSinceContext context);
+  typedef  ::buckthornspar::peer::schema::Peer::AnnounceConfigParams AnnounceConfigParams;
+  typedef  ::buckthornspar::peer::schema::Peer::AnnounceConfigResults AnnounceConfigResults;
+  typedef ::capnp::CallContext<AnnounceConfigParams, AnnounceConfigResults> AnnounceConfigContext;
+  virtual ::kj::Promise<void> announceConfig(AnnounceConfigContext context);
+  typedef  ::buckthornspar::peer::schema::Peer::SlotDemandParams SlotDemandParams;
+  typedef  ::buckthornspar::peer::schema::Peer::SlotDemandResults SlotDemandResults;
+  typedef ::capnp::CallContext<SlotDemandParams, SlotDemandResults> SlotDemandContext;
+  virtual ::kj::Promise<void> slotDemand(SlotDemandContext context);
+  typedef  ::buckthornspar::peer::schema::Peer::SlotGrantParams SlotGrantParams;
+  typedef  ::buckthornspar::peer::schema::Peer::SlotGrantResults SlotGrantResults;
+  typedef ::capnp::CallContext<SlotGrantParams, SlotGrantResults> SlotGrantContext;
+  virtual ::kj::Promise<void> slotGrant(SlotGrantContext context);
+
+  inline  ::buckthornspar::peer::schema::Peer::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::buckthornspar::peer::schema::Peer>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Peer::HeartbeatParams::Reader {
+public:
+  typedef HeartbeatParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasBeat() const;
+  inline  ::buckthornspar::peer::schema::Heartbeat::Reader getBeat() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::HeartbeatParams::Builder {
+public:
+  typedef HeartbeatParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasBeat();
+  inline  ::buckthornspar::peer::schema::Heartbeat::Builder getBeat();
+  inline void setBeat( ::buckthornspar::peer::schema::Heartbeat::Reader value);
+  inline  ::buckthornspar::peer::schema::Heartbeat::Builder initBeat();
+  inline void adoptBeat(::capnp::Orphan< ::buckthornspar::peer::schema::Heartbeat>&& value);
+  inline ::capnp::Orphan< ::buckthornspar::peer::schema::Heartbeat> disownBeat();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::HeartbeatParams::Pipeline {
+public:
+  typedef HeartbeatParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::buckthornspar::peer::schema::Heartbeat::Pipeline getBeat();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::HeartbeatResults::Reader {
+public:
+  typedef HeartbeatResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReply() const;
+  inline  ::buckthornspar::peer::schema::Heartbeat::Reader getReply() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::HeartbeatResults::Builder {
+public:
+  typedef HeartbeatResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReply();
+  inline  ::buckthornspar::peer::schema::Heartbeat::Builder getReply();
+  inline void setReply( ::buckthornspar::peer::schema::Heartbeat::Reader value);
+  inline  ::buckthornspar::peer::schema::Heartbeat::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::buckthornspar::peer::schema::Heartbeat>&& value);
+  inline ::capnp::Orphan< ::buckthornspar::peer::schema::Heartbeat> disownReply();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::HeartbeatResults::Pipeline {
+public:
+  typedef HeartbeatResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::buckthornspar::peer::schema::Heartbeat::Pipeline getReply();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::SubmitJobParams::Reader {
+public:
+  typedef SubmitJobParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSender() const;
+  inline  ::buckthornspar::peer::schema::Sender::Reader getSender() const;
+
+  inline bool hasShard() const;
+  inline  ::capnp::Text::Reader getShard() const;
+
+  inline bool hasJob() const;
+  inline  ::capnp::Text::Reader getJob() const;
+
+  inline  ::uint32_t getDeadlineMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::SubmitJobParams::Builder {
+public:
+  typedef SubmitJobParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSender();
+  inline  ::buckthornspar::peer::schema::Sender::Builder getSender();
+  inline void setSender( ::buckthornspar::peer::schema::Sender::Reader value);
+  inline  ::buckthornspar::peer::schema::Sender::Builder initSender();
+  inline void adoptSender(::capnp::Orphan< ::buckthornspar::peer::schema::Sender>&& value);
+  inline ::capnp::Orphan< ::buckthornspar::peer::schema::Sender> disownSender();
+
+  inline bool hasShard();
+  inline  ::capnp::Text::Builder getShard();
+  inline void setShard( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initShard(unsigned int size);
+  inline void adoptShard(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownShard();
+
+  inline bool hasJob();
+  inline  ::capnp::Text::Builder getJob();
+  inline void setJob( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initJob(unsigned int size);
+  inline void adoptJob(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownJob();
+
+  inline  ::uint32_t getDeadlineMs();
+  inline void setDeadlineMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::SubmitJobParams::Pipeline {
+public:
+  typedef SubmitJobParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::buckthornspar::peer::schema::Sender::Pipeline getSender();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::SubmitJobResults::Reader {
+public:
+  typedef SubmitJobResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReply() const;
+  inline  ::buckthornspar::peer::schema::Reply::Reader getReply() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::SubmitJobResults::Builder {
+public:
+  typedef SubmitJobResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReply();
+  inline  ::buckthornspar::peer::schema::Reply::Builder getReply();
+  inline void setReply( ::buckthornspar::peer::schema::Reply::Reader value);
+  inline  ::buckthornspar::peer::schema::Reply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::buckthornspar::peer::schema::Reply>&& value);
+  inline ::capnp::Orphan< ::buckthornspar::peer::schema::Reply> disownReply();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::SubmitJobResults::Pipeline {
+public:
+  typedef SubmitJobResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::buckthornspar::peer::schema::Reply::Pipeline getReply();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::JobStatusParams::Reader {
+public:
+  typedef JobStatusParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSender() const;
+  inline  ::buckthornspar::peer::schema::Sender::Reader getSender() const;
+
+  inline bool hasShard() const;
+  inline  ::capnp::Text::Reader getShard() const;
+
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::JobStatusParams::Builder {
+public:
+  typedef JobStatusParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSender();
+  inline  ::buckthornspar::peer::schema::Sender::Builder getSender();
+  inline void setSender( ::buckthornspar::peer::schema::Sender::Reader value);
+  inline  ::buckthornspar::peer::schema::Sender::Builder initSender();
+  inline void adoptSender(::capnp::Orphan< ::buckthornspar::peer::schema::Sender>&& value);
+  inline ::capnp::Orphan< ::buckthornspar::peer::schema::Sender> disownSender();
+
+  inline bool hasShard();
+  inline  ::capnp::Text::Builder getShard();
+  inline void setShard( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initShard(unsigned int size);
+  inline void adoptShard(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownShard();
+
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::JobStatusParams::Pipeline {
+public:
+  typedef JobStatusParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::buckthornspar::peer::schema::Sender::Pipeline getSender();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::JobStatusResults::Reader {
+public:
+  typedef JobStatusResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReply() const;
+  inline  ::buckthornspar::peer::schema::Reply::Reader getReply() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::JobStatusResults::Builder {
+public:
+  typedef JobStatusResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReply();
+  inline  ::buckthornspar::peer::schema::Reply::Builder getReply();
+  inline void setReply( ::buckthornspar::peer::schema::Reply::Reader value);
+  inline  ::buckthornspar::peer::schema::Reply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::buckthornspar::peer::schema::Reply>&& value);
+  inline ::capnp::Orphan< ::buckthornspar::peer::schema::Reply> disownReply();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::JobStatusResults::Pipeline {
+public:
+  typedef JobStatusResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::buckthornspar::peer::schema::Reply::Pipeline getReply();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::ExplainJobParams::Reader {
+public:
+  typedef ExplainJobParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSender() const;
+  inline  ::buckthornspar::peer::schema::Sender::Reader getSender() const;
+
+  inline bool hasShard() const;
+  inline  ::capnp::Text::Reader getShard() const;
+
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ExplainJobParams::Builder {
+public:
+  typedef ExplainJobParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSender();
+  inline  ::buckthornspar::peer::schema::Sender::Builder getSender();
+  inline void setSender( ::buckthornspar::peer::schema::Sender::Reader value);
+  inline  ::buckthornspar::peer::schema::Sender::Builder initSender();
+  inline void adoptSender(::capnp::Orphan< ::buckthornspar::peer::schema::Sender>&& value);
+  inline ::capnp::Orphan< ::buckthornspar::peer::schema::Sender> disownSender();
+
+  inline bool hasShard();
+  inline  ::capnp::Text::Builder getShard();
+  inline void setShard( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initShard(unsigned int size);
+  inline void adoptShard(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownShard();
+
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ExplainJobParams::Pipeline {
+public:
+  typedef ExplainJobParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::buckthornspar::peer::schema::Sender::Pipeline getSender();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::ExplainJobResults::Reader {
+public:
+  typedef ExplainJobResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1283,9 +2052,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::SubmitJobResults::Builder {
+class Peer::ExplainJobResults::Builder {
 public:
-  typedef SubmitJobResults Builds;
+  typedef ExplainJobResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1316,9 +2085,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::SubmitJobResults::Pipeline {
+class Peer::ExplainJobResults::Pipeline {
 public:
-  typedef SubmitJobResults Pipelines;
+  typedef ExplainJobResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1333,9 +2102,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::JobStatusParams::Reader {
+class Peer::CancelJobParams::Reader {
 public:
-  typedef JobStatusParams Reads;
+  typedef CancelJobParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1371,9 +2140,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::JobStatusParams::Builder {
+class Peer::CancelJobParams::Builder {
 public:
-  typedef JobStatusParams Builds;
+  typedef CancelJobParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1418,9 +2187,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::JobStatusParams::Pipeline {
+class Peer::CancelJobParams::Pipeline {
 public:
-  typedef JobStatusParams Pipelines;
+  typedef CancelJobParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1435,9 +2204,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::JobStatusResults::Reader {
+class Peer::CancelJobResults::Reader {
 public:
-  typedef JobStatusResults Reads;
+  typedef CancelJobResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1467,9 +2236,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::JobStatusResults::Builder {
+class Peer::CancelJobResults::Builder {
 public:
-  typedef JobStatusResults Builds;
+  typedef CancelJobResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1500,9 +2269,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::JobStatusResults::Pipeline {
+class Peer::CancelJobResults::Pipeline {
 public:
-  typedef JobStatusResults Pipelines;
+  typedef CancelJobResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1517,9 +2286,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ExplainJobParams::Reader {
+class Peer::ConfigSinceParams::Reader {
 public:
-  typedef ExplainJobParams Reads;
+  typedef ConfigSinceParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1537,11 +2306,7 @@
   inline bool hasSender() const;
   inline  ::buckthornspar::peer::schema::Sender::Reader getSender() const;
 
-  inline bool hasShard() const;
-  inline  ::capnp::Text::Reader getShard() const;
-
-  inline bool hasId() const;
-  inline  ::capnp::Text::Reader getId() const;
+  inline  ::uint64_t getVersion() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1555,9 +2320,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ExplainJobParams::Builder {
+class Peer::ConfigSinceParams::Builder {
 public:
-  typedef ExplainJobParams Builds;
+  typedef ConfigSinceParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1578,19 +2343,8 @@
   inline void adoptSender(::capnp::Orphan< ::buckthornspar::peer::schema::Sender>&& value);
   inline ::capnp::Orphan< ::buckthornspar::peer::schema::Sender> disownSender();
 
-  inline bool hasShard();
-  inline  ::capnp::Text::Builder getShard();
-  inline void setShard( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initShard(unsigned int size);
-  inline void adoptShard(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownShard();
-
-  inline bool hasId();
-  inline  ::capnp::Text::Builder getId();
-  inline void setId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initId(unsigned int size);
-  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownId();
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1602,9 +2356,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ExplainJobParams::Pipeline {
+class Peer::ConfigSinceParams::Pipeline {
 public:
-  typedef ExplainJobParams Pipelines;
+  typedef ConfigSinceParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1619,9 +2373,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ExplainJobResults::Reader {
+class Peer::ConfigSinceResults::Reader {
 public:
-  typedef ExplainJobResults Reads;
+  typedef ConfigSinceResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1636,8 +2390,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply() const;
-  inline  ::buckthornspar::peer::schema::Reply::Reader getReply() const;
+  inline bool hasRecords() const;
+  inline  ::capnp::List< ::buckthornspar::peer::schema::ConfigRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
+
+  inline  ::uint64_t getInForce() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1651,9 +2407,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ExplainJobResults::Builder {
+class Peer::ConfigSinceResults::Builder {
 public:
-  typedef ExplainJobResults Builds;
+  typedef ConfigSinceResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1667,12 +2423,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply();
-  inline  ::buckthornspar::peer::schema::Reply::Builder getReply();
-  inline void setReply( ::buckthornspar::peer::schema::Reply::Reader value);
-  inline  ::buckthornspar::peer::schema::Reply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::buckthornspar::peer::schema::Reply>&& value);
-  inline ::capnp::Orphan< ::buckthornspar::peer::schema::Reply> disownReply();
+  inline bool hasRecords();
+  inline  ::capnp::List< ::buckthornspar::peer::schema::ConfigRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
+  inline void setRecords( ::capnp::List< ::buckthornspar::peer::schema::ConfigRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::buckthornspar::peer::schema::ConfigRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::buckthornspar::peer::schema::ConfigRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::buckthornspar::peer::schema::ConfigRecord,  ::capnp::Kind::STRUCT>> disownRecords();
+
+  inline  ::uint64_t getInForce();
+  inline void setInForce( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1684,15 +2443,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ExplainJobResults::Pipeline {
+class Peer::ConfigSinceResults::Pipeline {
 public:
-  typedef ExplainJobResults Pipelines;
+  typedef ConfigSinceResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::buckthornspar::peer::schema::Reply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1701,9 +2459,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::CancelJobParams::Reader {
+class Peer::AnnounceConfigParams::Reader {
 public:
-  typedef CancelJobParams Reads;
+  typedef AnnounceConfigParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1721,11 +2479,8 @@
   inline bool hasSender() const;
   inline  ::buckthornspar::peer::schema::Sender::Reader getSender() const;
 
-  inline bool hasShard() const;
-  inline  ::capnp::Text::Reader getShard() const;
-
-  inline bool hasId() const;
-  inline  ::capnp::Text::Reader getId() const;
+  inline bool hasRecords() const;
+  inline  ::capnp::List< ::buckthornspar::peer::schema::ConfigRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1739,9 +2494,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::CancelJobParams::Builder {
+class Peer::AnnounceConfigParams::Builder {
 public:
-  typedef CancelJobParams Builds;
+  typedef AnnounceConfigParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1762,19 +2517,12 @@
   inline void adoptSender(::capnp::Orphan< ::buckthornspar::peer::schema::Sender>&& value);
   inline ::capnp::Orphan< ::buckthornspar::peer::schema::Sender> disownSender();
 
-  inline bool hasShard();
-  inline  ::capnp::Text::Builder getShard();
-  inline void setShard( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initShard(unsigned int size);
-  inline void adoptShard(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownShard();
-
-  inline bool hasId();
-  inline  ::capnp::Text::Builder getId();
-  inline void setId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initId(unsigned int size);
-  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownId();
+  inline bool hasRecords();
+  inline  ::capnp::List< ::buckthornspar::peer::schema::ConfigRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
+  inline void setRecords( ::capnp::List< ::buckthornspar::peer::schema::ConfigRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::buckthornspar::peer::schema::ConfigRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::buckthornspar::peer::schema::ConfigRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::buckthornspar::peer::schema::ConfigRecord,  ::capnp::Kind::STRUCT>> disownRecords();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1786,9 +2534,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::CancelJobParams::Pipeline {
+class Peer::AnnounceConfigParams::Pipeline {
 public:
-  typedef CancelJobParams Pipelines;
+  typedef AnnounceConfigParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1803,9 +2551,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::CancelJobResults::Reader {
+class Peer::AnnounceConfigResults::Reader {
 public:
-  typedef CancelJobResults Reads;
+  typedef AnnounceConfigResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1820,8 +2568,7 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply() const;
-  inline  ::buckthornspar::peer::schema::Reply::Reader getReply() const;
+  inline  ::uint64_t getInForce() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1835,9 +2582,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::CancelJobResults::Builder {
+class Peer::AnnounceConfigResults::Builder {
 public:
-  typedef CancelJobResults Builds;
+  typedef AnnounceConfigResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1851,12 +2598,8 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply();
-  inline  ::buckthornspar::peer::schema::Reply::Builder getReply();
-  inline void setReply( ::buckthornspar::peer::schema::Reply::Reader value);
-  inline  ::buckthornspar::peer::schema::Reply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::buckthornspar::peer::schema::Reply>&& value);
-  inline ::capnp::Orphan< ::buckthornspar::peer::schema::Reply> disownReply();
+  inline  ::uint64_t getInForce();
+  inline void setInForce( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1868,15 +2611,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::CancelJobResults::Pipeline {
+class Peer::AnnounceConfigResults::Pipeline {
 public:
-  typedef CancelJobResults Pipelines;
+  typedef AnnounceConfigResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::buckthornspar::peer::schema::Reply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1885,9 +2627,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ConfigSinceParams::Reader {
+class Peer::SlotDemandParams::Reader {
 public:
-  typedef ConfigSinceParams Reads;
+  typedef SlotDemandParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1905,7 +2647,8 @@
   inline bool hasSender() const;
   inline  ::buckthornspar::peer::schema::Sender::Reader getSender() const;
 
-  inline  ::uint64_t getVersion() const;
+  inline bool hasDemand() const;
+  inline  ::buckthornspar::peer::schema::SlotDemand::Reader getDemand() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1919,9 +2662,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ConfigSinceParams::Builder {
+class Peer::SlotDemandParams::Builder {
 public:
-  typedef ConfigSinceParams Builds;
+  typedef SlotDemandParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1942,8 +2685,12 @@
   inline void adoptSender(::capnp::Orphan< ::buckthornspar::peer::schema::Sender>&& value);
   inline ::capnp::Orphan< ::buckthornspar::peer::schema::Sender> disownSender();
 
-  inline  ::uint64_t getVersion();
-  inline void setVersion( ::uint64_t value);
+  inline bool hasDemand();
+  inline  ::buckthornspar::peer::schema::SlotDemand::Builder getDemand();
+  inline void setDemand( ::buckthornspar::peer::schema::SlotDemand::Reader value);
+  inline  ::buckthornspar::peer::schema::SlotDemand::Builder initDemand();
+  inline void adoptDemand(::capnp::Orphan< ::buckthornspar::peer::schema::SlotDemand>&& value);
+  inline ::capnp::Orphan< ::buckthornspar::peer::schema::SlotDemand> disownDemand();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1955,15 +2702,16 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ConfigSinceParams::Pipeline {
+class Peer::SlotDemandParams::Pipeline {
 public:
-  typedef ConfigSinceParams Pipelines;
+  typedef SlotDemandParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::buckthornspar::peer::schema::Sender::Pipeline getSender();
+  inline  ::buckthornspar::peer::schema::SlotDemand::Pipeline getDemand();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1972,9 +2720,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ConfigSinceResults::Reader {
+class Peer::SlotDemandResults::Reader {
 public:
-  typedef ConfigSinceResults Reads;
+  typedef SlotDemandResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1989,11 +2737,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRecords() const;
-  inline  ::capnp::List< ::buckthornspar::peer::schema::ConfigRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
-
-  inline  ::uint64_t getInForce() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2006,9 +2749,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ConfigSinceResults::Builder {
+class Peer::SlotDemandResults::Builder {
 public:
-  typedef ConfigSinceResults Builds;
+  typedef SlotDemandResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2022,16 +2765,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRecords();
-  inline  ::capnp::List< ::buckthornspar::peer::schema::ConfigRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
-  inline void setRecords( ::capnp::List< ::buckthornspar::peer::schema::ConfigRecord,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::buckthornspar::peer::schema::ConfigRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
-  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::buckthornspar::peer::schema::ConfigRecord,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::buckthornspar::peer::schema::ConfigRecord,  ::capnp::Kind::STRUCT>> disownRecords();
-
-  inline  ::uint64_t getInForce();
-  inline void setInForce( ::uint64_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2042,9 +2775,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ConfigSinceResults::Pipeline {
+class Peer::SlotDemandResults::Pipeline {
 public:
-  typedef ConfigSinceResults Pipelines;
+  typedef SlotDemandResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2058,9 +2791,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::AnnounceConfigParams::Reader {
+class Peer::SlotGrantParams::Reader {
 public:
-  typedef AnnounceConfigParams Reads;
+  typedef SlotGrantParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2078,8 +2811,8 @@
   inline bool hasSender() const;
   inline  ::buckthornspar::peer::schema::Sender::Reader getSender() const;
 
-  inline bool hasRecords() const;
-  inline  ::capnp::List< ::buckthornspar::peer::schema::ConfigRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
+  inline bool hasGrant() const;
+  inline  ::buckthornspar::peer::schema::SlotGrant::Reader getGrant() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2093,9 +2826,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::AnnounceConfigParams::Builder {
+class Peer::SlotGrantParams::Builder {
 public:
-  typedef AnnounceConfigParams Builds;
+  typedef SlotGrantParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2116,12 +2849,12 @@
   inline void adoptSender(::capnp::Orphan< ::buckthornspar::peer::schema::Sender>&& value);
   inline ::capnp::Orphan< ::buckthornspar::peer::schema::Sender> disownSender();
 
-  inline bool hasRecords();
-  inline  ::capnp::List< ::buckthornspar::peer::schema::ConfigRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
-  inline void setRecords( ::capnp::List< ::buckthornspar::peer::schema::ConfigRecord,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::buckthornspar::peer::schema::ConfigRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
-  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::buckthornspar::peer::schema::ConfigRecord,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::buckthornspar::peer::schema::ConfigRecord,  ::capnp::Kind::STRUCT>> disownRecords();
+  inline bool hasGrant();
+  inline  ::buckthornspar::peer::schema::SlotGrant::Builder getGrant();
+  inline void setGrant( ::buckthornspar::peer::schema::SlotGrant::Reader value);
+  inline  ::buckthornspar::peer::schema::SlotGrant::Builder initGrant();
+  inline void adoptGrant(::capnp::Orphan< ::buckthornspar::peer::schema::SlotGrant>&& value);
+  inline ::capnp::Orphan< ::buckthornspar::peer::schema::SlotGrant> disownGrant();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2133,15 +2866,16 @@
 };
 
 #if !CAPNP_LITE
-class Peer::AnnounceConfigParams::Pipeline {
+class Peer::SlotGrantParams::Pipeline {
 public:
-  typedef AnnounceConfigParams Pipelines;
+  typedef SlotGrantParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::buckthornspar::peer::schema::Sender::Pipeline getSender();
+  inline  ::buckthornspar::peer::schema::SlotGrant::Pipeline getGrant();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2150,9 +2884,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::AnnounceConfigResults::Reader {
+class Peer::SlotGrantResults::Reader {
 public:
-  typedef AnnounceConfigResults Reads;
+  typedef SlotGrantResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2167,8 +2901,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getInForce() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2181,9 +2913,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::AnnounceConfigResults::Builder {
+class Peer::SlotGrantResults::Builder {
 public:
-  typedef AnnounceConfigResults Builds;
+  typedef SlotGrantResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2197,9 +2929,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getInForce();
-  inline void setInForce( ::uint64_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2210,9 +2939,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::AnnounceConfigResults::Pipeline {
+class Peer::SlotGrantResults::Pipeline {
 public:
-  typedef AnnounceConfigResults Pipelines;
+  typedef SlotGrantResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2747,6 +3476,204 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool SlotDemand::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotDemand::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SlotDemand::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SlotDemand::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SlotDemand::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SlotDemand::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SlotDemand::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SlotDemand::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool SlotDemand::Reader::hasRegion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotDemand::Builder::hasRegion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SlotDemand::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SlotDemand::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void SlotDemand::Builder::setRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SlotDemand::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void SlotDemand::Builder::adoptRegion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SlotDemand::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline double SlotDemand::Reader::getWanted() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline double SlotDemand::Builder::getWanted() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SlotDemand::Builder::setWanted(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SlotCount::Reader::hasRunner() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotCount::Builder::hasRunner() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SlotCount::Reader::getRunner() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SlotCount::Builder::getRunner() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SlotCount::Builder::setRunner( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SlotCount::Builder::initRunner(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SlotCount::Builder::adoptRunner(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SlotCount::Builder::disownRunner() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t SlotCount::Reader::getSlots() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SlotCount::Builder::getSlots() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SlotCount::Builder::setSlots( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SlotGrant::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotGrant::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SlotGrant::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SlotGrant::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SlotGrant::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SlotGrant::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SlotGrant::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SlotGrant::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool SlotGrant::Reader::hasCounts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotGrant::Builder::hasCounts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::buckthornspar::peer::schema::SlotCount,  ::capnp::Kind::STRUCT>::Reader SlotGrant::Reader::getCounts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::buckthornspar::peer::schema::SlotCount,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::buckthornspar::peer::schema::SlotCount,  ::capnp::Kind::STRUCT>::Builder SlotGrant::Builder::getCounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::buckthornspar::peer::schema::SlotCount,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void SlotGrant::Builder::setCounts( ::capnp::List< ::buckthornspar::peer::schema::SlotCount,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::buckthornspar::peer::schema::SlotCount,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::buckthornspar::peer::schema::SlotCount,  ::capnp::Kind::STRUCT>::Builder SlotGrant::Builder::initCounts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::buckthornspar::peer::schema::SlotCount,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void SlotGrant::Builder::adoptCounts(
+    ::capnp::Orphan< ::capnp::List< ::buckthornspar::peer::schema::SlotCount,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::buckthornspar::peer::schema::SlotCount,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::buckthornspar::peer::schema::SlotCount,  ::capnp::Kind::STRUCT>> SlotGrant::Builder::disownCounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::buckthornspar::peer::schema::SlotCount,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -3635,6 +4562,162 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Peer::SlotDemandParams::Reader::hasSender() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::SlotDemandParams::Builder::hasSender() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::buckthornspar::peer::schema::Sender::Reader Peer::SlotDemandParams::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Sender>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::buckthornspar::peer::schema::Sender::Builder Peer::SlotDemandParams::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Sender>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::buckthornspar::peer::schema::Sender::Pipeline Peer::SlotDemandParams::Pipeline::getSender() {
+  return  ::buckthornspar::peer::schema::Sender::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::SlotDemandParams::Builder::setSender( ::buckthornspar::peer::schema::Sender::Reader value) {
+  ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Sender>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::buckthornspar::peer::schema::Sender::Builder Peer::SlotDemandParams::Builder::initSender() {
+  return ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Sender>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::SlotDemandParams::Builder::adoptSender(
+    ::capnp::Orphan< ::buckthornspar::peer::schema::Sender>&& value) {
+  ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Sender>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::buckthornspar::peer::schema::Sender> Peer::SlotDemandParams::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Sender>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::SlotDemandParams::Reader::hasDemand() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::SlotDemandParams::Builder::hasDemand() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::buckthornspar::peer::schema::SlotDemand::Reader Peer::SlotDemandParams::Reader::getDemand() const {
+  return ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::SlotDemand>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::buckthornspar::peer::schema::SlotDemand::Builder Peer::SlotDemandParams::Builder::getDemand() {
+  return ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::SlotDemand>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::buckthornspar::peer::schema::SlotDemand::Pipeline Peer::SlotDemandParams::Pipeline::getDemand() {
+  return  ::buckthornspar::peer::schema::SlotDemand::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::SlotDemandParams::Builder::setDemand( ::buckthornspar::peer::schema::SlotDemand::Reader value) {
+  ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::SlotDemand>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::buckthornspar::peer::schema::SlotDemand::Builder Peer::SlotDemandParams::Builder::initDemand() {
+  return ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::SlotDemand>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::SlotDemandParams::Builder::adoptDemand(
+    ::capnp::Orphan< ::buckthornspar::peer::schema::SlotDemand>&& value) {
+  ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::SlotDemand>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::buckthornspar::peer::schema::SlotDemand> Peer::SlotDemandParams::Builder::disownDemand() {
+  return ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::SlotDemand>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::SlotGrantParams::Reader::hasSender() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::SlotGrantParams::Builder::hasSender() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::buckthornspar::peer::schema::Sender::Reader Peer::SlotGrantParams::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Sender>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::buckthornspar::peer::schema::Sender::Builder Peer::SlotGrantParams::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Sender>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::buckthornspar::peer::schema::Sender::Pipeline Peer::SlotGrantParams::Pipeline::getSender() {
+  return  ::buckthornspar::peer::schema::Sender::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::SlotGrantParams::Builder::setSender( ::buckthornspar::peer::schema::Sender::Reader value) {
+  ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Sender>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::buckthornspar::peer::schema::Sender::Builder Peer::SlotGrantParams::Builder::initSender() {
+  return ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Sender>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::SlotGrantParams::Builder::adoptSender(
+    ::capnp::Orphan< ::buckthornspar::peer::schema::Sender>&& value) {
+  ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Sender>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::buckthornspar::peer::schema::Sender> Peer::SlotGrantParams::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Sender>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::SlotGrantParams::Reader::hasGrant() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::SlotGrantParams::Builder::hasGrant() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::buckthornspar::peer::schema::SlotGrant::Reader Peer::SlotGrantParams::Reader::getGrant() const {
+  return ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::SlotGrant>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::buckthornspar::peer::schema::SlotGrant::Builder Peer::SlotGrantParams::Builder::getGrant() {
+  return ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::SlotGrant>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::buckthornspar::peer::schema::SlotGrant::Pipeline Peer::SlotGrantParams::Pipeline::getGrant() {
+  return  ::buckthornspar::peer::schema::SlotGrant::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::SlotGrantParams::Builder::setGrant( ::buckthornspar::peer::schema::SlotGrant::Reader value) {
+  ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::SlotGrant>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::buckthornspar::peer::schema::SlotGrant::Builder Peer::SlotGrantParams::Builder::initGrant() {
+  return ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::SlotGrant>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::SlotGrantParams::Builder::adoptGrant(
+    ::capnp::Orphan< ::buckthornspar::peer::schema::SlotGrant>&& value) {
+  ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::SlotGrant>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::buckthornspar::peer::schema::SlotGrant> Peer::SlotGrantParams::Builder::disownGrant() {
+  return ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::SlotGrant>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/source/core/peer/peer_codec.cpp
+++ b/source/core/peer/peer_codec.cpp
@@ -132,4 +132,32 @@
     }
 }
 
+slot_demand decode(schema::SlotDemand::Reader reader) {
+    return {to_text(reader.getService()), to_text(reader.getRegion()), reader.getWanted()};
+}
+
+void encode(const slot_demand& value, schema::SlotDemand::Builder builder) {
+    builder.setService(to_ptr(value.service));
+    builder.setRegion(to_ptr(value.region));
+    builder.setWanted(value.wanted);
+}
+
+slot_grant decode(schema::SlotGrant::Reader reader) {
+    slot_grant grant;
+    grant.service = to_text(reader.getService());
+    for (const auto count : reader.getCounts()) {
+        grant.counts.push_back({to_text(count.getRunner()), count.getSlots()});
+    }
+    return grant;
+}
+
+void encode(const slot_grant& value, schema::SlotGrant::Builder builder) {
+    builder.setService(to_ptr(value.service));
+    auto counts = builder.initCounts(static_cast<unsigned>(value.counts.size()));
+    for (unsigned i = 0; i < counts.size(); ++i) {
+        counts[i].setRunner(to_ptr(value.counts[i].runner));
+        counts[i].setSlots(value.counts[i].slots);
+    }
+}
+
 } // namespace buckthornspar::peer
--- a/source/core/peer/peer_codec.h
+++ b/source/core/peer/peer_codec.h
@@ -20,4 +20,10 @@
 void encode(const std::vector<config_record>& value,
             capnp::List<schema::ConfigRecord>::Builder builder);
 
+[[nodiscard]] slot_demand decode(schema::SlotDemand::Reader reader);
+void encode(const slot_demand& value, schema::SlotDemand::Builder builder);
+
+[[nodiscard]] slot_grant decode(schema::SlotGrant::Reader reader);
+void encode(const slot_grant& value, schema::SlotGrant::Builder builder);
+
 } // namespace buckthornspar::peer
--- a/source/core/peer/peer_handler.h
+++ b/source/core/peer/peer_handler.h
@@ -20,6 +20,8 @@
     /// Answers with the version in force after the records were taken over.
     virtual void on_config_announced(const sender& from, std::vector<config_record> records,
                                      std::function<void(std::uint64_t)> complete);
+    virtual void on_slot_demand(const sender& /*from*/, const slot_demand& /*demand*/) {}
+    virtual void on_slot_grant(const sender& /*from*/, const slot_grant& /*grant*/) {}
 
 protected:
     peer_handler() = default;
--- a/source/core/peer/peer_messages.h
+++ b/source/core/peer/peer_messages.h
@@ -77,4 +77,22 @@
     std::uint64_t in_force = 0;
 };
 
+/// How many slots of a service the sender could use now. Sent between entries.
+struct slot_demand {
+    std::string service;
+    std::string region;
+    double wanted = 0;
+};
+
+struct slot_count {
+    std::string runner;
+    std::uint32_t slots = 0;
+};
+
+/// Slots of the sender's runners that the receiver may fill. Sent between entries.
+struct slot_grant {
+    std::string service;
+    std::vector<slot_count> counts;
+};
+
 } // namespace buckthornspar::peer
--- a/source/core/peer/peer_node.cpp
+++ b/source/core/peer/peer_node.cpp
@@ -139,6 +139,11 @@
     void failed(bool) { complete(std::nullopt); }
 };
 
+struct ignored_completion {
+    void succeeded(bool) {}
+    void failed(bool) {}
+};
+
 struct job_completion {
     std::function<void(job_reply)> complete;
     void succeeded(job_reply reply) { complete(std::move(reply)); }
@@ -218,6 +223,14 @@
     std::mutex wake_mutex;
     kj::Own<kj::CrossThreadPromiseFulfiller<void>> wake_up;
     std::atomic<bool> stopping{false};
+    template <typename Result, typename Send, typename Complete>
+    [[nodiscard]] bool call(const net::endpoint& to, Send send, Complete complete) {
+        return push([to, send = std::move(send), complete = std::move(complete),
+                     timeout = limits.call_timeout](peer_loop& loop) {
+            loop.call<Result>(to, timeout, send, complete);
+        });
+    }
+
     std::uint16_t port = 0;
     std::thread thread;
 };
@@ -300,11 +313,7 @@
         encode(beat, request.initBeat());
         return request.send().then([](auto response) { return decode(response.getReply()); });
     };
-    const bool queued =
-        m_state->push([to, send, complete, timeout = m_state->limits.call_timeout](peer_loop& l) {
-            l.call<heartbeat>(to, timeout, send, optional_completion<heartbeat>{complete});
-        });
-    if (!queued) {
+    if (!m_state->call<heartbeat>(to, std::move(send), optional_completion<heartbeat>{complete})) {
         complete(std::nullopt);
     }
 }
@@ -335,11 +344,8 @@
             return config_records{decode(response.getRecords()), response.getInForce()};
         });
     };
-    const bool queued = m_state->push([to, send, complete,
-                                       timeout = m_state->limits.call_timeout](peer_loop& l) {
-        l.call<config_records>(to, timeout, send, optional_completion<config_records>{complete});
-    });
-    if (!queued) {
+    if (!m_state->call<config_records>(to, std::move(send),
+                                       optional_completion<config_records>{complete})) {
         complete(std::nullopt);
     }
 }
@@ -355,13 +361,30 @@
         return request.send().then(
             [](auto response) -> std::uint64_t { return response.getInForce(); });
     };
-    const bool queued =
-        m_state->push([to, send, complete, timeout = m_state->limits.call_timeout](peer_loop& l) {
-            l.call<std::uint64_t>(to, timeout, send, optional_completion<std::uint64_t>{complete});
-        });
-    if (!queued) {
+    if (!m_state->call<std::uint64_t>(to, std::move(send),
+                                      optional_completion<std::uint64_t>{complete})) {
         complete(std::nullopt);
     }
 }
 
+void peer_node::send_slot_demand(const net::endpoint& to, sender from, slot_demand demand) {
+    auto send = [from = std::move(from), demand = std::move(demand)](schema::Peer::Client client) {
+        auto request = client.slotDemandRequest();
+        encode(from, request.initSender());
+        encode(demand, request.initDemand());
+        return request.send().then([](auto) { return true; });
+    };
+    (void)m_state->call<bool>(to, std::move(send), ignored_completion{});
+}
+
+void peer_node::send_slot_grant(const net::endpoint& to, sender from, slot_grant grant) {
+    auto send = [from = std::move(from), grant = std::move(grant)](schema::Peer::Client client) {
+        auto request = client.slotGrantRequest();
+        encode(from, request.initSender());
+        encode(grant, request.initGrant());
+        return request.send().then([](auto) { return true; });
+    };
+    (void)m_state->call<bool>(to, std::move(send), ignored_completion{});
+}
+
 } // namespace buckthornspar::peer
--- a/source/core/peer/peer_node.h
+++ b/source/core/peer/peer_node.h
@@ -58,6 +58,11 @@
     void announce_config(const net::endpoint& to, sender from, std::vector<config_record> records,
                          const std::function<void(std::optional<std::uint64_t>)>& complete);
 
+    /// Messages without an answer; a lost one is not noticed and is repeated by its sender's
+    /// policy.
+    void send_slot_demand(const net::endpoint& to, sender from, slot_demand demand);
+    void send_slot_grant(const net::endpoint& to, sender from, slot_grant grant);
+
     struct state;
 
 private:
--- a/source/core/peer/peer_service.cpp
+++ b/source/core/peer/peer_service.cpp
@@ -120,4 +120,16 @@
         [context](std::uint64_t in_force) mutable { context.getResults().setInForce(in_force); });
 }
 
+kj::Promise<void> peer_service::slotDemand(SlotDemandContext context) {
+    const auto params = context.getParams();
+    m_handler.on_slot_demand(decode(params.getSender()), decode(params.getDemand()));
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> peer_service::slotGrant(SlotGrantContext context) {
+    const auto params = context.getParams();
+    m_handler.on_slot_grant(decode(params.getSender()), decode(params.getGrant()));
+    return kj::READY_NOW;
+}
+
 } // namespace buckthornspar::peer
--- a/source/core/peer/peer_service.h
+++ b/source/core/peer/peer_service.h
@@ -19,6 +19,8 @@
     kj::Promise<void> cancelJob(CancelJobContext context) override;
     kj::Promise<void> configSince(ConfigSinceContext context) override;
     kj::Promise<void> announceConfig(AnnounceConfigContext context) override;
+    kj::Promise<void> slotDemand(SlotDemandContext context) override;
+    kj::Promise<void> slotGrant(SlotGrantContext context) override;
 
 private:
     peer_handler& m_handler;
--- a/source/core/server/cluster_member.cpp
+++ b/source/core/server/cluster_member.cpp
@@ -76,6 +76,18 @@
     complete(m_config.version());
 }
 
+void cluster_member::on_slot_demand(const peer::sender& from, const peer::slot_demand& demand) {
+    if (m_hooks.on_slot_demand) {
+        m_hooks.on_slot_demand(from, demand);
+    }
+}
+
+void cluster_member::on_slot_grant(const peer::sender& from, const peer::slot_grant& grant) {
+    if (m_hooks.on_slot_grant) {
+        m_hooks.on_slot_grant(from, grant);
+    }
+}
+
 void cluster_member::heard(const peer_status& status) {
     if (status.last_beat.from.config_version > m_config.version()) {
         pull_config(status.address);
--- a/source/core/server/cluster_member.h
+++ b/source/core/server/cluster_member.h
@@ -23,6 +23,9 @@
     std::function<void(peer::heartbeat&)> fill_heartbeat;
     /// Told of each heartbeat received. Peer thread.
     peer_mesh::beat_listener on_peer_heard;
+    /// Told of the slot messages of other entries. Peer thread.
+    std::function<void(const peer::sender&, const peer::slot_demand&)> on_slot_demand;
+    std::function<void(const peer::sender&, const peer::slot_grant&)> on_slot_grant;
     /// Told of each good instance list. Any thread.
     std::function<void(const membership::instance_snapshot&)> on_instances;
 };
@@ -57,6 +60,8 @@
                          std::function<void(peer::config_records)> complete) override;
     void on_config_announced(const peer::sender& from, std::vector<peer::config_record> records,
                              std::function<void(std::uint64_t)> complete) override;
+    void on_slot_demand(const peer::sender& from, const peer::slot_demand& demand) override;
+    void on_slot_grant(const peer::sender& from, const peer::slot_grant& grant) override;
 
     [[nodiscard]] peer::heartbeat make_heartbeat();
     void heard(const peer_status& status);
--- a/source/schema/peer.capnp
+++ b/source/schema/peer.capnp
@@ -48,6 +48,22 @@
   body @1 :Text;                # JSON document of the configuration record
 }
 
+struct SlotDemand {
+  service @0 :Text;
+  region @1 :Text;
+  wanted @2 :Float64;           # slots of the service that the sender could use now
+}
+
+struct SlotCount {
+  runner @0 :Text;
+  slots @1 :UInt32;
+}
+
+struct SlotGrant {
+  service @0 :Text;
+  counts @1 :List(SlotCount);   # slots of the sender's runners that the receiver may fill
+}
+
 interface Peer {
   # One interface for all roles: a process refuses the calls that its role does not serve with
   # status refused and errorType "wrong_role".
@@ -60,4 +76,7 @@
 
   configSince @5 (sender :Sender, version :UInt64) -> (records :List(ConfigRecord), inForce :UInt64);
   announceConfig @6 (sender :Sender, records :List(ConfigRecord)) -> (inForce :UInt64);
+
+  slotDemand @7 (sender :Sender, demand :SlotDemand) -> ();
+  slotGrant @8 (sender :Sender, grant :SlotGrant) -> ();
 }
--- a/tests/unit/peer/peer_node_test.cpp
+++ b/tests/unit/peer/peer_node_test.cpp
@@ -39,6 +39,12 @@
         complete({{{version + 1, "{}"}}, version + 1});
     }
 
+    void on_slot_grant(const sender& from, const slot_grant& grant) override {
+        granted.set_value(from.id + ":" + grant.counts.at(0).runner);
+    }
+
+    std::promise<std::string> granted;
+
 private:
     std::mutex m_mutex;
     std::vector<std::function<void(job_reply)>> m_kept;
@@ -118,4 +124,9 @@
     BOOST_TEST(reply->records.at(0).version == 5U);
 }
 
+BOOST_AUTO_TEST_CASE(slot_grants_arrive) {
+    client.send_slot_grant(to, {"a", "entry", 0}, {"s", {{"runner-1", 4}}});
+    BOOST_TEST(handler.granted.get_future().get() == "a:runner-1");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
