Add the placement engine with its policies and scorers

An all-at-once job is packed as a whole. The longest waiting one, or a single task whose lane had no start for a minute, gets a planned start from the expected ends; other work may take the planned workers only if it ends in time or fits beside the share. After half of the allowed wait the plan no longer relies on expected ends, because declared run times are far from the actual values.

Ruled out: planning the oldest waiting task of any lane. With a backlog of small tasks the oldest one is a small task that is served soon anyway, and a large task kept waiting (small_work_cannot_starve_a_large_single_task failed).

--- /dev/null
+++ b/source/core/placement/capacity_plan.cpp
@@ -0,0 +1,37 @@
+#include "core/placement/capacity_plan.h"
+
+namespace buckthornspar::placement {
+
+void capacity_plan::set(gang_plan plan, gang_index gang, std::optional<task_index> task,
+                        priority_class priority, std::size_t workers) {
+    clear();
+    m_active = true;
+    m_start = plan.start;
+    m_gang = gang;
+    m_task = task;
+    m_priority = priority;
+    m_shares.assign(workers, {});
+    for (const planned_share& share : plan.shares) {
+        m_shares[share.worker] = {true, share.spare};
+    }
+}
+
+void capacity_plan::clear() {
+    m_active = false;
+    m_strict = false;
+    m_gang = no_gang;
+    m_task.reset();
+    m_shares.clear();
+}
+
+bool capacity_plan::uses(worker_index worker) const {
+    return worker < m_shares.size() && m_shares[worker].used;
+}
+
+void capacity_plan::take_spare(worker_index worker, const resources& demand) {
+    if (uses(worker)) {
+        m_shares[worker].spare -= demand;
+    }
+}
+
+} // namespace buckthornspar::placement
--- /dev/null
+++ b/source/core/placement/placement_decide.cpp
@@ -0,0 +1,231 @@
+#include "core/placement/placement_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace buckthornspar::placement {
+
+namespace {
+
+/// More remembered demands than this cost more to compare than they save.
+constexpr std::size_t max_failed_demands = 16;
+/// Shortest time between two attempts to start all-at-once jobs after capacity was freed. An
+/// attempt looks at each worker.
+constexpr auto gang_attempt_interval = std::chrono::milliseconds(10);
+} // namespace
+
+decisions placement_engine::state::decide(common::time_point now, std::size_t max_assignments) {
+    m_now = now;
+    decisions result;
+    report_overdue(result);
+    refresh_plan();
+    apply_changes();
+    std::size_t started = 0;
+    if (m_plan.strict() && m_plan.gang() != no_gang && max_assignments > 0) {
+        started += start_gang(m_plan.gang(), result) ? 1 : 0;
+    }
+    class_flags gangs_untried = untried_gangs();
+    while (started < max_assignments) {
+        const auto next = next_class(gangs_untried);
+        if (!next) {
+            break;
+        }
+        bool& untried = gangs_untried[static_cast<std::size_t>(*next)];
+        if (untried) {
+            const std::size_t gangs = start_gangs(*next, max_assignments - started, result);
+            untried = false;
+            started += gangs;
+            if (gangs > 0) {
+                count_start(*next, gangs_untried);
+            }
+        } else if (place_front(*next, result)) {
+            ++started;
+            count_start(*next, gangs_untried);
+        }
+    }
+    // Jobs whose class had no turn are tried by the next call.
+    m_gangs_changed = m_gangs_changed || std::any_of(gangs_untried.begin(), gangs_untried.end(),
+                                                     [](bool untried) { return untried; });
+    return result;
+}
+
+void placement_engine::state::apply_changes() {
+    if (m_fleet_changed) {
+        m_queue.fleet_changed(m_workers.usable_capacity());
+        m_fleet_changed = false;
+    }
+    auto& teams = m_changes.relieved_teams;
+    std::sort(teams.begin(), teams.end());
+    teams.erase(std::unique(teams.begin(), teams.end()), teams.end());
+    m_queue.unblock(m_changes);
+    m_changes = {};
+}
+
+placement_engine::state::class_flags placement_engine::state::untried_gangs() {
+    class_flags untried{};
+    const bool room_due = m_room_changed && m_now >= m_next_gang_attempt;
+    if (!m_gangs.any_startable() || (!m_gangs_changed && !room_due)) {
+        return untried;
+    }
+    m_gangs_changed = false;
+    m_room_changed = false;
+    m_next_gang_attempt = m_now + gang_attempt_interval;
+    for (const gang_index gang : m_gangs.startable(max_gangs_considered)) {
+        untried[static_cast<std::size_t>(m_gangs[gang].priority)] = true;
+    }
+    return untried;
+}
+
+bool placement_engine::state::has_work(std::size_t c, const class_flags& gangs_untried) const {
+    return gangs_untried[c] || m_queue.ready(static_cast<priority_class>(c));
+}
+
+std::optional<priority_class>
+placement_engine::state::next_class(const class_flags& gangs_untried) const {
+    std::optional<priority_class> highest;
+    for (std::size_t c = 0; c < priority_class_count; ++c) {
+        if (!has_work(c, gangs_untried)) {
+            continue;
+        }
+        const auto named = static_cast<priority_class>(c);
+        if (highest && m_credit[c] >= 100 - m_settings.lower_class_percent) {
+            return named;
+        }
+        if (!highest) {
+            highest = named;
+        }
+    }
+    return highest;
+}
+
+// Each start of a higher class earns the lower classes that have work a part of a start. A class
+// saves up one start at most, so that it cannot hold up urgent work by a burst of its own.
+void placement_engine::state::count_start(priority_class served, const class_flags& gangs_untried) {
+    const auto index = static_cast<std::size_t>(served);
+    const unsigned price = 100 - m_settings.lower_class_percent;
+    m_credit[index] -= std::min(m_credit[index], price);
+    for (std::size_t c = index + 1; c < priority_class_count; ++c) {
+        if (has_work(c, gangs_untried)) {
+            m_credit[c] = std::min(m_credit[c] + m_settings.lower_class_percent, price);
+        }
+    }
+}
+
+bool placement_engine::state::place_front(priority_class c, decisions& result) {
+    const task_index task = *m_queue.front(c);
+    const task_entry& entry = m_tasks[task];
+    if (m_workers.usable_count() == 0) {
+        m_queue.block(task, wait_reason::no_workers);
+        return false;
+    }
+    if (!m_quotas.allows(entry.team, entry.request.demand)) {
+        m_queue.block(task, wait_reason::quota_exceeded);
+        return false;
+    }
+    const placement_choice choice = choose_worker(task);
+    if (!choice.worker) {
+        m_queue.block(task, choice.reason);
+        return false;
+    }
+    m_queue.remove_started(task, m_now);
+    promise(task, *choice.worker, m_now);
+    keep_plan_informed(task);
+    result.tasks.push_back({entry.request.task, m_workers[*choice.worker].info.id});
+    return true;
+}
+
+placement_choice placement_engine::state::choose_worker(task_index task) {
+    const task_request& request = m_tasks[task].request;
+    if (known_not_to_fit(request.demand)) {
+        return {std::nullopt, wait_reason::no_capacity};
+    }
+    const plan_filter filter(m_plan, request.demand);
+    const bool restricted = bound_by_plan(task) && !ends_before_plan(request);
+    workload_policy& chosen_policy = policy(request.kind);
+    const placement_choice choice =
+        chosen_policy.choose({m_workers, *m_scorer, restricted ? &filter : nullptr}, request);
+    if (choice.reason == wait_reason::no_capacity && chosen_policy.depends_on_demand_only()) {
+        if (m_failed_demands.size() == max_failed_demands) {
+            m_failed_demands.pop_back();
+        }
+        m_failed_demands.insert(m_failed_demands.begin(), request.demand);
+    }
+    return choice;
+}
+
+bool placement_engine::state::known_not_to_fit(const resources& demand) const {
+    return std::any_of(m_failed_demands.begin(), m_failed_demands.end(),
+                       [&](const resources& failed) { return failed.fits(demand); });
+}
+
+bool placement_engine::state::bound_by_plan(task_index task) const {
+    if (!m_plan.active() || m_plan.is_for(task)) {
+        return false;
+    }
+    const task_entry& entry = m_tasks[task];
+    if (entry.gang != no_gang && entry.gang == m_plan.gang()) {
+        return false;
+    }
+    return m_plan.strict() || entry.request.priority >= m_plan.priority();
+}
+
+bool placement_engine::state::ends_before_plan(const task_request& request) const {
+    return !m_plan.strict() && request.expected_run.count() > 0 &&
+           expected_end(request, m_now) <= m_plan.start();
+}
+
+void placement_engine::state::keep_plan_informed(task_index task) {
+    const task_entry& entry = m_tasks[task];
+    if (!m_plan.active()) {
+        return;
+    }
+    if (m_plan.is_for(task) || (entry.gang != no_gang && entry.gang == m_plan.gang())) {
+        drop_plan();
+    } else if (!ends_before_plan(entry.request)) {
+        m_plan.take_spare(entry.worker, entry.request.demand);
+    }
+}
+
+std::size_t placement_engine::state::start_gangs(priority_class c, std::size_t limit,
+                                                 decisions& result) {
+    std::size_t started = 0;
+    for (const gang_index gang : m_gangs.startable(max_gangs_considered)) {
+        if (m_gangs[gang].priority != c) {
+            continue;
+        }
+        if (started == limit) {
+            m_gangs_changed = true;
+            break;
+        }
+        started += start_gang(gang, result) ? 1 : 0;
+    }
+    return started;
+}
+
+bool placement_engine::state::start_gang(gang_index gang, decisions& result) {
+    gang_entry& entry = m_gangs[gang];
+    const std::vector<resources> demands = demands_of(gang);
+    const auto chosen = quota_allows(gang) ? pack_together(rooms_for(gang), demands) : std::nullopt;
+    if (!chosen) {
+        entry.reason = gang_reason(gang);
+        return false;
+    }
+    gang_assignment started{entry.job, {}};
+    const std::vector<task_index> tasks = std::exchange(entry.waiting, {});
+    m_waiting_in_gangs -= tasks.size();
+    for (std::size_t i = 0; i < tasks.size(); ++i) {
+        const worker_index worker = (*chosen)[i];
+        promise(tasks[i], worker, m_now);
+        keep_plan_informed(tasks[i]);
+        started.tasks.push_back({m_tasks[tasks[i]].request.task, m_workers[worker].info.id});
+    }
+    std::sort(started.tasks.begin(), started.tasks.end(),
+              [](const assignment& a, const assignment& b) {
+                  return std::tie(a.worker, a.task) < std::tie(b.worker, b.task);
+              });
+    entry.reason = wait_reason::queued;
+    result.gangs.push_back(std::move(started));
+    return true;
+}
+
+} // namespace buckthornspar::placement
--- /dev/null
+++ b/source/core/placement/placement_events.cpp
@@ -0,0 +1,301 @@
+#include "core/placement/feasibility.h"
+#include "core/placement/placement_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace buckthornspar::placement {
+
+namespace {
+
+/// Used for planning when a task does not say how long it runs.
+constexpr auto assumed_run = std::chrono::minutes(10);
+
+} // namespace
+
+placement_engine::state::state(placement_settings settings)
+    : m_settings(std::move(settings)),
+      m_queue(m_tasks, m_quotas),
+      m_scorer(scorer_registry::instance().make(m_settings.scorer, m_settings.seed)) {
+    for (std::size_t i = 0; i < m_policies.size(); ++i) {
+        const std::string name(workload_kind_names.name(static_cast<workload_kind>(i)));
+        m_policies[i] = policy_registry::instance().make(name, m_settings);
+    }
+}
+
+void placement_engine::state::upsert_worker(const worker_info& info) {
+    const worker_index worker = m_workers.upsert(info);
+    m_scorer->worker_changed(m_workers, worker);
+    m_fleet_changed = true;
+    if (m_workers[worker].usable()) {
+        note_freed(worker);
+    } else if (m_plan.uses(worker)) {
+        drop_plan();
+    }
+}
+
+void placement_engine::state::remove_worker(const std::string& id) {
+    const auto worker = m_workers.find(id);
+    if (!worker || !m_workers[*worker].present) {
+        return;
+    }
+    if (m_plan.uses(*worker)) {
+        drop_plan();
+    }
+    m_workers.remove(*worker);
+    m_scorer->worker_changed(m_workers, *worker);
+    m_fleet_changed = true;
+}
+
+void placement_engine::state::submit(task_request request) {
+    if (policy(request.kind).starts_together()) {
+        submit_gang({std::move(request)});
+        return;
+    }
+    const team_index team = m_quotas.team(request.team);
+    enqueue(m_tasks.add(std::move(request), team));
+}
+
+void placement_engine::state::submit_gang(std::vector<task_request> requests) {
+    if (requests.empty() || m_gangs.find(requests.front().job)) {
+        throw common::usage_error("an all-at-once job needs tasks and must be submitted once");
+    }
+    for (const task_request& request : requests) {
+        if (request.job != requests.front().job || m_tasks.find(request.task)) {
+            throw common::usage_error("task " + request.task +
+                                      " is already known or of another job");
+        }
+    }
+    const team_index team = m_quotas.team(requests.front().team);
+    const gang_index gang = m_gangs.add(requests.front(), team);
+    for (task_request& request : requests) {
+        const task_index task = m_tasks.add(std::move(request), team);
+        m_tasks[task].gang = gang;
+        enqueue(task);
+    }
+}
+
+bool placement_engine::state::withdraw(const std::string& name) {
+    const auto task = m_tasks.find(name);
+    if (!task || m_tasks[*task].phase != task_phase::waiting) {
+        return false;
+    }
+    dequeue(*task);
+    forget(*task);
+    return true;
+}
+
+void placement_engine::state::confirm_started(const std::string& name, common::time_point now) {
+    const auto task = m_tasks.find(name);
+    if (task && m_tasks[*task].phase == task_phase::promised) {
+        m_tasks[*task].expected_end = expected_end(m_tasks[*task].request, now);
+    }
+}
+
+void placement_engine::state::release(const std::string& name) {
+    const auto task = m_tasks.find(name);
+    if (!task) {
+        return;
+    }
+    if (m_tasks[*task].phase == task_phase::promised) {
+        free_promise(*task);
+    } else {
+        dequeue(*task);
+    }
+    forget(*task);
+}
+
+void placement_engine::state::requeue(const std::string& name) {
+    const auto task = m_tasks.find(name);
+    if (task && m_tasks[*task].phase == task_phase::promised) {
+        free_promise(*task);
+        enqueue(*task);
+    }
+}
+
+void placement_engine::state::adopt_running(const std::string& worker_id,
+                                            const task_request& request, common::time_point now) {
+    const auto worker = m_workers.find(worker_id);
+    if (!worker) {
+        throw common::usage_error("worker " + worker_id + " is not known");
+    }
+    auto task = m_tasks.find(request.task);
+    if (task && m_tasks[*task].phase == task_phase::promised) {
+        if (m_tasks[*task].worker == *worker) {
+            confirm_started(request.task, now);
+            return;
+        }
+        // The worker that reports the task is right about where it runs.
+        free_promise(*task);
+    } else if (task) {
+        dequeue(*task);
+    } else {
+        const team_index team = m_quotas.team(request.team);
+        task = m_tasks.add(request, team);
+    }
+    m_workers.promise_found(*worker, m_tasks[*task].request.demand);
+    charge(*task, *worker, now);
+}
+
+void placement_engine::state::set_quota(const std::string& name,
+                                        const std::optional<resources>& limit) {
+    const team_index team = m_quotas.team(name);
+    if (limit) {
+        m_quotas.set_limit(team, *limit);
+    } else {
+        m_quotas.clear_limit(team);
+    }
+    m_queue.team_changed(team, m_workers.usable_capacity());
+    m_changes.relieved_teams.push_back(team);
+    m_gangs_changed = true;
+}
+
+void placement_engine::state::enqueue(task_index task) {
+    task_entry& entry = m_tasks[task];
+    entry.phase = task_phase::waiting;
+    if (entry.gang == no_gang) {
+        m_queue.push(task, !policy(entry.request.kind).depends_on_demand_only());
+        return;
+    }
+    m_gangs[entry.gang].waiting.push_back(task);
+    ++m_waiting_in_gangs;
+    m_gangs_changed = true;
+    m_gangs.refresh(entry.gang);
+}
+
+void placement_engine::state::dequeue(task_index task) {
+    const task_entry& entry = m_tasks[task];
+    if (m_plan.active() && m_plan.is_for(task)) {
+        drop_plan();
+    }
+    if (entry.gang == no_gang) {
+        m_queue.remove(task);
+        return;
+    }
+    auto& waiting = m_gangs[entry.gang].waiting;
+    waiting.erase(std::find(waiting.begin(), waiting.end(), task));
+    --m_waiting_in_gangs;
+    m_gangs_changed = true;
+    // The plan was made for the tasks that the job had.
+    if (m_plan.active() && m_plan.gang() == entry.gang) {
+        drop_plan();
+    }
+}
+
+void placement_engine::state::forget(task_index task) {
+    const gang_index gang = m_tasks[task].gang;
+    m_tasks.erase(task);
+    if (gang != no_gang) {
+        m_gangs_changed = true;
+        m_gangs.refresh(gang);
+    }
+}
+
+void placement_engine::state::drop_plan() {
+    m_plan.clear();
+    m_next_plan = {};
+    m_changes.plan_changed = true;
+}
+
+void placement_engine::state::promise(task_index task, worker_index worker,
+                                      common::time_point now) {
+    m_workers.promise(worker, m_tasks[task].request.demand);
+    charge(task, worker, now);
+}
+
+void placement_engine::state::charge(task_index task, worker_index worker, common::time_point now) {
+    task_entry& entry = m_tasks[task];
+    entry.phase = task_phase::promised;
+    entry.worker = worker;
+    entry.location = m_workers[worker].location;
+    entry.expected_end = expected_end(entry.request, now);
+    if (entry.gang != no_gang) {
+        ++m_gangs[entry.gang].promised;
+        m_gangs.refresh(entry.gang);
+    }
+    m_scorer->worker_changed(m_workers, worker);
+    m_quotas.charge(entry.team, entry.request.demand);
+    m_queue.team_changed(entry.team, m_workers.usable_capacity());
+    policy(entry.request.kind).promised(entry.request, entry.location);
+}
+
+void placement_engine::state::free_promise(task_index task) {
+    task_entry& entry = m_tasks[task];
+    policy(entry.request.kind).freed(entry.request, entry.location);
+    m_quotas.refund(entry.team, entry.request.demand);
+    m_queue.team_changed(entry.team, m_workers.usable_capacity());
+    if (m_quotas.limit(entry.team)) {
+        m_changes.relieved_teams.push_back(entry.team);
+    }
+    m_workers.free(entry.worker, entry.request.demand);
+    m_scorer->worker_changed(m_workers, entry.worker);
+    note_freed(entry.worker);
+    if (entry.gang != no_gang) {
+        --m_gangs[entry.gang].promised;
+    }
+}
+
+void placement_engine::state::note_freed(worker_index worker) {
+    const worker_entry& entry = m_workers[worker];
+    if (!entry.usable()) {
+        return;
+    }
+    const resources free = entry.free();
+    resources& most = m_changes.freed ? *m_changes.freed : m_changes.freed.emplace(free);
+    most.cpu_milli = std::max(most.cpu_milli, free.cpu_milli);
+    most.memory_mb = std::max(most.memory_mb, free.memory_mb);
+    most.accelerators = std::max(most.accelerators, free.accelerators);
+    m_failed_demands.clear();
+    m_room_changed = true;
+}
+
+common::time_point placement_engine::state::expected_end(const task_request& request,
+                                                         common::time_point now) const {
+    if (!policy(request.kind).ends()) {
+        return common::time_point::max();
+    }
+    const common::duration run =
+        request.expected_run.count() > 0 ? request.expected_run : common::duration(assumed_run);
+    return now + run;
+}
+
+wait_reason placement_engine::state::explain(const std::string& name) const {
+    const auto task = m_tasks.find(name);
+    if (!task || m_tasks[*task].phase != task_phase::waiting) {
+        return wait_reason::none;
+    }
+    if (m_workers.usable_count() == 0) {
+        return wait_reason::no_workers;
+    }
+    const gang_index gang = m_tasks[*task].gang;
+    return gang == no_gang ? m_queue.reason(*task) : m_gangs[gang].reason;
+}
+
+std::optional<gang_wait> placement_engine::state::explain_gang(const std::string& job) const {
+    const auto gang = m_gangs.find(job);
+    if (!gang || m_gangs[*gang].waiting.empty()) {
+        return std::nullopt;
+    }
+    const gang_entry& entry = m_gangs[*gang];
+    gang_wait wait;
+    if (m_plan.active() && m_plan.gang() == *gang) {
+        wait.planned_start = m_plan.start();
+    }
+    wait.latest_start = entry.submitted + m_settings.gang_wait_bound;
+    wait.overdue = entry.overdue;
+    return wait;
+}
+
+std::optional<infeasibility> placement_engine::state::check_feasible(const task_request& request,
+                                                                     std::size_t task_count) const {
+    const auto team = m_quotas.find(request.team);
+    return check_demand(m_workers, team ? m_quotas.limit(*team) : std::nullopt, request,
+                        task_count);
+}
+
+resources placement_engine::state::promised(const std::string& id) const {
+    const auto worker = m_workers.find(id);
+    return worker ? m_workers[*worker].promised : resources{};
+}
+
+} // namespace buckthornspar::placement
--- /dev/null
+++ b/source/core/placement/placement_state.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "core/placement/capacity_plan.h"
+#include "core/placement/gang_table.h"
+#include "core/placement/placement_engine.h"
+#include "core/placement/task_queue.h"
+#include "core/placement/workload_policy.h"
+
+#include <array>
+
+namespace buckthornspar::placement {
+
+/// What placement_engine consists of. Events change the tables at once; what they make possible is
+/// collected in m_changes and acted on by the next decide().
+class placement_engine::state {
+public:
+    explicit state(placement_settings settings);
+
+    void upsert_worker(const worker_info& info);
+    void remove_worker(const std::string& id);
+    void submit(task_request request);
+    void submit_gang(std::vector<task_request> requests);
+    bool withdraw(const std::string& task);
+    decisions decide(common::time_point now, std::size_t max_assignments);
+    void confirm_started(const std::string& task, common::time_point now);
+    void release(const std::string& task);
+    void requeue(const std::string& task);
+    void adopt_running(const std::string& worker, const task_request& request,
+                       common::time_point now);
+    void set_quota(const std::string& team, const std::optional<resources>& limit);
+
+    [[nodiscard]] wait_reason explain(const std::string& task) const;
+    [[nodiscard]] std::optional<gang_wait> explain_gang(const std::string& job) const;
+    [[nodiscard]] std::optional<infeasibility> check_feasible(const task_request& request,
+                                                              std::size_t task_count) const;
+    [[nodiscard]] resources promised(const std::string& worker) const;
+    [[nodiscard]] std::size_t waiting() const { return m_queue.size() + m_waiting_in_gangs; }
+
+private:
+    /// Oldest all-at-once jobs that are considered in one decision.
+    static constexpr std::size_t max_gangs_considered = 64;
+
+    using class_flags = std::array<bool, priority_class_count>;
+
+    // Events.
+    [[nodiscard]] workload_policy& policy(workload_kind kind) const {
+        return *m_policies[static_cast<std::size_t>(kind)];
+    }
+    // enqueue, dequeue and free_promise leave the job of an all-at-once task in place; forget
+    // erases the task and, with its last task, the job.
+    void enqueue(task_index task);
+    void dequeue(task_index task);
+    void charge(task_index task, worker_index worker, common::time_point now);
+    void promise(task_index task, worker_index worker, common::time_point now);
+    void free_promise(task_index task);
+    void forget(task_index task);
+    void drop_plan();
+    void note_freed(worker_index worker);
+    [[nodiscard]] common::time_point expected_end(const task_request& request,
+                                                  common::time_point now) const;
+
+    // Decisions.
+    void apply_changes();
+    [[nodiscard]] std::optional<priority_class> next_class(const class_flags& gangs_untried) const;
+    void count_start(priority_class served, const class_flags& gangs_untried);
+    [[nodiscard]] class_flags untried_gangs();
+    [[nodiscard]] bool has_work(std::size_t c, const class_flags& gangs_untried) const;
+    bool place_front(priority_class c, decisions& result);
+    placement_choice choose_worker(task_index task);
+    [[nodiscard]] bool bound_by_plan(task_index task) const;
+    [[nodiscard]] bool ends_before_plan(const task_request& request) const;
+    [[nodiscard]] bool known_not_to_fit(const resources& demand) const;
+
+    // All-at-once jobs.
+    std::size_t start_gangs(priority_class c, std::size_t limit, decisions& result);
+    bool start_gang(gang_index gang, decisions& result);
+    [[nodiscard]] std::vector<resources> demands_of(gang_index gang) const;
+    [[nodiscard]] worker_rooms rooms_for(gang_index gang) const;
+    void keep_plan_informed(task_index task);
+    [[nodiscard]] worker_rooms all_rooms() const;
+    [[nodiscard]] wait_reason gang_reason(gang_index gang) const;
+    [[nodiscard]] bool quota_allows(gang_index gang) const;
+    void report_overdue(decisions& result);
+    void refresh_plan();
+    bool plan_oldest_gang(const std::vector<gang_index>& gangs);
+    bool plan_gang(gang_index gang);
+    bool plan_single(task_index task);
+    [[nodiscard]] std::optional<gang_plan> plan_for(const std::vector<resources>& demands) const;
+    [[nodiscard]] bool waits_too_long(common::time_point submitted) const;
+    [[nodiscard]] std::vector<expected_release> expected_releases() const;
+
+    placement_settings m_settings;
+    worker_table m_workers;
+    task_table m_tasks;
+    quota_ledger m_quotas;
+    task_queue m_queue;
+    gang_table m_gangs;
+    std::unique_ptr<scorer> m_scorer;
+    std::array<std::unique_ptr<workload_policy>, workload_kind_names.size()> m_policies;
+    std::size_t m_waiting_in_gangs = 0;
+
+    queue_changes m_changes;
+    bool m_fleet_changed = false;
+    /// All-at-once jobs are tried again after such a change; after the second kind, which is
+    /// frequent, only at intervals.
+    bool m_gangs_changed = false;
+    bool m_room_changed = false;
+    common::time_point m_now;
+    capacity_plan m_plan;
+    /// When the plan is computed again; the plan is also dropped when its job or a worker goes.
+    common::time_point m_next_plan;
+    common::time_point m_next_gang_attempt;
+    /// Starts that each class may make before a higher one.
+    std::array<unsigned, priority_class_count> m_credit{};
+    /// Demands that no worker can take until capacity is freed.
+    std::vector<resources> m_failed_demands;
+};
+
+} // namespace buckthornspar::placement
--- /dev/null
+++ b/source/core/placement/quota_ledger.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "core/placement/resources.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace buckthornspar::placement {
+
+/// Position of a team in its quota_ledger.
+using team_index = std::uint32_t;
+
+/// The largest share of any one resource that the amount takes of the whole; 0 when the whole
+/// offers none of it.
+[[nodiscard]] double dominant_share(const resources& amount, const resources& whole);
+
+/// What each team has been promised, and its limit.
+class quota_ledger {
+public:
+    team_index team(const std::string& name);
+    [[nodiscard]] std::optional<team_index> find(const std::string& name) const;
+
+    void set_limit(team_index team, const resources& limit) { m_teams[team].limit = limit; }
+    void clear_limit(team_index team) { m_teams[team].limit.reset(); }
+    [[nodiscard]] const std::optional<resources>& limit(team_index team) const {
+        return m_teams[team].limit;
+    }
+    [[nodiscard]] const resources& used(team_index team) const { return m_teams[team].used; }
+
+    [[nodiscard]] bool allows(team_index team, const resources& demand) const;
+    void charge(team_index team, const resources& demand) { m_teams[team].used += demand; }
+    void refund(team_index team, const resources& demand) { m_teams[team].used -= demand; }
+
+    /// Dominant share of the team's limit that is used, or of the fleet for a team without a limit.
+    /// Teams with a smaller share go first.
+    [[nodiscard]] double share(team_index team, const resources& fleet) const;
+
+private:
+    struct account {
+        resources used;
+        std::optional<resources> limit;
+    };
+
+    std::unordered_map<std::string, team_index> m_index;
+    std::vector<account> m_teams;
+};
+
+} // namespace buckthornspar::placement
--- /dev/null
+++ b/source/core/placement/task_queue.cpp
@@ -0,0 +1,253 @@
+#include "core/placement/task_queue.h"
+
+#include <algorithm>
+#include <bit>
+#include <functional>
+
+namespace buckthornspar::placement {
+
+namespace {
+
+/// A task without a deadline is ordered as if it were due this long after its submission, so that a
+/// stream of tasks with deadlines cannot keep it waiting forever.
+constexpr auto due_without_deadline = std::chrono::minutes(10);
+
+std::size_t combine(std::size_t seed, std::size_t value) {
+    // The odd constant is 2^64 divided by the golden ratio, the usual multiplier for mixing.
+    return (seed ^ value) * 0x9e3779b97f4a7c15ULL + (seed >> 29U);
+}
+
+unsigned magnitude(common::duration run) {
+    return static_cast<unsigned>(std::bit_width(static_cast<std::uint64_t>(run.count())));
+}
+
+} // namespace
+
+std::size_t task_queue::lane_key_hash::operator()(const lane_key& key) const {
+    std::size_t hash = std::hash<std::string>{}(key.job);
+    hash = combine(hash, static_cast<std::size_t>(key.kind));
+    hash = combine(hash, static_cast<std::size_t>(key.priority));
+    hash = combine(hash, key.team);
+    hash = combine(hash, static_cast<std::size_t>(key.demand.cpu_milli));
+    hash = combine(hash, static_cast<std::size_t>(key.demand.memory_mb));
+    hash = combine(hash, static_cast<std::size_t>(key.demand.accelerators));
+    return combine(hash, key.run_magnitude);
+}
+
+void task_queue::push(task_index task, bool by_job) {
+    const task_entry& entry = m_tasks[task];
+    const task_request& request = entry.request;
+    const lane_index index =
+        lane_of({request.kind, request.priority, entry.team, request.demand,
+                 magnitude(request.expected_run), by_job ? request.job : std::string()});
+    if (task >= m_lane_of_task.size()) {
+        m_lane_of_task.resize(task + 1);
+    }
+    m_lane_of_task[task] = index;
+    ++m_size;
+    lane& l = m_lanes[index];
+    const bool is_ready = l.blocked == wait_reason::none;
+    const task_rank added = rank(task);
+    const bool goes_first = l.tasks.empty() || added < *l.tasks.begin();
+    if (is_ready && goes_first) {
+        remove_ready(index);
+    }
+    l.tasks.insert(added);
+    if (is_ready && goes_first) {
+        add_ready(index);
+    }
+}
+
+void task_queue::remove(task_index task) {
+    const lane_index index = m_lane_of_task[task];
+    lane& l = m_lanes[index];
+    const task_rank removed = rank(task);
+    const bool is_ready = l.blocked == wait_reason::none;
+    const bool was_first = removed == *l.tasks.begin();
+    if (is_ready && was_first) {
+        remove_ready(index);
+    }
+    l.tasks.erase(removed);
+    --m_size;
+    if (l.tasks.empty()) {
+        erase_lane(index);
+    } else if (is_ready && was_first) {
+        add_ready(index);
+    }
+}
+
+void task_queue::remove_started(task_index task, common::time_point now) {
+    m_lanes[m_lane_of_task[task]].last_start = now;
+    remove(task);
+}
+
+std::optional<task_index> task_queue::front(priority_class c) const {
+    const class_queue& queue = m_classes[static_cast<std::size_t>(c)];
+    if (queue.teams.empty()) {
+        return std::nullopt;
+    }
+    const class_team& team = queue.by_team[queue.teams.begin()->team];
+    return team.lanes.begin()->first.task;
+}
+
+void task_queue::block(task_index task, wait_reason reason) {
+    const lane_index index = m_lane_of_task[task];
+    remove_ready(index);
+    lane& l = m_lanes[index];
+    auto& blocked = queue_of(l).blocked;
+    l.blocked = reason;
+    l.blocked_slot = blocked.size();
+    blocked.push_back({l.key.demand, index, reason});
+}
+
+void task_queue::unblock(const queue_changes& changes) {
+    if (!changes.any()) {
+        return;
+    }
+    for (class_queue& queue : m_classes) {
+        for (std::size_t i = queue.blocked.size(); i-- > 0;) {
+            const blocked_lane& b = queue.blocked[i];
+            if (!concerns(changes, b, m_lanes[b.lane].key.team)) {
+                continue;
+            }
+            const lane_index index = b.lane;
+            remove_blocked(index);
+            add_ready(index);
+        }
+    }
+}
+
+bool task_queue::concerns(const queue_changes& changes, const blocked_lane& b, team_index team) {
+    if (b.reason == wait_reason::quota_exceeded) {
+        const auto& relieved = changes.relieved_teams;
+        return std::binary_search(relieved.begin(), relieved.end(), team);
+    }
+    if (b.reason == wait_reason::gang_reserved && changes.plan_changed) {
+        return true;
+    }
+    return changes.freed && b.demand.fits(*changes.freed);
+}
+
+wait_reason task_queue::reason(task_index task) const {
+    const wait_reason blocked = m_lanes[m_lane_of_task[task]].blocked;
+    return blocked == wait_reason::none ? wait_reason::queued : blocked;
+}
+
+void task_queue::team_changed(team_index team, const resources& fleet) {
+    m_fleet = fleet;
+    const double share = m_quotas.share(team, fleet);
+    for (class_queue& queue : m_classes) {
+        if (team >= queue.by_team.size() || queue.by_team[team].lanes.empty()) {
+            continue;
+        }
+        class_team& entry = queue.by_team[team];
+        auto node = queue.teams.extract({entry.share, team});
+        entry.share = share;
+        node.value().share = share;
+        queue.teams.insert(std::move(node));
+    }
+}
+
+void task_queue::fleet_changed(const resources& fleet) {
+    m_fleet = fleet;
+    for (class_queue& queue : m_classes) {
+        std::set<team_rank> teams;
+        for (const team_rank& old : queue.teams) {
+            const double share = m_quotas.share(old.team, fleet);
+            queue.by_team[old.team].share = share;
+            teams.insert({share, old.team});
+        }
+        queue.teams = std::move(teams);
+    }
+}
+
+std::optional<task_index> task_queue::longest_blocked(common::time_point before) const {
+    std::optional<task_index> longest;
+    for (const class_queue& queue : m_classes) {
+        for (const blocked_lane& b : queue.blocked) {
+            if (b.reason != wait_reason::no_capacity && b.reason != wait_reason::gang_reserved) {
+                continue;
+            }
+            const lane& l = m_lanes[b.lane];
+            const task_index task = l.tasks.begin()->task;
+            const auto since = std::max(m_tasks[task].request.submitted, l.last_start);
+            if (since < before) {
+                longest = task;
+                before = since;
+            }
+        }
+    }
+    return longest;
+}
+
+task_queue::task_rank task_queue::rank(task_index task) const {
+    const task_entry& entry = m_tasks[task];
+    const auto due =
+        entry.request.deadline.value_or(entry.request.submitted + due_without_deadline);
+    return {due, entry.sequence, task};
+}
+
+task_queue::lane_index task_queue::lane_of(const lane_key& key) {
+    const auto next =
+        static_cast<lane_index>(m_unused_lanes.empty() ? m_lanes.size() : m_unused_lanes.back());
+    const auto [position, inserted] = m_lane_index.emplace(key, next);
+    if (!inserted) {
+        return position->second;
+    }
+    if (m_unused_lanes.empty()) {
+        m_lanes.emplace_back();
+    } else {
+        m_unused_lanes.pop_back();
+    }
+    m_lanes[next].key = key;
+    return next;
+}
+
+void task_queue::add_ready(lane_index index) {
+    lane& l = m_lanes[index];
+    class_queue& queue = queue_of(l);
+    const team_index team = l.key.team;
+    if (team >= queue.by_team.size()) {
+        queue.by_team.resize(team + 1);
+    }
+    class_team& entry = queue.by_team[team];
+    if (entry.lanes.empty()) {
+        entry.share = m_quotas.share(team, m_fleet);
+        queue.teams.insert({entry.share, team});
+    }
+    entry.lanes.insert({*l.tasks.begin(), index});
+}
+
+void task_queue::remove_ready(lane_index index) {
+    lane& l = m_lanes[index];
+    if (l.tasks.empty()) {
+        return;
+    }
+    class_queue& queue = queue_of(l);
+    class_team& entry = queue.by_team[l.key.team];
+    entry.lanes.erase({*l.tasks.begin(), index});
+    if (entry.lanes.empty()) {
+        queue.teams.erase({entry.share, l.key.team});
+    }
+}
+
+void task_queue::remove_blocked(lane_index index) {
+    lane& l = m_lanes[index];
+    auto& blocked = queue_of(l).blocked;
+    blocked[l.blocked_slot] = blocked.back();
+    m_lanes[blocked[l.blocked_slot].lane].blocked_slot = l.blocked_slot;
+    blocked.pop_back();
+    l.blocked = wait_reason::none;
+}
+
+void task_queue::erase_lane(lane_index index) {
+    lane& l = m_lanes[index];
+    if (l.blocked != wait_reason::none) {
+        remove_blocked(index);
+    }
+    m_lane_index.erase(l.key);
+    l = lane{};
+    m_unused_lanes.push_back(index);
+}
+
+} // namespace buckthornspar::placement
--- /dev/null
+++ b/source/core/placement/task_queue.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include "core/placement/quota_ledger.h"
+#include "core/placement/task_table.h"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace buckthornspar::placement {
+
+/// What became possible since blocked work was last looked at.
+struct queue_changes {
+    /// For each resource the most that a worker with new free capacity offers.
+    std::optional<resources> freed;
+    bool plan_changed = false;
+    /// Teams whose use or limit changed so that more may fit into their quota; sorted.
+    std::vector<team_index> relieved_teams;
+
+    [[nodiscard]] bool any() const { return freed || plan_changed || !relieved_teams.empty(); }
+};
+
+/// The waiting tasks, other than all-at-once jobs.
+///
+/// Tasks that can be told apart only by age and deadline share a lane: if the first one finds no
+/// worker, the others would not find one either. A lane that found none is blocked until something
+/// changes that concerns it, so that a decision does not look at each waiting task. Within a class
+/// the team with the smallest share goes first, and within a team the lane with the earliest
+/// deadline.
+class task_queue {
+public:
+    using lane_index = std::uint32_t;
+
+    task_queue(const task_table& tasks, const quota_ledger& quotas)
+        : m_tasks(tasks), m_quotas(quotas) {}
+
+    /// by_job keeps the tasks of different jobs apart.
+    void push(task_index task, bool by_job);
+    void remove(task_index task);
+    /// Removes a task that is started, and notes that its lane makes progress.
+    void remove_started(task_index task, common::time_point now);
+
+    /// The task that goes first in the class, if any is not blocked.
+    [[nodiscard]] std::optional<task_index> front(priority_class c) const;
+    [[nodiscard]] bool ready(priority_class c) const {
+        return !m_classes[static_cast<std::size_t>(c)].teams.empty();
+    }
+
+    /// Blocks the lane of the task.
+    void block(task_index task, wait_reason reason);
+    void unblock(const queue_changes& changes);
+    [[nodiscard]] wait_reason reason(task_index task) const;
+
+    /// Places the team anew after its share has changed.
+    void team_changed(team_index team, const resources& fleet);
+    /// Places all teams anew after the fleet has changed.
+    void fleet_changed(const resources& fleet);
+
+    /// Among the lanes that are blocked for lack of capacity, the first task of the one that has
+    /// had no start for the longest time since that task was submitted, if that is before the time.
+    [[nodiscard]] std::optional<task_index> longest_blocked(common::time_point before) const;
+
+    [[nodiscard]] std::size_t size() const { return m_size; }
+
+private:
+    struct task_rank {
+        common::time_point due;
+        std::uint64_t sequence = 0;
+        task_index task = 0;
+        auto operator<=>(const task_rank&) const = default;
+    };
+    struct lane_rank {
+        task_rank first;
+        lane_index lane = 0;
+        auto operator<=>(const lane_rank&) const = default;
+    };
+    struct team_rank {
+        double share = 0;
+        team_index team = 0;
+        auto operator<=>(const team_rank&) const = default;
+    };
+    struct lane_key {
+        workload_kind kind = workload_kind::batch;
+        priority_class priority = priority_class::normal;
+        team_index team = 0;
+        resources demand;
+        unsigned run_magnitude = 0;
+        std::string job;
+        bool operator==(const lane_key&) const = default;
+    };
+    struct lane_key_hash {
+        std::size_t operator()(const lane_key& key) const;
+    };
+    struct lane {
+        lane_key key;
+        std::set<task_rank> tasks;
+        common::time_point last_start = common::time_point::min();
+        wait_reason blocked = wait_reason::none;
+        /// Position in the list of blocked lanes of the class.
+        std::size_t blocked_slot = 0;
+    };
+    struct blocked_lane {
+        resources demand;
+        lane_index lane = 0;
+        wait_reason reason = wait_reason::none;
+    };
+    struct class_team {
+        double share = 0;
+        std::set<lane_rank> lanes;
+    };
+    struct class_queue {
+        std::set<team_rank> teams;
+        std::vector<class_team> by_team;
+        std::vector<blocked_lane> blocked;
+    };
+
+    [[nodiscard]] task_rank rank(task_index task) const;
+    lane_index lane_of(const lane_key& key);
+    class_queue& queue_of(const lane& l) {
+        return m_classes[static_cast<std::size_t>(l.key.priority)];
+    }
+    void add_ready(lane_index index);
+    void remove_ready(lane_index index);
+    void remove_blocked(lane_index index);
+    void erase_lane(lane_index index);
+    static bool concerns(const queue_changes& changes, const blocked_lane& b, team_index team);
+
+    const task_table& m_tasks;
+    const quota_ledger& m_quotas;
+    resources m_fleet;
+    std::array<class_queue, priority_class_count> m_classes;
+    std::vector<lane> m_lanes;
+    std::vector<lane_index> m_unused_lanes;
+    std::unordered_map<lane_key, lane_index, lane_key_hash> m_lane_index;
+    std::vector<lane_index> m_lane_of_task;
+    std::size_t m_size = 0;
+};
+
+} // namespace buckthornspar::placement
