--- a/source/core/placement/placement_decide.cpp
+++ b/source/core/placement/placement_decide.cpp
@@ -49,11 +49,15 @@
     return result;
 }
 
-void placement_engine::state::apply_changes() {
+void placement_engine::state::apply_fleet() {
     if (m_fleet_changed) {
         m_queue.fleet_changed(m_workers.usable_capacity());
         m_fleet_changed = false;
     }
+}
+
+void placement_engine::state::apply_changes() {
+    apply_fleet();
     auto& teams = m_changes.relieved_teams;
     std::sort(teams.begin(), teams.end());
     teams.erase(std::unique(teams.begin(), teams.end()), teams.end());
--- a/source/core/placement/placement_events.cpp
+++ b/source/core/placement/placement_events.cpp
@@ -154,6 +154,7 @@
     task_entry& entry = m_tasks[task];
     entry.phase = task_phase::waiting;
     if (entry.gang == no_gang) {
+        apply_fleet();
         m_queue.push(task, !policy(entry.request.kind).depends_on_demand_only());
         return;
     }
--- a/source/core/placement/placement_state.h
+++ b/source/core/placement/placement_state.h
@@ -60,6 +60,7 @@
                                                   common::time_point now) const;
 
     // Decisions.
+    void apply_fleet();
     void apply_changes();
     [[nodiscard]] std::optional<priority_class> next_class(const class_flags& gangs_untried) const;
     void count_start(priority_class served, const class_flags& gangs_untried);
--- a/source/core/placement/task_queue.cpp
+++ b/source/core/placement/task_queue.cpp
@@ -1,5 +1,7 @@
 #include "core/placement/task_queue.h"
 
+#include "core/placement/bucket_index.h"
+
 #include <algorithm>
 #include <bit>
 #include <functional>
@@ -17,8 +19,9 @@
     return (seed ^ value) * 0x9e3779b97f4a7c15ULL + (seed >> 29U);
 }
 
+// Run times decide only which work fits before a planned start; a factor of four is fine enough.
 unsigned magnitude(common::duration run) {
-    return static_cast<unsigned>(std::bit_width(static_cast<std::uint64_t>(run.count())));
+    return static_cast<unsigned>(std::bit_width(static_cast<std::uint64_t>(run.count()))) / 2;
 }
 
 } // namespace
@@ -28,56 +31,66 @@
     hash = combine(hash, static_cast<std::size_t>(key.kind));
     hash = combine(hash, static_cast<std::size_t>(key.priority));
     hash = combine(hash, key.team);
-    hash = combine(hash, static_cast<std::size_t>(key.demand.cpu_milli));
-    hash = combine(hash, static_cast<std::size_t>(key.demand.memory_mb));
-    hash = combine(hash, static_cast<std::size_t>(key.demand.accelerators));
+    hash = combine(hash, key.cpu_level);
+    hash = combine(hash, key.memory_level);
+    hash = combine(hash, static_cast<std::size_t>(key.accelerators));
     return combine(hash, key.run_magnitude);
 }
 
 void task_queue::push(task_index task, bool by_job) {
     const task_entry& entry = m_tasks[task];
     const task_request& request = entry.request;
-    const lane_index index =
-        lane_of({request.kind, request.priority, entry.team, request.demand,
-                 magnitude(request.expected_run), by_job ? request.job : std::string()});
-    if (task >= m_lane_of_task.size()) {
-        m_lane_of_task.resize(task + 1);
+    const lane_index index = lane_of({request.kind, request.priority, entry.team,
+                                      bucket_level(request.demand.cpu_milli / cpu_milli_per_unit),
+                                      bucket_level(request.demand.memory_mb / memory_mb_per_unit),
+                                      request.demand.accelerators, magnitude(request.expected_run),
+                                      by_job ? request.job : std::string()});
+    if (task >= m_places.size()) {
+        m_places.resize(task + 1);
     }
-    m_lane_of_task[task] = index;
+    const task_rank added = make_rank(task);
+    m_places[task] = {index, added};
     ++m_size;
     lane& l = m_lanes[index];
-    const bool is_ready = l.blocked == wait_reason::none;
-    const task_rank added = rank(task);
     const bool goes_first = l.tasks.empty() || added < *l.tasks.begin();
-    if (is_ready && goes_first) {
-        remove_ready(index);
+    const bool stays_blocked =
+        l.blocked != wait_reason::none && (!goes_first || first_demand(l) == request.demand);
+    if (stays_blocked || !goes_first) {
+        l.tasks.insert(added);
+        return;
     }
+    take_out(index);
     l.tasks.insert(added);
-    if (is_ready && goes_first) {
-        add_ready(index);
-    }
+    add_ready(index);
 }
 
 void task_queue::remove(task_index task) {
-    const lane_index index = m_lane_of_task[task];
+    const auto [index, removed] = m_places[task];
     lane& l = m_lanes[index];
-    const task_rank removed = rank(task);
-    const bool is_ready = l.blocked == wait_reason::none;
-    const bool was_first = removed == *l.tasks.begin();
-    if (is_ready && was_first) {
-        remove_ready(index);
+    --m_size;
+    if (removed != *l.tasks.begin()) {
+        l.tasks.erase(removed);
+        return;
     }
+    take_out(index);
     l.tasks.erase(removed);
-    --m_size;
     if (l.tasks.empty()) {
         erase_lane(index);
-    } else if (is_ready && was_first) {
+    } else {
         add_ready(index);
     }
 }
 
+void task_queue::take_out(lane_index index) {
+    if (m_lanes[index].blocked == wait_reason::none) {
+        remove_ready(index);
+    } else {
+        remove_blocked(index);
+    }
+}
+
 void task_queue::remove_started(task_index task, common::time_point now) {
-    m_lanes[m_lane_of_task[task]].last_start = now;
+    m_lanes[m_places[task].lane].last_start = now;
     remove(task);
 }
 
@@ -91,13 +104,13 @@
 }
 
 void task_queue::block(task_index task, wait_reason reason) {
-    const lane_index index = m_lane_of_task[task];
+    const lane_index index = m_places[task].lane;
     remove_ready(index);
     lane& l = m_lanes[index];
     auto& blocked = queue_of(l).blocked;
     l.blocked = reason;
     l.blocked_slot = blocked.size();
-    blocked.push_back({l.key.demand, index, reason});
+    blocked.push_back({first_demand(l), index, reason});
 }
 
 void task_queue::unblock(const queue_changes& changes) {
@@ -107,7 +120,7 @@
     for (class_queue& queue : m_classes) {
         for (std::size_t i = queue.blocked.size(); i-- > 0;) {
             const blocked_lane& b = queue.blocked[i];
-            if (!concerns(changes, b, m_lanes[b.lane].key.team)) {
+            if (!concerns(changes, b)) {
                 continue;
             }
             const lane_index index = b.lane;
@@ -117,10 +130,10 @@
     }
 }
 
-bool task_queue::concerns(const queue_changes& changes, const blocked_lane& b, team_index team) {
+bool task_queue::concerns(const queue_changes& changes, const blocked_lane& b) const {
     if (b.reason == wait_reason::quota_exceeded) {
         const auto& relieved = changes.relieved_teams;
-        return std::binary_search(relieved.begin(), relieved.end(), team);
+        return std::binary_search(relieved.begin(), relieved.end(), m_lanes[b.lane].key.team);
     }
     if (b.reason == wait_reason::gang_reserved && changes.plan_changed) {
         return true;
@@ -129,8 +142,9 @@
 }
 
 wait_reason task_queue::reason(task_index task) const {
-    const wait_reason blocked = m_lanes[m_lane_of_task[task]].blocked;
-    return blocked == wait_reason::none ? wait_reason::queued : blocked;
+    const lane& l = m_lanes[m_places[task].lane];
+    const bool tried = m_tasks[task].request.demand == first_demand(l);
+    return l.blocked == wait_reason::none || !tried ? wait_reason::queued : l.blocked;
 }
 
 void task_queue::team_changed(team_index team, const resources& fleet) {
@@ -180,11 +194,15 @@
     return longest;
 }
 
-task_queue::task_rank task_queue::rank(task_index task) const {
+task_queue::task_rank task_queue::make_rank(task_index task) const {
     const task_entry& entry = m_tasks[task];
-    const auto due =
-        entry.request.deadline.value_or(entry.request.submitted + due_without_deadline);
-    return {due, entry.sequence, task};
+    const task_request& request = entry.request;
+    const auto due = request.deadline.value_or(request.submitted + due_without_deadline);
+    if (request.priority == priority_class::urgent) {
+        return {due, 0.0, entry.sequence, task};
+    }
+    return {std::chrono::floor<std::chrono::seconds>(due), -dominant_share(request.demand, m_fleet),
+            entry.sequence, task};
 }
 
 task_queue::lane_index task_queue::lane_of(const lane_key& key) {
@@ -242,9 +260,6 @@
 
 void task_queue::erase_lane(lane_index index) {
     lane& l = m_lanes[index];
-    if (l.blocked != wait_reason::none) {
-        remove_blocked(index);
-    }
     m_lane_index.erase(l.key);
     l = lane{};
     m_unused_lanes.push_back(index);
--- a/source/core/placement/task_queue.h
+++ b/source/core/placement/task_queue.h
@@ -25,8 +25,8 @@
 
 /// The waiting tasks, other than all-at-once jobs.
 ///
-/// Tasks that can be told apart only by age and deadline share a lane: if the first one finds no
-/// worker, the others would not find one either. A lane that found none is blocked until something
+/// Tasks that differ in demand by less than a level of the bucket index share a lane, and only the
+/// first one of a lane is tried. A lane whose first task found no worker is blocked until something
 /// changes that concerns it, so that a decision does not look at each waiting task. Within a class
 /// the team with the smallest share goes first, and within a team the lane with the earliest
 /// deadline.
@@ -68,6 +68,9 @@
 private:
     struct task_rank {
         common::time_point due;
+        /// Negative, so that of tasks that are due in the same second the larger goes first. Small
+        /// tasks then fill the gaps that large ones leave.
+        double negative_size = 0;
         std::uint64_t sequence = 0;
         task_index task = 0;
         auto operator<=>(const task_rank&) const = default;
@@ -86,7 +89,9 @@
         workload_kind kind = workload_kind::batch;
         priority_class priority = priority_class::normal;
         team_index team = 0;
-        resources demand;
+        unsigned cpu_level = 0;
+        unsigned memory_level = 0;
+        std::int64_t accelerators = 0;
         unsigned run_magnitude = 0;
         std::string job;
         bool operator==(const lane_key&) const = default;
@@ -117,7 +122,10 @@
         std::vector<blocked_lane> blocked;
     };
 
-    [[nodiscard]] task_rank rank(task_index task) const;
+    [[nodiscard]] task_rank make_rank(task_index task) const;
+    [[nodiscard]] const resources& first_demand(const lane& l) const {
+        return m_tasks[l.tasks.begin()->task].request.demand;
+    }
     lane_index lane_of(const lane_key& key);
     class_queue& queue_of(const lane& l) {
         return m_classes[static_cast<std::size_t>(l.key.priority)];
@@ -125,8 +133,10 @@
     void add_ready(lane_index index);
     void remove_ready(lane_index index);
     void remove_blocked(lane_index index);
+    /// Takes the lane out of the ready or the blocked ones.
+    void take_out(lane_index index);
     void erase_lane(lane_index index);
-    static bool concerns(const queue_changes& changes, const blocked_lane& b, team_index team);
+    [[nodiscard]] bool concerns(const queue_changes& changes, const blocked_lane& b) const;
 
     const task_table& m_tasks;
     const quota_ledger& m_quotas;
@@ -135,7 +145,12 @@
     std::vector<lane> m_lanes;
     std::vector<lane_index> m_unused_lanes;
     std::unordered_map<lane_key, lane_index, lane_key_hash> m_lane_index;
-    std::vector<lane_index> m_lane_of_task;
+    struct place_in_queue {
+        lane_index lane = 0;
+        task_rank rank;
+    };
+    /// By task_index.
+    std::vector<place_in_queue> m_places;
     std::size_t m_size = 0;
 };
 
