--- /dev/null
+++ b/source/core/scheduling/job.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "core/common/error.h"
+#include "core/placement/placement_types.h"
+#include "core/scheduling/worker_messages.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace buckthornspar::scheduling {
+
+/// A job that cannot be accepted; field names the offending field of the submission.
+class invalid_job : public common::error {
+public:
+    invalid_job(std::string field, const std::string& detail)
+        : error(detail), m_field(std::move(field)) {}
+    [[nodiscard]] std::string_view type() const noexcept override { return "invalid_job"; }
+    [[nodiscard]] const std::string& field() const { return m_field; }
+
+private:
+    std::string m_field;
+};
+
+/// A job as the caller submitted it.
+struct job_spec {
+    /// Chosen by the caller; the key under which a repeated submission is recognised.
+    std::string id;
+    std::string team;
+    placement::workload_kind kind = placement::workload_kind::batch;
+    placement::priority_class priority = placement::priority_class::normal;
+    bool idempotent = true;
+    std::uint32_t tasks = 1;
+    placement::resources demand;
+    /// Expected run time of a task; 0 when unknown or, for a service, without end.
+    std::int64_t run_ms = 0;
+    /// A job that has not started this long after its acceptance is ended; 0 for no deadline.
+    std::int64_t deadline_ms = 0;
+    std::string family;
+    /// Makes the stand-in worker report a failure at the end of the run.
+    bool fail = false;
+
+    bool operator==(const job_spec&) const = default;
+};
+
+/// Reads a submission. Throws invalid_job, also for values out of range.
+[[nodiscard]] job_spec read_job(std::string_view body);
+
+/// Canonical text: two submissions have the same content when their texts are equal.
+[[nodiscard]] std::string to_json(const job_spec& job);
+
+/// What a caller is told about a task or job. not_run is given only when no attempt can have
+/// started, ran only when a worker has reported that one did.
+enum class run_answer { not_run, ran, unknown };
+[[nodiscard]] std::string_view to_string(run_answer answer);
+[[nodiscard]] run_answer run_answer_of(std::string_view name);
+
+/// Why a job ended before its tasks did, or was not accepted.
+enum class job_reason {
+    none,
+    cancelled,
+    failed_everywhere,  ///< failed on several workers on which other jobs succeed
+    attempts_exhausted, ///< failed as often as a task may
+    deadline_passed,    ///< not started in time
+    infeasible,         ///< no worker can run it
+    gang_broken,        ///< a task of an all-at-once job ended and the others cannot be restarted
+};
+[[nodiscard]] std::string_view to_string(job_reason reason);
+[[nodiscard]] job_reason job_reason_of(std::string_view name);
+
+/// Task ids are the job id, a slash and the index.
+[[nodiscard]] std::string task_id(std::string_view job, std::uint32_t index);
+
+struct task_name {
+    std::string job;
+    std::uint32_t index = 0;
+};
+/// Throws common::format_error.
+[[nodiscard]] task_name split_task_id(std::string_view task);
+
+} // namespace buckthornspar::scheduling
--- /dev/null
+++ b/source/core/scheduling/journal.cpp
@@ -0,0 +1,186 @@
+#include "core/scheduling/journal.h"
+
+#include "core/common/error.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace buckthornspar::scheduling {
+
+namespace {
+
+constexpr common::duration min_flush_interval = std::chrono::milliseconds(10);
+/// The share of the store's writes that all schedulers together may use is 1 / 10.
+constexpr std::int64_t store_share = 10;
+/// Writes that may follow each other without the pause, so that a lone submission does not wait.
+constexpr int flush_burst = 8;
+/// Half of what one value may hold, so that the last entry that fits never makes it too large.
+constexpr std::size_t max_batch_bytes = store::max_log_value_bytes / 2;
+
+template <typename... Handlers>
+struct overloaded : Handlers... {
+    using Handlers::operator()...;
+};
+
+} // namespace
+
+common::duration flush_interval(std::size_t schedulers, std::size_t store_writes_per_second) {
+    const std::int64_t writes =
+        std::max<std::int64_t>(1, static_cast<std::int64_t>(store_writes_per_second));
+    const common::duration share(static_cast<std::int64_t>(schedulers) * store_share * 1'000'000 /
+                                 writes);
+    return std::max(min_flush_interval, share);
+}
+
+journal::journal(journal_settings settings, common::counters& counters)
+    : m_settings(std::move(settings)),
+      m_unreadable(counters.get("journal_unreadable_total")),
+      m_records(counters.get("journal_records_written_total")),
+      m_log(m_settings.log, counters),
+      m_table(m_settings.max_ended_jobs) {}
+
+void journal::load(common::time_point now) {
+    m_log.load(now);
+}
+
+std::uint64_t journal::add(const journal_entry& entry) {
+    m_waiting.push_back({m_next_tag, to_json(entry)});
+    return m_next_tag++;
+}
+
+bool journal::withdraw(std::uint64_t tag) {
+    const auto has_tag = [&](const tagged& item) { return item.tag == tag; };
+    if (std::erase_if(m_waiting, has_tag) > 0) {
+        return true;
+    }
+    if (std::none_of(m_written.begin(), m_written.end(), has_tag) || !m_log.withdraw_append()) {
+        return false;
+    }
+    m_waiting.insert(m_waiting.begin(), std::make_move_iterator(m_written.begin()),
+                     std::make_move_iterator(m_written.end()));
+    m_written.clear();
+    return std::erase_if(m_waiting, has_tag) > 0;
+}
+
+std::vector<std::uint64_t> journal::abandon() {
+    m_waiting.clear();
+    std::vector<std::uint64_t> tags;
+    if (!m_log.withdraw_append()) {
+        std::transform(m_written.begin(), m_written.end(), std::back_inserter(tags),
+                       [](const tagged& item) { return item.tag; });
+    }
+    m_written.clear();
+    return tags;
+}
+
+void journal::on_response(common::time_point now, std::uint64_t call, store::kv_response response) {
+    m_log.on_response(now, call, std::move(response));
+}
+
+void journal::on_time(common::time_point now) {
+    m_log.on_time(now);
+    write_snapshot_if_due(now);
+    flush(now);
+}
+
+std::optional<common::time_point> journal::next_wakeup() const {
+    auto next = m_log.next_wakeup();
+    if (!m_waiting.empty() && !m_log.append_pending()) {
+        next = std::min(next.value_or(next_flush()), next_flush());
+    }
+    return next;
+}
+
+/// The average rate is one write per interval; up to flush_burst writes may come early.
+common::time_point journal::next_flush() const {
+    return std::max(m_last_flush + min_flush_interval,
+                    m_paced_until - flush_burst * m_settings.flush_interval);
+}
+
+void journal::flush(common::time_point now) {
+    if (m_waiting.empty() || !m_written.empty() || m_log.append_pending() || now < next_flush()) {
+        return;
+    }
+    std::vector<std::string> encoded;
+    std::size_t bytes = 0;
+    std::size_t count = 0;
+    while (count < m_waiting.size() &&
+           (count == 0 || bytes + m_waiting[count].encoded.size() <= max_batch_bytes)) {
+        bytes += m_waiting[count].encoded.size();
+        encoded.push_back(m_waiting[count].encoded);
+        ++count;
+    }
+    m_last_flush = now;
+    m_paced_until = std::max(m_paced_until, now) + m_settings.flush_interval;
+    if (m_log.append(now, join_entries(encoded)) != store::append_start::started) {
+        return;
+    }
+    const auto end = m_waiting.begin() + static_cast<std::ptrdiff_t>(count);
+    m_written.assign(std::make_move_iterator(m_waiting.begin()), std::make_move_iterator(end));
+    m_waiting.erase(m_waiting.begin(), end);
+}
+
+void journal::write_snapshot_if_due(common::time_point now) {
+    if (!m_snapshot_pending && m_log.loaded() && m_log.room() * 2 <= m_settings.log.slots) {
+        m_snapshot_pending = m_log.write_snapshot(now, m_log.head(), m_table.snapshot());
+    }
+}
+
+std::vector<journal_event> journal::take_events(common::time_point now) {
+    std::vector<journal_event> events;
+    const auto drain = [&] {
+        for (const auto& action : m_log.take_actions()) {
+            take(action, events);
+        }
+    };
+    drain();
+    write_snapshot_if_due(now);
+    flush(now);
+    drain();
+    return events;
+}
+
+void journal::take(const store::log_action& action, std::vector<journal_event>& events) {
+    std::visit(
+        overloaded{
+            [&](const store::log_call& call) { events.emplace_back(call); },
+            [&](const store::snapshot_read& snapshot) { m_table.load_snapshot(snapshot.body); },
+            [&](const store::record_read& read) { apply_record(read.record); },
+            [&](const store::log_loaded&) { events.emplace_back(journal_loaded{}); },
+            [&](const store::append_settled& settled) { settle(settled, events); },
+            [&](const store::snapshot_settled&) { m_snapshot_pending = false; },
+        },
+        action);
+}
+
+void journal::apply_record(const store::log_record& record) {
+    try {
+        for (const auto& entry : read_entries(record.body)) {
+            m_table.apply(record.number, entry);
+        }
+    } catch (const common::error&) {
+        // The other entries of the record and the log after it are still of use.
+        m_unreadable.add();
+    }
+}
+
+void journal::settle(const store::append_settled& settled, std::vector<journal_event>& events) {
+    const auto written = std::exchange(m_written, {});
+    if (settled.outcome == store::append_outcome::written) {
+        m_records.add();
+        for (const auto& item : written) {
+            events.emplace_back(entry_written{item.tag, settled.number});
+        }
+        return;
+    }
+    append_lost lost;
+    lost.undetermined = settled.outcome == store::append_outcome::undetermined;
+    for (const auto& item : written) {
+        lost.tags.push_back(item.tag);
+    }
+    m_waiting.clear();
+    events.emplace_back(std::move(lost));
+}
+
+} // namespace buckthornspar::scheduling
--- /dev/null
+++ b/source/core/scheduling/journal.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "core/scheduling/job_table.h"
+#include "core/store/sequenced_log.h"
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace buckthornspar::scheduling {
+
+struct journal_settings {
+    store::sequenced_log_options log;
+    /// Average time between two writes; see flush_interval().
+    common::duration flush_interval = std::chrono::milliseconds(10);
+    std::size_t max_ended_jobs = 4000;
+};
+
+/// The larger of 10 ms and schedulers / (0.1 x store writes per second), so that all schedulers
+/// together stay under a tenth of the store's rate.
+[[nodiscard]] common::duration flush_interval(std::size_t schedulers,
+                                              std::size_t store_writes_per_second);
+
+/// The whole log has been read.
+struct journal_loaded {};
+
+/// The entry with this tag, added by this journal, is in the log and in the table.
+struct entry_written {
+    std::uint64_t tag = 0;
+    std::uint64_t number = 0;
+};
+
+/// Another writer's record took the number of the pending append. The entries were not written,
+/// unless undetermined; then only the table can tell. Entries that wait are dropped as well.
+struct append_lost {
+    std::vector<std::uint64_t> tags;
+    bool undetermined = false;
+};
+
+using journal_event = std::variant<store::log_call, journal_loaded, entry_written, append_lost>;
+
+/// The shard's log as entries: batches new ones into records, writes snapshots and keeps the table
+/// that the records amount to. Pure, like the log.
+class journal {
+public:
+    journal(journal_settings settings, common::counters& counters);
+
+    void load(common::time_point now);
+    /// Queues an entry for the next record and returns its tag.
+    std::uint64_t add(const journal_entry& entry);
+    /// Removes an entry that has certainly not been written and never will be.
+    [[nodiscard]] bool withdraw(std::uint64_t tag);
+    /// Drops all entries that wait. Returns the tags of those whose write may still take effect.
+    std::vector<std::uint64_t> abandon();
+
+    void on_response(common::time_point now, std::uint64_t call, store::kv_response response);
+    void on_time(common::time_point now);
+    [[nodiscard]] std::optional<common::time_point> next_wakeup() const;
+    [[nodiscard]] std::vector<journal_event> take_events(common::time_point now);
+
+    [[nodiscard]] const job_table& table() const { return m_table; }
+    [[nodiscard]] std::size_t waiting() const { return m_waiting.size() + m_written.size(); }
+    [[nodiscard]] bool idle() const { return waiting() == 0; }
+    [[nodiscard]] bool store_available() const { return m_log.store_available(); }
+
+private:
+    struct tagged {
+        std::uint64_t tag = 0;
+        std::string encoded;
+    };
+
+    [[nodiscard]] common::time_point next_flush() const;
+    void flush(common::time_point now);
+    void write_snapshot_if_due(common::time_point now);
+    void take(const store::log_action& action, std::vector<journal_event>& events);
+    void apply_record(const store::log_record& record);
+    void settle(const store::append_settled& settled, std::vector<journal_event>& events);
+
+    journal_settings m_settings;
+    common::metric& m_unreadable;
+    common::metric& m_records;
+    store::sequenced_log m_log;
+    job_table m_table;
+    std::deque<tagged> m_waiting;
+    /// Entries of the append that is pending.
+    std::vector<tagged> m_written;
+    std::uint64_t m_next_tag = 1;
+    bool m_snapshot_pending = false;
+    common::time_point m_last_flush;
+    common::time_point m_paced_until;
+};
+
+} // namespace buckthornspar::scheduling
--- /dev/null
+++ b/source/core/scheduling/lease_table.cpp
@@ -0,0 +1,43 @@
+#include "core/scheduling/lease_table.h"
+
+#include <algorithm>
+
+namespace buckthornspar::scheduling {
+
+common::duration with_drift(common::duration length, const lease_settings& settings) {
+    constexpr std::int64_t whole = 1000;
+    // Rounded up: a bound that is a microsecond short is no bound.
+    return length +
+           common::duration((length.count() * settings.drift_permille + whole - 1) / whole);
+}
+
+void lease_table::note_stamp(const std::string& worker, const worker_stamp& stamp) {
+    auto& known = m_workers[worker].stamp;
+    if (!known || known->incarnation != stamp.incarnation || known->stamp_ms < stamp.stamp_ms) {
+        known = stamp;
+    }
+}
+
+const worker_stamp* lease_table::newest(const std::string& worker) const {
+    const auto position = m_workers.find(worker);
+    if (position == m_workers.end() || !position->second.stamp) {
+        return nullptr;
+    }
+    return &*position->second.stamp;
+}
+
+void lease_table::note_grant(const std::string& worker) {
+    entry& e = m_workers[worker];
+    if (!e.stamp) {
+        return;
+    }
+    const auto end = e.stamp->received_at + with_drift(m_settings.lease, m_settings);
+    e.latest_end = std::max(e.latest_end.value_or(end), end);
+}
+
+std::optional<common::time_point> lease_table::latest_end(const std::string& worker) const {
+    const auto position = m_workers.find(worker);
+    return position == m_workers.end() ? std::nullopt : position->second.latest_end;
+}
+
+} // namespace buckthornspar::scheduling
--- /dev/null
+++ b/source/core/scheduling/shard_engine.cpp
@@ -0,0 +1,362 @@
+#include "core/scheduling/shard_engine.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace buckthornspar::scheduling {
+
+namespace {
+
+template <typename... Handlers>
+struct overloaded : Handlers... {
+    using Handlers::operator()...;
+};
+
+} // namespace
+
+shard_engine::shard_engine(shard_engine_settings settings, common::counters& counters)
+    : m_settings(std::move(settings)),
+      m_counters(counters),
+      m_journal(m_settings.log, counters),
+      m_fleet(m_settings.fleet, counters),
+      m_runner(m_settings.tasks, m_settings.placement, m_fleet, m_journal, counters) {}
+
+// Events.
+
+void shard_engine::on_list(common::time_point now,
+                           const std::vector<membership::instance>& workers) {
+    m_fleet.on_list(now, workers);
+}
+
+void shard_engine::on_store_response(common::time_point now, std::uint64_t call,
+                                     store::kv_response response) {
+    m_journal.on_response(now, call, std::move(response));
+}
+
+void shard_engine::on_adopt(common::time_point now, const std::string& worker, std::uint64_t call,
+                            const adopt_result& result) {
+    m_fleet.on_adopt(now, worker, call, result);
+}
+
+void shard_engine::on_sync(common::time_point now, const std::string& worker, std::uint64_t call,
+                           const sync_result& result) {
+    m_fleet.on_sync(now, worker, call, result);
+}
+
+void shard_engine::on_events(common::time_point now, const std::string& worker, std::uint64_t call,
+                             const events_result& result) {
+    m_fleet.on_events(now, worker, call, result);
+}
+
+void shard_engine::on_owner_heartbeat(common::time_point now, const std::string& owner,
+                                      std::uint64_t epoch) {
+    if (owner == m_settings.self || epoch < m_known_epoch) {
+        return;
+    }
+    m_known_epoch = epoch;
+    m_owner_hint = owner;
+    m_last_sign = now;
+    if (m_ownership.owns() && epoch > m_epoch) {
+        step_down(now, "heartbeat");
+    } else if (m_ownership.state() == ownership_state::claiming) {
+        lose_claim(now);
+    }
+}
+
+void shard_engine::on_owner_released(common::time_point now, const std::string& owner) {
+    if (m_ownership.state() == ownership_state::standby && owner == m_owner_hint) {
+        const auto sign = now - m_settings.suspect_after;
+        m_last_sign = std::min(m_last_sign.value_or(sign), sign);
+    }
+}
+
+// Ownership.
+
+void shard_engine::check_silence(common::time_point now) {
+    if (!m_last_sign) {
+        m_last_sign = now;
+    }
+    const bool silent = now - *m_last_sign >= m_settings.suspect_after + m_settings.claim_delay;
+    if (silent && !m_draining && m_fleet.listed() &&
+        m_ownership.on(ownership_event::owner_silent)) {
+        note_change("owner_silent");
+        m_journal.load(now);
+    }
+}
+
+void shard_engine::on_journal_loaded(common::time_point now) {
+    if (m_ownership.state() != ownership_state::claiming || m_claim_tag) {
+        return;
+    }
+    const job_table& table = m_journal.table();
+    const bool other_owner = !table.owner().empty() && table.owner() != m_settings.self;
+    if (table.epoch() > m_known_epoch && other_owner) {
+        // Somebody has taken the shard over since this process last knew.
+        lose_claim(now);
+        return;
+    }
+    claim(now);
+}
+
+/// Majorities are counted over the set of the last owner: its tasks run there. Only an empty shard
+/// starts with the listed workers.
+void shard_engine::claim(common::time_point /*now*/) {
+    std::set<std::string> workers = m_journal.table().workers();
+    if (workers.empty()) {
+        workers = m_fleet.present();
+    }
+    m_claim_tag = m_journal.add(
+        owner_entry{m_settings.self, std::vector<std::string>(workers.begin(), workers.end())});
+}
+
+void shard_engine::lose_claim(common::time_point now) {
+    if (!m_ownership.on(ownership_event::claim_lost)) {
+        return;
+    }
+    // If the record is written nevertheless, the shard has an owner that does nothing and is
+    // suspected in turn; the next claim finds the record.
+    (void)m_journal.abandon();
+    m_claim_tag.reset();
+    m_last_sign = now;
+    m_known_epoch = std::max(m_known_epoch, m_journal.table().epoch());
+    if (!m_journal.table().owner().empty()) {
+        m_owner_hint = m_journal.table().owner();
+    }
+    note_change("claim_lost");
+}
+
+void shard_engine::take_over(common::time_point now, std::uint64_t epoch) {
+    m_claim_tag.reset();
+    m_epoch = epoch;
+    m_known_epoch = epoch;
+    m_owner_hint = m_settings.self;
+    (void)m_ownership.on(ownership_event::claim_won);
+    m_counters.get("takeovers_total").add();
+    m_fleet.begin(now, epoch, m_journal.table().workers());
+    m_runner.begin(now, epoch);
+    update_quorums();
+    note_change("claim_won");
+}
+
+void shard_engine::step_down(common::time_point now, std::string_view reason) {
+    if (!m_ownership.on(ownership_event::fenced)) {
+        return;
+    }
+    m_counters.get("step_downs_total", "reason", reason).add();
+    fail_calls(m_journal.abandon());
+    m_fleet.end();
+    m_runner.end();
+    m_workers_tag.reset();
+    m_release_tag.reset();
+    m_last_sign = now;
+    note_change(reason);
+}
+
+/// Any record of another owner ends the ownership, also one that was read without a conflict.
+void shard_engine::check_fence(common::time_point now) {
+    if (m_ownership.owns() && !m_release_tag && m_journal.table().epoch() != m_epoch) {
+        m_known_epoch = m_journal.table().epoch();
+        m_owner_hint = m_journal.table().owner();
+        step_down(now, "log");
+    }
+}
+
+void shard_engine::check_majority(common::time_point now) {
+    if (m_ownership.state() != ownership_state::adopting) {
+        return;
+    }
+    const bool no_workers = m_journal.table().workers().empty();
+    if (!no_workers && !m_fleet.has_authority(now)) {
+        return;
+    }
+    (void)m_ownership.on(ownership_event::majority);
+    m_runner.set_recovery_bound(
+        now + with_drift(m_settings.fleet.authority + m_settings.fleet.lease.lease,
+                         m_settings.fleet.lease));
+    note_change("majority");
+}
+
+/// The set changes only after the recovery, which refers to the set at the take-over.
+void shard_engine::check_worker_set() {
+    update_quorums();
+    if (m_ownership.state() != ownership_state::active || m_runner.recovering() || m_workers_tag) {
+        return;
+    }
+    const auto present = m_fleet.present();
+    if (present == m_journal.table().workers()) {
+        return;
+    }
+    m_pending_workers = present;
+    m_workers_tag =
+        m_journal.add(workers_entry{std::vector<std::string>(present.begin(), present.end())});
+    update_quorums();
+}
+
+/// A worker that is gone is terminated: no owner can reach it. While a change of the set is being
+/// written, a majority of either set may already count for another scheduler.
+void shard_engine::update_quorums() {
+    const auto without_gone = [&](std::set<std::string> workers) {
+        std::erase_if(workers, [&](const std::string& worker) { return m_fleet.gone(worker); });
+        return workers;
+    };
+    auto logged = without_gone(m_journal.table().workers());
+    auto pending = m_workers_tag ? without_gone(m_pending_workers) : logged;
+    m_fleet.set_quorums(std::move(logged), std::move(pending));
+}
+
+void shard_engine::drain(common::time_point /*now*/) {
+    m_draining = true;
+    if (m_ownership.on(ownership_event::drain_started)) {
+        note_change("drain");
+    }
+}
+
+void shard_engine::check_release() {
+    const bool stepping_down = m_ownership.state() == ownership_state::stepping_down;
+    if (!stepping_down || m_release_tag || !m_journal.idle()) {
+        return;
+    }
+    const auto& workers = m_journal.table().workers();
+    m_release_tag =
+        m_journal.add(owner_entry{"", std::vector<std::string>(workers.begin(), workers.end())});
+}
+
+void shard_engine::note_change(std::string_view reason) {
+    m_actions.emplace_back(ownership_changed{m_ownership.state(), m_epoch, reason});
+}
+
+// Journal and fleet.
+
+void shard_engine::on_entry_written(common::time_point now, const entry_written& written) {
+    if (m_claim_tag == written.tag) {
+        take_over(now, written.number);
+        return;
+    }
+    if (m_release_tag == written.tag) {
+        m_release_tag.reset();
+        (void)m_ownership.on(ownership_event::released);
+        m_fleet.end();
+        m_runner.end();
+        m_known_epoch = written.number;
+        m_owner_hint.clear();
+        note_change("released");
+        return;
+    }
+    if (m_workers_tag == written.tag) {
+        m_workers_tag.reset();
+        update_quorums();
+        for (const auto& worker : m_journal.table().workers()) {
+            m_runner.on_worker_changed(now, worker);
+        }
+        return;
+    }
+    if (!m_runner.on_written(now, written.tag)) {
+        finish_call(now, written.tag);
+    }
+}
+
+void shard_engine::on_append_lost(common::time_point now, const append_lost& lost) {
+    if (m_ownership.state() == ownership_state::claiming) {
+        lose_claim(now);
+        return;
+    }
+    m_known_epoch = std::max(m_known_epoch, m_journal.table().epoch());
+    m_owner_hint = m_journal.table().owner();
+    if (!lost.undetermined) {
+        fail_calls({});
+    } else {
+        fail_calls(lost.tags);
+    }
+    step_down(now, "log");
+}
+
+bool shard_engine::drain_journal(common::time_point now) {
+    const auto events = m_journal.take_events(now);
+    for (const auto& event : events) {
+        std::visit(overloaded{
+                       [&](const store::log_call& call) { m_actions.emplace_back(call); },
+                       [&](const journal_loaded&) { on_journal_loaded(now); },
+                       [&](const entry_written& written) { on_entry_written(now, written); },
+                       [&](const append_lost& lost) { on_append_lost(now, lost); },
+                   },
+                   event);
+    }
+    check_fence(now);
+    return !events.empty();
+}
+
+bool shard_engine::drain_fleet(common::time_point now) {
+    const auto events = m_fleet.take_events();
+    for (const auto& event : events) {
+        on_fleet_event(now, event);
+    }
+    return !events.empty();
+}
+
+void shard_engine::on_fleet_event(common::time_point now, const fleet_event& event) {
+    std::visit(
+        overloaded{
+            [&](const adopt_call& call) { m_actions.emplace_back(call); },
+            [&](const sync_call& call) { m_actions.emplace_back(call); },
+            [&](const events_call& call) { m_actions.emplace_back(call); },
+            [&](const worker_settled& e) { m_runner.on_inventory(now, e); },
+            [&](const operation_settled& e) { m_runner.on_operation(now, e); },
+            [&](const attempt_reported& e) { m_runner.on_attempt(now, e.worker, e.attempt); },
+            [&](const leases_lapsed& e) { m_runner.on_lapsed(now, e.worker); },
+            [&](const worker_changed& e) { m_runner.on_worker_changed(now, e.worker); },
+            [&](const epoch_fenced& e) {
+                m_known_epoch = std::max(m_known_epoch, e.accepted_epoch);
+                step_down(now, "worker");
+            },
+        },
+        event);
+}
+
+void shard_engine::on_time(common::time_point now) {
+    m_journal.on_time(now);
+    check_silence(now);
+    bool again = true;
+    while (again) {
+        again = drain_journal(now);
+        if (m_ownership.owns()) {
+            check_worker_set();
+            check_majority(now);
+            // Answers that have arrived are taken before the runner acts on the time.
+            again = drain_fleet(now) || again;
+            const bool may_start =
+                m_ownership.state() == ownership_state::active && m_fleet.has_authority(now);
+            m_runner.on_time(now, may_start);
+            m_fleet.on_time(now);
+            again = drain_fleet(now) || again;
+            check_release();
+        }
+    }
+    check_call_deadlines(now);
+}
+
+std::optional<common::time_point> shard_engine::next_wakeup(common::time_point now) const {
+    std::optional<common::time_point> next = m_journal.next_wakeup();
+    const auto earlier = [&](std::optional<common::time_point> t) {
+        if (t) {
+            next = std::min(next.value_or(*t), *t);
+        }
+    };
+    if (m_ownership.owns()) {
+        earlier(m_fleet.next_wakeup());
+        earlier(m_runner.next_wakeup(now));
+    } else if (m_ownership.state() == ownership_state::standby && m_last_sign && !m_draining) {
+        earlier(*m_last_sign + m_settings.suspect_after + m_settings.claim_delay);
+    }
+    for (const auto& [tag, call] : m_calls) {
+        for (const auto& [ticket, deadline] : call.tickets) {
+            earlier(deadline);
+        }
+    }
+    return next;
+}
+
+std::vector<shard_action> shard_engine::take_actions() {
+    return std::exchange(m_actions, {});
+}
+
+} // namespace buckthornspar::scheduling
--- /dev/null
+++ b/source/core/scheduling/shard_engine.h
@@ -0,0 +1,175 @@
+#pragma once
+
+#include "core/scheduling/shard_ownership.h"
+#include "core/scheduling/task_runner.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace buckthornspar::scheduling {
+
+struct shard_engine_settings {
+    /// Name of the shard and id of this scheduler.
+    std::string shard;
+    std::string self;
+    /// Silence after which an owner is suspected, and the extra wait of this scheduler, by which
+    /// schedulers that suspect together do not claim together.
+    common::duration suspect_after = std::chrono::seconds(3);
+    common::duration claim_delay{0};
+    /// Entries that may wait for the store before submissions are refused.
+    std::size_t max_waiting_entries = 10'000;
+    worker_fleet_settings fleet;
+    journal_settings log;
+    task_runner_settings tasks;
+    placement::placement_settings placement;
+};
+
+enum class reply_status { accepted, ok, refused, not_owner, not_found };
+
+/// Why a submission, cancellation or query is refused.
+enum class refusal {
+    none,
+    store_unavailable, ///< the log could not be written in time
+    queue_full,        ///< too many entries wait for the store
+    id_conflict,       ///< the id was used for a job with other content
+    infeasible,        ///< no worker can run the job
+    ownership_lost,    ///< the shard was lost while the entry was being written
+    draining,          ///< planned stop
+};
+[[nodiscard]] std::string_view to_string(refusal reason);
+
+/// Answer to a caller's call. outcome tells whether a refused submission can take effect: not_run
+/// means that it never will.
+struct job_reply {
+    reply_status status = reply_status::ok;
+    std::string body;
+    refusal reason = refusal::none;
+    std::string detail;
+    run_answer outcome = run_answer::not_run;
+    std::string owner_hint;
+};
+
+/// Reply to the call with this ticket.
+struct reply_action {
+    std::uint64_t ticket = 0;
+    job_reply reply;
+};
+
+struct ownership_changed {
+    ownership_state state = ownership_state::standby;
+    std::uint64_t epoch = 0;
+    std::string_view reason;
+};
+
+using shard_action = std::variant<store::log_call, adopt_call, sync_call, events_call, reply_action,
+                                  ownership_changed>;
+
+/// One scheduler's part in one shard: ownership, the jobs of the shard and its workers. Pure: it
+/// takes events and the time, and returns actions from take_actions(). Call on_time() after every
+/// event and when next_wakeup() is due.
+class shard_engine {
+public:
+    shard_engine(shard_engine_settings settings, common::counters& counters);
+
+    // Events.
+    /// A good list, restricted to the workers of this shard.
+    void on_list(common::time_point now, const std::vector<membership::instance>& workers);
+    void on_store_response(common::time_point now, std::uint64_t call, store::kv_response response);
+    void on_adopt(common::time_point now, const std::string& worker, std::uint64_t call,
+                  const adopt_result& result);
+    void on_sync(common::time_point now, const std::string& worker, std::uint64_t call,
+                 const sync_result& result);
+    void on_events(common::time_point now, const std::string& worker, std::uint64_t call,
+                   const events_result& result);
+    /// Another scheduler says that it owns the shard.
+    void on_owner_heartbeat(common::time_point now, const std::string& owner, std::uint64_t epoch);
+    /// The owner is known to have released the shard, or its process is known to have ended.
+    void on_owner_released(common::time_point now, const std::string& owner);
+
+    // Calls. Each ticket gets exactly one reply.
+    /// Throws invalid_job when the body is not a job.
+    void on_submit(common::time_point now, std::uint64_t ticket, const job_spec& job,
+                   common::time_point deadline);
+    void on_cancel(common::time_point now, std::uint64_t ticket, const std::string& job,
+                   common::time_point deadline);
+    [[nodiscard]] job_reply status(const std::string& job) const;
+    [[nodiscard]] job_reply explain(const std::string& job) const;
+
+    /// Planned stop: no new jobs and starts; the shard is released once the log is written.
+    void drain(common::time_point now);
+
+    void on_time(common::time_point now);
+    [[nodiscard]] std::optional<common::time_point> next_wakeup(common::time_point now) const;
+    [[nodiscard]] std::vector<shard_action> take_actions();
+
+    [[nodiscard]] ownership_state state() const { return m_ownership.state(); }
+    [[nodiscard]] bool owns() const { return m_ownership.owns(); }
+    [[nodiscard]] bool recovering() const { return m_runner.recovering(); }
+    [[nodiscard]] std::uint64_t epoch() const { return m_epoch; }
+    [[nodiscard]] const job_table& table() const { return m_journal.table(); }
+    [[nodiscard]] const std::string& owner_hint() const { return m_owner_hint; }
+    [[nodiscard]] std::size_t waiting_tasks() const { return m_runner.waiting(); }
+    [[nodiscard]] placement::resources free_resources() const { return m_runner.free_resources(); }
+
+private:
+    struct pending_call {
+        std::string job;
+        bool cancel = false;
+        job_spec spec;
+        /// Callers that wait for the entry, with their deadlines.
+        std::map<std::uint64_t, common::time_point> tickets;
+    };
+
+    // shard_engine.cpp
+    void check_silence(common::time_point now);
+    void on_journal_loaded(common::time_point now);
+    void on_entry_written(common::time_point now, const entry_written& written);
+    void on_append_lost(common::time_point now, const append_lost& lost);
+    void claim(common::time_point now);
+    void take_over(common::time_point now, std::uint64_t epoch);
+    void lose_claim(common::time_point now);
+    void step_down(common::time_point now, std::string_view reason);
+    void check_fence(common::time_point now);
+    void check_majority(common::time_point now);
+    void check_worker_set();
+    void update_quorums();
+    void check_release();
+    void note_change(std::string_view reason);
+    bool drain_journal(common::time_point now);
+    bool drain_fleet(common::time_point now);
+    void on_fleet_event(common::time_point now, const fleet_event& event);
+
+    // shard_engine_calls.cpp
+    [[nodiscard]] std::optional<job_reply> check_submission(const job_spec& job) const;
+    bool join_pending(std::uint64_t ticket, const job_spec& job, common::time_point deadline);
+    void check_call_deadlines(common::time_point now);
+    void finish_call(common::time_point now, std::uint64_t tag);
+    void fail_calls(const std::vector<std::uint64_t>& doubtful);
+    void reply(std::uint64_t ticket, job_reply answer);
+    [[nodiscard]] job_reply refuse(refusal reason, std::string detail, run_answer outcome) const;
+    [[nodiscard]] job_reply not_owner() const;
+
+    shard_engine_settings m_settings;
+    common::counters& m_counters;
+    shard_ownership m_ownership;
+    journal m_journal;
+    worker_fleet m_fleet;
+    task_runner m_runner;
+    std::uint64_t m_epoch = 0;
+    std::uint64_t m_known_epoch = 0;
+    std::string m_owner_hint;
+    bool m_draining = false;
+    std::optional<common::time_point> m_last_sign;
+    std::optional<std::uint64_t> m_claim_tag;
+    std::optional<std::uint64_t> m_workers_tag;
+    std::optional<std::uint64_t> m_release_tag;
+    std::set<std::string> m_pending_workers;
+    std::map<std::uint64_t, pending_call> m_calls;
+    std::vector<shard_action> m_actions;
+};
+
+} // namespace buckthornspar::scheduling
--- /dev/null
+++ b/source/core/scheduling/shard_engine_calls.cpp
@@ -0,0 +1,285 @@
+#include "core/scheduling/shard_engine.h"
+
+#include "core/common/name_table.h"
+
+#include <boost/json.hpp>
+
+#include <utility>
+
+namespace buckthornspar::scheduling {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr common::name_table<refusal, 7>
+    refusal_names("refusal", {"none", "store_unavailable", "queue_full", "id_conflict",
+                              "infeasible", "ownership_lost", "draining"});
+
+/// The text of a task while its end is not in the log.
+std::string_view task_state(const task_record& record, const job_run* run, std::size_t index) {
+    if (record.ended) {
+        return to_string(record.outcome);
+    }
+    return run == nullptr ? "waiting" : to_string(run->tasks[index].phase);
+}
+
+std::string status_json(const std::string& shard, const job_record& job, const job_run* run) {
+    const job_summary summary = summarise(job);
+    json::object counts;
+    for (std::size_t index = 0; index < job.tasks.size(); ++index) {
+        auto& count = counts[task_state(job.tasks[index], run, index)];
+        count = count.is_int64() ? count.get_int64() + 1 : 1;
+    }
+    std::string_view state = summary.state;
+    if (!job.ended() && !job.cancelled && counts.contains("running")) {
+        state = "running";
+    }
+    json::object object{
+        {"id", job.spec.id}, {"shard", shard}, {"state", state}, {"tasks", std::move(counts)}};
+    if (job.ended()) {
+        object["outcome"] = to_string(summary.answer);
+    }
+    if (job.reason != job_reason::none) {
+        object["reason"] = to_string(job.reason);
+    }
+    return json::serialize(object);
+}
+
+} // namespace
+
+std::string_view to_string(refusal reason) {
+    return refusal_names.name(reason);
+}
+
+// Submissions and cancellations.
+
+void shard_engine::on_submit(common::time_point now, std::uint64_t ticket, const job_spec& job,
+                             common::time_point deadline) {
+    if (const auto answer = check_submission(job)) {
+        reply(ticket, *answer);
+        return;
+    }
+    if (join_pending(ticket, job, deadline)) {
+        return;
+    }
+    const std::uint64_t tag = m_journal.add(job_accepted_entry{job});
+    pending_call call;
+    call.job = job.id;
+    call.spec = job;
+    call.tickets.emplace(ticket, deadline);
+    m_calls.emplace(tag, std::move(call));
+    (void)now;
+}
+
+/// A reply when the job needs no entry: it is refused, or was accepted before.
+std::optional<job_reply> shard_engine::check_submission(const job_spec& job) const {
+    if (!m_ownership.owns()) {
+        return not_owner();
+    }
+    if (const job_record* const known = m_journal.table().find(job.id)) {
+        if (!(known->spec == job)) {
+            return refuse(refusal::id_conflict,
+                          "job '" + job.id + "' was submitted with other content",
+                          run_answer::not_run);
+        }
+        return status(job.id);
+    }
+    if (m_ownership.state() == ownership_state::stepping_down) {
+        return refuse(refusal::draining, "the scheduler is stopping", run_answer::not_run);
+    }
+    if (m_ownership.state() == ownership_state::active) {
+        if (const auto problem = m_runner.check_feasible(job)) {
+            return refuse(refusal::infeasible, problem->detail, run_answer::not_run);
+        }
+    }
+    if (m_journal.waiting() >= m_settings.max_waiting_entries) {
+        const refusal reason =
+            m_journal.store_available() ? refusal::queue_full : refusal::store_unavailable;
+        return refuse(reason, "too many entries wait for the store", run_answer::not_run);
+    }
+    return std::nullopt;
+}
+
+bool shard_engine::join_pending(std::uint64_t ticket, const job_spec& job,
+                                common::time_point deadline) {
+    for (auto& [tag, call] : m_calls) {
+        if (call.cancel || call.job != job.id) {
+            continue;
+        }
+        if (call.spec == job) {
+            call.tickets.emplace(ticket, deadline);
+        } else {
+            reply(ticket, refuse(refusal::id_conflict,
+                                 "job '" + job.id + "' was submitted with other content",
+                                 run_answer::not_run));
+        }
+        return true;
+    }
+    return false;
+}
+
+void shard_engine::on_cancel(common::time_point now, std::uint64_t ticket, const std::string& job,
+                             common::time_point deadline) {
+    if (!m_ownership.owns()) {
+        reply(ticket, not_owner());
+        return;
+    }
+    bool being_accepted = false;
+    for (auto& [tag, call] : m_calls) {
+        if (call.job == job && call.cancel) {
+            call.tickets.emplace(ticket, deadline);
+            return;
+        }
+        being_accepted = being_accepted || call.job == job;
+    }
+    const job_record* const record = m_journal.table().find(job);
+    if ((record == nullptr && !being_accepted) ||
+        (record != nullptr && (record->ended() || record->cancelled))) {
+        reply(ticket, status(job));
+        return;
+    }
+    // The tasks are ended at once; only the reply waits for the log.
+    m_runner.cancel(now, job);
+    const std::uint64_t tag = m_journal.add(job_cancelled_entry{job});
+    pending_call call;
+    call.job = job;
+    call.cancel = true;
+    call.tickets.emplace(ticket, deadline);
+    m_calls.emplace(tag, std::move(call));
+}
+
+void shard_engine::finish_call(common::time_point now, std::uint64_t tag) {
+    const auto position = m_calls.find(tag);
+    if (position == m_calls.end()) {
+        return;
+    }
+    const pending_call call = std::move(position->second);
+    m_calls.erase(position);
+    if (call.cancel) {
+        m_runner.cancel(now, call.job);
+    } else {
+        m_runner.accept(now, call.spec);
+    }
+    job_reply answer = status(call.job);
+    if (!call.cancel && answer.status == reply_status::ok) {
+        answer.status = reply_status::accepted;
+    }
+    for (const auto& [ticket, deadline] : call.tickets) {
+        reply(ticket, answer);
+    }
+}
+
+/// A caller whose deadline passes while the store does not answer is told so. The entry is dropped
+/// when it was certainly not written; otherwise it may still take effect, and the caller is told
+/// that as well.
+void shard_engine::check_call_deadlines(common::time_point now) {
+    for (auto position = m_calls.begin(); position != m_calls.end();) {
+        pending_call& call = position->second;
+        std::vector<std::uint64_t> late;
+        for (const auto& [ticket, deadline] : call.tickets) {
+            if (deadline <= now) {
+                late.push_back(ticket);
+            }
+        }
+        const bool all_late = !late.empty() && late.size() == call.tickets.size();
+        // A cancellation has taken effect already and stays.
+        const bool dropped = all_late && !call.cancel && m_journal.withdraw(position->first);
+        for (const std::uint64_t ticket : late) {
+            call.tickets.erase(ticket);
+            reply(ticket, refuse(refusal::store_unavailable, "the store did not answer in time",
+                                 dropped ? run_answer::not_run : run_answer::unknown));
+        }
+        position = dropped ? m_calls.erase(position) : std::next(position);
+    }
+}
+
+/// The shard is lost. What was not being written never takes effect here.
+void shard_engine::fail_calls(const std::vector<std::uint64_t>& doubtful) {
+    for (const auto& [tag, call] : std::exchange(m_calls, {})) {
+        const bool in_doubt =
+            std::find(doubtful.begin(), doubtful.end(), tag) != doubtful.end() || call.cancel;
+        for (const auto& [ticket, deadline] : call.tickets) {
+            reply(ticket, in_doubt ? refuse(refusal::ownership_lost,
+                                            "the shard was lost while the log was written",
+                                            run_answer::unknown)
+                                   : not_owner());
+        }
+    }
+}
+
+void shard_engine::reply(std::uint64_t ticket, job_reply answer) {
+    if (answer.status == reply_status::refused) {
+        m_counters.get("refusals_total", "reason", to_string(answer.reason)).add();
+    } else if (answer.status == reply_status::not_owner) {
+        m_counters.get("refusals_total", "reason", "not_owner").add();
+    }
+    m_actions.emplace_back(reply_action{ticket, std::move(answer)});
+}
+
+job_reply shard_engine::refuse(refusal reason, std::string detail, run_answer outcome) const {
+    job_reply answer;
+    answer.status = reply_status::refused;
+    answer.reason = reason;
+    answer.detail = std::move(detail);
+    answer.outcome = outcome;
+    answer.owner_hint = m_owner_hint;
+    return answer;
+}
+
+job_reply shard_engine::not_owner() const {
+    job_reply answer;
+    answer.status = reply_status::not_owner;
+    answer.detail = "another scheduler owns shard " + m_settings.shard;
+    answer.owner_hint = m_owner_hint;
+    return answer;
+}
+
+// Queries.
+
+job_reply shard_engine::status(const std::string& job) const {
+    if (!m_ownership.owns()) {
+        return not_owner();
+    }
+    job_reply answer;
+    const job_record* const record = m_journal.table().find(job);
+    if (record == nullptr) {
+        answer.status = reply_status::not_found;
+        answer.detail = "no job '" + job + "' in shard " + m_settings.shard;
+        return answer;
+    }
+    answer.outcome = summarise(*record).answer;
+    answer.body = status_json(m_settings.shard, *record, m_runner.find(job));
+    return answer;
+}
+
+job_reply shard_engine::explain(const std::string& job) const {
+    job_reply answer = status(job);
+    if (answer.status != reply_status::ok) {
+        return answer;
+    }
+    const job_record& record = *m_journal.table().find(job);
+    const job_run* const run = m_runner.find(job);
+    json::array tasks;
+    for (std::size_t index = 0; index < record.tasks.size(); ++index) {
+        const std::string id = task_id(job, static_cast<std::uint32_t>(index));
+        json::object task{{"task", id}, {"state", task_state(record.tasks[index], run, index)}};
+        if (record.tasks[index].ended) {
+            task["outcome"] = to_string(record.tasks[index].answer);
+        } else if (run != nullptr) {
+            task["worker"] = run->tasks[index].worker;
+            task["failures"] = run->tasks[index].failures;
+            task["waits_for"] = placement::wait_reason_names.name(m_runner.wait_reason_of(id));
+        }
+        tasks.push_back(std::move(task));
+    }
+    answer.body = json::serialize(json::object{{"id", job},
+                                               {"shard", m_settings.shard},
+                                               {"ownership", to_string(m_ownership.state())},
+                                               {"recovering", m_runner.recovering()},
+                                               {"store_available", m_journal.store_available()},
+                                               {"tasks", std::move(tasks)}});
+    return answer;
+}
+
+} // namespace buckthornspar::scheduling
--- /dev/null
+++ b/source/core/scheduling/task_runner.h
@@ -0,0 +1,187 @@
+#pragma once
+
+#include "core/placement/placement_engine.h"
+#include "core/scheduling/journal.h"
+#include "core/scheduling/worker_fleet.h"
+#include "core/scheduling/worker_health.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace buckthornspar::scheduling {
+
+struct task_runner_settings {
+    /// Failures of one task after which its job is ended; services are restarted for good.
+    unsigned max_failures = 5;
+    std::size_t max_assignments = 512;
+    /// A failure after a run of at least this length says nothing about worker or job.
+    common::duration healthy_run = std::chrono::seconds(10);
+    worker_health_settings health;
+};
+
+enum class task_phase {
+    recovering, ///< not yet known whether an attempt of a former owner is alive
+    waiting,    ///< known to the placement engine
+    intent,     ///< the intent of a non-idempotent attempt is being logged
+    reserving,  ///< all-at-once: the reservation was not answered yet
+    reserved,   ///< all-at-once: the other reservations are missing
+    starting,   ///< the start is queued or sent
+    running,    ///< the worker has accepted the start
+    unwound,    ///< all-at-once: waits for the ends of the other tasks, to start together again
+    ending,     ///< the end is being logged
+};
+[[nodiscard]] std::string_view to_string(task_phase phase);
+
+struct task_run {
+    task_phase phase = task_phase::waiting;
+    std::string attempt;
+    std::string reservation;
+    std::string worker;
+    common::time_point started_at;
+    unsigned failures = 0;
+    /// An attempt may have started, or has started; kept over all attempts.
+    bool may_have_started = false;
+    bool has_started = false;
+    bool end_requested = false;
+};
+
+struct job_run {
+    job_spec spec;
+    std::vector<task_run> tasks;
+    common::time_point accepted_at;
+    /// Cancelled or ended as a whole: no task is started any more.
+    bool stopping = false;
+    /// All-at-once: the tasks are being ended to be started together again.
+    bool unwinding = false;
+};
+
+/// Runs the jobs of a shard while this process owns it: placement, attempts, restarts, all-at-once
+/// starts, cancellations and recovery after a take-over. Pure; it acts through the fleet and the
+/// journal.
+class task_runner {
+public:
+    task_runner(task_runner_settings settings, placement::placement_settings placement,
+                worker_fleet& fleet, journal& log, common::counters& counters);
+
+    /// Takes over the jobs of the table. Tasks without a known attempt wait until every worker of
+    /// the set was adopted or is gone, or until the bound that set_recovery_bound() gives.
+    void begin(common::time_point now, std::uint64_t epoch);
+    void end();
+    void set_recovery_bound(common::time_point bound) { m_recovery_bound = bound; }
+    [[nodiscard]] bool recovering() const { return m_recovering; }
+
+    [[nodiscard]] std::optional<placement::infeasibility> check_feasible(const job_spec& job) const;
+    /// The job is in the log.
+    void accept(common::time_point now, const job_spec& job);
+    /// Without effect for unknown and ended jobs.
+    void cancel(common::time_point now, const std::string& job);
+
+    void on_inventory(common::time_point now, const worker_settled& settled);
+    void on_operation(common::time_point now, const operation_settled& settled);
+    void on_attempt(common::time_point now, const std::string& worker, const ended_attempt& ended);
+    void on_lapsed(common::time_point now, const std::string& worker);
+    void on_worker_changed(common::time_point now, const std::string& worker);
+    /// True when the tag belongs to an entry of this object.
+    bool on_written(common::time_point now, std::uint64_t tag);
+
+    /// Places and starts tasks when may_start is set, and does what is due.
+    void on_time(common::time_point now, bool may_start);
+    [[nodiscard]] std::optional<common::time_point> next_wakeup(common::time_point now) const;
+
+    [[nodiscard]] const job_run* find(const std::string& job) const;
+    [[nodiscard]] placement::wait_reason wait_reason_of(const std::string& task) const;
+    [[nodiscard]] std::size_t waiting() const { return m_placement->waiting(); }
+    [[nodiscard]] placement::resources free_resources() const;
+
+private:
+    struct task_ref {
+        job_run* job = nullptr;
+        std::uint32_t index = 0;
+        [[nodiscard]] task_run& run() const { return job->tasks[index]; }
+        [[nodiscard]] std::string id() const { return task_id(job->spec.id, index); }
+    };
+    /// An entry of this object that is being written.
+    struct pending_entry {
+        enum class kind { intent, ended, job_ended } what = kind::ended;
+        std::string task;
+        std::string worker;
+        std::string attempt;
+    };
+
+    // task_runner.cpp
+    [[nodiscard]] std::optional<task_ref> find_task(const std::string& task);
+    [[nodiscard]] placement::task_request request_of(const task_ref& ref) const;
+    void submit(const task_ref& ref);
+    void submit_gang(job_run& job);
+    void place(common::time_point now);
+    void carry_out(common::time_point now, const placement::decisions& decided);
+    void check_deadlines(common::time_point now);
+    void check_exclusions(common::time_point now);
+    void stop_job(common::time_point now, job_run& job);
+    void stop_task(common::time_point now, const task_ref& ref);
+    void fail_job(common::time_point now, job_run& job, job_reason reason);
+    void finish(common::time_point now, const task_ref& ref, attempt_outcome outcome);
+    void request_end(const task_ref& ref, worker_op op);
+    void refresh_worker(common::time_point now, const std::string& worker);
+    void count_retry(std::string_view reason);
+
+    // task_runner_attempts.cpp
+    [[nodiscard]] std::string new_attempt(const task_ref& ref);
+    void assign(common::time_point now, const task_ref& ref, const std::string& worker);
+    void log_intent(const task_ref& ref);
+    void start(const task_ref& ref);
+    void place_on(const task_ref& ref, const std::string& worker, std::string attempt);
+    void leave_worker(const task_ref& ref);
+    void on_intent_written(common::time_point now, const pending_entry& entry);
+    void on_started(common::time_point now, const task_ref& ref);
+    void on_not_started(common::time_point now, const task_ref& ref, std::string_view reason);
+    void on_dead(common::time_point now, const task_ref& ref, std::string_view reason);
+    void on_current_ended(common::time_point now, const task_ref& ref, const ended_attempt& ended);
+    void on_other_ended(common::time_point now, const task_ref& ref, const std::string& worker,
+                        const ended_attempt& ended);
+    void on_failed(common::time_point now, const task_ref& ref, health_verdict verdict);
+    [[nodiscard]] health_verdict judge_failure(common::time_point now, const task_ref& ref);
+    void restart(common::time_point now, const task_ref& ref, std::string_view reason);
+    void requeue(const task_ref& ref, std::string_view reason);
+
+    // task_runner_gangs.cpp
+    void assign_gang(common::time_point now, const placement::gang_assignment& gang);
+    void on_reserved(const task_ref& ref);
+    void on_reservation_failed(job_run& job);
+    void unwind(common::time_point now, job_run& job, std::string_view reason);
+    void finish_unwinding(common::time_point now, job_run& job);
+
+    // task_runner_recovery.cpp
+    void take_held(common::time_point now, const std::string& worker, const held_task& held);
+    void adopt_attempt(common::time_point now, const task_ref& ref, const std::string& worker,
+                       const held_task& held);
+    void end_stray(const std::string& worker, const held_task& held);
+    void check_recovery(common::time_point now);
+    void complete_recovery(common::time_point now);
+    void settle_unfound(common::time_point now, const task_ref& ref);
+    [[nodiscard]] bool certainly_not_started(const task_ref& ref) const;
+
+    task_runner_settings m_settings;
+    placement::placement_settings m_placement_settings;
+    worker_fleet& m_fleet;
+    journal& m_journal;
+    common::counters& m_counters;
+    std::optional<placement::placement_engine> m_placement;
+    worker_health m_health;
+    std::map<std::string, job_run> m_jobs;
+    std::map<std::string, std::set<std::string>> m_on_worker;
+    std::map<std::uint64_t, pending_entry> m_entries;
+    std::multimap<common::time_point, std::string> m_deadlines;
+    std::set<std::string> m_excluded;
+    std::set<std::string> m_takeover_set;
+    bool m_recovering = false;
+    std::optional<common::time_point> m_recovery_bound;
+    std::uint64_t m_epoch = 0;
+    std::uint64_t m_next_attempt = 1;
+};
+
+} // namespace buckthornspar::scheduling
--- /dev/null
+++ b/source/core/scheduling/task_runner_attempts.cpp
@@ -0,0 +1,329 @@
+#include "core/scheduling/task_runner.h"
+
+#include <utility>
+
+namespace buckthornspar::scheduling {
+
+namespace {
+
+bool is_gang(const job_run& job) {
+    return job.spec.kind == placement::workload_kind::all_at_once;
+}
+
+} // namespace
+
+// Starts.
+
+std::string task_runner::new_attempt(const task_ref& ref) {
+    return ref.id() + "@" + std::to_string(m_epoch) + "." + std::to_string(m_next_attempt++);
+}
+
+void task_runner::place_on(const task_ref& ref, const std::string& worker, std::string attempt) {
+    task_run& run = ref.run();
+    run.worker = worker;
+    run.attempt = std::move(attempt);
+    run.end_requested = false;
+    m_on_worker[worker].insert(ref.id());
+}
+
+void task_runner::leave_worker(const task_ref& ref) {
+    task_run& run = ref.run();
+    const auto position = m_on_worker.find(run.worker);
+    if (position != m_on_worker.end()) {
+        position->second.erase(ref.id());
+    }
+    run.worker.clear();
+    run.attempt.clear();
+    run.reservation.clear();
+    run.end_requested = false;
+}
+
+void task_runner::assign(common::time_point now, const task_ref& ref, const std::string& worker) {
+    if (ref.run().phase != task_phase::waiting) {
+        return;
+    }
+    if (!m_fleet.adopted(worker)) {
+        place_on(ref, worker, new_attempt(ref));
+        on_not_started(now, ref, "worker_unreachable");
+        return;
+    }
+    place_on(ref, worker, new_attempt(ref));
+    if (ref.job->spec.idempotent) {
+        start(ref);
+    } else {
+        log_intent(ref);
+    }
+}
+
+void task_runner::log_intent(const task_ref& ref) {
+    task_run& run = ref.run();
+    run.phase = task_phase::intent;
+    const std::uint64_t tag = m_journal.add(attempt_intent_entry{
+        ref.job->spec.id, ref.index, run.attempt, run.worker, m_fleet.incarnation(run.worker)});
+    m_entries[tag] = {pending_entry::kind::intent, ref.id(), run.worker, run.attempt};
+}
+
+void task_runner::on_intent_written(common::time_point now, const pending_entry& entry) {
+    const auto ref = find_task(entry.task);
+    if (!ref || ref->run().phase != task_phase::intent || ref->run().attempt != entry.attempt) {
+        return;
+    }
+    // The intent names the incarnation, by which the next owner tells "never started" from "lost".
+    const auto& intent = m_journal.table().find(ref->job->spec.id)->tasks[ref->index].intent;
+    const bool same = intent && intent->incarnation == m_fleet.incarnation(entry.worker);
+    if (!same || !m_fleet.adopted(entry.worker) || m_fleet.leaving(entry.worker)) {
+        on_not_started(now, *ref, "worker_unreachable");
+        return;
+    }
+    start(*ref);
+}
+
+void task_runner::start(const task_ref& ref) {
+    task_run& run = ref.run();
+    run.phase = task_phase::starting;
+    const job_spec& spec = ref.job->spec;
+    m_fleet.queue(run.worker, {worker_op::start, run.attempt, ref.id(), spec.demand,
+                               task_payload{spec.run_ms, spec.fail}, run.reservation});
+}
+
+// Results of operations.
+
+void task_runner::on_operation(common::time_point now, const operation_settled& settled) {
+    const worker_operation& operation = settled.operation;
+    const auto ref = find_task(operation.task);
+    if (!ref || ref->run().attempt != operation.attempt) {
+        return;
+    }
+    task_run& run = ref->run();
+    if (operation.op == worker_op::reserve && run.phase == task_phase::reserving) {
+        if (settled.how == settlement::accepted) {
+            on_reserved(*ref);
+        } else {
+            count_retry(to_string(settled.reason));
+            on_reservation_failed(*ref->job);
+        }
+        return;
+    }
+    if (operation.op != worker_op::start || run.phase != task_phase::starting) {
+        return;
+    }
+    switch (settled.how) {
+    case settlement::accepted:
+        on_started(now, *ref);
+        return;
+    case settlement::refused:
+        m_counters.get("worker_refusals_total", "reason", to_string(settled.reason)).add();
+        on_not_started(now, *ref, to_string(settled.reason));
+        return;
+    case settlement::not_executed:
+        on_not_started(now, *ref, "not_executed");
+        return;
+    case settlement::killed:
+        on_dead(now, *ref, "worker_restarted");
+        return;
+    }
+}
+
+void task_runner::on_started(common::time_point now, const task_ref& ref) {
+    task_run& run = ref.run();
+    run.phase = task_phase::running;
+    run.has_started = true;
+    run.may_have_started = true;
+    run.started_at = now;
+    m_placement->confirm_started(ref.id(), now);
+    m_counters.get("task_starts_total").add();
+}
+
+/// The current attempt has certainly not started and never will.
+void task_runner::on_not_started(common::time_point now, const task_ref& ref,
+                                 std::string_view reason) {
+    job_run& job = *ref.job;
+    if (job.stopping) {
+        finish(now, ref, attempt_outcome::cancelled);
+    } else if (job.unwinding) {
+        leave_worker(ref);
+        ref.run().phase = task_phase::unwound;
+        finish_unwinding(now, job);
+    } else if (is_gang(job)) {
+        leave_worker(ref);
+        ref.run().phase = task_phase::unwound;
+        unwind(now, job, reason);
+    } else {
+        requeue(ref, reason);
+    }
+}
+
+void task_runner::requeue(const task_ref& ref, std::string_view reason) {
+    count_retry(reason);
+    leave_worker(ref);
+    ref.run().phase = task_phase::waiting;
+    m_placement->requeue(ref.id());
+}
+
+/// The current attempt is over for certain, and whether it ran or how it ended is not known.
+void task_runner::on_dead(common::time_point now, const task_ref& ref, std::string_view reason) {
+    task_run& run = ref.run();
+    run.may_have_started = true;
+    if (!ref.job->spec.idempotent) {
+        finish(now, ref, attempt_outcome::unknown);
+    } else if (ref.job->stopping) {
+        finish(now, ref, attempt_outcome::lapsed);
+    } else {
+        restart(now, ref, reason);
+    }
+}
+
+/// The attempt has ended, and the task starts again from the beginning.
+void task_runner::restart(common::time_point now, const task_ref& ref, std::string_view reason) {
+    job_run& job = *ref.job;
+    leave_worker(ref);
+    if (is_gang(job)) {
+        ref.run().phase = task_phase::unwound;
+        if (job.unwinding) {
+            finish_unwinding(now, job);
+        } else {
+            unwind(now, job, reason);
+        }
+        return;
+    }
+    count_retry(reason);
+    m_placement->release(ref.id(), now);
+    submit(ref);
+}
+
+// Ends of attempts.
+
+void task_runner::on_attempt(common::time_point now, const std::string& worker,
+                             const ended_attempt& ended) {
+    const auto ref = find_task(ended.task);
+    if (!ref) {
+        m_fleet.acknowledge(worker, ended.attempt);
+        return;
+    }
+    const task_run& run = ref->run();
+    const bool live = run.phase == task_phase::starting || run.phase == task_phase::running;
+    if (live && run.attempt == ended.attempt) {
+        on_current_ended(now, *ref, ended);
+        return;
+    }
+    on_other_ended(now, *ref, worker, ended);
+}
+
+void task_runner::on_current_ended(common::time_point now, const task_ref& ref,
+                                   const ended_attempt& ended) {
+    task_run& run = ref.run();
+    job_run& job = *ref.job;
+    if (!ended.started) {
+        m_fleet.acknowledge(run.worker, run.attempt);
+        on_not_started(now, ref, to_string(ended.outcome));
+        return;
+    }
+    run.has_started = true;
+    run.may_have_started = true;
+    const bool service = job.spec.kind == placement::workload_kind::service;
+    if (ended.outcome == attempt_outcome::succeeded) {
+        m_health.record_success(run.worker, job.spec.id);
+    }
+    auto verdict = health_verdict::none;
+    if (ended.outcome == attempt_outcome::failed) {
+        verdict = judge_failure(now, ref);
+    }
+    const bool final_end = job.stopping ||
+                           (ended.outcome == attempt_outcome::succeeded && !service) ||
+                           (!job.spec.idempotent && !service);
+    if (final_end) {
+        finish(now, ref, ended.outcome);
+        return;
+    }
+    m_fleet.acknowledge(run.worker, run.attempt);
+    if (ended.outcome == attempt_outcome::failed) {
+        on_failed(now, ref, verdict);
+        return;
+    }
+    restart(now, ref, to_string(ended.outcome));
+}
+
+health_verdict task_runner::judge_failure(common::time_point now, const task_ref& ref) {
+    const task_run& run = ref.run();
+    if (now - run.started_at >= m_settings.healthy_run) {
+        return health_verdict::none;
+    }
+    const auto verdict = m_health.record_failure(run.worker, ref.job->spec.id, now);
+    if (verdict == health_verdict::quarantine_worker) {
+        m_counters.get("workers_quarantined_total").add();
+    }
+    refresh_worker(now, run.worker);
+    return verdict;
+}
+
+void task_runner::on_failed(common::time_point now, const task_ref& ref, health_verdict verdict) {
+    task_run& run = ref.run();
+    job_run& job = *ref.job;
+    if (verdict == health_verdict::quarantine_worker) {
+        restart(now, ref, "worker_quarantined");
+        return;
+    }
+    ++run.failures;
+    const bool exhausted = run.failures >= m_settings.max_failures &&
+                           job.spec.kind != placement::workload_kind::service;
+    if (verdict == health_verdict::job_fails_everywhere || exhausted) {
+        finish(now, ref, attempt_outcome::failed);
+        fail_job(now, job,
+                 exhausted ? job_reason::attempts_exhausted : job_reason::failed_everywhere);
+        return;
+    }
+    restart(now, ref, "failed");
+}
+
+/// An attempt that is not the current one: of a former owner, or one that was given up for dead.
+void task_runner::on_other_ended(common::time_point now, const task_ref& ref,
+                                 const std::string& worker, const ended_attempt& ended) {
+    task_run& run = ref.run();
+    if (run.phase != task_phase::recovering) {
+        // While the task is ending, its end is acknowledged after the log write.
+        const job_record* const record = m_journal.table().find(ref.job->spec.id);
+        const bool logged = record != nullptr && record->tasks[ref.index].ended;
+        if (run.phase != task_phase::ending || logged) {
+            run.has_started = run.has_started || ended.started;
+            m_fleet.acknowledge(worker, ended.attempt);
+        }
+        return;
+    }
+    run.has_started = run.has_started || ended.started;
+    const bool counts = ended.outcome == attempt_outcome::succeeded || !ref.job->spec.idempotent;
+    const bool service = ref.job->spec.kind == placement::workload_kind::service;
+    if (ended.started && counts && !service) {
+        place_on(ref, worker, ended.attempt);
+        finish(now, ref, ended.outcome);
+        return;
+    }
+    m_fleet.acknowledge(worker, ended.attempt);
+}
+
+void task_runner::on_lapsed(common::time_point now, const std::string& worker) {
+    const auto position = m_on_worker.find(worker);
+    if (position == m_on_worker.end()) {
+        return;
+    }
+    for (const auto& task : std::set<std::string>(position->second)) {
+        const auto ref = find_task(task);
+        if (!ref) {
+            continue;
+        }
+        task_run& run = ref->run();
+        if (run.phase == task_phase::running) {
+            on_dead(now, *ref, "lapsed");
+        } else if (run.phase == task_phase::starting) {
+            if (m_fleet.remove_queued(worker, run.attempt)) {
+                on_not_started(now, *ref, "worker_unreachable");
+            } else {
+                on_dead(now, *ref, "lapsed");
+            }
+        } else if (run.phase == task_phase::reserving || run.phase == task_phase::reserved) {
+            count_retry("worker_unreachable");
+            on_reservation_failed(*ref->job);
+        }
+    }
+}
+
+} // namespace buckthornspar::scheduling
--- /dev/null
+++ b/source/core/scheduling/task_runner_recovery.cpp
@@ -0,0 +1,185 @@
+#include "core/scheduling/task_runner.h"
+
+#include <algorithm>
+
+namespace buckthornspar::scheduling {
+
+void task_runner::begin(common::time_point now, std::uint64_t epoch) {
+    end();
+    m_epoch = epoch;
+    m_next_attempt = 1;
+    m_takeover_set = m_journal.table().workers();
+    m_recovering = true;
+    for (const auto& [id, record] : m_journal.table().jobs()) {
+        if (record.ended()) {
+            continue;
+        }
+        job_run& job = m_jobs[id];
+        job.spec = record.spec;
+        job.accepted_at = now;
+        job.stopping = record.reason != job_reason::none;
+        job.tasks.resize(record.tasks.size());
+        if (job.spec.deadline_ms > 0) {
+            // The time of the acceptance is not known here, so that the deadline counts anew.
+            m_deadlines.emplace(now + std::chrono::milliseconds(job.spec.deadline_ms), id);
+        }
+        for (std::size_t index = 0; index < record.tasks.size(); ++index) {
+            task_run& run = job.tasks[index];
+            run.phase = record.tasks[index].ended ? task_phase::ending : task_phase::recovering;
+            // Attempts of idempotent tasks are not logged, so that any of them may have started.
+            run.may_have_started = record.spec.idempotent;
+        }
+    }
+}
+
+void task_runner::on_inventory(common::time_point now, const worker_settled& settled) {
+    const worker_inventory& inventory = settled.inventory;
+    const std::string& worker = inventory.worker;
+    refresh_worker(now, worker);
+    for (const auto& held : inventory.tasks) {
+        take_held(now, worker, held);
+    }
+    for (const auto& ended : inventory.ended) {
+        on_attempt(now, worker, ended);
+    }
+    const auto position = m_on_worker.find(worker);
+    if (position == m_on_worker.end()) {
+        return;
+    }
+    for (const auto& task : std::set<std::string>(position->second)) {
+        const auto ref = find_task(task);
+        if (!ref || ref->run().phase != task_phase::running) {
+            continue;
+        }
+        const bool held =
+            std::any_of(inventory.tasks.begin(), inventory.tasks.end(),
+                        [&](const held_task& item) { return item.attempt == ref->run().attempt; });
+        // A worker keeps ended tasks until they are acknowledged; only a restart loses them.
+        if (!held) {
+            on_dead(now, *ref, settled.restarted ? "worker_restarted" : "lost_by_worker");
+        }
+    }
+}
+
+void task_runner::take_held(common::time_point now, const std::string& worker,
+                            const held_task& held) {
+    const auto ref = find_task(held.task);
+    if (!ref) {
+        end_stray(worker, held);
+        return;
+    }
+    task_run& run = ref->run();
+    const bool current = run.attempt == held.attempt && run.worker == worker;
+    if (held.state == held_state::running && run.phase == task_phase::recovering) {
+        adopt_attempt(now, *ref, worker, held);
+    } else if (held.state == held_state::running && current) {
+        if (run.phase == task_phase::starting) {
+            on_started(now, *ref);
+        }
+        if (ref->job->stopping || ref->job->unwinding) {
+            // A former request may have been lost.
+            run.end_requested = false;
+            request_end(*ref, worker_op::cancel);
+        }
+    } else if (!current && run.reservation != held.attempt) {
+        end_stray(worker, held);
+    }
+}
+
+void task_runner::adopt_attempt(common::time_point now, const task_ref& ref,
+                                const std::string& worker, const held_task& held) {
+    task_run& run = ref.run();
+    m_counters.get("attempts_adopted_total").add();
+    place_on(ref, worker, held.attempt);
+    run.phase = task_phase::running;
+    run.has_started = true;
+    run.may_have_started = true;
+    run.started_at = now;
+    m_placement->adopt_running(worker, request_of(ref), now);
+    if (ref.job->stopping) {
+        request_end(ref, worker_op::cancel);
+    }
+}
+
+/// An attempt that no task of the table counts on, for example of a job that has ended since.
+void task_runner::end_stray(const std::string& worker, const held_task& held) {
+    m_counters.get("stray_attempts_total").add();
+    const worker_op op =
+        held.state == held_state::reserved ? worker_op::release : worker_op::cancel;
+    m_fleet.queue(worker, {op, held.attempt, held.task, {}, {}, ""});
+}
+
+void task_runner::check_recovery(common::time_point now) {
+    if (!m_recovering || !m_recovery_bound) {
+        return;
+    }
+    const bool all_known =
+        std::all_of(m_takeover_set.begin(), m_takeover_set.end(), [&](const std::string& worker) {
+            return m_fleet.seen(worker) || m_fleet.gone(worker);
+        });
+    if (all_known || now >= *m_recovery_bound) {
+        m_counters.get("takeover_waits_total", "reason", all_known ? "all_adopted" : "bound").add();
+        complete_recovery(now);
+    }
+}
+
+void task_runner::complete_recovery(common::time_point now) {
+    m_recovering = false;
+    for (auto& [id, job] : m_jobs) {
+        const auto unfound = static_cast<std::size_t>(
+            std::count_if(job.tasks.begin(), job.tasks.end(),
+                          [](const task_run& run) { return run.phase == task_phase::recovering; }));
+        if (unfound == 0) {
+            continue;
+        }
+        const bool gang = job.spec.kind == placement::workload_kind::all_at_once;
+        if (gang && !job.stopping && unfound < job.tasks.size()) {
+            unwind(now, job, "gang_incomplete");
+            continue;
+        }
+        for (std::uint32_t index = 0; index < job.tasks.size(); ++index) {
+            if (job.tasks[index].phase == task_phase::recovering) {
+                settle_unfound(now, {&job, index});
+            }
+        }
+        const bool all_wait =
+            std::all_of(job.tasks.begin(), job.tasks.end(),
+                        [](const task_run& run) { return run.phase == task_phase::unwound; });
+        if (gang && all_wait) {
+            submit_gang(job);
+        } else if (gang && !job.stopping) {
+            fail_job(now, job, job_reason::gang_broken);
+        }
+    }
+}
+
+/// Whether no logged attempt of a non-idempotent task was executed. A worker of the incarnation
+/// named by the intent that holds neither the attempt nor its end, and rejects the former owner,
+/// never executed the start. An intent of this owner that is not sent is no attempt either.
+bool task_runner::certainly_not_started(const task_ref& ref) const {
+    if (ref.run().phase == task_phase::intent) {
+        return true;
+    }
+    const auto& intent = m_journal.table().find(ref.job->spec.id)->tasks[ref.index].intent;
+    return !intent || (m_fleet.seen(intent->worker) &&
+                       m_fleet.incarnation(intent->worker) == intent->incarnation);
+}
+
+/// No attempt of the task is alive.
+void task_runner::settle_unfound(common::time_point now, const task_ref& ref) {
+    job_run& job = *ref.job;
+    if (!job.spec.idempotent && !certainly_not_started(ref)) {
+        finish(now, ref, attempt_outcome::unknown);
+        return;
+    }
+    if (job.stopping) {
+        finish(now, ref, attempt_outcome::cancelled);
+    } else if (job.spec.kind == placement::workload_kind::all_at_once) {
+        ref.run().phase = task_phase::unwound;
+    } else {
+        count_retry("takeover");
+        submit(ref);
+    }
+}
+
+} // namespace buckthornspar::scheduling
--- /dev/null
+++ b/source/core/scheduling/worker_fleet.cpp
@@ -0,0 +1,484 @@
+#include "core/scheduling/worker_fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace buckthornspar::scheduling {
+
+namespace {
+
+constexpr unsigned max_doublings = 10;
+
+bool takes_effect(const worker_operation& operation) {
+    return operation.op == worker_op::start || operation.op == worker_op::reserve;
+}
+
+void earlier(std::optional<common::time_point>& next, common::time_point candidate) {
+    next = std::min(next.value_or(candidate), candidate);
+}
+
+} // namespace
+
+worker_fleet::worker_fleet(worker_fleet_settings settings, common::counters& counters)
+    : m_settings(std::move(settings)),
+      m_counters(counters),
+      m_leases(m_settings.lease),
+      m_authority(m_settings.authority) {}
+
+void worker_fleet::begin(common::time_point now, std::uint64_t epoch,
+                         const std::set<std::string>& workers) {
+    end();
+    m_running = true;
+    m_epoch = epoch;
+    for (const auto& worker : workers) {
+        m_links.try_emplace(worker);
+    }
+    for (auto& [worker, l] : m_links) {
+        l.next_call = now;
+    }
+}
+
+void worker_fleet::end() {
+    m_running = false;
+    m_events.clear();
+    m_leases.clear();
+    m_authority.clear();
+    m_lapsed.clear();
+    for (auto& [worker, l] : m_links) {
+        link fresh;
+        fresh.listing = std::move(l.listing);
+        fresh.missing_since = l.missing_since;
+        fresh.gone = l.gone;
+        l = std::move(fresh);
+    }
+}
+
+void worker_fleet::on_list(common::time_point now,
+                           const std::vector<membership::instance>& workers) {
+    m_listed_once = true;
+    std::set<std::string> shown;
+    for (const auto& instance : workers) {
+        shown.insert(instance.id);
+        link& l = m_links[instance.id];
+        const bool changed = !l.listing || l.listing->state != instance.state ||
+                             l.listing->address != instance.address;
+        l.listing = instance;
+        l.missing_since.reset();
+        l.gone = false;
+        l.leaving = instance.state == membership::instance_state::leaving;
+        if (changed) {
+            m_events.emplace_back(worker_changed{instance.id});
+        }
+    }
+    for (auto& [worker, l] : m_links) {
+        if (!shown.contains(worker)) {
+            note_missing(now, l);
+        }
+    }
+}
+
+void worker_fleet::note_missing(common::time_point now, link& l) const {
+    if (!l.missing_since) {
+        l.missing_since = now;
+    }
+    l.gone = now - *l.missing_since >= m_settings.gone_after;
+}
+
+// Results of calls.
+
+worker_fleet::link* worker_fleet::answered_link(const std::string& worker, std::uint64_t call) {
+    const auto position = m_links.find(worker);
+    if (!m_running || position == m_links.end() || position->second.call != call) {
+        return nullptr;
+    }
+    position->second.call = 0;
+    return &position->second;
+}
+
+void worker_fleet::on_adopt(common::time_point now, const std::string& worker, std::uint64_t call,
+                            const adopt_result& result) {
+    link* const l = answered_link(worker, call);
+    if (l == nullptr) {
+        return;
+    }
+    if (const auto* const error = std::get_if<worker_error>(&result)) {
+        fail(now, worker, *l, *error);
+        return;
+    }
+    take_inventory(now, worker, *l, std::get<worker_inventory>(result));
+}
+
+void worker_fleet::take_inventory(common::time_point now, const std::string& worker, link& l,
+                                  const worker_inventory& inventory) {
+    const bool restarted = l.seen && l.incarnation != inventory.incarnation;
+    if (restarted) {
+        m_counters.get("worker_restarts_seen_total").add();
+    }
+    if (l.incarnation != inventory.incarnation) {
+        l.events_after = 0;
+    }
+    m_leases.note_stamp(worker, {inventory.incarnation, inventory.stamp_ms, now});
+    m_authority.note_accepted(worker, l.call_sent);
+    l.seen = true;
+    l.adopted = true;
+    l.failures = 0;
+    l.incarnation = inventory.incarnation;
+    l.capacity = inventory.capacity;
+    l.leaving = l.leaving || inventory.state == worker_availability::leaving;
+    m_events.emplace_back(worker_changed{worker});
+    settle_doubtful(worker, l, inventory, restarted);
+    const bool adopt_again = !l.doubtful.empty() || !has_authority(now);
+    l.next_call = adopt_again ? now + m_settings.renew / 3 : now;
+    m_events.emplace_back(worker_settled{inventory, restarted});
+}
+
+/// A start that is not in the inventory may still be on its way. It is certain not to take effect
+/// once its validity has passed on the worker's own clock.
+void worker_fleet::settle_doubtful(const std::string& worker, link& l,
+                                   const worker_inventory& inventory, bool restarted) {
+    const auto validity_ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.lease.start_validity)
+            .count();
+    std::vector<doubtful_operation> remaining;
+    for (auto& item : l.doubtful) {
+        const auto& attempt = item.operation.attempt;
+        const bool held =
+            std::any_of(inventory.tasks.begin(), inventory.tasks.end(),
+                        [&](const held_task& task) { return task.attempt == attempt; });
+        const bool ended =
+            std::any_of(inventory.ended.begin(), inventory.ended.end(),
+                        [&](const ended_attempt& e) { return e.attempt == attempt; });
+        if (held || ended) {
+            continue;
+        }
+        if (restarted) {
+            m_events.emplace_back(
+                operation_settled{worker, std::move(item.operation), settlement::killed, {}});
+        } else if (inventory.stamp_ms > item.stamp_ms + validity_ms) {
+            m_events.emplace_back(
+                operation_settled{worker, std::move(item.operation), settlement::not_executed, {}});
+        } else {
+            remaining.push_back(std::move(item));
+        }
+    }
+    l.doubtful = std::move(remaining);
+}
+
+void worker_fleet::on_sync(common::time_point now, const std::string& worker, std::uint64_t call,
+                           const sync_result& result) {
+    link* const l = answered_link(worker, call);
+    if (l == nullptr) {
+        return;
+    }
+    if (const auto* const error = std::get_if<worker_error>(&result)) {
+        fail(now, worker, *l, *error);
+        return;
+    }
+    const auto& answer = std::get<sync_answer>(result);
+    m_leases.note_stamp(worker, {answer.incarnation, answer.stamp_ms, now});
+    m_authority.note_accepted(worker, l->call_sent);
+    l->failures = 0;
+    take_results(worker, *l, answer);
+    report(worker, answer.ended);
+}
+
+void worker_fleet::take_results(const std::string& worker, link& l, const sync_answer& answer) {
+    std::map<std::string_view, const operation_result*> results;
+    for (const auto& item : answer.results) {
+        results[item.attempt] = &item;
+    }
+    for (auto& operation : std::exchange(l.in_flight, {})) {
+        const auto position = results.find(operation.attempt);
+        if (position == results.end()) {
+            // An answer without a result for an operation breaks the contract; what happened to the
+            // operation is found out from the next inventory.
+            l.doubtful.push_back({std::move(operation), l.in_flight_stamp_ms});
+            l.adopted = false;
+            continue;
+        }
+        const operation_result& found = *position->second;
+        const bool executed = found.status == operation_status::accepted ||
+                              found.reason == operation_reason::duplicate;
+        if (found.reason == operation_reason::leaving) {
+            l.leaving = true;
+            m_events.emplace_back(worker_changed{worker});
+        }
+        m_events.emplace_back(
+            operation_settled{worker, std::move(operation),
+                              executed ? settlement::accepted : settlement::refused, found.reason});
+    }
+}
+
+void worker_fleet::report(const std::string& worker, const std::vector<ended_attempt>& ended) {
+    for (const auto& attempt : ended) {
+        m_events.emplace_back(attempt_reported{worker, attempt});
+    }
+}
+
+void worker_fleet::on_events(common::time_point now, const std::string& worker, std::uint64_t call,
+                             const events_result& result) {
+    const auto position = m_links.find(worker);
+    if (!m_running || position == m_links.end() || position->second.events_call != call) {
+        return;
+    }
+    link& l = position->second;
+    l.events_call = 0;
+    const auto* const answer = std::get_if<events_answer>(&result);
+    if (answer == nullptr || answer->incarnation != l.incarnation) {
+        l.next_events = now + m_settings.retry_max;
+        return;
+    }
+    l.next_events = now;
+    l.events_after = answer->next;
+    m_leases.note_stamp(worker, {answer->incarnation, answer->stamp_ms, now});
+    report(worker, answer->ended);
+}
+
+void worker_fleet::fail(common::time_point now, const std::string& worker, link& l,
+                        const worker_error& error) {
+    m_counters.get("worker_call_failures_total", "reason", to_string(error.kind)).add();
+    if (error.kind == worker_failure::stale_epoch) {
+        m_events.emplace_back(epoch_fenced{error.accepted_epoch});
+        return;
+    }
+    for (auto& operation : std::exchange(l.in_flight, {})) {
+        if (!takes_effect(operation)) {
+            continue;
+        }
+        // Nothing was executed when the request was not sent, and a reservation ends by itself.
+        const bool executable =
+            error.kind == worker_failure::no_answer || error.kind == worker_failure::bad_answer;
+        if (executable && operation.op == worker_op::start) {
+            l.doubtful.push_back({std::move(operation), l.in_flight_stamp_ms});
+        } else {
+            m_events.emplace_back(
+                operation_settled{worker, std::move(operation), settlement::not_executed, {}});
+        }
+    }
+    if (error.kind == worker_failure::stale_incarnation) {
+        l.next_call = now;
+    } else {
+        l.next_call = now + backoff(l.failures);
+        ++l.failures;
+    }
+    l.adopted = false;
+    return_queued(worker, l);
+    m_events.emplace_back(worker_changed{worker});
+}
+
+/// Starts that wait for a worker that does not respond can go elsewhere at once. The other
+/// operations follow again from the next inventory.
+void worker_fleet::return_queued(const std::string& worker, link& l) {
+    for (auto& operation : l.outbox.take_operations(SIZE_MAX)) {
+        if (takes_effect(operation)) {
+            m_events.emplace_back(
+                operation_settled{worker, std::move(operation), settlement::not_executed, {}});
+        }
+    }
+    (void)l.outbox.take_acknowledged();
+}
+
+common::duration worker_fleet::backoff(unsigned failures) const {
+    return std::min(m_settings.retry_max,
+                    m_settings.retry_min * (1U << std::min(failures, max_doublings)));
+}
+
+// Queries and commands.
+
+void worker_fleet::set_quorums(std::set<std::string> logged, std::set<std::string> pending) {
+    m_logged = std::move(logged);
+    m_pending = std::move(pending);
+}
+
+bool worker_fleet::has_authority(common::time_point now) const {
+    return m_running && m_authority.held(now, m_logged) && m_authority.held(now, m_pending);
+}
+
+void worker_fleet::queue(const std::string& worker, worker_operation operation) {
+    m_links[worker].outbox.add(std::move(operation));
+}
+
+bool worker_fleet::remove_queued(const std::string& worker, const std::string& attempt) {
+    const auto position = m_links.find(worker);
+    return position != m_links.end() && position->second.outbox.remove_queued(attempt);
+}
+
+void worker_fleet::acknowledge(const std::string& worker, const std::string& attempt) {
+    m_links[worker].outbox.acknowledge(attempt);
+}
+
+bool worker_fleet::adopted(const std::string& worker) const {
+    const auto position = m_links.find(worker);
+    return position != m_links.end() && position->second.adopted;
+}
+
+bool worker_fleet::leaving(const std::string& worker) const {
+    const auto position = m_links.find(worker);
+    return position != m_links.end() && position->second.leaving;
+}
+
+bool worker_fleet::gone(const std::string& worker) const {
+    const auto position = m_links.find(worker);
+    return position != m_links.end() && position->second.gone;
+}
+
+bool worker_fleet::seen(const std::string& worker) const {
+    const auto position = m_links.find(worker);
+    return position != m_links.end() && position->second.seen;
+}
+
+std::uint64_t worker_fleet::incarnation(const std::string& worker) const {
+    const auto position = m_links.find(worker);
+    return position == m_links.end() ? 0 : position->second.incarnation;
+}
+
+std::optional<placement::worker_info> worker_fleet::info(const std::string& worker) const {
+    const auto position = m_links.find(worker);
+    if (position == m_links.end() || !position->second.seen || !position->second.listing) {
+        return std::nullopt;
+    }
+    const link& l = position->second;
+    placement::worker_info info{worker,           l.listing->region,
+                                l.listing->place, l.listing->rack,
+                                l.capacity,       placement::worker_state::available};
+    if (!l.adopted) {
+        info.state = placement::worker_state::unreachable;
+    } else if (l.leaving) {
+        info.state = placement::worker_state::leaving;
+    }
+    return info;
+}
+
+std::set<std::string> worker_fleet::present() const {
+    std::set<std::string> workers;
+    for (const auto& [worker, l] : m_links) {
+        if (!l.gone && (l.listing || l.seen)) {
+            workers.insert(worker);
+        }
+    }
+    return workers;
+}
+
+std::size_t worker_fleet::adopted_of(const std::set<std::string>& workers) const {
+    return static_cast<std::size_t>(
+        std::count_if(workers.begin(), workers.end(),
+                      [&](const std::string& worker) { return adopted(worker); }));
+}
+
+// Time.
+
+void worker_fleet::on_time(common::time_point now) {
+    if (!m_running) {
+        return;
+    }
+    check_leases(now);
+    const bool authorised = has_authority(now);
+    for (auto& [worker, l] : m_links) {
+        step(now, worker, l, authorised);
+    }
+}
+
+void worker_fleet::check_leases(common::time_point now) {
+    for (auto& [worker, l] : m_links) {
+        const auto end = m_leases.latest_end(worker);
+        if (!end || now < *end || m_lapsed[worker] == *end) {
+            continue;
+        }
+        m_lapsed[worker] = *end;
+        l.doubtful.clear();
+        m_events.emplace_back(leases_lapsed{worker});
+    }
+}
+
+/// Without authority the owner must not renew, and adopts again instead: that extends nothing, and
+/// its acceptance restores the authority.
+void worker_fleet::step(common::time_point now, const std::string& worker, link& l,
+                        bool authorised) {
+    if (!l.listing) {
+        return;
+    }
+    if (l.call == 0) {
+        const bool due = now >= l.next_call;
+        if (!l.adopted || !l.doubtful.empty() || !authorised) {
+            if (due) {
+                send_adopt(now, worker, l);
+            }
+        } else if (due || !l.outbox.empty()) {
+            send_sync(now, worker, l);
+        }
+    }
+    if (l.adopted && l.events_call == 0 && now >= l.next_events) {
+        send_events(now, worker, l);
+    }
+}
+
+void worker_fleet::send_adopt(common::time_point now, const std::string& worker, link& l) {
+    l.call = m_next_call++;
+    l.call_sent = now;
+    l.next_call = now + m_settings.retry_max;
+    m_events.emplace_back(adopt_call{
+        worker, l.listing->address, l.call, {m_settings.shard, m_epoch, m_settings.self}});
+}
+
+void worker_fleet::send_sync(common::time_point now, const std::string& worker, link& l) {
+    const worker_stamp* const stamp = m_leases.newest(worker);
+    if (stamp == nullptr) {
+        return;
+    }
+    const auto in_ms = [](common::duration d) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
+    };
+    sync_request request;
+    request.shard = m_settings.shard;
+    request.epoch = m_epoch;
+    request.owner = m_settings.self;
+    request.stamp_ms = stamp->stamp_ms;
+    request.incarnation = l.incarnation;
+    request.lease_ms = in_ms(m_settings.lease.lease);
+    request.start_validity_ms = in_ms(m_settings.lease.start_validity);
+    request.renew = true;
+    request.acknowledge = l.outbox.take_acknowledged();
+    request.operations = l.outbox.take_operations(m_settings.max_operations_per_sync);
+    m_leases.note_grant(worker);
+    l.in_flight = request.operations;
+    l.in_flight_stamp_ms = request.stamp_ms;
+    l.call = m_next_call++;
+    l.call_sent = now;
+    l.next_call = now + m_settings.renew;
+    m_counters.get("worker_renewals_total").add();
+    m_events.emplace_back(sync_call{worker, l.listing->address, l.call, std::move(request)});
+}
+
+void worker_fleet::send_events(common::time_point now, const std::string& worker, link& l) {
+    l.events_call = m_next_call++;
+    l.next_events = now;
+    m_events.emplace_back(events_call{worker, l.listing->address, l.events_call, l.events_after,
+                                      m_settings.events_wait});
+}
+
+std::optional<common::time_point> worker_fleet::next_wakeup() const {
+    std::optional<common::time_point> next;
+    if (!m_running) {
+        return next;
+    }
+    for (const auto& [worker, l] : m_links) {
+        if (l.listing && l.call == 0) {
+            earlier(next, l.next_call);
+        }
+        if (l.listing && l.adopted && l.events_call == 0) {
+            earlier(next, l.next_events);
+        }
+        const auto end = m_leases.latest_end(worker);
+        const auto lapsed = m_lapsed.find(worker);
+        if (end && (lapsed == m_lapsed.end() || lapsed->second != *end)) {
+            earlier(next, *end);
+        }
+    }
+    return next;
+}
+
+std::vector<fleet_event> worker_fleet::take_events() {
+    return std::exchange(m_events, {});
+}
+
+} // namespace buckthornspar::scheduling
--- /dev/null
+++ b/source/core/scheduling/worker_health.cpp
@@ -0,0 +1,96 @@
+#include "core/scheduling/worker_health.h"
+
+#include <algorithm>
+
+namespace buckthornspar::scheduling {
+
+namespace {
+
+// 2^12 times the shortest quarantine is above any sensible longest one.
+constexpr unsigned max_doublings = 12;
+
+} // namespace
+
+void worker_health::record_success(const std::string& worker, const std::string& job) {
+    m_jobs[job].succeeded_on.insert(worker);
+    const auto position = m_workers.find(worker);
+    if (position != m_workers.end()) {
+        position->second = {};
+    }
+}
+
+health_verdict worker_health::record_failure(const std::string& worker, const std::string& job,
+                                             common::time_point now) {
+    worker_entry& w = m_workers[worker];
+    ++w.failures[job];
+    w.paused_until = now + m_settings.pause;
+    job_entry& j = m_jobs[job];
+    j.failed_on.insert(worker);
+    // In probation, one failure that speaks against the worker is enough.
+    const unsigned limit = w.level > 0 ? 1 : m_settings.failures_to_quarantine;
+    if (evidence_against(worker) >= limit) {
+        quarantine(worker, now);
+        return health_verdict::quarantine_worker;
+    }
+    if (j.succeeded_on.empty() && j.failed_on.size() >= m_settings.workers_to_blame_job) {
+        return health_verdict::job_fails_everywhere;
+    }
+    return health_verdict::none;
+}
+
+unsigned worker_health::evidence_against(const std::string& worker) const {
+    unsigned evidence = 0;
+    for (const auto& [job, failures] : m_workers.at(worker).failures) {
+        const auto position = m_jobs.find(job);
+        if (position == m_jobs.end()) {
+            continue;
+        }
+        const job_entry& j = position->second;
+        if (!j.succeeded_on.empty() && !j.succeeded_on.contains(worker)) {
+            evidence += failures;
+        } else if (j.succeeded_on.empty() && j.failed_on.size() == 1) {
+            // Nothing is known about this job on other workers, so all its failures count once.
+            evidence += 1;
+        }
+    }
+    return evidence;
+}
+
+void worker_health::quarantine(const std::string& worker, common::time_point now) {
+    worker_entry& w = m_workers.at(worker);
+    const auto length =
+        std::min(m_settings.max_quarantine,
+                 m_settings.min_quarantine * (1U << std::min(w.level, max_doublings)));
+    w.quarantined_until = now + length;
+    ++w.level;
+    w.failures.clear();
+    // What failed here says nothing about the jobs.
+    for (auto& [job, j] : m_jobs) {
+        j.failed_on.erase(worker);
+    }
+}
+
+bool worker_health::excluded(const std::string& worker, common::time_point now) const {
+    const auto position = m_workers.find(worker);
+    return position != m_workers.end() &&
+           (now < position->second.paused_until || now < position->second.quarantined_until);
+}
+
+bool worker_health::quarantined(const std::string& worker, common::time_point now) const {
+    const auto position = m_workers.find(worker);
+    return position != m_workers.end() && now < position->second.quarantined_until;
+}
+
+std::optional<common::time_point> worker_health::next_change(common::time_point now) const {
+    std::optional<common::time_point> next;
+    for (const auto& [worker, w] : m_workers) {
+        for (const auto until : {w.paused_until, w.quarantined_until}) {
+            if (until > now) {
+                next = std::min(next.value_or(until), until);
+            }
+        }
+    }
+    return next;
+}
+
+} // namespace buckthornspar::scheduling
--- /dev/null
+++ b/source/core/scheduling/worker_health.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "core/common/clock.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace buckthornspar::scheduling {
+
+struct worker_health_settings {
+    /// Failures that speak against a worker before it is quarantined.
+    unsigned failures_to_quarantine = 3;
+    /// Workers on which a job must have failed before the job is to blame.
+    std::size_t workers_to_blame_job = 3;
+    /// A worker gets no new work for this long after a failure, so that the next attempt shows
+    /// whether the job fails elsewhere too.
+    common::duration pause = std::chrono::milliseconds(500);
+    common::duration min_quarantine = std::chrono::seconds(30);
+    common::duration max_quarantine = std::chrono::hours(1);
+};
+
+enum class health_verdict { none, quarantine_worker, job_fails_everywhere };
+
+/// Tells a worker that fails everything from a job that fails everywhere. A failure speaks against
+/// the worker when the job succeeds elsewhere or has failed nowhere else; it speaks against the job
+/// when the job has failed on several workers and succeeded on none.
+class worker_health {
+public:
+    explicit worker_health(worker_health_settings settings) : m_settings(settings) {}
+
+    void record_success(const std::string& worker, const std::string& job);
+    [[nodiscard]] health_verdict record_failure(const std::string& worker, const std::string& job,
+                                                common::time_point now);
+    void forget_job(const std::string& job) { m_jobs.erase(job); }
+
+    /// True while the worker is paused or quarantined.
+    [[nodiscard]] bool excluded(const std::string& worker, common::time_point now) const;
+    [[nodiscard]] bool quarantined(const std::string& worker, common::time_point now) const;
+    /// Earliest end of an exclusion after now.
+    [[nodiscard]] std::optional<common::time_point> next_change(common::time_point now) const;
+
+private:
+    struct worker_entry {
+        /// Failures by job since the last success.
+        std::map<std::string, unsigned> failures;
+        /// Quarantines without a success since.
+        unsigned level = 0;
+        common::time_point paused_until;
+        common::time_point quarantined_until;
+    };
+    struct job_entry {
+        std::set<std::string> failed_on;
+        std::set<std::string> succeeded_on;
+    };
+
+    [[nodiscard]] unsigned evidence_against(const std::string& worker) const;
+    void quarantine(const std::string& worker, common::time_point now);
+
+    worker_health_settings m_settings;
+    std::map<std::string, worker_entry> m_workers;
+    std::map<std::string, job_entry> m_jobs;
+};
+
+} // namespace buckthornspar::scheduling
--- /dev/null
+++ b/source/programs/buckthornspar-scheduler/scheduler_application.cpp
@@ -0,0 +1,139 @@
+#include "scheduler_application.h"
+
+#include "core/scheduling/http_worker_client.h"
+#include "core/server/cluster_member.h"
+#include "core/server/config_cache.h"
+#include "core/server/platform_adapters.h"
+#include "core/server/server_process.h"
+#include "decision_thread.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace buckthornspar::scheduler {
+
+namespace {
+
+// Long polls hold one connection to each worker besides the one of adopt and sync.
+net::http_client_limits worker_connections() {
+    net::http_client_limits limits;
+    limits.max_connections_per_endpoint = 4;
+    return limits;
+}
+
+std::vector<scheduling::shard_engine_settings>
+engines_of(const std::vector<server::shard_settings>& shards, const scheduler_settings& settings,
+           const server::server_settings& shared) {
+    const std::int64_t start_number = common::wall_clock_ms();
+    std::vector<scheduling::shard_engine_settings> engines;
+    for (const auto& shard : shards) {
+        engines.push_back(engine_settings(settings, shared, shard.id, start_number));
+    }
+    return engines;
+}
+
+} // namespace
+
+scheduler_application::scheduler_application(server::server_process& process,
+                                             const scheduler_settings& settings)
+    : m_process(process),
+      m_http(process.loop(), worker_connections()),
+      m_workers(std::make_unique<scheduling::http_worker_client>(m_http, settings.worker_timeout)),
+      m_store(server::make_kv_store(process)),
+      m_config(std::make_unique<server::config_cache>([](std::uint64_t, const std::string&) {})) {
+    m_decisions = std::make_unique<decision_thread>(
+        engines_of(own_shards(), settings, process.settings()), settings.ring_capacity,
+        process.clock(), process.counters(), process.loop(), *m_store, *m_workers);
+    server::member_hooks hooks;
+    hooks.on_job_call = [this](peer::job_call call, std::function<void(peer::job_reply)> complete) {
+        m_decisions->job_call(std::move(call), std::move(complete));
+    };
+    hooks.fill_heartbeat = [this](peer::heartbeat& beat) { fill_heartbeat(beat); };
+    hooks.on_peer_heard = [this](const server::peer_status& status) { on_peer_heard(status); };
+    hooks.on_instances = [this](const membership::instance_snapshot& s) { on_instances(s); };
+    m_member = std::make_unique<server::cluster_member>(
+        process, "scheduler", server::make_instance_list(process), *m_config, std::move(hooks));
+    m_member->start();
+}
+
+// The loop ends first, because completions of calls on it refer to the decision thread.
+scheduler_application::~scheduler_application() {
+    m_member->stop();
+    m_decisions->stop();
+    m_process.loop().stop();
+}
+
+std::vector<server::shard_settings> scheduler_application::own_shards() const {
+    std::vector<server::shard_settings> shards;
+    for (const auto& shard : m_process.settings().shards) {
+        if (shard.region == m_process.settings().region) {
+            shards.push_back(shard);
+        }
+    }
+    return shards;
+}
+
+void scheduler_application::on_instances(const membership::instance_snapshot& snapshot) {
+    m_listed = true;
+    for (const auto& shard : own_shards()) {
+        std::vector<membership::instance> workers;
+        for (const auto& instance : snapshot.instances) {
+            const bool in_place = std::find(shard.places.begin(), shard.places.end(),
+                                            instance.place) != shard.places.end();
+            if (instance.role == membership::instance_role::worker && in_place) {
+                workers.push_back(instance);
+            }
+        }
+        m_decisions->list_shown(shard.id, std::move(workers));
+    }
+}
+
+void scheduler_application::on_peer_heard(const server::peer_status& status) {
+    const auto& owned = status.last_beat.shards;
+    for (const auto& view : m_decisions->views()) {
+        const auto position =
+            std::find_if(owned.begin(), owned.end(),
+                         [&](const peer::shard_load& load) { return load.shard == view.shard; });
+        if (position != owned.end()) {
+            m_decisions->owner_heard(view.shard, status.id, position->epoch);
+        } else if (view.owner_hint == status.id) {
+            m_decisions->owner_released(view.shard, status.id);
+        }
+    }
+}
+
+void scheduler_application::fill_heartbeat(peer::heartbeat& beat) const {
+    for (const auto& view : m_decisions->views()) {
+        if (view.owned) {
+            beat.shards.push_back(view.load);
+        }
+    }
+}
+
+void scheduler_application::handle(net::http_request, net::http_reply reply) {
+    reply(net::error_response(404, "not_found", "jobs are submitted at an entry"));
+}
+
+std::optional<std::string> scheduler_application::not_ready_reason() const {
+    if (m_draining) {
+        return "draining";
+    }
+    if (!m_listed) {
+        return "no instance list yet";
+    }
+    return std::nullopt;
+}
+
+void scheduler_application::begin_drain() {
+    m_draining = true;
+    m_member->set_draining();
+    m_decisions->drain();
+}
+
+bool scheduler_application::drained() const {
+    const auto views = m_decisions->views();
+    return std::none_of(views.begin(), views.end(),
+                        [](const shard_view& view) { return view.owned; });
+}
+
+} // namespace buckthornspar::scheduler
--- /dev/null
+++ b/source/programs/buckthornspar-scheduler/scheduler_application.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "core/net/http_client.h"
+#include "core/server/server_application.h"
+#include "scheduler_settings.h"
+
+#include <atomic>
+#include <memory>
+
+namespace buckthornspar::membership {
+struct instance_snapshot;
+}
+namespace buckthornspar::peer {
+struct heartbeat;
+}
+namespace buckthornspar::scheduling {
+class worker_client;
+}
+namespace buckthornspar::server {
+class cluster_member;
+class config_holder;
+class server_process;
+struct peer_status;
+} // namespace buckthornspar::server
+namespace buckthornspar::store {
+class kv_store;
+}
+
+namespace buckthornspar::scheduler {
+
+class decision_thread;
+
+/// Owns shards of workers of its region and the jobs whose home shards these are.
+class scheduler_application final : public server::server_application {
+public:
+    scheduler_application(server::server_process& process, const scheduler_settings& settings);
+    ~scheduler_application() override;
+
+    void handle(net::http_request request, net::http_reply reply) override;
+    [[nodiscard]] std::optional<std::string> not_ready_reason() const override;
+    void begin_drain() override;
+    [[nodiscard]] bool drained() const override;
+
+private:
+    [[nodiscard]] std::vector<server::shard_settings> own_shards() const;
+    void on_instances(const membership::instance_snapshot& snapshot);
+    void on_peer_heard(const server::peer_status& status);
+    void fill_heartbeat(peer::heartbeat& beat) const;
+
+    server::server_process& m_process;
+    net::http_client m_http;
+    std::unique_ptr<scheduling::worker_client> m_workers;
+    std::unique_ptr<store::kv_store> m_store;
+    std::unique_ptr<server::config_holder> m_config;
+    std::unique_ptr<decision_thread> m_decisions;
+    std::unique_ptr<server::cluster_member> m_member;
+    std::atomic<bool> m_listed{false};
+    std::atomic<bool> m_draining{false};
+};
+
+} // namespace buckthornspar::scheduler
