--- a/source/programs/buckthornspar-scheduler/decision_thread.cpp
+++ b/source/programs/buckthornspar-scheduler/decision_thread.cpp
@@ -108,8 +108,9 @@
     if (m_stopped || push(shard_name, apply)) {
         return;
     }
-    m_loop.post_after(result_retry,
-                      [this, shard, apply = std::move(apply)] { push_result(shard, apply); });
+    m_loop.post_after(result_retry, [this, shard_name, apply = std::move(apply)] {
+        push_result(shard_name, apply);
+    });
 }
 
 void decision_thread::job_call(peer::job_call call, job_completion complete) {
