--- a/source/core/routing/http_runner_client.cpp
+++ b/source/core/routing/http_runner_client.cpp
@@ -31,6 +31,7 @@
     return limits;
 }
 
+// Larger numbers than the type holds read as absent.
 std::optional<std::uint32_t> number(const http_response& response, std::string_view field) {
     const std::string_view text = response.fields.get(field);
     std::uint32_t value = 0;
@@ -42,8 +43,12 @@
 }
 
 runner_facts facts_of(const http_response& response) {
-    return {number(response, "X-Slots"), number(response, "X-Slots-Free"),
-            std::string(response.fields.get("X-Incarnation"))};
+    runner_facts facts{number(response, "X-Slots"), number(response, "X-Slots-Free"),
+                       std::string(response.fields.get("X-Incarnation")), std::nullopt};
+    if (const auto uptime = number(response, "X-Uptime-Ms")) {
+        facts.uptime = std::chrono::milliseconds(*uptime);
+    }
+    return facts;
 }
 
 run_result lost_or_not_sent(call_token token, const http_failure& failure) {
@@ -151,6 +156,9 @@
     request.fields.set("X-Attempt", std::to_string(call.attempt));
     request.fields.set("X-Idempotent", call.idempotent ? "true" : "false");
     request.fields.set("X-Origin", m_settings.entry_id);
+    if (!call.expected_incarnation.empty()) {
+        request.fields.set("X-Expect-Incarnation", call.expected_incarnation);
+    }
     if (call.body) {
         request.body = *call.body;
     }
--- a/source/core/routing/pending_request.h
+++ b/source/core/routing/pending_request.h
@@ -53,6 +53,7 @@
     /// A non-idempotent repeat goes to this runner only.
     std::optional<std::size_t> pinned;
     std::string pinned_id;
+    std::string pinned_incarnation;
     std::set<std::size_t> unfenced;
 };
 
--- a/source/core/routing/request_engine.cpp
+++ b/source/core/routing/request_engine.cpp
@@ -162,7 +162,7 @@
     p.phase = request_phase::running;
     p.runner = index;
     p.sent_at = now;
-    p.incarnation = target.incarnation;
+    p.incarnation = p.pinned ? p.pinned_incarnation : target.incarnation;
     p.cancel_sent = false;
     p.seen_started = false;
     p.query_token = 0;
@@ -171,7 +171,8 @@
     p.check_delay = std::max(m_settings.overdue_min, route.table.service_time() * 4);
     set_wake(p, std::min(now + p.check_delay, p.r.deadline + m_settings.answer_grace));
     m_actions.emplace_back(run_call{p.run_token, target.id, target.address, p.r.service, p.r.id,
-                                    p.r.deadline - now, p.attempts, p.r.idempotent, p.r.body});
+                                    p.r.deadline - now, p.attempts, p.r.idempotent, p.r.body,
+                                    p.pinned_incarnation});
 }
 
 void request_engine::requeue(pending_request& p, time_point now) {
--- a/source/core/routing/request_engine.h
+++ b/source/core/routing/request_engine.h
@@ -29,6 +29,9 @@
     duration overdue_min = std::chrono::milliseconds(500);
     /// How long after its deadline an answer is still awaited.
     duration answer_grace = std::chrono::milliseconds(100);
+    /// Longest deadline of a request. A runner that started less than this ago may have forgotten
+    /// ids, so that its word about a repeated request proves nothing.
+    duration id_memory = std::chrono::seconds(60);
     duration idle_probe_period = std::chrono::seconds(5);
     duration suspected_probe_period = std::chrono::milliseconds(500);
 };
--- a/source/core/routing/request_engine_settlement.cpp
+++ b/source/core/routing/request_engine_settlement.cpp
@@ -106,6 +106,10 @@
     case runner_refusal::cancelled:
         break;
     }
+    if (p.pinned && restarted(p, result.facts)) {
+        end_unknown(p, refusal_reason::runner_restarted);
+        return;
+    }
     if (p.cancel_sent || p.pinned) {
         retry(p, retry_reason::attempt_fenced, now);
         return;
@@ -282,7 +286,8 @@
 }
 
 // Cancels the id at every runner but the chosen one, which fences a late arrival of the first
-// submission. All entries choose the same runner for an id, as far as their lists agree.
+// submission, and asks the chosen one. All entries choose the same runner for an id, as far as
+// their lists agree.
 void request_engine::begin_fencing(pending_request& p, time_point now) {
     const runner_table& table = p.route->table;
     XXH64_hash_t highest = 0;
@@ -302,13 +307,6 @@
             highest = score;
         }
     }
-    if (p.pinned) {
-        p.unfenced.erase(*p.pinned);
-    }
-    if (p.unfenced.empty() && p.pinned) {
-        dispatch_pinned(p, now);
-        return;
-    }
     send_fences(p, now);
 }
 
@@ -326,7 +324,7 @@
         return;
     }
     for (const std::size_t index : p.unfenced) {
-        query(p, query_kind::cancel, index, now);
+        query(p, p.pinned == index ? query_kind::ask : query_kind::cancel, index, now);
     }
     set_wake(p, std::min(now + p.check_delay, p.r.deadline));
     p.check_delay = std::min(p.check_delay * 2, max_check_delay);
@@ -337,11 +335,12 @@
     if (!result.state) {
         return;
     }
-    if (*result.state != run_state::cancelled_before_start) {
+    if (*result.state == run_state::running || *result.state == run_state::done) {
         p.phase = request_phase::settling;
         p.runner = call.runner;
         p.pinned = call.runner;
         p.pinned_id = p.route->table.at(call.runner).id;
+        p.pinned_incarnation = result.facts.incarnation;
         p.incarnation = result.facts.incarnation;
         p.unfenced.clear();
         p.query_token = 0;
@@ -350,6 +349,14 @@
         continue_settlement(p, now);
         return;
     }
+    if (result.facts.uptime && *result.facts.uptime < m_settings.id_memory) {
+        // The runner may have run the request before it restarted.
+        end_unknown(p, refusal_reason::runner_restarted);
+        return;
+    }
+    if (p.pinned == call.runner) {
+        p.pinned_incarnation = result.facts.incarnation;
+    }
     p.unfenced.erase(call.runner);
     if (!p.unfenced.empty()) {
         return;
--- a/source/core/routing/routing_messages.h
+++ b/source/core/routing/routing_messages.h
@@ -26,6 +26,8 @@
     unsigned attempt = 1;
     bool idempotent = false;
     request_body body;
+    /// When set, a runner of another incarnation refuses the request as cancelled.
+    std::string expected_incarnation;
 };
 
 enum class query_kind { ask, cancel, fetch };
@@ -111,6 +113,8 @@
     std::optional<std::uint32_t> slots_free;
     /// Changes when the runner restarts; empty when the runner does not tell.
     std::string incarnation;
+    /// Time since the runner started; empty when the runner does not tell.
+    std::optional<duration> uptime;
 };
 
 struct run_result {
--- /dev/null
+++ b/tests/fakes/runner_model.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "core/routing/request.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace buckthornspar::fakes {
+
+using common::duration;
+using common::time_point;
+
+/// Faults of a runner, switched on and off by tests.
+enum class runner_fault {
+    none,
+    silent,      // works, but sends no answers to runs, queries or probes
+    paused,      // reads nothing; what arrives is read when the pause ends
+    late,        // answers to runs are held back by late_by
+    twice,       // answers to runs are sent twice
+    truncated,   // the connection ends in the middle of an answer to a run
+    refuses_all, // refuses every run as full, and reports free slots
+    fails_fast,  // ends every run at once with status 500
+};
+
+[[nodiscard]] runner_fault runner_fault_from(std::string_view name);
+
+/// A run as it arrives. work is how long it takes; the tag names the call and is given back.
+struct run_arrival {
+    std::uint64_t tag = 0;
+    std::string id;
+    duration remaining{0};
+    duration work{0};
+    std::string body;
+    /// When set, another incarnation refuses the run as cancelled.
+    std::string expected_incarnation;
+};
+
+/// A reply to a run.
+struct run_reply {
+    std::uint64_t tag = 0;
+    std::string id;
+    routing::run_outcome outcome = routing::run_outcome::ran;
+    routing::runner_refusal reason = routing::runner_refusal::full;
+    unsigned status = 200;
+    std::string body;
+    bool truncated = false;
+};
+
+/// One execution of a request, for the checks of the tests.
+struct execution {
+    std::string id;
+    time_point start{};
+    /// Empty while it runs.
+    std::optional<time_point> end;
+};
+
+/// A runner as docs/platform-contract.md describes it, under a virtual clock. The answer to a run
+/// is "answer:" and the body of the request.
+class runner_model {
+public:
+    runner_model(std::string id, std::uint32_t slots) : m_id(std::move(id)), m_slots(slots) {}
+
+    void post(run_arrival arrival, time_point now);
+    /// Empty when the runner sends no response.
+    [[nodiscard]] std::optional<routing::run_state> ask(const std::string& id) const;
+    [[nodiscard]] std::optional<routing::run_state> cancel(const std::string& id);
+    /// The kept answer; empty when there is none.
+    [[nodiscard]] std::optional<run_reply> kept_answer(const std::string& id) const;
+    /// Whether queries and probes get a response at present.
+    [[nodiscard]] bool responds() const;
+
+    void set_fault(runner_fault fault, time_point now);
+    void set_late_by(duration d) { m_late_by = d; }
+    void set_leaving(bool leaving) { m_leaving = leaving; }
+    /// Ends all work and forgets all ids. Replies that are due are lost.
+    void restart(time_point now);
+    /// Lets the runner exceed its slots, for tests of the check itself.
+    void set_ignores_slots(bool ignores) { m_ignores_slots = ignores; }
+
+    /// Processes all that is due up to now.
+    void advance(time_point now);
+    [[nodiscard]] std::optional<time_point> next_event() const;
+    /// Replies that are sent by now, in order.
+    [[nodiscard]] std::vector<run_reply> take_replies();
+
+    [[nodiscard]] const std::string& id() const { return m_id; }
+    [[nodiscard]] std::uint32_t slots() const { return m_slots; }
+    [[nodiscard]] std::uint32_t running() const { return m_running; }
+    [[nodiscard]] std::uint32_t slots_free() const;
+    [[nodiscard]] std::string incarnation() const;
+    [[nodiscard]] duration uptime(time_point now) const { return now - m_started; }
+    void set_started(time_point started) { m_started = started; }
+    [[nodiscard]] const std::vector<execution>& executions() const { return m_executions; }
+
+private:
+    struct job {
+        routing::run_state state = routing::run_state::running;
+        std::vector<std::uint64_t> tags;
+        std::size_t execution = 0;
+        run_reply answer;
+    };
+
+    void receive(const run_arrival& arrival, time_point now);
+    void refuse(const run_arrival& arrival, routing::runner_refusal reason, time_point now);
+    void start(const run_arrival& arrival, time_point now);
+    void complete(const std::string& id, time_point now);
+    void reply(run_reply r, time_point now);
+
+    std::string m_id;
+    std::uint32_t m_slots;
+    runner_fault m_fault = runner_fault::none;
+    duration m_late_by = std::chrono::milliseconds(500);
+    bool m_leaving = false;
+    bool m_ignores_slots = false;
+    unsigned m_restarts = 0;
+    time_point m_started{};
+    std::uint32_t m_running = 0;
+    std::unordered_map<std::string, job> m_jobs;
+    std::multimap<time_point, std::string> m_ends;
+    std::multimap<time_point, run_reply> m_due;
+    std::deque<run_arrival> m_unread;
+    std::vector<run_reply> m_replies;
+    std::vector<execution> m_executions;
+};
+
+} // namespace buckthornspar::fakes
