Add the request path of the entry and the unit tests of routing

Requests are answered by the engine also while the entry drains, because it alone can tell the outcome.

A unit test showed that an answer on another connection did not end the probing state, so that the connections of a merely slow runner were replaced. An event of its own now tells that a connection is shown as silent (the runner is done or never saw the request), which replaces them in every state.

--- a/source/core/routing/connection_health.cpp
+++ b/source/core/routing/connection_health.cpp
@@ -17,18 +17,12 @@
 struct connection_lost {};
 struct probe_answered {};
 struct probe_failed {};
+struct silence_shown {};
 
 struct healthy : msm::front::state<> {};
 struct probing : msm::front::state<> {};
 struct suspected : msm::front::state<> {};
 
-struct probe {
-    template <typename Event, typename Machine, typename Source, typename Target>
-    void operator()(const Event&, Machine& machine, Source&, Target&) const {
-        machine.reaction.send_probe = true;
-    }
-};
-
 struct replace {
     template <typename Event, typename Machine, typename Source, typename Target>
     void operator()(const Event&, Machine& machine, Source&, Target&) const {
@@ -43,20 +37,23 @@
     struct transition_table : boost::mpl::vector<
         //  from       event            to         action   guard
         Row<healthy,   answer,          none,      none,    none>,
-        Row<healthy,   overdue,         probing,   probe,   none>,
-        Row<healthy,   connection_lost, probing,   probe,   none>,
+        Row<healthy,   overdue,         probing,   none,    none>,
+        Row<healthy,   connection_lost, probing,   none,    none>,
         Row<healthy,   probe_answered,  none,      none,    none>,
         Row<healthy,   probe_failed,    suspected, none,    none>,
-        Row<probing,   answer,          none,      none,    none>,
+        Row<healthy,   silence_shown,   none,      replace, none>,
+        Row<probing,   answer,          healthy,   none,    none>,
         Row<probing,   overdue,         none,      none,    none>,
         Row<probing,   connection_lost, none,      none,    none>,
         Row<probing,   probe_answered,  healthy,   replace, none>,
         Row<probing,   probe_failed,    suspected, replace, none>,
+        Row<probing,   silence_shown,   healthy,   replace, none>,
         Row<suspected, answer,          healthy,   none,    none>,
         Row<suspected, overdue,         none,      none,    none>,
         Row<suspected, connection_lost, none,      none,    none>,
         Row<suspected, probe_answered,  healthy,   replace, none>,
-        Row<suspected, probe_failed,    none,      none,    none>
+        Row<suspected, probe_failed,    none,      none,    none>,
+        Row<suspected, silence_shown,   healthy,   replace, none>
     > {};
     // clang-format on
 
@@ -104,6 +101,10 @@
     return process<probe_failed>();
 }
 
+health_reaction connection_health::on_silence_shown() {
+    return process<silence_shown>();
+}
+
 health_state connection_health::state() const {
     // The numbers of the states follow their first appearance in the transition table.
     return static_cast<health_state>(m_machine->states.current_state()[0]);
--- a/source/core/routing/connection_health.h
+++ b/source/core/routing/connection_health.h
@@ -8,7 +8,6 @@
 
 /// What to do after an event.
 struct health_reaction {
-    bool send_probe = false;
     bool replace_connections = false;
 };
 
@@ -25,13 +24,15 @@
 
     /// An answer to a request arrived.
     health_reaction on_answer();
-    /// An answer is later than expected.
+    /// An answer is later than expected. The caller asks for it over a new connection.
     health_reaction on_overdue();
     /// A connection ended without an answer, or could not be made.
     health_reaction on_connection_lost();
     /// A probe or query over a new connection was answered, or was not.
     health_reaction on_probe_answered();
     health_reaction on_probe_failed();
+    /// The runner has sent an answer that did not arrive, or has not received a request.
+    health_reaction on_silence_shown();
 
     [[nodiscard]] health_state state() const;
 
--- a/source/core/routing/http_runner_client.cpp
+++ b/source/core/routing/http_runner_client.cpp
@@ -71,6 +71,7 @@
     // by its id.
     if (outcome == to_string(run_outcome::ran)) {
         result.kind = run_result_kind::answered;
+        result.content_type = response.fields.get("Content-Type");
         result.body = std::move(response.body);
     } else if (outcome == to_string(run_outcome::not_run) && response.status == unavailable) {
         try {
@@ -112,6 +113,7 @@
     if (response.fields.get("X-Outcome") == to_string(run_outcome::ran)) {
         result.state = run_state::done;
         result.status = response.status;
+        result.content_type = response.fields.get("Content-Type");
         result.body = std::move(response.body);
     } else if (response.status == not_found) {
         result.state = run_state::not_seen;
@@ -156,6 +158,9 @@
     request.fields.set("X-Attempt", std::to_string(call.attempt));
     request.fields.set("X-Idempotent", call.idempotent ? "true" : "false");
     request.fields.set("X-Origin", m_settings.entry_id);
+    if (!call.content_type.empty()) {
+        request.fields.set("Content-Type", call.content_type);
+    }
     if (!call.expected_incarnation.empty()) {
         request.fields.set("X-Expect-Incarnation", call.expected_incarnation);
     }
--- a/source/core/routing/request.h
+++ b/source/core/routing/request.h
@@ -73,6 +73,7 @@
     bool idempotent = false;
     bool repeat = false;
     request_body body;
+    std::string content_type;
 };
 
 } // namespace buckthornspar::routing
--- a/source/core/routing/request_engine.cpp
+++ b/source/core/routing/request_engine.cpp
@@ -104,7 +104,7 @@
     m_metrics.get("refusals_total", "reason", to_string(reason)).add();
     // The id of a repeat may have run for an earlier submission.
     const auto outcome = r.repeat ? run_outcome::unknown : run_outcome::not_run;
-    m_actions.emplace_back(caller_answer{r.key, outcome, reason, 0, {}, {}});
+    m_actions.emplace_back(caller_answer{r.key, outcome, reason, 0, {}, {}, {}});
 }
 
 void request_engine::dispatch(service_route& route, time_point now) {
@@ -172,7 +172,7 @@
     set_wake(p, std::min(now + p.check_delay, p.r.deadline + m_settings.answer_grace));
     m_actions.emplace_back(run_call{p.run_token, target.id, target.address, p.r.service, p.r.id,
                                     p.r.deadline - now, p.attempts, p.r.idempotent, p.r.body,
-                                    p.pinned_incarnation});
+                                    p.r.content_type, p.pinned_incarnation});
 }
 
 void request_engine::requeue(pending_request& p, time_point now) {
@@ -221,12 +221,12 @@
         return;
     }
     m_metrics.get("refusals_total", "reason", to_string(reason)).add();
-    finish(p, {p.r.key, run_outcome::not_run, reason, 0, {}, {}});
+    finish(p, {p.r.key, run_outcome::not_run, reason, 0, {}, {}, {}});
 }
 
 void request_engine::end_unknown(pending_request& p, refusal_reason reason) {
     m_metrics.get("requests_unknown_total", "reason", to_string(reason)).add();
-    finish(p, {p.r.key, run_outcome::unknown, reason, 0, {}, {}});
+    finish(p, {p.r.key, run_outcome::unknown, reason, 0, {}, {}, {}});
 }
 
 void request_engine::finish(pending_request& p, caller_answer answer) {
--- a/source/core/routing/request_engine_settlement.cpp
+++ b/source/core/routing/request_engine_settlement.cpp
@@ -79,7 +79,7 @@
     const bool failed = result.status >= first_server_error;
     route.on_answer(call.runner, failed, now - call.sent_at, result.body.size(), now);
     finish(p, {p.r.key, run_outcome::ran, std::nullopt, result.status, std::move(result.body),
-               route.table.at(call.runner).id});
+               std::move(result.content_type), route.table.at(call.runner).id});
 }
 
 void request_engine::on_refused(pending_request& p, const call_record& call,
@@ -207,12 +207,13 @@
     case run_state::done:
         p.seen_started = true;
         if (call.query == query_kind::fetch) {
-            finish(p, {p.r.key, run_outcome::ran, std::nullopt, result.status,
-                       std::move(result.body), route.table.at(call.runner).id});
+            finish(p,
+                   {p.r.key, run_outcome::ran, std::nullopt, result.status, std::move(result.body),
+                    std::move(result.content_type), route.table.at(call.runner).id});
             return;
         }
         // The answer was sent on a connection that has become silent.
-        react(route, call.runner, health.on_probe_answered());
+        react(route, call.runner, health.on_silence_shown());
         abandon_run(p);
         p.phase = request_phase::settling;
         p.next_query = query_kind::fetch;
@@ -224,7 +225,7 @@
             end_unknown(p, refusal_reason::answer_lost);
             return;
         }
-        react(route, call.runner, health.on_probe_answered());
+        react(route, call.runner, health.on_silence_shown());
         abandon_run(p);
         begin_settlement(p, now);
         return;
--- a/source/core/routing/routing_messages.h
+++ b/source/core/routing/routing_messages.h
@@ -26,6 +26,7 @@
     unsigned attempt = 1;
     bool idempotent = false;
     request_body body;
+    std::string content_type;
     /// When set, a runner of another incarnation refuses the request as cancelled.
     std::string expected_incarnation;
 };
@@ -65,6 +66,7 @@
     std::optional<refusal_reason> reason;
     unsigned status = 0;
     std::string body;
+    std::string content_type;
     std::string runner;
 };
 
@@ -124,6 +126,7 @@
     runner_refusal refusal = runner_refusal::full;
     unsigned status = 0;
     std::string body;
+    std::string content_type;
     runner_facts facts;
     /// not_sent only: a new connection could not be made.
     bool unreachable = false;
@@ -137,6 +140,7 @@
     /// fetch only: the kept answer.
     unsigned status = 0;
     std::string body;
+    std::string content_type;
     runner_facts facts;
 };
 
--- a/source/programs/buckthornspar-entry/entry_application.cpp
+++ b/source/programs/buckthornspar-entry/entry_application.cpp
@@ -1,6 +1,7 @@
 #include "entry_application.h"
 
 #include "core/common/counters.h"
+#include "core/routing/http_runner_client.h"
 #include "core/server/cluster_member.h"
 #include "core/server/config_cache.h"
 #include "core/server/platform_adapters.h"
@@ -10,12 +11,37 @@
 
 namespace buckthornspar::entry {
 
-entry_application::entry_application(server::server_process& process)
+namespace {
+
+std::unique_ptr<request_service> make_request_service(server::server_process& process,
+                                                      request_settings settings) {
+    settings.engine.route.setup.entry_id = process.settings().id;
+    settings.engine.route.setup.region = process.settings().region;
+    routing::http_runner_settings runners;
+    runners.entry_id = process.settings().id;
+    runners.max_connections_per_runner = settings.max_connections_per_runner;
+    return std::make_unique<request_service>(
+        std::move(settings), process.loop(), process.clock(), process.counters(),
+        std::make_unique<routing::http_runner_client>(process.loop(), runners), nullptr);
+}
+
+server::member_hooks make_hooks(request_service& requests) {
+    server::member_hooks hooks;
+    hooks.on_instances = [&requests](const membership::instance_snapshot& list) {
+        requests.on_instances(list);
+    };
+    return hooks;
+}
+
+} // namespace
+
+entry_application::entry_application(server::server_process& process, request_settings requests)
     : m_process(process),
       m_config(std::make_unique<server::config_cache>([](std::uint64_t, const std::string&) {})),
+      m_requests(make_request_service(process, std::move(requests))),
       m_member(std::make_unique<server::cluster_member>(process, "entry",
                                                         server::make_instance_list(process),
-                                                        *m_config, server::member_hooks{})),
+                                                        *m_config, make_hooks(*m_requests))),
       m_jobs(std::make_unique<job_gateway>(process, *m_member,
                                            shard_directory(process.settings().shards))) {
     m_member->start();
@@ -26,12 +52,17 @@
 }
 
 void entry_application::handle(net::http_request request, net::http_reply reply) {
+    const auto segments = net::path_segments(request.path());
+    if (segments.size() == 3 && segments[0] == "v1" && segments[1] == "requests") {
+        // Tells the outcome also while the entry drains.
+        m_requests->handle(std::move(request), std::move(reply));
+        return;
+    }
     if (m_draining) {
         m_process.counters().get("refusals_total", "reason", "draining").add();
         reply(net::error_response(503, "draining", "the process is leaving; nothing was done"));
         return;
     }
-    const auto segments = net::path_segments(request.path());
     if (segments.size() >= 2 && segments[0] == "v1" && segments[1] == "jobs") {
         m_jobs->handle(request, std::move(reply));
         return;
@@ -52,10 +83,11 @@
 void entry_application::begin_drain() {
     m_draining = true;
     m_member->set_draining();
+    m_requests->begin_drain();
 }
 
 bool entry_application::drained() const {
-    return m_jobs->in_progress() == 0;
+    return m_jobs->in_progress() == 0 && m_requests->in_progress() == 0;
 }
 
 } // namespace buckthornspar::entry
--- a/source/programs/buckthornspar-entry/entry_application.h
+++ b/source/programs/buckthornspar-entry/entry_application.h
@@ -2,6 +2,7 @@
 
 #include "core/server/server_application.h"
 #include "job_gateway.h"
+#include "request_service.h"
 
 #include <atomic>
 #include <memory>
@@ -17,7 +18,7 @@
 /// HTTP interface for callers: jobs go to schedulers, requests to runners.
 class entry_application final : public server::server_application {
 public:
-    explicit entry_application(server::server_process& process);
+    entry_application(server::server_process& process, request_settings requests);
     ~entry_application() override;
 
     void handle(net::http_request request, net::http_reply reply) override;
@@ -28,6 +29,7 @@
 private:
     server::server_process& m_process;
     std::unique_ptr<server::config_holder> m_config;
+    std::unique_ptr<request_service> m_requests;
     std::unique_ptr<server::cluster_member> m_member;
     std::unique_ptr<job_gateway> m_jobs;
     std::atomic<bool> m_draining{false};
--- a/source/programs/buckthornspar-entry/main.cpp
+++ b/source/programs/buckthornspar-entry/main.cpp
@@ -1,3 +1,4 @@
+#include "core/common/settings.h"
 #include "core/server/server_main.h"
 #include "entry_application.h"
 
@@ -11,12 +12,17 @@
         return "Serves callers over HTTP: jobs go to schedulers, requests to runners.";
     }
 
-    void read_settings(common::settings_section&) override {}
+    void read_settings(common::settings_section& settings) override {
+        m_requests = entry::read_request_settings(settings.section("requests"));
+    }
 
     [[nodiscard]] std::unique_ptr<server::server_application>
     start(server::server_process& process) override {
-        return std::make_unique<entry::entry_application>(process);
+        return std::make_unique<entry::entry_application>(process, m_requests);
     }
+
+private:
+    entry::request_settings m_requests;
 };
 
 } // namespace
--- /dev/null
+++ b/source/programs/buckthornspar-entry/request_settings.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "core/routing/request_engine.h"
+
+#include <cstddef>
+
+namespace buckthornspar::common {
+class settings_section;
+}
+
+namespace buckthornspar::entry {
+
+/// Settings of the request path, from the section "requests".
+struct request_settings {
+    routing::engine_settings engine;
+    common::duration default_deadline = std::chrono::seconds(30);
+    common::duration max_deadline = std::chrono::seconds(60);
+    std::size_t max_connections_per_runner = 64;
+    /// Submissions that wait for the decision thread.
+    std::size_t max_unread = 4096;
+};
+
+/// Throws settings_error. The entry's id and region are set by the caller.
+[[nodiscard]] request_settings read_request_settings(common::settings_section settings);
+
+} // namespace buckthornspar::entry
--- /dev/null
+++ b/tests/unit/routing/routing_policy_test.cpp
@@ -0,0 +1,116 @@
+#include "core/routing/routing_policy.h"
+#include "core/routing/slot_shares.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+using namespace buckthornspar;
+using namespace buckthornspar::routing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int entries = 3;
+constexpr int runners = 6;
+constexpr std::uint32_t slots = 8;
+
+// Entries whose policies exchange their messages without loss.
+struct policy_fixture {
+    policy_fixture() {
+        membership::instance_snapshot list;
+        for (int i = 0; i < runners; ++i) {
+            membership::instance r;
+            r.id = "r" + std::to_string(i);
+            r.role = membership::instance_role::runner;
+            r.service = "s";
+            r.region = "a";
+            r.slots = slots;
+            list.instances.push_back(r);
+        }
+        for (int i = 0; i < entries; ++i) {
+            const std::string id = "e" + std::to_string(i);
+            peers.push_back({id, "a"});
+            tables.emplace(id, runner_table("a"));
+            policies[id] = policy_registry::instance().make("slot_grants", {id, "a", "s"});
+            for (const std::size_t index : tables.at(id).update("s", list, now)) {
+                policies[id]->on_runner_added(index);
+            }
+        }
+    }
+
+    void tick(const std::map<std::string, std::size_t>& waiting) {
+        now += policy_tick_period;
+        for (const auto& [id, count] : waiting) {
+            std::vector<peer_message> out;
+            policies[id]->on_tick({tables.at(id), peers, count, now}, out);
+            for (auto message : out) {
+                const std::string to = message.entry;
+                message.entry = id;
+                for (const auto& count_of : grants_in(message)) {
+                    granted[to][count_of.runner] = count_of.slots;
+                }
+                policies[to]->on_peer(message, tables.at(to), now);
+            }
+        }
+    }
+
+    static std::vector<slot_count> grants_in(const peer_message& message) {
+        const auto* grant = std::get_if<slot_grant>(&message.content);
+        return grant != nullptr ? grant->counts : std::vector<slot_count>{};
+    }
+
+    [[nodiscard]] std::uint32_t total(const std::string& entry) {
+        std::uint32_t sum = 0;
+        for (const auto& [runner, count] : granted[entry]) {
+            sum += count;
+        }
+        return sum;
+    }
+
+    time_point now = time_point{} + 100s;
+    std::vector<peer_entry> peers;
+    std::map<std::string, runner_table> tables;
+    std::map<std::string, std::unique_ptr<routing_policy>> policies;
+    /// As sent between entries; what an owner grants itself is not in it.
+    std::map<std::string, std::map<std::string, std::uint32_t>> granted;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(routing_policy_test)
+
+// Guards against a policy that is missing because the linker dropped its registration.
+BOOST_AUTO_TEST_CASE(all_policies_are_registered) {
+    const std::vector<std::string> expected{"learning_automaton", "least_outstanding",
+                                            "slot_grants", "two_choices"};
+    BOOST_TEST(policy_registry::instance().names() == expected);
+}
+
+// Guards against grants that don't follow demand: nearly all traffic at one entry must get nearly
+// all slots, and the slots must move when the traffic moves.
+BOOST_FIXTURE_TEST_CASE(grants_move_with_demand, policy_fixture) {
+    for (int i = 0; i < 40; ++i) {
+        tick({{"e0", 60}, {"e1", 1}, {"e2", 0}});
+    }
+    const std::uint32_t others = total("e1") + total("e2");
+    BOOST_TEST(others <= 5U);
+    for (int i = 0; i < 40; ++i) {
+        tick({{"e0", 0}, {"e1", 60}, {"e2", 60}});
+    }
+    BOOST_TEST(total("e0") <= 5U);
+}
+
+// Guards against a region whose slots are given away while its own entries want them.
+BOOST_AUTO_TEST_CASE(own_region_comes_first) {
+    const std::map<std::string, double> capacity{{"a", 100}, {"b", 100}};
+    const auto full = slot_shares("a", capacity, {{"x", {"a", 120}}, {"y", {"b", 200}}});
+    BOOST_TEST(full.at("x") == 1.0);
+    const auto half = slot_shares("a", capacity, {{"x", {"a", 40}}, {"y", {"b", 300}}});
+    BOOST_TEST(half.at("x") == 0.4);
+    BOOST_TEST(half.at("y") == 0.6);
+    const auto spare = slot_shares("a", capacity, {{"x", {"a", 40}}, {"y", {"b", 80}}});
+    BOOST_TEST(spare.at("x") == 1.0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/routing/runner_table_test.cpp
@@ -0,0 +1,107 @@
+#include "core/routing/runner_table.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace buckthornspar;
+using namespace buckthornspar::routing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr time_point start = time_point{} + std::chrono::seconds(100);
+
+membership::instance_snapshot list_of(int runners) {
+    membership::instance_snapshot list;
+    for (int i = 0; i < runners; ++i) {
+        membership::instance r;
+        r.id = "r" + std::to_string(i);
+        r.role = membership::instance_role::runner;
+        r.service = "s";
+        r.region = "a";
+        r.slots = 4;
+        list.instances.push_back(r);
+    }
+    return list;
+}
+
+void answer(runner_table& table, std::size_t index, bool failed, time_point now) {
+    table.on_sent(index);
+    table.on_run_closed(index);
+    table.on_answer(index, failed, 1ms, now);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(runner_table_test)
+
+// Guards against a runner that fails everything fast and so attracts ever more work.
+BOOST_AUTO_TEST_CASE(failing_runner_is_quarantined) {
+    runner_table table("a");
+    (void)table.update("s", list_of(3), start);
+    for (int i = 0; i < 10; ++i) {
+        answer(table, 0, true, start);
+        answer(table, 1, false, start);
+        answer(table, 2, false, start);
+    }
+    BOOST_TEST(!table.is_available(0, start + 900ms));
+    BOOST_TEST(table.is_available(1, start));
+    // After the quarantine, one request at a time.
+    const time_point later = start + 40s;
+    BOOST_TEST(table.is_usable(0, later));
+    table.on_sent(0);
+    BOOST_TEST(!table.is_usable(0, later));
+    table.on_run_closed(0);
+    for (int i = 0; i < 10; ++i) {
+        answer(table, 0, false, later);
+    }
+    table.on_sent(0);
+    BOOST_TEST(table.is_usable(0, later));
+}
+
+// Guards against a quarantine of all runners when the requests themselves are at fault.
+BOOST_AUTO_TEST_CASE(failures_everywhere_quarantine_nobody) {
+    runner_table table("a");
+    (void)table.update("s", list_of(3), start);
+    for (int i = 0; i < 20; ++i) {
+        for (std::size_t index = 0; index < 3; ++index) {
+            answer(table, index, true, start);
+        }
+    }
+    for (std::size_t index = 0; index < 3; ++index) {
+        BOOST_TEST(table.is_available(index, start));
+    }
+}
+
+// Guards against new work for runners that leave or are no longer listed.
+BOOST_AUTO_TEST_CASE(leaving_and_unlisted_runners_get_nothing) {
+    runner_table table("a");
+    auto list = list_of(2);
+    (void)table.update("s", list, start);
+    list.instances[0].state = membership::instance_state::leaving;
+    list.instances.pop_back();
+    (void)table.update("s", list, start + 1s);
+    BOOST_TEST(!table.is_available(0, start + 1s));
+    BOOST_TEST(!table.is_available(1, start + 1s));
+    // A lagging list must not undo what the runner itself has said.
+    (void)table.update("s", list_of(2), start + 2s);
+    BOOST_TEST(!table.is_available(0, start + 2s));
+    BOOST_TEST(table.is_available(1, start + 2s));
+}
+
+// Guards against a runner that refuses everything but reports free slots.
+BOOST_AUTO_TEST_CASE(refusals_in_a_row_lengthen_the_hold) {
+    runner_table table("a");
+    (void)table.update("s", list_of(1), start);
+    time_point now = start;
+    for (int i = 0; i < 12; ++i) {
+        table.on_response(0, {4, 4, "", std::nullopt}, now);
+        table.on_full(0, now);
+        BOOST_TEST(!table.is_usable(0, now));
+        now = table.at(0).refused_until;
+    }
+    table.on_response(0, {4, 4, "", std::nullopt}, now);
+    table.on_full(0, now);
+    BOOST_TEST((table.at(0).refused_until - now >= 500ms));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
