--- a/source/programs/buckthornspar-entry/entry_application.cpp
+++ b/source/programs/buckthornspar-entry/entry_application.cpp
@@ -6,6 +6,7 @@
 #include "core/server/config_cache.h"
 #include "core/server/platform_adapters.h"
 #include "core/server/server_process.h"
+#include "slot_messages.h"
 
 #include <utility>
 
@@ -14,7 +15,8 @@
 namespace {
 
 std::unique_ptr<request_service> make_request_service(server::server_process& process,
-                                                      request_settings settings) {
+                                                      request_settings settings,
+                                                      request_service::peer_sender send_peer) {
     settings.engine.route.setup.entry_id = process.settings().id;
     settings.engine.route.setup.region = process.settings().region;
     routing::http_runner_settings runners;
@@ -22,7 +24,8 @@
     runners.max_connections_per_runner = settings.max_connections_per_runner;
     return std::make_unique<request_service>(
         std::move(settings), process.loop(), process.clock(), process.counters(),
-        std::make_unique<routing::http_runner_client>(process.loop(), runners), nullptr);
+        std::make_unique<routing::http_runner_client>(process.loop(), runners),
+        std::move(send_peer));
 }
 
 server::member_hooks make_hooks(request_service& requests) {
@@ -30,6 +33,12 @@
     hooks.on_instances = [&requests](const membership::instance_snapshot& list) {
         requests.on_instances(list);
     };
+    hooks.on_slot_demand = [&requests](const peer::sender& from, const peer::slot_demand& demand) {
+        requests.on_peer(from_peer(from, demand));
+    };
+    hooks.on_slot_grant = [&requests](const peer::sender& from, const peer::slot_grant& grant) {
+        requests.on_peer(from_peer(from, grant));
+    };
     return hooks;
 }
 
@@ -38,7 +47,10 @@
 entry_application::entry_application(server::server_process& process, request_settings requests)
     : m_process(process),
       m_config(std::make_unique<server::config_cache>([](std::uint64_t, const std::string&) {})),
-      m_requests(make_request_service(process, std::move(requests))),
+      // The policy has nobody to send to before the member has delivered the first list.
+      m_requests(make_request_service(
+          process, std::move(requests),
+          [this](const routing::peer_message& message) { send_to_peer(*m_member, message); })),
       m_member(std::make_unique<server::cluster_member>(process, "entry",
                                                         server::make_instance_list(process),
                                                         *m_config, make_hooks(*m_requests))),
@@ -48,6 +60,7 @@
 }
 
 entry_application::~entry_application() {
+    m_requests->stop();
     m_member->stop();
 }
 
--- a/source/programs/buckthornspar-entry/request_service.cpp
+++ b/source/programs/buckthornspar-entry/request_service.cpp
@@ -33,9 +33,15 @@
       m_thread([this] { decide(); }) {}
 
 request_service::~request_service() {
+    stop();
+}
+
+void request_service::stop() {
     m_stopped = true;
     m_events.close();
-    m_thread.join();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
 }
 
 void request_service::handle(net::http_request request, net::http_reply reply) {
--- a/source/programs/buckthornspar-entry/request_service.h
+++ b/source/programs/buckthornspar-entry/request_service.h
@@ -29,12 +29,14 @@
     request_service(request_settings settings, net::event_loop& loop, const common::clock& clock,
                     common::counters& metrics, std::unique_ptr<routing::runner_client> runners,
                     peer_sender send_peer);
-    /// Stops the decision thread; requests in progress get no answer. The event loop must have
-    /// stopped, or all calls to runners have completed.
+    /// The event loop must have stopped, or all calls to runners have completed.
     ~request_service();
     request_service(const request_service&) = delete;
     request_service& operator=(const request_service&) = delete;
 
+    /// Stops the decision thread; requests in progress get no answer. May be called twice.
+    void stop();
+
     // All of these may be called from any thread.
 
     void handle(net::http_request request, net::http_reply reply);
