--- /dev/null
+++ b/source/programs/buckthornspar-bench/routing_simulation.cpp
@@ -0,0 +1,241 @@
+#include "routing_simulation.h"
+
+#include <string>
+#include <utility>
+
+namespace buckthornspar::bench {
+
+namespace {
+
+constexpr common::duration deadline = std::chrono::seconds(30);
+constexpr common::duration drain_time = std::chrono::seconds(40);
+constexpr std::size_t body_bytes = 2000;
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_failed = 500;
+constexpr common::duration fast_failure = std::chrono::milliseconds(1);
+
+std::string region_name(std::size_t region) {
+    return "region" + std::to_string(region);
+}
+
+membership::instance make_instance(const std::string& id, membership::instance_role role,
+                                   std::size_t region) {
+    membership::instance i;
+    i.id = id;
+    i.role = role;
+    i.region = region_name(region);
+    return i;
+}
+
+// Ids are letters and a number from 0.
+std::size_t number_of(const std::string& id) {
+    return std::stoul(id.substr(1));
+}
+
+} // namespace
+
+routing_simulation::routing_simulation(const routing_cell& cell, const runner_faults& faults,
+                                       const std::string& policy, std::uint64_t seed)
+    : m_cell(cell), m_faults(faults) {
+    membership::instance_snapshot list;
+    for (std::size_t i = 0; i < cell.runners; ++i) {
+        m_runners.push_back({i % cell.regions, 0});
+        list.instances.push_back(make_instance(
+            "r" + std::to_string(i), membership::instance_role::runner, i % cell.regions));
+        list.instances.back().service = "planner";
+        list.instances.back().slots = cell.slots;
+        list.instances.back().address = {"127.0.0.1", static_cast<std::uint16_t>(9000 + i)};
+    }
+    for (std::size_t i = 0; i < cell.entries; ++i) {
+        const std::string id = "e" + std::to_string(i);
+        list.instances.push_back(
+            make_instance(id, membership::instance_role::entry, i % cell.regions));
+        routing::engine_settings settings;
+        settings.route.setup.entry_id = id;
+        settings.route.setup.region = region_name(i % cell.regions);
+        settings.route.policy = policy;
+        settings.route.crossing_time = cell.far_trip;
+        settings.max_per_caller = SIZE_MAX;
+        m_entries.push_back(std::make_unique<entry_node>());
+        m_entries.back()->region = i % cell.regions;
+        m_entries.back()->engine = std::make_unique<routing::request_engine>(
+            settings, m_entries.back()->metrics, seed + i);
+    }
+    for (std::size_t i = 0; i < cell.entries; ++i) {
+        m_entries[i]->engine->on_instances(list, m_now);
+    }
+}
+
+void routing_simulation::schedule(common::time_point at, std::function<void()> run) {
+    m_events.push({at, m_next_event++, std::move(run)});
+}
+
+common::duration routing_simulation::trip(std::size_t a, std::size_t b) const {
+    return a == b ? m_cell.near_trip : m_cell.far_trip;
+}
+
+simulation_result routing_simulation::run(const std::vector<arrival>& arrivals) {
+    m_arrivals = &arrivals;
+    m_started.assign(arrivals.size(), common::time_point{});
+    for (std::size_t i = 0; i < m_entries.size(); ++i) {
+        after_engine_event(i);
+    }
+    const auto body = std::make_shared<const std::string>(body_bytes, 'x');
+    const auto end = common::time_point{} + m_cell.length + drain_time;
+    std::size_t next = 0;
+    while (true) {
+        const bool arrives =
+            next < arrivals.size() && (m_events.empty() || arrivals[next].at <= m_events.top().at);
+        if (arrives) {
+            m_now = arrivals[next].at;
+            routing::request r;
+            r.key = next + 1;
+            r.id = std::to_string(next);
+            r.service = "planner";
+            r.deadline = m_now + deadline;
+            r.idempotent = true;
+            r.body = body;
+            const std::size_t entry = arrivals[next].entry;
+            m_entries[entry]->engine->submit(std::move(r), m_now);
+            after_engine_event(entry);
+            ++next;
+            continue;
+        }
+        if (m_events.empty() || m_events.top().at > end) {
+            break;
+        }
+        m_now = m_events.top().at;
+        const auto run_event = m_events.top().run;
+        m_events.pop();
+        run_event();
+    }
+    for (const auto& e : m_entries) {
+        m_result.full_refusals += static_cast<std::size_t>(
+            e->metrics.get("runner_refusals_total", "reason", "full").value());
+        m_result.crossing_bytes += e->engine->find_route("planner")->crossing_bytes();
+    }
+    return std::move(m_result);
+}
+
+void routing_simulation::after_engine_event(std::size_t entry) {
+    entry_node& e = *m_entries[entry];
+    for (const auto& a : e.engine->take_actions()) {
+        carry_out(entry, a);
+    }
+    const auto next = std::max(e.engine->next_wakeup(), m_now);
+    if (next >= e.wake_at) {
+        return;
+    }
+    e.wake_at = next;
+    schedule(next, [this, entry, next] {
+        entry_node& woken = *m_entries[entry];
+        if (woken.wake_at == next) {
+            woken.wake_at = common::time_point::max();
+            woken.engine->tick(m_now);
+            after_engine_event(entry);
+        }
+    });
+}
+
+void routing_simulation::carry_out(std::size_t entry, const routing::action& a) {
+    const std::size_t region = m_entries[entry]->region;
+    if (const auto* run = std::get_if<routing::run_call>(&a)) {
+        const std::size_t runner = number_of(run->runner);
+        schedule(m_now + trip(region, m_runners[runner].region),
+                 [this, entry, runner, call = *run] { arrive_at_runner(entry, runner, call); });
+    } else if (const auto* query = std::get_if<routing::query_call>(&a)) {
+        // Runners of this simulation never lose a request: one that is asked after still runs.
+        routing::query_result result;
+        result.token = query->token;
+        result.request_id = query->request_id;
+        result.state = routing::run_state::running;
+        const std::size_t runner = number_of(query->runner);
+        schedule(m_now + 2 * trip(region, m_runners[runner].region), [this, entry, result] {
+            m_entries[entry]->engine->on_query_result(result, m_now);
+            after_engine_event(entry);
+        });
+    } else if (const auto* ping = std::get_if<routing::ping_call>(&a)) {
+        const std::size_t runner = number_of(ping->runner);
+        schedule(m_now + 2 * trip(region, m_runners[runner].region),
+                 [this, entry, runner, token = ping->token] {
+                     const std::uint32_t free = m_cell.slots - m_runners[runner].running;
+                     m_entries[entry]->engine->on_ping_result(
+                         {token, true, {m_cell.slots, free, "", std::nullopt}}, m_now);
+                     after_engine_event(entry);
+                 });
+    } else if (const auto* done = std::get_if<routing::caller_answer>(&a)) {
+        answer(*done);
+    } else if (const auto* message = std::get_if<routing::peer_message>(&a)) {
+        ++m_result.peer_messages;
+        const std::size_t to = number_of(message->entry);
+        routing::peer_message received = *message;
+        received.entry = "e" + std::to_string(entry);
+        schedule(m_now + trip(region, m_entries[to]->region), [this, to, received] {
+            m_entries[to]->engine->on_peer(received, m_now);
+            after_engine_event(to);
+        });
+    }
+}
+
+void routing_simulation::arrive_at_runner(std::size_t entry, std::size_t runner,
+                                          const routing::run_call& call) {
+    runner_node& r = m_runners[runner];
+    routing::run_result result;
+    result.token = call.token;
+    result.request_id = call.request_id;
+    if (r.running >= m_cell.slots) {
+        result.kind = routing::run_result_kind::refused;
+        reply(entry, runner, std::move(result));
+        return;
+    }
+    ++r.running;
+    result.kind = routing::run_result_kind::answered;
+    const std::size_t number = std::stoul(call.request_id);
+    m_started[number] = m_now;
+    const bool first = runner == 0;
+    const bool fails = first && m_faults.fails_fast;
+    result.status = fails ? status_failed : status_ok;
+    const double factor = first ? m_faults.slow_factor : 1;
+    const auto service = static_cast<double>((*m_arrivals)[number].service.count());
+    const auto busy =
+        fails ? fast_failure : common::duration(static_cast<std::int64_t>(service * factor));
+    schedule(m_now + busy, [this, entry, runner, result] { finish_run(entry, runner, result); });
+}
+
+void routing_simulation::finish_run(std::size_t entry, std::size_t runner,
+                                    routing::run_result result) {
+    --m_runners[runner].running;
+    result.body = std::string(body_bytes, 'y');
+    reply(entry, runner, std::move(result));
+}
+
+void routing_simulation::reply(std::size_t entry, std::size_t runner, routing::run_result result) {
+    result.facts.slots = m_cell.slots;
+    result.facts.slots_free = m_cell.slots - m_runners[runner].running;
+    schedule(m_now + trip(m_entries[entry]->region, m_runners[runner].region),
+             [this, entry, result = std::move(result)] {
+                 m_entries[entry]->engine->on_run_result(result, m_now);
+                 after_engine_event(entry);
+             });
+}
+
+void routing_simulation::answer(const routing::caller_answer& a) {
+    const std::size_t number = a.key - 1;
+    const arrival& submitted = (*m_arrivals)[number];
+    if (submitted.at < common::time_point{} + m_cell.warm_up) {
+        return;
+    }
+    if (a.outcome != routing::run_outcome::ran) {
+        ++m_result.refused;
+        return;
+    }
+    ++m_result.answered;
+    if (a.status != status_ok) {
+        ++m_result.failed;
+        return;
+    }
+    const std::chrono::duration<double> wait = m_started[number] - submitted.at;
+    m_result.waits.push_back(wait / std::chrono::duration<double>(m_cell.service_time));
+}
+
+} // namespace buckthornspar::bench
--- /dev/null
+++ b/source/programs/buckthornspar-bench/routing_simulation.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "core/common/counters.h"
+#include "core/common/rng.h"
+#include "core/routing/request_engine.h"
+#include "routing_workload.h"
+
+#include <functional>
+#include <memory>
+#include <queue>
+#include <string>
+#include <vector>
+
+namespace buckthornspar::bench {
+
+struct simulation_result {
+    /// From submission to start at the runner, in mean service times; answered requests only.
+    std::vector<double> waits;
+    std::size_t answered = 0;
+    std::size_t refused = 0;
+    /// Answered with a failure of the runner.
+    std::size_t failed = 0;
+    std::size_t full_refusals = 0;
+    std::size_t peer_messages = 0;
+    double crossing_bytes = 0;
+};
+
+/// The real engines of all entries and simple runners, on a network with fixed delays.
+class routing_simulation {
+public:
+    routing_simulation(const routing_cell& cell, const runner_faults& faults,
+                       const std::string& policy, std::uint64_t seed);
+
+    [[nodiscard]] simulation_result run(const std::vector<arrival>& arrivals);
+
+private:
+    struct entry_node {
+        common::counters metrics;
+        std::unique_ptr<routing::request_engine> engine;
+        std::size_t region = 0;
+        common::time_point wake_at = common::time_point::max();
+    };
+    struct runner_node {
+        std::size_t region = 0;
+        std::uint32_t running = 0;
+    };
+    struct event {
+        common::time_point at;
+        std::uint64_t number;
+        std::function<void()> run;
+    };
+    struct later {
+        bool operator()(const event& a, const event& b) const {
+            return a.at != b.at ? a.at > b.at : a.number > b.number;
+        }
+    };
+
+    void schedule(common::time_point at, std::function<void()> run);
+    [[nodiscard]] common::duration trip(std::size_t a, std::size_t b) const;
+    void after_engine_event(std::size_t entry);
+    void carry_out(std::size_t entry, const routing::action& a);
+    void arrive_at_runner(std::size_t entry, std::size_t runner, const routing::run_call& call);
+    void reply(std::size_t entry, std::size_t runner, routing::run_result result);
+    void finish_run(std::size_t entry, std::size_t runner, routing::run_result result);
+    void answer(const routing::caller_answer& a);
+
+    routing_cell m_cell;
+    runner_faults m_faults;
+    common::time_point m_now{};
+    std::uint64_t m_next_event = 0;
+    std::priority_queue<event, std::vector<event>, later> m_events;
+    std::vector<std::unique_ptr<entry_node>> m_entries;
+    std::vector<runner_node> m_runners;
+    const std::vector<arrival>* m_arrivals = nullptr;
+    std::vector<common::time_point> m_started;
+    simulation_result m_result;
+};
+
+} // namespace buckthornspar::bench
--- /dev/null
+++ b/source/programs/buckthornspar-bench/routing_workload.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "core/common/clock.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace buckthornspar::bench {
+
+/// Size and load of the cell that the benchmark "routing" simulates.
+struct routing_cell {
+    std::size_t entries = 9;
+    std::size_t runners = 50;
+    std::uint32_t slots = 8;
+    std::size_t regions = 3;
+    double utilisation = 0.9;
+    common::duration service_time = std::chrono::milliseconds(500);
+    common::duration near_trip = std::chrono::milliseconds(1);
+    common::duration far_trip = std::chrono::milliseconds(20);
+    common::duration length = std::chrono::seconds(120);
+    common::duration warm_up = std::chrono::seconds(10);
+};
+
+/// One request of the workload.
+struct arrival {
+    common::time_point at{};
+    std::size_t entry = 0;
+    common::duration service{0};
+};
+
+/// What a scenario changes besides the arrivals.
+struct runner_faults {
+    /// Runner 0 takes this many times as long.
+    double slow_factor = 1;
+    /// Runner 0 fails everything at once.
+    bool fails_fast = false;
+};
+
+/// Scenarios: even, skew60, skew95, trickle, rush, waves, slow_runner, fails_fast. Throws
+/// bench_settings_error for another name.
+[[nodiscard]] std::vector<arrival> make_arrivals(const std::string& scenario,
+                                                 const routing_cell& cell, std::uint64_t seed);
+[[nodiscard]] runner_faults faults_of(const std::string& scenario);
+
+/// Waiting times of the same arrivals in a single queue over all slots, without any network: a
+/// yardstick, not a design. Runner 0 gets no work when it fails everything.
+[[nodiscard]] std::vector<double> central_queue_waits(const std::vector<arrival>& arrivals,
+                                                      const routing_cell& cell,
+                                                      const runner_faults& faults);
+
+/// Waiting time at the quantile, in mean service times. Sorts the waits.
+[[nodiscard]] double quantile(std::vector<double>& waits, double q);
+
+} // namespace buckthornspar::bench
