--- a/source/core/routing/http_runner_client.cpp
+++ b/source/core/routing/http_runner_client.cpp
@@ -31,6 +31,7 @@
     return limits;
 }
 
+// Larger numbers than the type holds read as absent.
 std::optional<std::uint32_t> number(const http_response& response, std::string_view field) {
     const std::string_view text = response.fields.get(field);
     std::uint32_t value = 0;
@@ -42,8 +43,12 @@
 }
 
 runner_facts facts_of(const http_response& response) {
-    return {number(response, "X-Slots"), number(response, "X-Slots-Free"),
-            std::string(response.fields.get("X-Incarnation"))};
+    runner_facts facts{number(response, "X-Slots"), number(response, "X-Slots-Free"),
+                       std::string(response.fields.get("X-Incarnation")), std::nullopt};
+    if (const auto uptime = number(response, "X-Uptime-Ms")) {
+        facts.uptime = std::chrono::milliseconds(*uptime);
+    }
+    return facts;
 }
 
 run_result lost_or_not_sent(call_token token, const http_failure& failure) {
@@ -66,6 +71,7 @@
     // by its id.
     if (outcome == to_string(run_outcome::ran)) {
         result.kind = run_result_kind::answered;
+        result.content_type = response.fields.get("Content-Type");
         result.body = std::move(response.body);
     } else if (outcome == to_string(run_outcome::not_run) && response.status == unavailable) {
         try {
@@ -107,6 +113,7 @@
     if (response.fields.get("X-Outcome") == to_string(run_outcome::ran)) {
         result.state = run_state::done;
         result.status = response.status;
+        result.content_type = response.fields.get("Content-Type");
         result.body = std::move(response.body);
     } else if (response.status == not_found) {
         result.state = run_state::not_seen;
@@ -151,6 +158,12 @@
     request.fields.set("X-Attempt", std::to_string(call.attempt));
     request.fields.set("X-Idempotent", call.idempotent ? "true" : "false");
     request.fields.set("X-Origin", m_settings.entry_id);
+    if (!call.content_type.empty()) {
+        request.fields.set("Content-Type", call.content_type);
+    }
+    if (!call.expected_incarnation.empty()) {
+        request.fields.set("X-Expect-Incarnation", call.expected_incarnation);
+    }
     if (call.body) {
         request.body = *call.body;
     }
