Finish writing responses before a stopped HTTP server is done

A request counted as finished once its response was handed over, so that a server process could stop its loop while the response was being written. Connections that were idle at the stop were closed at once, also under a request that was on its way or half read. The count now falls when the response has been written, and a stop accepts and answers requests for another 300 ms, with "Connection: close", before it closes what is idle.

--- a/source/core/net/http_server.cpp
+++ b/source/core/net/http_server.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -22,25 +23,42 @@
 using tcp = asio::ip::tcp;
 
 namespace {
+
+// Requests that arrive on an open connection in this time after the start of a stop still get an
+// answer, with "Connection: close". A client that has just sent one would otherwise lose it.
+constexpr auto stop_linger = std::chrono::milliseconds(300);
+
 class session;
+
 } // namespace
 
+// Counts as work in progress for as long as a copy of it exists.
+using ticket = std::shared_ptr<void>;
+
 struct http_server::state : std::enable_shared_from_this<state> {
     state(event_loop& l, http_server_limits lim, http_handler& h)
-        : context(l.context()), limits(lim), handler(h), acceptor(l.context()) {}
+        : context(l.context()),
+          limits(lim),
+          handler(h),
+          acceptor(l.context()),
+          linger(l.context()) {}
 
     void accept();
-    void begin_stop();
+    void begin_stop(ticket stop_ticket);
+    void end_linger();
+    [[nodiscard]] ticket take_ticket();
 
     asio::io_context& context;
     http_server_limits limits;
     http_handler& handler;
     tcp::acceptor acceptor;
+    asio::steady_timer linger;
     std::unordered_set<session*> sessions;
     std::atomic<std::size_t> in_progress{0};
     // Cleared by the server's destructor, after which the handler must not be called.
     std::atomic<bool> open{true};
     bool stopping = false;
+    bool linger_over = false;
     std::uint16_t port = 0;
 };
 
@@ -77,22 +95,28 @@
         m_parser.emplace();
         m_parser->body_limit(m_server->limits.max_body_bytes);
         m_stream.expires_after(m_server->limits.idle_timeout);
-        m_idle = true;
+        m_reading = true;
         http::async_read(m_stream, m_buffer, *m_parser,
                          [self = shared_from_this()](beast::error_code failure, std::size_t) {
                              self->on_read(failure);
                          });
     }
 
+    // A request of which a part has arrived is read to its end.
     void close_if_idle() {
-        if (m_idle) {
-            m_stream.cancel();
+        if (!m_reading) {
+            return;
+        }
+        if (m_parser->got_some()) {
+            m_ticket = m_server->take_ticket();
+            return;
         }
+        m_stream.cancel();
     }
 
 private:
     void on_read(beast::error_code failure) {
-        m_idle = false;
+        m_reading = false;
         if (failure) {
             on_read_failure(failure);
             return;
@@ -138,21 +162,23 @@
             return;
         }
         m_stream.expires_never();
-        m_server->in_progress.fetch_add(1);
         auto answered = std::make_shared<std::atomic<bool>>(false);
-        auto reply = [self = shared_from_this(), answered](http_response response) {
+        // The copy of the ticket lives until the response has been written.
+        auto reply = [self = shared_from_this(), answered,
+                      held = m_server->take_ticket()](http_response response) {
             if (answered->exchange(true)) {
                 return;
             }
-            asio::post(self->m_server->context, [self, response = std::move(response)]() mutable {
-                self->m_server->in_progress.fetch_sub(1);
-                self->write(std::move(response));
-            });
+            asio::post(self->m_server->context,
+                       [self, held, response = std::move(response)]() mutable {
+                           self->write(std::move(response), std::move(held));
+                       });
         };
+        m_ticket.reset();
         m_server->handler.handle(std::move(request), std::move(reply));
     }
 
-    void write(http_response response) {
+    void write(http_response response, ticket held = {}) {
         m_message = {};
         m_message.version(11);
         m_message.result(response.status);
@@ -165,7 +191,8 @@
         m_message.prepare_payload();
         m_stream.expires_after(m_server->limits.idle_timeout);
         http::async_write(m_stream, m_message,
-                          [self = shared_from_this()](beast::error_code failure, std::size_t) {
+                          [self = shared_from_this(),
+                           held = std::move(held)](beast::error_code failure, std::size_t) {
                               self->on_written(failure);
                           });
     }
@@ -174,7 +201,7 @@
         if (failure) {
             return;
         }
-        if (!m_keep_alive || m_server->stopping) {
+        if (!m_keep_alive || m_server->linger_over) {
             beast::error_code ignored;
             m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
             return;
@@ -188,7 +215,9 @@
     std::optional<http::request_parser<http::string_body>> m_parser;
     http::response<http::string_body> m_message;
     bool m_keep_alive = true;
-    bool m_idle = false;
+    bool m_reading = false;
+    // Held while a request that the stop found half read is in progress.
+    ticket m_ticket;
 };
 
 } // namespace
@@ -196,7 +225,7 @@
 void http_server::state::accept() {
     acceptor.async_accept(
         [self = shared_from_this()](beast::error_code failure, tcp::socket socket) {
-            if (failure == asio::error::operation_aborted || self->stopping) {
+            if (failure == asio::error::operation_aborted) {
                 return;
             }
             if (!failure && self->sessions.size() < self->limits.max_connections) {
@@ -208,8 +237,20 @@
         });
 }
 
-void http_server::state::begin_stop() {
+// Connections are accepted until the end of the linger time, because the kernel may already have
+// completed some whose request is on its way.
+void http_server::state::begin_stop(ticket stop_ticket) {
+    if (stopping) {
+        return;
+    }
     stopping = true;
+    linger.expires_after(stop_linger);
+    linger.async_wait([self = shared_from_this(),
+                       held = std::move(stop_ticket)](beast::error_code) { self->end_linger(); });
+}
+
+void http_server::state::end_linger() {
+    linger_over = true;
     beast::error_code ignored;
     acceptor.close(ignored);
     for (session* const s : sessions) {
@@ -217,6 +258,11 @@
     }
 }
 
+ticket http_server::state::take_ticket() {
+    in_progress.fetch_add(1);
+    return {nullptr, [self = shared_from_this()](void*) { self->in_progress.fetch_sub(1); }};
+}
+
 http_server::http_server(event_loop& loop, const endpoint& listen, http_server_limits limits,
                          http_handler& handler)
     : m_state(std::make_shared<state>(loop, limits, handler)) {
@@ -235,7 +281,7 @@
 
 http_server::~http_server() {
     m_state->open = false;
-    stop_accepting();
+    asio::post(m_state->context, [s = m_state] { s->end_linger(); });
 }
 
 std::uint16_t http_server::port() const {
@@ -243,7 +289,11 @@
 }
 
 void http_server::stop_accepting() {
-    asio::post(m_state->context, [s = m_state] { s->begin_stop(); });
+    // The ticket is taken here, so that a caller who waits for the work in progress also waits for
+    // the linger time.
+    asio::post(m_state->context, [s = m_state, held = m_state->take_ticket()]() mutable {
+        s->begin_stop(std::move(held));
+    });
 }
 
 std::size_t http_server::requests_in_progress() const {
--- a/source/core/net/http_server.h
+++ b/source/core/net/http_server.h
@@ -49,11 +49,13 @@
 
     [[nodiscard]] std::uint16_t port() const;
 
-    /// Closes the listening socket and idle connections; requests in progress get their response,
-    /// with "Connection: close". May be called from any thread.
+    /// Answers every further request with "Connection: close" and, after a short time for requests
+    /// that are on their way, closes the listening socket and the idle connections. Requests in
+    /// progress get their response. May be called from any thread.
     void stop_accepting();
 
-    /// Requests handed to the handler that have no response yet.
+    /// Requests whose response has not been written yet; not 0 while stop_accepting() has work to
+    /// do.
     [[nodiscard]] std::size_t requests_in_progress() const;
 
     struct state;
--- a/tests/unit/net/http_test.cpp
+++ b/tests/unit/net/http_test.cpp
@@ -7,12 +7,16 @@
 
 #include <future>
 #include <string>
+#include <thread>
 
 using namespace buckthornspar::net;
 using namespace std::chrono_literals;
 
 namespace {
 
+// More than the socket buffers of both sides hold.
+constexpr std::size_t large_body_bytes = 32U << 20U;
+
 class echo_handler final : public http_handler {
 public:
     void handle(http_request request, http_reply reply) override {
@@ -20,6 +24,12 @@
             m_kept = std::move(reply);
             return;
         }
+        if (request.path() == "/large") {
+            http_response large;
+            large.body = std::string(large_body_bytes, 'x');
+            reply(std::move(large));
+            return;
+        }
         http_response response;
         response.fields.set("X-Target", request.target);
         response.body = request.body;
@@ -49,6 +59,15 @@
         return promise.get_future().get();
     }
 
+    // Waits as a server program does, and stops the loop of the server only.
+    void stop_server() {
+        server.stop_accepting();
+        while (server.requests_in_progress() > 0) {
+            std::this_thread::sleep_for(1ms);
+        }
+        loop.stop();
+    }
+
     event_loop loop;
     echo_handler handler;
     http_server server;
@@ -115,4 +134,33 @@
     BOOST_TEST(request.query("b").value() == "c d");
 }
 
+// Guards against a stop that cuts off a response which is still being written.
+BOOST_AUTO_TEST_CASE(stop_waits_until_the_response_is_written) {
+    event_loop other;
+    other.start();
+    http_client remote(other, {.max_body_bytes = 2 * large_body_bytes});
+    std::promise<http_result> promise;
+    http_request request;
+    request.target = "/large";
+    remote.send({"127.0.0.1", server.port()}, request, 10s,
+                [&](http_result r) { promise.set_value(std::move(r)); });
+    while (server.requests_in_progress() == 0) {
+        std::this_thread::yield();
+    }
+    stop_server();
+    const auto result = promise.get_future().get();
+    other.stop();
+    BOOST_REQUIRE(std::holds_alternative<http_response>(result));
+    BOOST_TEST(std::get<http_response>(result).body.size() == large_body_bytes);
+}
+
+// Guards against a stop that closes a kept-alive connection under a request on its way.
+BOOST_AUTO_TEST_CASE(request_right_after_the_stop_is_answered_and_told_to_close) {
+    BOOST_REQUIRE(std::holds_alternative<http_response>(call({})));
+    server.stop_accepting();
+    const auto result = call({});
+    BOOST_REQUIRE(std::holds_alternative<http_response>(result));
+    BOOST_TEST(std::get<http_response>(result).fields.get("connection") == "close");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
