--- a/source/programs/buckthornsparctl/commands.cpp
+++ b/source/programs/buckthornsparctl/commands.cpp
@@ -190,24 +190,40 @@
         changes.push_back(json::object{{"op", "remove"}, {"path", path}});
     }
     if (changes.empty()) {
-        throw command_line_error("patch needs --set, --remove or --file");
+        throw command_line_error("patch needs --set, --remove, --undo or --file");
     }
     return changes;
 }
 
+json::object patch_from_options(const command_line& line, const std::string& id) {
+    json::object body{{"id", id},
+                      {"author", required(line, "author")},
+                      {"version", to_number("base", required(line, "base"))}};
+    if (line.has("undo")) {
+        body["undo"] = number(line, "undo", "");
+    } else {
+        body["changes"] = changes_from_options(line);
+    }
+    return body;
+}
+
+json::object patch_from_file(const command_line& line) {
+    boost::system::error_code failure;
+    json::value body = json::parse(read_file(line.get("file")), failure);
+    if (failure || !body.is_object()) {
+        throw command_line_error("--file must be a JSON object");
+    }
+    return std::move(body.get_object());
+}
+
 ctl_call patch(const command_line& line) {
     no_operand(line);
-    const std::string target =
-        line.has("dry-run") ? "/v1/config/patches?dry_run=true" : "/v1/config/patches";
-    if (line.has("file")) {
-        return {json_request(target, read_file(line.get("file"))), ""};
+    const std::string id = line.has("file") ? "" : line.get("id", random_id());
+    json::object body = line.has("file") ? patch_from_file(line) : patch_from_options(line, id);
+    if (line.has("dry-run")) {
+        body["dry_run"] = true;
     }
-    const std::string id = line.get("id", random_id());
-    const json::object body{{"id", id},
-                            {"author", required(line, "author")},
-                            {"base_version", to_number("base", required(line, "base"))},
-                            {"changes", changes_from_options(line)}};
-    return {json_request(target, json::serialize(body)), id};
+    return {json_request("/v1/config/patches", json::serialize(body)), id};
 }
 
 ctl_call versions(const command_line& line) {
@@ -273,8 +289,11 @@
         {"body", '\0', "TEXT", "request: body"},
         {"author", '\0', "NAME", "patch: who makes the change"},
         {"base", '\0', "N", "patch: version that the patch was made against"},
-        {"set", '\0', "PATH=VALUE", "patch: set a value (may be repeated)"},
-        {"remove", '\0', "PATH", "patch: remove a value (may be repeated)"},
+        {"set", '\0', "PATH=VALUE",
+         "patch: set a field, for example quotas/vision to a JSON value; "
+         "may be repeated"},
+        {"remove", '\0', "PATH", "patch: remove a field; may be repeated"},
+        {"undo", '\0', "N", "patch: revert the changes of version N"},
         {"dry-run", '\0', "", "patch: only check it"},
         {"in-force", '\0', "", "versions: show the version in force"},
         {"version", 'V', "", "print the version and exit"},
