--- a/scripts/lib/processes.sh
+++ b/scripts/lib/processes.sh
@@ -51,6 +51,15 @@
     } 3<>"/dev/tcp/${address%:*}/${address##*:}" || true
 }
 
+# http_body ADDRESS:PORT PATH: prints the body of the answer.
+http_body() {
+    local address=$1 path=$2
+    {
+        printf 'GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n' "$path" "$address" >&3
+        sed '1,/^\r$/d' <&3
+    } 3<>"/dev/tcp/${address%:*}/${address##*:}"
+}
+
 # wait_ready NAME ADDRESS:PORT: waits until the server answers /readyz with 200.
 wait_ready() {
     local name=$1 address=$2
