Let a scheduler's refusal arrive before the entry gives up

The entry, the call to the scheduler and the scheduler itself all used the same deadline of 5 s, so that the call timed out just before the refusal store_unavailable arrived and the caller was told outcome_unknown (seen in tests/process/store_outage_test.cpp: 504 before, 503 with store_unavailable after).

--- a/source/core/peer/peer_node.cpp
+++ b/source/core/peer/peer_node.cpp
@@ -22,6 +22,10 @@
 
 namespace {
 
+// A scheduler answers at the deadline of the call at the latest. Waiting a little longer lets its
+// refusal arrive, which tells more than a call without an answer.
+constexpr common::duration refusal_margin = std::chrono::milliseconds(300);
+
 kj::Duration to_kj(common::duration d) {
     return d.count() * kj::MICROSECONDS;
 }
@@ -320,9 +324,10 @@
 
 void peer_node::call_job(const net::endpoint& to, job_call call,
                          const std::function<void(job_reply)>& complete) {
-    const common::duration timeout = call.operation == job_operation::submit && call.deadline_ms > 0
-                                         ? std::chrono::milliseconds(call.deadline_ms)
-                                         : m_state->limits.call_timeout;
+    const common::duration timeout =
+        call.operation == job_operation::submit && call.deadline_ms > 0
+            ? std::chrono::milliseconds(call.deadline_ms) + refusal_margin
+            : m_state->limits.call_timeout;
     auto send = [call = std::move(call)](schema::Peer::Client client) {
         return send_job_call(kj::mv(client), call);
     };
--- a/source/programs/buckthornspar-entry/job_gateway.cpp
+++ b/source/programs/buckthornspar-entry/job_gateway.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -16,6 +17,10 @@
 namespace {
 
 constexpr common::duration call_deadline = std::chrono::seconds(5);
+// The scheduler gets a shorter deadline, so that its refusal arrives before this entry gives up and
+// the caller is told what happened instead of an unknown outcome.
+constexpr common::duration answer_margin = std::chrono::milliseconds(400);
+constexpr common::duration min_call_deadline = std::chrono::milliseconds(50);
 constexpr common::duration retry_delay = std::chrono::milliseconds(50);
 constexpr std::size_t max_job_id_bytes = 128;
 
@@ -179,8 +184,10 @@
     }
     e->call.from = m_member.self();
     e->call.shard = e->shard;
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(e->give_up_at - now);
-    e->call.deadline_ms = static_cast<std::uint32_t>(left.count());
+    const auto left =
+        std::max<common::duration>(e->give_up_at - now - answer_margin, min_call_deadline);
+    e->call.deadline_ms = static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(left).count());
     m_member.node().call_job(owner->address, e->call, [this, e](peer::job_reply reply) {
         m_process.loop().post([this, e, reply = std::move(reply)] { on_reply(e, reply); });
     });
