--- a/source/core/store/log_format.h
+++ b/source/core/store/log_format.h
@@ -28,7 +28,7 @@
 };
 
 /// Largest body in one value. The store accepts 1 MB; the rest is room for headers and encoding.
-constexpr std::size_t max_log_value_bytes = 512U * 1024U;
+constexpr std::size_t max_log_value_bytes = 524'288;
 
 /// Throws common::usage_error when the writer id is empty or contains white space or a slash.
 void check_writer_id(std::string_view writer);
--- a/source/core/store/sequenced_log.cpp
+++ b/source/core/store/sequenced_log.cpp
@@ -117,7 +117,8 @@
     return std::exchange(m_actions, {});
 }
 
-void sequenced_log::on_response(common::time_point now, std::uint64_t call, kv_response response) {
+void sequenced_log::on_response(common::time_point now, std::uint64_t call,
+                                const kv_response& response) {
     lane* const l = lane_of(call);
     if (l == nullptr) {
         return;
@@ -217,9 +218,9 @@
         m_actions.emplace_back(snapshot_read{snapshot.covers, std::move(snapshot.body)});
         settle_skipped_append(records);
     }
-    for (auto& record : records) {
+    for (const auto& record : records) {
         if (record.number == m_head + 1) {
-            deliver(std::move(record));
+            deliver(record);
         }
     }
     return true;
@@ -246,9 +247,9 @@
 
 void sequenced_log::take_slot(std::uint64_t position, const kv_response& response) {
     try {
-        log_record record = learn_slot(position, first_entry(response));
+        const log_record record = learn_slot(position, first_entry(response));
         if (record.number == m_head + 1) {
-            deliver(std::move(record));
+            deliver(record);
         } else if (record.number > m_head + 1) {
             // The ring has moved on by more than one turn, so the records between are only in a
             // snapshot.
@@ -260,7 +261,7 @@
     }
 }
 
-void sequenced_log::deliver(log_record record) {
+void sequenced_log::deliver(const log_record& record) {
     m_head = record.number;
     m_actions.emplace_back(record_read{record});
     if (m_append && m_append->record.number == record.number) {
--- a/source/core/store/sequenced_log.h
+++ b/source/core/store/sequenced_log.h
@@ -111,7 +111,7 @@
     /// Starts or stops waiting for records of other writers with a watch on the next slot.
     void follow(common::time_point now, bool on);
 
-    void on_response(common::time_point now, std::uint64_t call, kv_response response);
+    void on_response(common::time_point now, std::uint64_t call, const kv_response& response);
 
     /// Starts the retries that are due.
     void on_time(common::time_point now);
@@ -121,6 +121,10 @@
     [[nodiscard]] std::vector<log_action> take_actions();
 
     [[nodiscard]] bool loaded() const { return m_loaded; }
+    /// A load is in progress; its view of the store may be older than this call.
+    [[nodiscard]] bool loading() const {
+        return m_load_lane.call != 0 || m_load_lane.retry_at.has_value();
+    }
     /// Number of the newest record that is known; 0 for an empty log.
     [[nodiscard]] std::uint64_t head() const { return m_head; }
     /// Records up to this number are covered by a snapshot in the store.
@@ -178,7 +182,7 @@
     [[nodiscard]] bool take_load(const std::vector<kv_entry>& entries);
     void take_slot(std::uint64_t position, const kv_response& response);
     [[nodiscard]] log_record learn_slot(std::uint64_t position, const kv_entry* entry);
-    void deliver(log_record record);
+    void deliver(const log_record& record);
     void settle_append(append_outcome outcome);
     void settle_with(const log_record& found);
     void settle_skipped_append(const std::vector<log_record>& records);
--- a/tests/fakes/fake_kv_store.h
+++ b/tests/fakes/fake_kv_store.h
@@ -44,10 +44,13 @@
     }
 
     /// Submits for a client whose path has faults of its own.
-    void submit(const kv_faults& path, store::kv_request request, store::kv_completion complete) {
+    void submit(const kv_faults& path, const store::kv_request& request,
+                store::kv_completion complete) {
         ++calls[request.operation];
         if (faults.down || path.down) {
-            finish_after(latency, std::move(complete), {store::kv_status::unavailable, {}, 0});
+            m_events.after(latency, [complete = std::move(complete)] {
+                complete({store::kv_status::unavailable, {}, 0});
+            });
             return;
         }
         const auto once = std::make_shared<store::kv_completion>(std::move(complete));
@@ -91,11 +94,6 @@
         }
     }
 
-    void finish_after(common::duration delay, store::kv_completion complete,
-                      store::kv_response response) {
-        m_events.after(delay, [complete = std::move(complete), response] { complete(response); });
-    }
-
     void reply(const shared_completion& complete, const store::kv_response& response) {
         m_events.after(latency, [complete, response] { answer(complete, response); });
     }
--- /dev/null
+++ b/tests/unit/config/config_service_test.cpp
@@ -0,0 +1,241 @@
+#include "core/config/config_service.h"
+
+#include "core/common/error.h"
+#include "fakes/fake_kv_store.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+using namespace buckthornspar;
+using namespace buckthornspar::config;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct service_client {
+    service_client(fakes::event_queue& e, fakes::fake_kv_store& s, const std::string& writer)
+        : events(e), kv(s), service(options(writer), counts) {
+        service.start(events.now());
+        pump();
+    }
+
+    static config_service_options options(const std::string& writer) {
+        config_service_options o;
+        o.log.prefix = "config";
+        o.log.writer = writer;
+        o.log.slots = 4;
+        o.max_history = 8;
+        o.max_queued_patches = 3;
+        return o;
+    }
+
+    void pump() {
+        for (auto& action : service.take_actions()) {
+            if (auto* const call = std::get_if<store::log_call>(&action)) {
+                kv.submit(path, call->request, [this, id = call->id](const auto& response) {
+                    service.on_response(events.now(), id, response);
+                    pump();
+                });
+            } else if (auto* const answer = std::get_if<patch_answer>(&action)) {
+                answers[answer->ticket] = *answer;
+            }
+        }
+        if (const auto wakeup = service.next_wakeup()) {
+            events.after(std::max(*wakeup - events.now(), common::duration(1)), [this] {
+                service.on_time(events.now());
+                pump();
+            });
+        }
+    }
+
+    std::uint64_t submit(const patch& p) {
+        service.submit(events.now(), ++last_ticket, p, 1000);
+        pump();
+        return last_ticket;
+    }
+
+    /// Submits, waits for the end of it and returns the answer.
+    patch_answer ask(const patch& p) {
+        const auto ticket = submit(p);
+        events.run_until(events.now() + 100ms);
+        return answers.at(ticket);
+    }
+
+    fakes::event_queue& events;
+    fakes::fake_kv_store& kv;
+    common::counters counts;
+    fakes::kv_faults path;
+    config_service service;
+    std::uint64_t last_ticket = 0;
+    std::map<std::uint64_t, patch_answer> answers;
+};
+
+patch make_patch(const std::string& id, std::uint64_t version, const std::string& path,
+                 const std::string& value) {
+    patch p;
+    p.id = id;
+    p.author = "ana";
+    p.version = version;
+    p.changes = {{change_kind::set, path, value}};
+    return p;
+}
+
+patch limit_patch(const std::string& id, std::uint64_t version, int value = 5) {
+    return make_patch(id, version, "limits/max_tasks_per_job", std::to_string(value));
+}
+
+struct service_fixture {
+    service_fixture() : kv(events), a(events, kv, "a"), b(events, kv, "b") { run(50ms); }
+    void run(common::duration time) { events.run_until(events.now() + time); }
+
+    fakes::event_queue events;
+    fakes::fake_kv_store kv;
+    service_client a;
+    service_client b;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(config_service_suite, service_fixture)
+
+// Guards against versions that are not N+1, and against a history without author and time.
+BOOST_AUTO_TEST_CASE(patch_becomes_the_next_version) {
+    for (std::uint64_t v = 0; v < 20; ++v) {
+        const auto answer = a.ask(limit_patch("p" + std::to_string(v), v, static_cast<int>(v) + 1));
+        BOOST_TEST((answer.status == patch_status::accepted));
+        BOOST_TEST(answer.version == v + 1);
+    }
+    const accepted_patch& last = a.service.history().patches().back();
+    BOOST_TEST(last.author == "ana");
+    BOOST_TEST(last.time_ms == 1000);
+}
+
+// Guards against two winners, and against a loser that is not told why.
+BOOST_AUTO_TEST_CASE(racing_patches_have_one_winner) {
+    const auto first = a.submit(limit_patch("pa", 0));
+    const auto second = b.submit(limit_patch("pb", 0));
+    run(200ms);
+    BOOST_TEST((a.answers.at(first).status == patch_status::accepted));
+    const auto& lost = b.answers.at(second);
+    BOOST_TEST((lost.status == patch_status::version_conflict));
+    BOOST_TEST(lost.version == 1U);
+    BOOST_REQUIRE(lost.fields.size() == 1U);
+    BOOST_TEST(lost.fields[0] == "limits/max_tasks_per_job");
+}
+
+// Guards against a refusal in a process that has not heard of the version yet.
+BOOST_AUTO_TEST_CASE(version_of_another_process_is_read_on_demand) {
+    BOOST_TEST((a.ask(limit_patch("p1", 0)).status == patch_status::accepted));
+    BOOST_TEST((b.ask(limit_patch("p2", 1, 6)).status == patch_status::accepted));
+    BOOST_TEST((b.ask(limit_patch("p3", 9)).status == patch_status::unknown_version));
+}
+
+// Guards against a second effect of a repeated patch, also at another process.
+BOOST_AUTO_TEST_CASE(repeated_patch_returns_its_first_result) {
+    (void)a.ask(limit_patch("p1", 0));
+    (void)a.ask(limit_patch("p2", 1, 6));
+    for (service_client* const client : {&a, &b}) {
+        const auto again = client->ask(limit_patch("p1", 0));
+        BOOST_TEST((again.status == patch_status::accepted));
+        BOOST_TEST(again.version == 1U);
+        BOOST_TEST((client->ask(limit_patch("p1", 2, 9)).status == patch_status::id_reused));
+    }
+}
+
+// Guards against refused patches and dry runs that change something.
+BOOST_AUTO_TEST_CASE(refused_patch_and_dry_run_write_nothing) {
+    const auto invalid = a.ask(limit_patch("p1", 0, -1));
+    BOOST_TEST((invalid.status == patch_status::invalid));
+    BOOST_TEST(invalid.error_type == "out_of_range");
+    BOOST_TEST(invalid.field == "limits/max_tasks_per_job");
+    patch dry = limit_patch("p2", 0);
+    dry.dry_run = true;
+    BOOST_TEST((a.ask(dry).status == patch_status::valid));
+    BOOST_TEST(kv.entries().empty());
+}
+
+// Guards against an undo that overwrites later changes, and against one that rewrites history.
+BOOST_AUTO_TEST_CASE(undo_is_a_new_version) {
+    (void)a.ask(limit_patch("p1", 0, 5));
+    (void)a.ask(make_patch("p2", 1, "limits/retry_budget_percent", "50"));
+    patch undo;
+    undo.id = "u1";
+    undo.author = "eva";
+    undo.version = 2;
+    undo.undo_of = 1;
+    const auto answer = a.ask(undo);
+    BOOST_TEST((answer.status == patch_status::accepted));
+    BOOST_TEST(answer.version == 3U);
+    BOOST_TEST(a.service.history().in_force().get(limit::max_tasks_per_job) ==
+               rule_of(limit::max_tasks_per_job).initial);
+    BOOST_TEST(a.service.history().in_force().get(limit::retry_budget_percent) == 50);
+    undo.id = "u2";
+    undo.version = 3;
+    const auto clash = a.ask(undo);
+    BOOST_TEST((clash.status == patch_status::undo_conflict));
+    BOOST_REQUIRE(clash.fields.size() == 1U);
+}
+
+// Guards against a patch that is lost or answered wrongly when only the answer of the store is
+// lost.
+BOOST_AUTO_TEST_CASE(lost_answer_is_settled) {
+    a.path.lose_answers = true;
+    const auto ticket = a.submit(limit_patch("p1", 0));
+    run(100ms);
+    a.path = {};
+    run(3s);
+    BOOST_TEST((a.answers.at(ticket).status == patch_status::accepted));
+    BOOST_TEST(a.answers.at(ticket).version == 1U);
+}
+
+// Guards against patches that wait for ever, and against a late effect of one that was refused.
+BOOST_AUTO_TEST_CASE(outage_refuses_in_time) {
+    kv.faults.down = true;
+    const auto first = a.submit(limit_patch("p1", 0));
+    const auto second = a.submit(limit_patch("p2", 0));
+    (void)a.submit(limit_patch("p3", 0));
+    const auto over = a.submit(limit_patch("p4", 0));
+    BOOST_TEST((a.answers.at(over).status == patch_status::queue_full));
+    run(5200ms);
+    BOOST_TEST((a.answers.at(first).status == patch_status::store_unavailable));
+    BOOST_TEST((a.answers.at(second).status == patch_status::store_unavailable));
+    kv.faults.down = false;
+    run(10s);
+    BOOST_TEST(kv.entries().empty());
+    BOOST_TEST((a.ask(limit_patch("p5", 0)).status == patch_status::accepted));
+}
+
+// Guards against a claim that a patch was refused while its write may still take effect.
+BOOST_AUTO_TEST_CASE(unknown_outcome_is_told_and_found_later) {
+    a.path.lose_answers = true;
+    const auto ticket = a.submit(limit_patch("p1", 0));
+    run(6s);
+    BOOST_TEST((a.answers.at(ticket).status == patch_status::outcome_unknown));
+    a.path = {};
+    run(3s);
+    const auto again = a.ask(limit_patch("p1", 0));
+    BOOST_TEST((again.status == patch_status::accepted));
+    BOOST_TEST(again.version == 1U);
+}
+
+// Guards against a restarted process that does not find what others wrote.
+BOOST_AUTO_TEST_CASE(new_process_reads_snapshot_and_records) {
+    for (std::uint64_t v = 0; v < 11; ++v) {
+        (void)a.ask(limit_patch("p" + std::to_string(v), v, static_cast<int>(v) + 1));
+    }
+    service_client c(events, kv, "c");
+    run(100ms);
+    BOOST_TEST(c.service.history().version() == 11U);
+    BOOST_TEST((c.service.history().in_force() == a.service.history().in_force()));
+    BOOST_TEST((c.ask(limit_patch("p9", 9, 10)).status == patch_status::accepted));
+}
+
+// Guards against a history that is too short to settle lost answers.
+BOOST_AUTO_TEST_CASE(short_history_is_refused) {
+    auto options = service_client::options("x");
+    options.max_history = options.log.slots;
+    BOOST_CHECK_THROW(config_service(options, a.counts), common::usage_error);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/store/log_fixture.h
+++ b/tests/unit/store/log_fixture.h
@@ -17,8 +17,8 @@
     void pump() {
         for (auto& action : log.take_actions()) {
             if (auto* const call = std::get_if<log_call>(&action)) {
-                kv.submit(path, call->request, [this, id = call->id](kv_response response) {
-                    log.on_response(events.now(), id, std::move(response));
+                kv.submit(path, call->request, [this, id = call->id](const kv_response& response) {
+                    log.on_response(events.now(), id, response);
                     pump();
                 });
             } else if (auto* const snapshot = std::get_if<snapshot_read>(&action)) {
