--- /dev/null
+++ b/source/core/membership/http_instance_list.cpp
@@ -0,0 +1,63 @@
+#include "core/membership/http_instance_list.h"
+
+#include "core/common/counters.h"
+#include "core/common/error.h"
+#include "core/membership/instance_format.h"
+
+#include <memory>
+#include <utility>
+
+namespace buckthornspar::membership {
+
+namespace {
+
+const instance_list_registration registration("http", [](const instance_list_context& context) {
+    return std::make_unique<http_instance_list>(context);
+});
+
+} // namespace
+
+http_instance_list::http_instance_list(const instance_list_context& context)
+    : m_counters(context.counters),
+      m_address(context.address),
+      m_timeout(context.timeout),
+      m_client(context.loop, {}) {}
+
+void http_instance_list::fetch(instance_completion complete) {
+    net::http_request request;
+    request.target = "/v1/instances";
+    m_client.send(m_address, std::move(request), m_timeout,
+                  [this, complete = std::move(complete)](const net::http_result& result) {
+                      complete(read(result));
+                  });
+}
+
+std::optional<instance_snapshot> http_instance_list::read(const net::http_result& result) {
+    const auto* const failure = std::get_if<net::http_failure>(&result);
+    if (failure != nullptr) {
+        if (failure->kind == net::http_failure_kind::timed_out) {
+            // The connections may have become silent while new ones work.
+            m_client.close_idle(m_address);
+        }
+        m_counters.get("instance_list_errors_total", "kind", net::to_string(failure->kind)).add();
+        return std::nullopt;
+    }
+    const auto& response = std::get<net::http_response>(result);
+    if (response.status != 200) {
+        m_counters
+            .get("instance_list_errors_total", "kind", "status_" + std::to_string(response.status))
+            .add();
+        return std::nullopt;
+    }
+    try {
+        parsed_list list = read_instances(response.body);
+        m_counters.get("instance_list_entries_skipped_total")
+            .add(static_cast<std::int64_t>(list.skipped));
+        return std::move(list.snapshot);
+    } catch (const common::format_error&) {
+        m_counters.get("instance_list_errors_total", "kind", "bad_answer").add();
+        return std::nullopt;
+    }
+}
+
+} // namespace buckthornspar::membership
--- /dev/null
+++ b/tests/unit/membership/http_instance_list_test.cpp
@@ -0,0 +1,92 @@
+#include "core/membership/http_instance_list.h"
+
+#include "core/common/counters.h"
+#include "core/common/error.h"
+#include "core/membership/instance_format.h"
+#include "core/net/event_loop.h"
+#include "core/net/http_server.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <future>
+
+using namespace buckthornspar;
+using namespace buckthornspar::membership;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string good_list =
+    R"({"index":7,"instances":[)"
+    R"({"id":"w1","role":"worker","address":"127.0.0.1:9000","place":"p","region":"r","rack":"k",)"
+    R"("state":"leaving"},)"
+    R"({"id":"r1","role":"runner","address":"127.0.0.1:9001","place":"p","region":"r","rack":"k",)"
+    R"("state":"live","service":"planner","slots":8},)"
+    R"({"id":"x1","role":"cache","address":"127.0.0.1:9002","place":"p","region":"r","rack":"k",)"
+    R"("state":"live"},)"
+    R"({"id":"w2","role":"worker","address":"nowhere","place":"p","region":"r","rack":"k",)"
+    R"("state":"live"},)"
+    R"({"id":"w1","role":"worker","address":"127.0.0.1:9003","place":"p","region":"r","rack":"k",)"
+    R"("state":"live"}]})";
+
+class list_handler final : public net::http_handler {
+public:
+    void handle(net::http_request request, net::http_reply reply) override {
+        target = request.target;
+        reply(answer);
+    }
+
+    net::http_response answer;
+    std::string target;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(http_instance_list_suite)
+
+// Guards against one unreadable entry that hides the whole fleet.
+BOOST_AUTO_TEST_CASE(unreadable_entries_are_skipped) {
+    const parsed_list list = read_instances(good_list);
+    BOOST_TEST(list.snapshot.index == 7U);
+    BOOST_TEST(list.skipped == 3U);
+    BOOST_REQUIRE(list.snapshot.instances.size() == 2U);
+    BOOST_TEST((list.snapshot.instances[0].state == instance_state::leaving));
+    BOOST_TEST(list.snapshot.instances[1].service == "planner");
+    BOOST_TEST(list.snapshot.instances[1].slots == 8U);
+}
+
+// Guards against an error document that is taken for an empty fleet.
+BOOST_AUTO_TEST_CASE(unreadable_list_is_refused) {
+    for (const char* const text : {"", "[]", "{}", R"({"index":"x","instances":[]})",
+                                   R"({"instances":[]})", R"({"index":1,"instances":{}})"}) {
+        BOOST_CHECK_THROW((void)read_instances(text), common::format_error);
+    }
+}
+
+// Guards against failures of the list that are not reported as such.
+BOOST_AUTO_TEST_CASE(adapter_reports_failures) {
+    net::event_loop loop;
+    common::counters counts;
+    list_handler handler;
+    net::http_server server(loop, {"127.0.0.1", 0}, {}, handler);
+    const auto list = instance_list_registry::instance().make(
+        "http", {loop, counts, {"127.0.0.1", server.port()}, 1s});
+    loop.start();
+    const auto fetch = [&](unsigned status, const std::string& body) {
+        handler.answer.status = status;
+        handler.answer.body = body;
+        std::promise<std::optional<instance_snapshot>> promise;
+        list->fetch([&](const auto& snapshot) { promise.set_value(snapshot); });
+        return promise.get_future().get();
+    };
+    BOOST_TEST(fetch(200, good_list).has_value());
+    BOOST_TEST(handler.target == "/v1/instances");
+    BOOST_TEST(!fetch(503, "").has_value());
+    BOOST_TEST(!fetch(200, "{}").has_value());
+    loop.stop();
+    BOOST_TEST(counts.get("instance_list_errors_total", "kind", "status_503").value() == 1);
+    BOOST_TEST(counts.get("instance_list_errors_total", "kind", "bad_answer").value() == 1);
+    BOOST_TEST(counts.get("instance_list_entries_skipped_total").value() == 3);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
