--- a/source/core/config/patch.cpp
+++ b/source/core/config/patch.cpp
@@ -86,7 +86,7 @@
 }
 
 void check_known_fields(const json::object& object) {
-    constexpr std::array<std::string_view, 6> known{"id",      "author", "version",
+    constexpr std::array<std::string_view, 6> known{"id",      "author", "base_version",
                                                     "changes", "undo",   "dry_run"};
     for (const auto& member : object) {
         if (std::find(known.begin(), known.end(), std::string_view(member.key())) == known.end()) {
@@ -172,7 +172,8 @@
     patch p;
     p.id = read_id(object, "id");
     p.author = read_id(object, "author");
-    p.version = static_cast<std::uint64_t>(require_number(object, "", "version", 0, max_version));
+    p.version =
+        static_cast<std::uint64_t>(require_number(object, "", "base_version", 0, max_version));
     p.dry_run = read_flag(object, "dry_run");
     if (object.contains("undo")) {
         p.undo_of = static_cast<std::uint64_t>(require_number(object, "", "undo", 1, max_version));
@@ -189,7 +190,7 @@
 }
 
 std::string to_json(const patch& p) {
-    json::object object{{"id", p.id}, {"author", p.author}, {"version", p.version}};
+    json::object object{{"id", p.id}, {"author", p.author}, {"base_version", p.version}};
     if (p.undo_of != 0) {
         object["undo"] = p.undo_of;
     } else {
--- a/source/core/config/patch.h
+++ b/source/core/config/patch.h
@@ -36,7 +36,8 @@
     bool dry_run = false;
 };
 
-/// Reads {"id","author","version","changes":[{"op":"set|remove","path","value"}],"undo","dry_run"}.
+/// Reads
+/// {"id","author","base_version","changes":[{"op":"set|remove","path","value"}],"undo","dry_run"}.
 /// Throws configuration_error.
 [[nodiscard]] patch read_patch(std::string_view json);
 [[nodiscard]] std::string to_json(const patch& p);
--- a/source/core/membership/http_instance_list.cpp
+++ b/source/core/membership/http_instance_list.cpp
@@ -50,10 +50,11 @@
         return std::nullopt;
     }
     try {
-        parsed_list list = read_instances(response.body);
+        std::size_t skipped = 0;
+        auto snapshot = read_instances(response.body, &skipped);
         m_counters.get("instance_list_entries_skipped_total")
-            .add(static_cast<std::int64_t>(list.skipped));
-        return std::move(list.snapshot);
+            .add(static_cast<std::int64_t>(skipped));
+        return snapshot;
     } catch (const common::format_error&) {
         m_counters.get("instance_list_errors_total", "kind", "bad_answer").add();
         return std::nullopt;
--- a/source/core/membership/instance_format.h
+++ b/source/core/membership/instance_format.h
@@ -3,22 +3,19 @@
 #include "core/membership/instance_list.h"
 
 #include <cstddef>
+#include <string>
 #include <string_view>
 
 namespace buckthornspar::membership {
 
-struct parsed_list {
-    instance_snapshot snapshot;
-    /// Entries that could not be read, for example of a role that this release does not know.
-    std::size_t skipped = 0;
-};
-
-/// Reads the answer of GET /v1/instances. One unreadable entry does not spoil the list. Throws
-/// common::format_error when the document as a whole cannot be read.
-[[nodiscard]] parsed_list read_instances(std::string_view json);
+/// Reads the JSON of the instance list (docs/platform-contract.md). Entries of a role that this
+/// release does not know are left out and counted in skipped, because they must not hide the rest
+/// of the fleet. Throws common::format_error when anything else cannot be read or an id is listed
+/// twice.
+[[nodiscard]] instance_snapshot read_instances(const std::string& text,
+                                               std::size_t* skipped = nullptr);
 
 [[nodiscard]] std::string_view to_string(instance_role role);
-/// Throws common::unknown_name_error.
-[[nodiscard]] instance_role to_role(std::string_view name);
+[[nodiscard]] std::string_view to_string(instance_state state);
 
 } // namespace buckthornspar::membership
--- a/source/core/peer/peer_service.h
+++ b/source/core/peer/peer_service.h
@@ -6,6 +6,7 @@
 namespace buckthornspar::peer {
 
 /// Cap'n Proto service that hands incoming calls to a peer_handler.
+// NOLINTNEXTLINE(cppcoreguidelines-virtual-class-destructor): Cap'n Proto owns its servers.
 class peer_service final : public schema::Peer::Server {
 public:
     explicit peer_service(peer_handler& handler) : m_handler(handler) {}
@@ -18,6 +19,8 @@
     kj::Promise<void> cancelJob(CancelJobContext context) override;
     kj::Promise<void> configSince(ConfigSinceContext context) override;
     kj::Promise<void> announceConfig(AnnounceConfigContext context) override;
+    kj::Promise<void> slotDemand(SlotDemandContext context) override;
+    kj::Promise<void> slotGrant(SlotGrantContext context) override;
 
 private:
     peer_handler& m_handler;
--- a/tests/unit/membership/membership_view_test.cpp
+++ b/tests/unit/membership/membership_view_test.cpp
@@ -1,4 +1,3 @@
-#define BOOST_TEST_MODULE membership
 #include "core/membership/membership_view.h"
 
 #include <boost/test/unit_test.hpp>
