--- a/source/core/config/config_service.cpp
+++ b/source/core/config/config_service.cpp
@@ -108,6 +108,16 @@
     advance(now);
 }
 
+void config_service::ensure_first_version(common::time_point now, std::int64_t wall_ms) {
+    if (!m_log.loaded() || m_log.head() != 0 || !m_queue.empty()) {
+        return;
+    }
+    patch first;
+    first.id = "initial";
+    first.author = "buckthornspar";
+    submit(now, 0, std::move(first), wall_ms);
+}
+
 void config_service::advance(common::time_point now) {
     // All records must be taken over before a patch is looked at, because it is checked against the
     // state that they lead to.
--- a/source/core/config/config_service.h
+++ b/source/core/config/config_service.h
@@ -78,6 +78,10 @@
     /// Starts or stops waiting for versions that other processes accept.
     void set_watching(common::time_point now, bool on);
 
+    /// Writes version 1, the default configuration, when the log has been read and is empty. Every
+    /// process may do so at once; one version comes of it. The answer has the ticket 0.
+    void ensure_first_version(common::time_point now, std::int64_t wall_ms);
+
     /// Ends with one patch_answer with the ticket. wall_ms is the time of the submission for the
     /// history.
     void submit(common::time_point now, std::uint64_t ticket, patch p, std::int64_t wall_ms);
--- a/tests/unit/config/config_service_test.cpp
+++ b/tests/unit/config/config_service_test.cpp
@@ -231,6 +231,21 @@
     BOOST_TEST((c.ask(limit_patch("p9", 9, 10)).status == patch_status::accepted));
 }
 
+// Guards against a system that never gets a first version, or gets several.
+BOOST_AUTO_TEST_CASE(first_version_is_written_once) {
+    a.service.ensure_first_version(events.now(), 1);
+    b.service.ensure_first_version(events.now(), 1);
+    a.pump();
+    b.pump();
+    run(200ms);
+    a.service.ensure_first_version(events.now(), 1);
+    a.pump();
+    run(200ms);
+    BOOST_TEST(a.service.history().version() == 1U);
+    BOOST_TEST(b.service.history().version() == 1U);
+    BOOST_TEST((a.service.history().in_force() == configuration{}));
+}
+
 // Guards against a history that is too short to settle lost answers.
 BOOST_AUTO_TEST_CASE(short_history_is_refused) {
     auto options = service_client::options("x");
