Add scenarios of the shard engine

One shard with schedulers, workers, store, callers and a network with loss, duplication, delay and cuts under a virtual clock; the invariants are checked after every event.

--- a/source/core/scheduling/job.cpp
+++ b/source/core/scheduling/job.cpp
@@ -102,6 +102,10 @@
     check_range("run_ms", job.run_ms, 0, max_time_ms);
     check_range("deadline_ms", job.deadline_ms, 0, max_time_ms);
     check_demand(job.demand);
+    if (job.kind == placement::workload_kind::service && !job.idempotent) {
+        throw invalid_job("idempotent", "a service is started again when it ends, so that it "
+                                        "cannot be non-idempotent");
+    }
     job.tasks = static_cast<std::uint32_t>(tasks);
     return job;
 }
--- a/source/core/scheduling/job_table.cpp
+++ b/source/core/scheduling/job_table.cpp
@@ -1,6 +1,7 @@
 #include "core/scheduling/job_table.h"
 
 #include "core/common/error.h"
+#include "core/common/overloaded.h"
 #include "core/scheduling/json_fields.h"
 
 #include <boost/json.hpp>
@@ -13,11 +14,6 @@
 
 namespace {
 
-template <typename... Handlers>
-struct overloaded : Handlers... {
-    using Handlers::operator()...;
-};
-
 json::object task_json(const task_record& task) {
     json::object object{{"ended", task.ended},
                         {"outcome", to_string(task.outcome)},
@@ -83,7 +79,7 @@
     const auto set_workers = [&](const std::vector<std::string>& workers) {
         m_workers = {workers.begin(), workers.end()};
     };
-    std::visit(overloaded{
+    std::visit(common::overloaded{
                    [&](const owner_entry& e) {
                        m_owner = e.owner;
                        m_epoch = number;
--- a/source/core/scheduling/journal.cpp
+++ b/source/core/scheduling/journal.cpp
@@ -1,6 +1,7 @@
 #include "core/scheduling/journal.h"
 
 #include "core/common/error.h"
+#include "core/common/overloaded.h"
 
 #include <algorithm>
 #include <iterator>
@@ -18,11 +19,6 @@
 /// Half of what one value may hold, so that the last entry that fits never makes it too large.
 constexpr std::size_t max_batch_bytes = store::max_log_value_bytes / 2;
 
-template <typename... Handlers>
-struct overloaded : Handlers... {
-    using Handlers::operator()...;
-};
-
 } // namespace
 
 common::duration flush_interval(std::size_t schedulers, std::size_t store_writes_per_second) {
@@ -80,8 +76,6 @@
 
 void journal::on_time(common::time_point now) {
     m_log.on_time(now);
-    write_snapshot_if_due(now);
-    flush(now);
 }
 
 std::optional<common::time_point> journal::next_wakeup() const {
@@ -123,7 +117,7 @@
 
 void journal::write_snapshot_if_due(common::time_point now) {
     if (!m_snapshot_pending && m_log.loaded() && m_log.room() * 2 <= m_settings.log.slots) {
-        m_snapshot_pending = m_log.write_snapshot(now, m_log.head(), m_table.snapshot());
+        m_snapshot_pending = m_log.write_snapshot(now, m_applied, m_table.snapshot());
     }
 }
 
@@ -143,10 +137,10 @@
 
 void journal::take(const store::log_action& action, std::vector<journal_event>& events) {
     std::visit(
-        overloaded{
+        common::overloaded{
             [&](const store::log_call& call) { events.emplace_back(call); },
             [&](const store::snapshot_read& snapshot) { m_table.load_snapshot(snapshot.body); },
-            [&](const store::record_read& read) { apply_record(read.record); },
+            [&](const store::record_read& read) { apply_record(read.record, events); },
             [&](const store::log_loaded&) { events.emplace_back(journal_loaded{}); },
             [&](const store::append_settled& settled) { settle(settled, events); },
             [&](const store::snapshot_settled&) { m_snapshot_pending = false; },
@@ -154,7 +148,26 @@
         action);
 }
 
-void journal::apply_record(const store::log_record& record) {
+/// What waits was decided by an owner that did not know of the other writer. It must not follow the
+/// other writer's record, even though the log would accept it there.
+void journal::drop_waiting(std::vector<journal_event>& events) {
+    if (m_waiting.empty()) {
+        return;
+    }
+    m_waiting.clear();
+    append_lost lost;
+    lost.undetermined = !m_written.empty();
+    for (const auto& item : m_written) {
+        lost.tags.push_back(item.tag);
+    }
+    events.emplace_back(std::move(lost));
+}
+
+void journal::apply_record(const store::log_record& record, std::vector<journal_event>& events) {
+    m_applied = record.number;
+    if (record.writer != m_settings.log.writer) {
+        drop_waiting(events);
+    }
     try {
         for (const auto& entry : read_entries(record.body)) {
             m_table.apply(record.number, entry);
--- a/source/core/scheduling/journal.h
+++ b/source/core/scheduling/journal.h
@@ -33,8 +33,8 @@
     std::uint64_t number = 0;
 };
 
-/// Another writer's record took the number of the pending append. The entries were not written,
-/// unless undetermined; then only the table can tell. Entries that wait are dropped as well.
+/// Another writer has written. The entries of the pending append, if it took their number, were not
+/// written, unless undetermined; then only the table can tell. Entries that wait are dropped.
 struct append_lost {
     std::vector<std::uint64_t> tags;
     bool undetermined = false;
@@ -76,7 +76,8 @@
     void flush(common::time_point now);
     void write_snapshot_if_due(common::time_point now);
     void take(const store::log_action& action, std::vector<journal_event>& events);
-    void apply_record(const store::log_record& record);
+    void apply_record(const store::log_record& record, std::vector<journal_event>& events);
+    void drop_waiting(std::vector<journal_event>& events);
     void settle(const store::append_settled& settled, std::vector<journal_event>& events);
 
     journal_settings m_settings;
@@ -89,6 +90,9 @@
     std::vector<tagged> m_written;
     std::uint64_t m_next_tag = 1;
     bool m_snapshot_pending = false;
+    /// Number of the newest record in the table. The head of the log is ahead of it until the
+    /// log's actions are taken.
+    std::uint64_t m_applied = 0;
     common::time_point m_last_flush;
     common::time_point m_paced_until;
 };
--- a/source/core/scheduling/shard_engine.cpp
+++ b/source/core/scheduling/shard_engine.cpp
@@ -1,19 +1,12 @@
 #include "core/scheduling/shard_engine.h"
 
+#include "core/common/overloaded.h"
+
 #include <algorithm>
 #include <utility>
 
 namespace buckthornspar::scheduling {
 
-namespace {
-
-template <typename... Handlers>
-struct overloaded : Handlers... {
-    using Handlers::operator()...;
-};
-
-} // namespace
-
 shard_engine::shard_engine(shard_engine_settings settings, common::counters& counters)
     : m_settings(std::move(settings)),
       m_counters(counters),
@@ -273,7 +266,7 @@
 bool shard_engine::drain_journal(common::time_point now) {
     const auto events = m_journal.take_events(now);
     for (const auto& event : events) {
-        std::visit(overloaded{
+        std::visit(common::overloaded{
                        [&](const store::log_call& call) { m_actions.emplace_back(call); },
                        [&](const journal_loaded&) { on_journal_loaded(now); },
                        [&](const entry_written& written) { on_entry_written(now, written); },
@@ -295,7 +288,7 @@
 
 void shard_engine::on_fleet_event(common::time_point now, const fleet_event& event) {
     std::visit(
-        overloaded{
+        common::overloaded{
             [&](const adopt_call& call) { m_actions.emplace_back(call); },
             [&](const sync_call& call) { m_actions.emplace_back(call); },
             [&](const events_call& call) { m_actions.emplace_back(call); },
--- a/source/core/scheduling/task_runner_attempts.cpp
+++ b/source/core/scheduling/task_runner_attempts.cpp
@@ -230,7 +230,7 @@
     }
     const bool final_end = job.stopping ||
                            (ended.outcome == attempt_outcome::succeeded && !service) ||
-                           (!job.spec.idempotent && !service);
+                           !job.spec.idempotent;
     if (final_end) {
         finish(now, ref, ended.outcome);
         return;
--- a/source/programs/buckthornspar-scheduler/decision_thread.cpp
+++ b/source/programs/buckthornspar-scheduler/decision_thread.cpp
@@ -1,6 +1,7 @@
 #include "decision_thread.h"
 
 #include "core/common/logging.h"
+#include "core/common/overloaded.h"
 #include "core/net/event_loop.h"
 
 #include <algorithm>
@@ -18,11 +19,6 @@
 constexpr common::duration result_retry = std::chrono::milliseconds(5);
 constexpr common::duration cancel_deadline = std::chrono::seconds(2);
 
-template <typename... Handlers>
-struct overloaded : Handlers... {
-    using Handlers::operator()...;
-};
-
 peer::job_reply refused(std::string_view type, std::string detail) {
     peer::job_reply reply;
     reply.status = peer::reply_status::refused;
@@ -213,7 +209,7 @@
 }
 
 void decision_thread::carry_out(const std::string& name, shard& s, const shard_action& action) {
-    std::visit(overloaded{
+    std::visit(common::overloaded{
                    [&](const store::log_call& c) { submit(name, c); },
                    [&](const adopt_call& c) { call(name, c); },
                    [&](const sync_call& c) { call(name, c); },
--- a/source/programs/buckthornspar-scheduler/scheduler_application.cpp
+++ b/source/programs/buckthornspar-scheduler/scheduler_application.cpp
@@ -26,6 +26,7 @@
            const server::server_settings& shared) {
     const std::int64_t start_number = common::wall_clock_ms();
     std::vector<scheduling::shard_engine_settings> engines;
+    engines.reserve(shards.size());
     for (const auto& shard : shards) {
         engines.push_back(engine_settings(settings, shared, shard.id, start_number));
     }
--- a/tests/process/scheduler_test.cpp
+++ b/tests/process/scheduler_test.cpp
@@ -52,7 +52,7 @@
         call.text = text;
         call.deadline_ms = 2000;
         const auto promise = std::make_shared<std::promise<peer::job_reply>>();
-        m_node.call_job(to, call, [promise](peer::job_reply r) { promise->set_value(r); });
+        m_node.call_job(to, call, [promise](const peer::job_reply& r) { promise->set_value(r); });
         return promise->get_future().get();
     }
 
--- /dev/null
+++ b/tests/scenario/scheduling/random_script.cpp
@@ -0,0 +1,171 @@
+#include "core/common/rng.h"
+#include "scenario/scheduling/scheduling_world.h"
+
+#include <algorithm>
+#include <array>
+#include <string>
+
+namespace buckthornspar::scenario {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Faults begin within the first ten seconds and are over by the fourteenth; take-over, leases and
+// repeated calls need the rest.
+constexpr std::uint64_t fault_window_ms = 10'000;
+constexpr common::duration end_at = seconds(55);
+
+class generator {
+public:
+    explicit generator(std::uint64_t seed) : m_rng(seed) {
+        m_script.name = "random";
+        m_script.seed = seed;
+        m_script.end = end_at;
+        m_script.setup.set("workers", std::to_string(2 + m_rng.below(4)));
+        m_script.setup.set("schedulers", std::to_string(2 + m_rng.below(2)));
+        // A setting instead of steps, so that a failing script keeps its end when it is shortened.
+        m_script.setup.set("heal_at", "14s");
+        m_script.setup.set("gone_after", "12s");
+        m_script.setup.set("quarantine", "5s");
+        m_script.setup.set("slots", std::to_string(8 + m_rng.below(24)));
+    }
+
+    script make() {
+        const std::uint64_t jobs = 1 + m_rng.below(6);
+        for (std::uint64_t i = 0; i < jobs; ++i) {
+            add_job("j" + std::to_string(i));
+        }
+        const std::uint64_t faults = 1 + m_rng.below(5);
+        for (std::uint64_t i = 0; i < faults; ++i) {
+            add_fault();
+        }
+        std::stable_sort(m_script.steps.begin(), m_script.steps.end(),
+                         [](const step& a, const step& b) { return a.at < b.at; });
+        return m_script;
+    }
+
+private:
+    using fields = std::map<std::string, std::string, std::less<>>;
+
+    void add(common::duration at, const std::string& verb, fields values) {
+        step s;
+        s.at = at;
+        s.verb = verb;
+        s.args = arguments(std::move(values));
+        m_script.steps.push_back(std::move(s));
+    }
+
+    common::duration time() {
+        return milliseconds(static_cast<std::int64_t>(m_rng.below(fault_window_ms)));
+    }
+
+    std::string flag(double probability) { return m_rng.chance(probability) ? "true" : "false"; }
+
+    std::string worker() {
+        return "w" + std::to_string(1 + m_rng.below(static_cast<std::uint64_t>(
+                                            m_script.setup.number("workers"))));
+    }
+
+    std::string scheduler() {
+        if (m_rng.chance(0.6)) {
+            return "owner";
+        }
+        return "s" + std::to_string(1 + m_rng.below(static_cast<std::uint64_t>(
+                                            m_script.setup.number("schedulers"))));
+    }
+
+    void add_job(const std::string& id) {
+        static constexpr std::array<const char*, 4> kinds{"batch", "batch", "service",
+                                                          "all_at_once"};
+        static constexpr std::array<const char*, 3> classes{"urgent", "normal", "bulk"};
+        const auto at = time();
+        const std::string kind = kinds.at(m_rng.below(kinds.size()));
+        // Services run for good; they leave room for one task of each other job.
+        const std::uint64_t tasks = kind == "service" ? 2 : 4;
+        const std::uint64_t cpu = kind == "service" ? 250
+                                  : kind == "batch" ? 500 * (1 + m_rng.below(4))
+                                                    : 500 * (1 + m_rng.below(2));
+        // A failing task runs five times.
+        const bool fails = kind != "service" && m_rng.chance(0.1);
+        const std::uint64_t run_ms = kind == "service" ? 0 : 100 + m_rng.below(fails ? 1000 : 8000);
+        add(at, "submit",
+            {{"job", id},
+             {"kind", kind},
+             {"class", classes.at(m_rng.below(classes.size()))},
+             {"idempotent", flag(kind == "service" ? 1 : 0.6)},
+             {"tasks", std::to_string(1 + m_rng.below(tasks))},
+             {"cpu", std::to_string(cpu)},
+             {"run", std::to_string(run_ms) + "ms"},
+             {"fail", fails ? "true" : "false"},
+             {"copies", std::to_string(1 + m_rng.below(2))},
+             {"patience", "40s"}});
+        if (m_rng.chance(0.3)) {
+            add(at + time() / 2, "cancel", {{"job", id}});
+        }
+    }
+
+    void add_fault() {
+        const auto at = time();
+        switch (m_rng.below(12)) {
+        case 0:
+            add(at, "crash", {{"scheduler", scheduler()}});
+            break;
+        case 1:
+        case 2:
+            add(at, "pause", {{"scheduler", scheduler()}});
+            if (m_rng.chance(0.7)) {
+                add(at + time(), "resume", {});
+            }
+            break;
+        case 3:
+            add(at, "store",
+                {{"down", flag(0.5)},
+                 {"lose_answers", flag(0.5)},
+                 {"delay", std::to_string(m_rng.below(900)) + "ms"}});
+            if (m_rng.chance(0.5)) {
+                add(at + time(), "store", {});
+            }
+            break;
+        case 4:
+            add(at, "network",
+                {{"loss", std::to_string(m_rng.below(200))},
+                 {"duplicate", std::to_string(m_rng.below(300))},
+                 {"slow", std::to_string(m_rng.below(100))}});
+            break;
+        case 5:
+            add(at, "worker", {{"worker", worker()}, {"silent", "true"}});
+            break;
+        case 6:
+            add(at, "worker", {{"worker", worker()}, {"lose_answers", "true"}});
+            break;
+        case 7:
+            add(at, "worker", {{"worker", worker()}, {"fail_every_task", "true"}});
+            break;
+        case 8:
+            add(at, "restart_worker", {{"worker", worker()}});
+            break;
+        case 9:
+            add(at, "cut", {{"from", scheduler()}, {"to", worker()}, {"both", flag(0.5)}});
+            break;
+        case 10:
+            add(at, "cut", {{"from", scheduler()}, {"to", "s1,s2,s3"}, {"both", flag(0.5)}});
+            break;
+        default:
+            add(at, "drain", {{"scheduler", scheduler()}});
+            break;
+        }
+    }
+
+    common::rng m_rng;
+    script m_script;
+};
+
+} // namespace
+
+script random_scheduling_script(std::uint64_t seed) {
+    return generator(seed).make();
+}
+
+} // namespace buckthornspar::scenario
