Count a report of free slots only against requests it has not seen

A report now counts against requests that were sent within one round trip of it, which are still on their way, and a distant runner is no longer guessed to have become free. The reserve of a region is shared with the entries of other regions that have slots there.

--- a/source/core/routing/request_engine.cpp
+++ b/source/core/routing/request_engine.cpp
@@ -153,7 +153,10 @@
 void request_engine::send(pending_request& p, std::size_t index, time_point now) {
     service_route& route = *p.route;
     const std::size_t bytes = p.r.body ? p.r.body->size() : 0;
-    route.on_sent(index, bytes);
+    route.on_sent(index, bytes, now);
+    if (!route.table.is_local(index)) {
+        m_metrics.get("crossings_total").add();
+    }
     if (p.attempts == 0) {
         m_budget.on_first_attempt();
     }
--- a/source/core/routing/request_engine_settlement.cpp
+++ b/source/core/routing/request_engine_settlement.cpp
@@ -34,6 +34,9 @@
         m_metrics.get("answers_mismatched_total").add();
         result.kind = run_result_kind::lost;
     } else if (responded) {
+        if (result.kind == run_result_kind::refused) {
+            route.table.on_round_trip(call->runner, now - call->sent_at);
+        }
         route.table.on_response(call->runner, result.facts, now);
     }
     if (p == nullptr || p->run_token != result.token) {
@@ -87,6 +90,9 @@
     service_route& route = *call.route;
     react(route, call.runner, route.table.at(call.runner).health.on_answer());
     m_metrics.get("runner_refusals_total", "reason", to_string(result.refusal)).add();
+    if (!route.table.is_local(call.runner)) {
+        m_metrics.get("crossings_refused_total").add();
+    }
     if (p.cancel_sent) {
         // The cancellation may still arrive and would fence a further attempt there.
         p.excluded.push_back(call.runner);
@@ -267,6 +273,7 @@
         react(route, call->runner, health.on_probe_failed());
         return;
     }
+    route.table.on_round_trip(call->runner, now - call->sent_at);
     route.table.on_response(call->runner, result.facts, now);
     react(route, call->runner, health.on_probe_answered());
     dispatch(route, now);
--- a/source/core/routing/runner_table.cpp
+++ b/source/core/routing/runner_table.cpp
@@ -19,6 +19,9 @@
 constexpr duration gone_after = std::chrono::seconds(60);
 constexpr double service_time_weight = 0.02;
 constexpr unsigned default_slots = 8;
+// A runner is near when this many round trips pass before one of its slots becomes free.
+constexpr int near_trips = 4;
+constexpr double round_trip_weight = 0.2;
 
 void apply(runner& r, const membership::instance& i) {
     r.id = i.id;
@@ -38,6 +41,15 @@
     r.next_quarantine = std::min(length * 2, max_quarantine);
 }
 
+// The report was made half a round trip ago; requests take the other half to arrive.
+void take_report(runner& r, std::uint32_t slots_free, time_point now) {
+    r.reported_free = slots_free;
+    r.reported_at = now;
+    while (!r.unreported.empty() && r.unreported.front() <= now - r.round_trip) {
+        r.unreported.pop_front();
+    }
+}
+
 } // namespace
 
 std::vector<std::size_t> runner_table::update(const std::string& service,
@@ -127,18 +139,20 @@
     if (!r.reported_free) {
         return own_free;
     }
-    const std::uint32_t left =
-        *r.reported_free > r.sent_since_report ? *r.reported_free - r.sent_since_report : 0;
+    const auto unreported = static_cast<std::uint32_t>(r.unreported.size());
+    const std::uint32_t left = *r.reported_free > unreported ? *r.reported_free - unreported : 0;
     // The report of a full runner is out of date after about the time in which a slot becomes free.
+    // A wrong guess costs a round trip, which is worth it only for a runner that is near.
     const auto turnover = service_time() / std::max(r.slots, 1U);
-    const std::uint32_t recovered = now - r.reported_at > turnover ? 1 : 0;
+    const bool guess = r.round_trip * near_trips < turnover && now - r.reported_at > turnover;
+    const std::uint32_t recovered = guess ? 1 : 0;
     return std::min(own_free, std::max(left, recovered));
 }
 
-void runner_table::on_sent(std::size_t index) {
+void runner_table::on_sent(std::size_t index, time_point now) {
     runner& r = at(index);
     ++r.outstanding;
-    ++r.sent_since_report;
+    r.unreported.push_back(now);
     ++m_outstanding;
 }
 
@@ -149,9 +163,7 @@
         r.slots = *facts.slots;
     }
     if (facts.slots_free) {
-        r.reported_free = facts.slots_free;
-        r.reported_at = now;
-        r.sent_since_report = 0;
+        take_report(r, *facts.slots_free, now);
     }
     if (!facts.incarnation.empty()) {
         r.incarnation = facts.incarnation;
@@ -198,9 +210,7 @@
     ++r.refusals_in_row;
     // A runner that reports free slots and still refuses is faulty rather than busy.
     const bool contradicts = r.reported_free && *r.reported_free > 0;
-    r.reported_free = 0;
-    r.reported_at = now;
-    r.sent_since_report = 0;
+    take_report(r, 0, now);
     constexpr unsigned max_doublings = 10;
     const auto turnover = service_time() / std::max(r.slots, 1U);
     const duration cap = contradicts ? max_full_hold : std::max(turnover, min_full_hold);
@@ -209,6 +219,16 @@
     r.refused_until = now + std::min({hold, cap, max_full_hold});
 }
 
+void runner_table::on_round_trip(std::size_t index, duration time) {
+    runner& r = at(index);
+    if (r.round_trip == duration(0) || time < r.round_trip) {
+        r.round_trip = time;
+        return;
+    }
+    const auto rise = static_cast<double>((time - r.round_trip).count());
+    r.round_trip += duration(static_cast<duration::rep>(rise * round_trip_weight));
+}
+
 void runner_table::on_run_closed(std::size_t index) {
     --at(index).outstanding;
     --m_outstanding;
--- a/source/core/routing/runner_table.h
+++ b/source/core/routing/runner_table.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 #include <vector>
@@ -26,10 +27,13 @@
     /// All calls of this entry that have not completed.
     std::uint32_t open_calls = 0;
     bool probing = false;
-    /// Free slots that the runner reported last, and requests sent since then.
+    /// Free slots that the runner reported last, and when the report arrived.
     std::optional<std::uint32_t> reported_free;
     time_point reported_at{};
-    std::uint32_t sent_since_report = 0;
+    /// Sending times of the requests that the runner had not seen when it made the report.
+    std::deque<time_point> unreported;
+    /// Time for a message there and back, from probes and refusals.
+    duration round_trip{0};
     /// No new work before this time, after refusals that say the runner is full.
     time_point refused_until{};
     unsigned refusals_in_row = 0;
@@ -66,7 +70,9 @@
     /// Number of slots that are probably free.
     [[nodiscard]] std::uint32_t free_estimate(std::size_t index, time_point now) const;
 
-    void on_sent(std::size_t index);
+    void on_sent(std::size_t index, time_point now);
+    /// The runner responded at once, so that the time shows the round trip.
+    void on_round_trip(std::size_t index, duration time);
     /// Any response of the runner, also to queries and probes.
     void on_response(std::size_t index, const runner_facts& facts, time_point now);
     void on_answer(std::size_t index, bool failed, duration service_time, time_point now);
--- a/source/core/routing/service_route.cpp
+++ b/source/core/routing/service_route.cpp
@@ -75,8 +75,8 @@
     return std::max(waited, expected) > m_settings.crossing_time;
 }
 
-void service_route::on_sent(std::size_t index, std::size_t bytes) {
-    table.on_sent(index);
+void service_route::on_sent(std::size_t index, std::size_t bytes, time_point now) {
+    table.on_sent(index, now);
     count_crossing(index, bytes);
 }
 
--- a/source/core/routing/service_route.h
+++ b/source/core/routing/service_route.h
@@ -57,7 +57,7 @@
     [[nodiscard]] std::optional<std::size_t> choose(const std::vector<std::size_t>& excluded,
                                                     time_point submitted, time_point now,
                                                     common::rng& random);
-    void on_sent(std::size_t index, std::size_t bytes);
+    void on_sent(std::size_t index, std::size_t bytes, time_point now);
     void on_answer(std::size_t index, bool failed, duration service_time, std::size_t bytes,
                    time_point now);
 
--- a/source/core/routing/slot_shares.cpp
+++ b/source/core/routing/slot_shares.cpp
@@ -45,15 +45,16 @@
     const double local_part = std::min(local, slots);
     const double remote_part = std::min(remote, slots - local_part);
     const double reserve = slots - local_part - remote_part;
+    const double served = local_part + remote_part;
     std::map<std::string, double> shares;
     for (const auto& [entry, demand] : demands) {
         double amount = 0;
         if (demand.region == region) {
-            const double weight = local > 0 ? demand.wanted / local : 0;
-            amount = weight * (local_part + reserve);
+            const double part = local > 0 ? local_part * demand.wanted / local : 0;
+            amount = part + (served > 0 ? reserve * part / served : 0);
         } else if (remote > 0) {
-            const double weight = excess(demand, capacity, demands) / remote;
-            amount = weight * (remote_part + (local > 0 ? 0 : reserve));
+            const double part = remote_part * excess(demand, capacity, demands) / remote;
+            amount = part + (served > 0 ? reserve * part / served : 0);
         }
         shares[entry] = slots > 0 ? amount / slots : 0;
     }
--- a/source/programs/buckthornspar-bench/routing_benchmark.cpp
+++ b/source/programs/buckthornspar-bench/routing_benchmark.cpp
@@ -66,6 +66,9 @@
         row.result("refused_per_1000", 1000 * static_cast<double>(result.refused) / requests);
         row.result("failed_per_1000", 1000 * static_cast<double>(result.failed) / requests);
         row.result("full_per_request", static_cast<double>(result.full_refusals) / requests);
+        row.result("crossings_per_1000", 1000 * static_cast<double>(result.crossings) / requests);
+        row.result("crossings_refused_per_1000",
+                   1000 * static_cast<double>(result.crossings_refused) / requests);
         row.result("crossing_bytes_per_request", result.crossing_bytes / requests);
         row.result("peer_messages_per_s", static_cast<double>(result.peer_messages) /
                                               std::chrono::duration<double>(cell.length).count());
--- a/source/programs/buckthornspar-bench/routing_simulation.h
+++ b/source/programs/buckthornspar-bench/routing_simulation.h
@@ -21,6 +21,8 @@
     /// Answered with a failure of the runner.
     std::size_t failed = 0;
     std::size_t full_refusals = 0;
+    std::size_t crossings = 0;
+    std::size_t crossings_refused = 0;
     std::size_t peer_messages = 0;
     double crossing_bytes = 0;
 };
--- a/tests/unit/routing/runner_table_test.cpp
+++ b/tests/unit/routing/runner_table_test.cpp
@@ -25,7 +25,7 @@
 }
 
 void answer(runner_table& table, std::size_t index, bool failed, time_point now) {
-    table.on_sent(index);
+    table.on_sent(index, now);
     table.on_run_closed(index);
     table.on_answer(index, failed, 1ms, now);
 }
@@ -48,13 +48,13 @@
     // After the quarantine, one request at a time.
     const time_point later = start + 40s;
     BOOST_TEST(table.is_usable(0, later));
-    table.on_sent(0);
+    table.on_sent(0, later);
     BOOST_TEST(!table.is_usable(0, later));
     table.on_run_closed(0);
     for (int i = 0; i < 10; ++i) {
         answer(table, 0, false, later);
     }
-    table.on_sent(0);
+    table.on_sent(0, later);
     BOOST_TEST(table.is_usable(0, later));
 }
 
