--- a/source/core/membership/http_instance_list.h
+++ b/source/core/membership/http_instance_list.h
@@ -6,7 +6,7 @@
 
 namespace buckthornspar::membership {
 
-/// Adapter "http" of the instance list: GET /v1/instances.
+/// Adapter "http": GET /v1/instances of docs/platform-contract.md.
 class http_instance_list final : public instance_list {
 public:
     explicit http_instance_list(const instance_list_context& context);
@@ -15,7 +15,7 @@
     void fetch(instance_completion complete) override;
 
 private:
-    [[nodiscard]] std::optional<instance_snapshot> to_snapshot(const net::http_result& result);
+    [[nodiscard]] std::optional<instance_snapshot> read(const net::http_result& result);
 
     common::counters& m_counters;
     net::endpoint m_address;
