--- a/source/core/config/config_service.cpp
+++ b/source/core/config/config_service.cpp
@@ -231,6 +231,11 @@
         // A record could not be read. Nothing can be built on a state that is not known.
         return false;
     }
+    if (!m_log.store_available()) {
+        // A write into an outage could end with an unknown outcome; reading first cannot.
+        reread_for_front(now);
+        return false;
+    }
     const queued_patch& item = m_queue.front();
     accepted_patch next;
     next.version = m_history.version() + 1;
--- a/tests/unit/config/config_service_test.cpp
+++ b/tests/unit/config/config_service_test.cpp
@@ -206,6 +206,18 @@
     BOOST_TEST((a.ask(limit_patch("p5", 0)).status == patch_status::accepted));
 }
 
+// Guards against unknown outcomes in a long outage in which writes fail without a proof that they
+// were not executed: only the first of them may be in doubt.
+BOOST_AUTO_TEST_CASE(long_outage_leaves_no_doubt) {
+    a.path.lose_answers = true;
+    const auto first = a.submit(limit_patch("p1", 0));
+    run(6s);
+    const auto second = a.submit(limit_patch("p2", 0));
+    run(6s);
+    BOOST_TEST((a.answers.at(first).status == patch_status::outcome_unknown));
+    BOOST_TEST((a.answers.at(second).status == patch_status::store_unavailable));
+}
+
 // Guards against a claim that a patch was refused while its write may still take effect.
 BOOST_AUTO_TEST_CASE(unknown_outcome_is_told_and_found_later) {
     a.path.lose_answers = true;
