Give entries and schedulers the content of the configuration

config_cache took each record for a whole configuration, but records carry the changes of one version, so that a version costs a few hundred bytes between regions instead of the whole document. With config_cache a process could show a version number without its content. shared_config replaces it in the entry and the scheduler.

Version 1 is written as a whole, since the default configuration may differ between releases.

--- a/source/core/config/config_service.cpp
+++ b/source/core/config/config_service.cpp
@@ -23,6 +23,17 @@
                         [&](const field_difference& d) { return paths_overlap(d.path, path); });
 }
 
+/// Version 1 is written as a whole, because the default configuration that it builds on may differ
+/// between releases. All others are written as their changes.
+std::string record_body(const accepted_patch& next) {
+    if (next.version > 1) {
+        return to_json(next);
+    }
+    config_history first(1);
+    first.apply(next);
+    return first.snapshot(1);
+}
+
 } // namespace
 
 std::string_view to_string(patch_status status) {
@@ -245,7 +256,7 @@
     next.undo_of = item.request.undo_of;
     next.changes = changes;
     next.reverse = reverse_changes(m_history.in_force(), changes);
-    std::string body = to_json(next);
+    std::string body = record_body(next);
     if (body.size() > store::max_log_value_bytes) {
         patch_answer answer = make_answer(patch_status::invalid);
         answer.error_type = "patch_too_large";
--- a/source/core/config/config_view.cpp
+++ b/source/core/config/config_view.cpp
@@ -30,7 +30,9 @@
     if (version >= m_history.version()) {
         return records;
     }
-    if (m_history.find_version(version + 1) == nullptr) {
+    // A process without a version cannot build on the default configuration, which may differ
+    // between releases.
+    if (version == 0 || m_history.find_version(version + 1) == nullptr) {
         records.push_back({m_history.version(), m_history.snapshot(0)});
         return records;
     }
--- a/source/core/server/shared_config.cpp
+++ b/source/core/server/shared_config.cpp
@@ -11,6 +11,7 @@
 
 void shared_config::apply(const std::vector<peer::config_record>& records) {
     std::vector<config::version_record> converted;
+    converted.reserve(records.size());
     for (const auto& record : records) {
         converted.push_back({record.version, record.body});
     }
--- a/source/programs/buckthornspar-config/config_application.cpp
+++ b/source/programs/buckthornspar-config/config_application.cpp
@@ -159,18 +159,19 @@
         return;
     }
     if (resource == "patches") {
-        handle_patch(request, std::move(reply));
+        handle_patch(request, reply);
     } else if (resource == "in-force") {
         const auto snapshot = m_config.in_force();
         reply(in_force_response(snapshot.version, snapshot.in_force));
     } else if (segments.size() == 4) {
-        handle_version(segments[3], std::move(reply));
+        handle_version(segments[3], reply);
     } else {
-        handle_versions(request, std::move(reply));
+        handle_versions(request, reply);
     }
 }
 
-void config_application::handle_patch(const net::http_request& request, net::http_reply reply) {
+void config_application::handle_patch(const net::http_request& request,
+                                      const net::http_reply& reply) {
     if (m_draining) {
         reply(refuse(503, "draining", "the process is leaving; nothing was changed"));
         return;
@@ -193,7 +194,8 @@
     }
 }
 
-void config_application::handle_versions(const net::http_request& request, net::http_reply reply) {
+void config_application::handle_versions(const net::http_request& request,
+                                         const net::http_reply& reply) {
     constexpr auto max_version = std::numeric_limits<std::uint64_t>::max();
     const auto before = read_parameter(request, "before", max_version, max_version);
     const auto limit =
@@ -206,10 +208,10 @@
     }
     read_history([before = *before, limit = static_cast<std::size_t>(*limit)](
                      const auto& history) { return versions_response(history, before, limit); },
-                 std::move(reply));
+                 reply);
 }
 
-void config_application::handle_version(const std::string& text, net::http_reply reply) {
+void config_application::handle_version(const std::string& text, const net::http_reply& reply) {
     const auto version = read_number(text);
     if (!version || *version == 0) {
         reply(net::error_response(400, "out_of_range", "is not a number from 1", "version"));
@@ -217,11 +219,12 @@
     }
     read_history(
         [version = *version](const auto& history) { return version_response(history, version); },
-        std::move(reply));
+        reply);
 }
 
 void config_application::read_history(
-    std::function<net::http_response(const config::config_history&)> make, net::http_reply reply) {
+    std::function<net::http_response(const config::config_history&)> make,
+    const net::http_reply& reply) {
     const auto read = [this, make = std::move(make), reply](const config::config_history& history) {
         // Without the newest versions, an answer could look as if a version did not exist.
         if (history.version() < m_config.version()) {
--- a/source/programs/buckthornspar-entry/entry_application.cpp
+++ b/source/programs/buckthornspar-entry/entry_application.cpp
@@ -3,9 +3,9 @@
 #include "core/common/counters.h"
 #include "core/routing/http_runner_client.h"
 #include "core/server/cluster_member.h"
-#include "core/server/config_cache.h"
 #include "core/server/platform_adapters.h"
 #include "core/server/server_process.h"
+#include "core/server/shared_config.h"
 #include "slot_messages.h"
 
 #include <utility>
@@ -46,7 +46,8 @@
 
 entry_application::entry_application(server::server_process& process, request_settings requests)
     : m_process(process),
-      m_config(std::make_unique<server::config_cache>([](std::uint64_t, const std::string&) {})),
+      m_config(std::make_unique<server::shared_config>(
+          [](std::uint64_t, const config::configuration&) {})),
       // The policy has nobody to send to before the member has delivered the first list.
       m_requests(make_request_service(
           process, std::move(requests),
--- a/source/programs/buckthornspar-scheduler/scheduler_application.cpp
+++ b/source/programs/buckthornspar-scheduler/scheduler_application.cpp
@@ -2,9 +2,9 @@
 
 #include "core/scheduling/http_worker_client.h"
 #include "core/server/cluster_member.h"
-#include "core/server/config_cache.h"
 #include "core/server/platform_adapters.h"
 #include "core/server/server_process.h"
+#include "core/server/shared_config.h"
 #include "decision_thread.h"
 
 #include <algorithm>
@@ -40,7 +40,8 @@
       m_http(process.loop(), worker_connections()),
       m_workers(std::make_unique<scheduling::http_worker_client>(m_http, settings.worker_timeout)),
       m_store(server::make_kv_store(process)),
-      m_config(std::make_unique<server::config_cache>([](std::uint64_t, const std::string&) {})) {
+      m_config(std::make_unique<server::shared_config>(
+          [](std::uint64_t, const config::configuration&) {})) {
     m_decisions = std::make_unique<decision_thread>(
         engines_of(own_shards(), settings, process.settings()), settings.ring_capacity,
         process.clock(), process.counters(), process.loop(), *m_store, *m_workers);
--- a/tests/unit/config/config_service_test.cpp
+++ b/tests/unit/config/config_service_test.cpp
@@ -258,6 +258,16 @@
     BOOST_TEST((a.service.history().in_force() == configuration{}));
 }
 
+// Guards against a version whose content depends on the defaults of the release that reads it.
+BOOST_AUTO_TEST_CASE(first_version_contains_the_defaults_it_was_made_with) {
+    (void)a.ask(make_patch("p1", 0, "limits/retry_budget_percent", "50"));
+    const auto& slot = kv.entries().at("config/slot/1").value;
+    const std::string initial = std::to_string(rule_of(limit::max_request_deadline_ms).initial);
+    BOOST_TEST(slot.find("\"max_request_deadline_ms\":" + initial) != std::string::npos);
+    BOOST_TEST(b.ask(limit_patch("p2", 1)).version == 2U);
+    BOOST_TEST(b.service.history().in_force().get(limit::retry_budget_percent) == 50);
+}
+
 // Guards against a history that is too short to settle lost answers.
 BOOST_AUTO_TEST_CASE(short_history_is_refused) {
     auto options = service_client::options("x");
