Send the base version of a patch under the name that the config process reads

The demo failed with unknown_field: buckthornsparctl sent version, the config process reads base_version.

--- a/source/programs/buckthornsparctl/commands.cpp
+++ b/source/programs/buckthornsparctl/commands.cpp
@@ -198,7 +198,7 @@
 json::object patch_from_options(const command_line& line, const std::string& id) {
     json::object body{{"id", id},
                       {"author", required(line, "author")},
-                      {"version", to_number("base", required(line, "base"))}};
+                      {"base_version", to_number("base", required(line, "base"))}};
     if (line.has("undo")) {
         body["undo"] = number(line, "undo", "");
     } else {
