--- a/tests/unit/config/config_service_test.cpp
+++ b/tests/unit/config/config_service_test.cpp
@@ -206,6 +206,18 @@
     BOOST_TEST((a.ask(limit_patch("p5", 0)).status == patch_status::accepted));
 }
 
+// Guards against unknown outcomes in a long outage in which writes fail without a proof that they
+// were not executed: only the first of them may be in doubt.
+BOOST_AUTO_TEST_CASE(long_outage_leaves_no_doubt) {
+    a.path.lose_answers = true;
+    const auto first = a.submit(limit_patch("p1", 0));
+    run(6s);
+    const auto second = a.submit(limit_patch("p2", 0));
+    run(6s);
+    BOOST_TEST((a.answers.at(first).status == patch_status::outcome_unknown));
+    BOOST_TEST((a.answers.at(second).status == patch_status::store_unavailable));
+}
+
 // Guards against a claim that a patch was refused while its write may still take effect.
 BOOST_AUTO_TEST_CASE(unknown_outcome_is_told_and_found_later) {
     a.path.lose_answers = true;
@@ -246,6 +258,16 @@
     BOOST_TEST((a.service.history().in_force() == configuration{}));
 }
 
+// Guards against a version whose content depends on the defaults of the release that reads it.
+BOOST_AUTO_TEST_CASE(first_version_contains_the_defaults_it_was_made_with) {
+    (void)a.ask(make_patch("p1", 0, "limits/retry_budget_percent", "50"));
+    const auto& slot = kv.entries().at("config/slot/1").value;
+    const std::string initial = std::to_string(rule_of(limit::max_request_deadline_ms).initial);
+    BOOST_TEST(slot.find("\"max_request_deadline_ms\":" + initial) != std::string::npos);
+    BOOST_TEST(b.ask(limit_patch("p2", 1)).version == 2U);
+    BOOST_TEST(b.service.history().in_force().get(limit::retry_budget_percent) == 50);
+}
+
 // Guards against a history that is too short to settle lost answers.
 BOOST_AUTO_TEST_CASE(short_history_is_refused) {
     auto options = service_client::options("x");
