Unblock only the first lanes that fit the freed room

Cause: each freed worker unblocked every lane that fits into it, and all but one or two of them were blocked again after several set operations and often a search. Now eight lanes are unblocked at a time, in their order, and demands that were found not to fit stay known until a worker with enough room is freed.

Ruled out: unblocking only when a class has no ready work. A new task then took the room before older blocked ones. A task whose lane was not tried again yet is explained as queued (invariants_hold_after_every_operation found no_capacity there).

--- a/source/core/placement/placement_decide.cpp
+++ b/source/core/placement/placement_decide.cpp
@@ -1,6 +1,8 @@
 #include "core/placement/placement_state.h"
 
 #include <algorithm>
+#include <limits>
+#include <tuple>
 #include <utility>
 
 namespace buckthornspar::placement {
@@ -8,7 +10,12 @@
 namespace {
 
 /// More remembered demands than this cost more to compare than they save.
-constexpr std::size_t max_failed_demands = 16;
+constexpr std::size_t max_failed_demands = 32;
+/// Lanes that are unblocked together. The room of a worker that was freed is used up by a few
+/// tasks, and each lane that is unblocked in vain costs several set operations.
+constexpr std::size_t unblocked_lanes = 8;
+/// With more freed workers than this, as after a start, all lanes that may fit are unblocked.
+constexpr std::size_t max_freed_workers = 64;
 /// Shortest time between two attempts to start all-at-once jobs after capacity was freed. An
 /// attempt looks at each worker.
 constexpr auto gang_attempt_interval = std::chrono::milliseconds(10);
@@ -20,12 +27,18 @@
     report_overdue(result);
     refresh_plan();
     apply_changes();
+    m_queue.start_round();
+    class_flags may_unblock{};
+    // Blocked work is older than most of what was submitted since, so that it competes for the
+    // freed room from the beginning.
+    unblock_for_room(may_unblock, true);
     std::size_t started = 0;
     if (m_plan.strict() && m_plan.gang() != no_gang && max_assignments > 0) {
         started += start_gang(m_plan.gang(), result) ? 1 : 0;
     }
     class_flags gangs_untried = untried_gangs();
     while (started < max_assignments) {
+        unblock_for_room(may_unblock, false);
         const auto next = next_class(gangs_untried);
         if (!next) {
             break;
@@ -43,12 +56,45 @@
             count_start(*next, gangs_untried);
         }
     }
+    if (started < max_assignments) {
+        // All blocked work that may fit was tried.
+        m_freed.clear();
+    }
     // Jobs whose class had no turn are tried by the next call.
     m_gangs_changed = m_gangs_changed || std::any_of(gangs_untried.begin(), gangs_untried.end(),
                                                      [](bool untried) { return untried; });
     return result;
 }
 
+void placement_engine::state::unblock_for_room(class_flags& may_unblock, bool first) {
+    for (std::size_t i = 0; i < priority_class_count; ++i) {
+        const auto c = static_cast<priority_class>(i);
+        if (!first && (!may_unblock[i] || m_queue.ready(c))) {
+            continue;
+        }
+        const auto room = freed_room();
+        const std::size_t limit = m_freed.size() > max_freed_workers
+                                      ? std::numeric_limits<std::size_t>::max()
+                                      : unblocked_lanes;
+        may_unblock[i] = room && m_queue.unblock_first(c, *room, limit);
+    }
+}
+
+std::optional<resources> placement_engine::state::freed_room() const {
+    std::optional<resources> room;
+    for (const worker_index worker : m_freed) {
+        if (!m_workers[worker].usable()) {
+            continue;
+        }
+        const resources free = m_workers[worker].free();
+        resources& most = room ? *room : room.emplace(free);
+        most.cpu_milli = std::max(most.cpu_milli, free.cpu_milli);
+        most.memory_mb = std::max(most.memory_mb, free.memory_mb);
+        most.accelerators = std::max(most.accelerators, free.accelerators);
+    }
+    return room;
+}
+
 void placement_engine::state::apply_fleet() {
     if (m_fleet_changed) {
         m_queue.fleet_changed(m_workers.usable_capacity());
@@ -149,14 +195,19 @@
     const placement_choice choice =
         chosen_policy.choose({m_workers, *m_scorer, restricted ? &filter : nullptr}, request);
     if (choice.reason == wait_reason::no_capacity && chosen_policy.depends_on_demand_only()) {
-        if (m_failed_demands.size() == max_failed_demands) {
-            m_failed_demands.pop_back();
-        }
-        m_failed_demands.insert(m_failed_demands.begin(), request.demand);
+        remember_failed(request.demand);
     }
     return choice;
 }
 
+void placement_engine::state::remember_failed(const resources& demand) {
+    std::erase_if(m_failed_demands, [&](const resources& failed) { return demand.fits(failed); });
+    if (m_failed_demands.size() == max_failed_demands) {
+        m_failed_demands.erase(m_failed_demands.begin());
+    }
+    m_failed_demands.push_back(demand);
+}
+
 bool placement_engine::state::known_not_to_fit(const resources& demand) const {
     return std::any_of(m_failed_demands.begin(), m_failed_demands.end(),
                        [&](const resources& failed) { return failed.fits(demand); });
--- a/source/core/placement/placement_events.cpp
+++ b/source/core/placement/placement_events.cpp
@@ -241,13 +241,10 @@
     if (!entry.usable()) {
         return;
     }
-    const resources free = entry.free();
-    resources& most = m_changes.freed ? *m_changes.freed : m_changes.freed.emplace(free);
-    most.cpu_milli = std::max(most.cpu_milli, free.cpu_milli);
-    most.memory_mb = std::max(most.memory_mb, free.memory_mb);
-    most.accelerators = std::max(most.accelerators, free.accelerators);
-    m_failed_demands.clear();
+    m_freed.push_back(worker);
     m_room_changed = true;
+    const resources free = entry.free();
+    std::erase_if(m_failed_demands, [&](const resources& failed) { return failed.fits(free); });
 }
 
 common::time_point placement_engine::state::expected_end(const task_request& request,
@@ -269,7 +266,14 @@
         return wait_reason::no_workers;
     }
     const gang_index gang = m_tasks[*task].gang;
-    return gang == no_gang ? m_queue.reason(*task) : m_gangs[gang].reason;
+    if (gang != no_gang) {
+        return m_gangs[gang].reason;
+    }
+    const wait_reason reason = m_queue.reason(*task);
+    const auto room = freed_room();
+    const bool outdated =
+        reason != wait_reason::quota_exceeded && room && m_tasks[*task].request.demand.fits(*room);
+    return outdated ? wait_reason::queued : reason;
 }
 
 std::optional<gang_wait> placement_engine::state::explain_gang(const std::string& job) const {
--- a/source/core/placement/placement_state.h
+++ b/source/core/placement/placement_state.h
@@ -61,6 +61,9 @@
 
     // Decisions.
     void apply_fleet();
+    void unblock_for_room(class_flags& may_unblock, bool first);
+    [[nodiscard]] std::optional<resources> freed_room() const;
+    void remember_failed(const resources& demand);
     void apply_changes();
     [[nodiscard]] std::optional<priority_class> next_class(const class_flags& gangs_untried) const;
     void count_start(priority_class served, const class_flags& gangs_untried);
@@ -101,6 +104,8 @@
     std::size_t m_waiting_in_gangs = 0;
 
     queue_changes m_changes;
+    /// Workers that have more room than when the blocked work was last tried.
+    std::vector<worker_index> m_freed;
     bool m_fleet_changed = false;
     /// All-at-once jobs are tried again after such a change; after the second kind, which is
     /// frequent, only at intervals.
@@ -113,7 +118,7 @@
     common::time_point m_next_gang_attempt;
     /// Starts that each class may make before a higher one.
     std::array<unsigned, priority_class_count> m_credit{};
-    /// Demands that no worker can take until capacity is freed.
+    /// Demands that no worker can take; none of them fits into another.
     std::vector<resources> m_failed_demands;
 };
 
--- a/source/core/placement/task_queue.cpp
+++ b/source/core/placement/task_queue.cpp
@@ -110,7 +110,7 @@
     auto& blocked = queue_of(l).blocked;
     l.blocked = reason;
     l.blocked_slot = blocked.size();
-    blocked.push_back({first_demand(l), index, reason});
+    blocked.push_back({first_demand(l), *l.tasks.begin(), m_round, index, l.key.team, reason});
 }
 
 void task_queue::unblock(const queue_changes& changes) {
@@ -130,15 +130,32 @@
     }
 }
 
-bool task_queue::concerns(const queue_changes& changes, const blocked_lane& b) const {
+bool task_queue::concerns(const queue_changes& changes, const blocked_lane& b) {
     if (b.reason == wait_reason::quota_exceeded) {
         const auto& relieved = changes.relieved_teams;
-        return std::binary_search(relieved.begin(), relieved.end(), m_lanes[b.lane].key.team);
+        return std::binary_search(relieved.begin(), relieved.end(), b.team);
     }
-    if (b.reason == wait_reason::gang_reserved && changes.plan_changed) {
-        return true;
+    return b.reason == wait_reason::gang_reserved && changes.plan_changed;
+}
+
+bool task_queue::unblock_first(priority_class c, const resources& room, std::size_t limit) {
+    m_candidates.clear();
+    for (const blocked_lane& b : m_classes[static_cast<std::size_t>(c)].blocked) {
+        if (b.demand.fits(room) && b.round != m_round && b.reason != wait_reason::quota_exceeded) {
+            m_candidates.push_back({m_quotas.share(b.team, m_fleet), b.first, b.lane});
+        }
+    }
+    if (m_candidates.size() > limit) {
+        std::nth_element(
+            m_candidates.begin(), m_candidates.begin() + static_cast<std::ptrdiff_t>(limit),
+            m_candidates.end(), [](const candidate& x, const candidate& y) { return x < y; });
+        m_candidates.resize(limit);
+    }
+    for (const candidate& chosen : m_candidates) {
+        remove_blocked(chosen.lane);
+        add_ready(chosen.lane);
     }
-    return changes.freed && b.demand.fits(*changes.freed);
+    return !m_candidates.empty();
 }
 
 wait_reason task_queue::reason(task_index task) const {
--- a/source/core/placement/task_queue.h
+++ b/source/core/placement/task_queue.h
@@ -14,13 +14,11 @@
 
 /// What became possible since blocked work was last looked at.
 struct queue_changes {
-    /// For each resource the most that a worker with new free capacity offers.
-    std::optional<resources> freed;
     bool plan_changed = false;
     /// Teams whose use or limit changed so that more may fit into their quota; sorted.
     std::vector<team_index> relieved_teams;
 
-    [[nodiscard]] bool any() const { return freed || plan_changed || !relieved_teams.empty(); }
+    [[nodiscard]] bool any() const { return plan_changed || !relieved_teams.empty(); }
 };
 
 /// The waiting tasks, other than all-at-once jobs.
@@ -52,6 +50,12 @@
     /// Blocks the lane of the task.
     void block(task_index task, wait_reason reason);
     void unblock(const queue_changes& changes);
+
+    /// Unblocks those lanes of the class that go first among the ones that may fit into the room,
+    /// and that were not blocked again since start_round(). Returns false when there are none. The
+    /// room holds for each resource the most that a worker offers.
+    bool unblock_first(priority_class c, const resources& room, std::size_t limit);
+    void start_round() { ++m_round; }
     [[nodiscard]] wait_reason reason(task_index task) const;
 
     /// Places the team anew after its share has changed.
@@ -107,11 +111,21 @@
         /// Position in the list of blocked lanes of the class.
         std::size_t blocked_slot = 0;
     };
+    /// Has all that a search for candidates needs, because there can be thousands.
     struct blocked_lane {
         resources demand;
+        task_rank first;
+        std::uint64_t round = 0;
         lane_index lane = 0;
+        team_index team = 0;
         wait_reason reason = wait_reason::none;
     };
+    struct candidate {
+        double share = 0;
+        task_rank first;
+        lane_index lane = 0;
+        auto operator<=>(const candidate&) const = default;
+    };
     struct class_team {
         double share = 0;
         std::set<lane_rank> lanes;
@@ -136,7 +150,7 @@
     /// Takes the lane out of the ready or the blocked ones.
     void take_out(lane_index index);
     void erase_lane(lane_index index);
-    [[nodiscard]] bool concerns(const queue_changes& changes, const blocked_lane& b) const;
+    static bool concerns(const queue_changes& changes, const blocked_lane& b);
 
     const task_table& m_tasks;
     const quota_ledger& m_quotas;
@@ -151,6 +165,8 @@
     };
     /// By task_index.
     std::vector<place_in_queue> m_places;
+    std::vector<candidate> m_candidates;
+    std::uint64_t m_round = 0;
     std::size_t m_size = 0;
 };
 
