--- a/source/core/placement/capacity_plan.cpp
+++ b/source/core/placement/capacity_plan.cpp
@@ -2,7 +2,7 @@
 
 namespace buckthornspar::placement {
 
-void capacity_plan::set(gang_plan plan, gang_index gang, std::optional<task_index> task,
+void capacity_plan::set(const gang_plan& plan, gang_index gang, std::optional<task_index> task,
                         priority_class priority, std::size_t workers) {
     clear();
     m_active = true;
--- a/source/core/placement/capacity_plan.h
+++ b/source/core/placement/capacity_plan.h
@@ -14,7 +14,7 @@
 /// other needs.
 class capacity_plan {
 public:
-    void set(gang_plan plan, gang_index gang, std::optional<task_index> task,
+    void set(const gang_plan& plan, gang_index gang, std::optional<task_index> task,
              priority_class priority, std::size_t workers);
     void clear();
 
--- a/source/core/placement/feasibility.cpp
+++ b/source/core/placement/feasibility.cpp
@@ -117,17 +117,17 @@
 std::optional<infeasibility> check_demand(const worker_table& workers,
                                           const std::optional<resources>& limit,
                                           const task_request& request, std::size_t task_count) {
-    if (const auto invalid = check_valid(request.demand)) {
+    if (auto invalid = check_valid(request.demand)) {
         return invalid;
     }
-    if (const auto over_quota = check_quota(limit, request, task_count)) {
+    if (auto over_quota = check_quota(limit, request, task_count)) {
         return over_quota;
     }
     if (workers.capacity_groups().empty()) {
         // Without any worker nothing is known about what the fleet will offer.
         return std::nullopt;
     }
-    if (const auto too_large = check_largest(workers, request.demand)) {
+    if (auto too_large = check_largest(workers, request.demand)) {
         return too_large;
     }
     return check_together(workers, request.demand, task_count);
--- a/source/core/placement/placement_planning.cpp
+++ b/source/core/placement/placement_planning.cpp
@@ -1,7 +1,6 @@
 #include "core/placement/placement_state.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace buckthornspar::placement {
 
@@ -121,11 +120,11 @@
     if (!quota_allows(gang)) {
         return false;
     }
-    auto plan = plan_for(demands_of(gang));
+    const auto plan = plan_for(demands_of(gang));
     if (!plan) {
         return false;
     }
-    m_plan.set(std::move(*plan), gang, std::nullopt, entry.priority, m_workers.size());
+    m_plan.set(*plan, gang, std::nullopt, entry.priority, m_workers.size());
     if (waits_too_long(entry.submitted)) {
         m_plan.set_strict();
     }
@@ -137,11 +136,11 @@
     if (!m_quotas.allows(m_tasks[task].team, request.demand)) {
         return false;
     }
-    auto plan = plan_for({request.demand});
+    const auto plan = plan_for({request.demand});
     if (!plan) {
         return false;
     }
-    m_plan.set(std::move(*plan), no_gang, task, request.priority, m_workers.size());
+    m_plan.set(*plan, no_gang, task, request.priority, m_workers.size());
     if (waits_too_long(request.submitted)) {
         m_plan.set_strict();
     }
--- /dev/null
+++ b/source/core/placement/pressure_control.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "core/placement/placement_types.h"
+
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace buckthornspar::placement {
+
+/// In order of severity.
+enum class pressure_step { none, throttle, checkpoint, stop };
+inline constexpr common::name_table<pressure_step, 4> pressure_step_names{
+    "pressure step", {"none", "throttle", "checkpoint", "stop"}};
+
+/// A running task as far as its worker reported it.
+struct pressured_task {
+    std::string task;
+    workload_kind kind = workload_kind::batch;
+    priority_class priority = priority_class::normal;
+    resources demand;
+    resources used;
+    /// When `used` was measured.
+    common::time_point measured;
+};
+
+/// A task and what to do with it; `none` ends a restriction.
+struct pressure_action {
+    std::string task;
+    pressure_step step = pressure_step::none;
+};
+
+struct pressure_settings {
+    /// Use of a worker in percent of its capacity above which work is restricted.
+    unsigned high_percent = 95;
+    /// Use below which a restriction ends. The distance keeps work from being restricted and
+    /// released in turn.
+    unsigned low_percent = 80;
+    /// A step is judged only by use that was measured this long after it, because a task takes time
+    /// to react.
+    common::duration settle = std::chrono::seconds(2);
+};
+
+/// Decides what to restrict on a worker whose tasks use more than it has. Batch work is throttled
+/// first, then checkpointed, then stopped; all-at-once work follows when no batch work is left to
+/// restrict, and services are throttled only when there is nothing else, and never stopped.
+class pressure_control {
+public:
+    explicit pressure_control(pressure_settings settings = {}) : m_settings(settings) {}
+
+    /// One step for one worker. tasks are all of its running tasks. An action is repeated only when
+    /// it leads to the next step.
+    [[nodiscard]] std::vector<pressure_action> decide(const std::string& worker,
+                                                      const resources& capacity,
+                                                      const std::vector<pressured_task>& tasks,
+                                                      common::time_point now);
+
+    void forget_worker(const std::string& worker) { m_workers.erase(worker); }
+
+private:
+    struct worker_pressure {
+        std::unordered_map<std::string, pressure_step> steps;
+        common::time_point last_step = common::time_point::min();
+    };
+
+    [[nodiscard]] bool settled(const worker_pressure& state,
+                               const std::vector<pressured_task>& tasks) const;
+    [[nodiscard]] const pressured_task* choose(const worker_pressure& state,
+                                               const std::vector<pressured_task>& tasks) const;
+    std::vector<pressure_action> relieve(worker_pressure& state);
+
+    pressure_settings m_settings;
+    std::unordered_map<std::string, worker_pressure> m_workers;
+};
+
+} // namespace buckthornspar::placement
