--- a/source/core/scheduling/shard_engine.cpp
+++ b/source/core/scheduling/shard_engine.cpp
@@ -7,6 +7,13 @@
 
 namespace buckthornspar::scheduling {
 
+namespace {
+
+constexpr common::duration max_claim_wait = std::chrono::seconds(60);
+constexpr unsigned max_claim_doublings = 10;
+
+} // namespace
+
 shard_engine::shard_engine(shard_engine_settings settings, common::counters& counters)
     : m_settings(std::move(settings)),
       m_counters(counters),
@@ -49,6 +56,7 @@
     m_known_epoch = epoch;
     m_owner_hint = owner;
     m_last_sign = now;
+    m_failed_claims = 0;
     if (m_ownership.owns() && epoch > m_epoch) {
         step_down(now, "heartbeat");
     } else if (m_ownership.state() == ownership_state::claiming) {
@@ -58,6 +66,7 @@
 
 void shard_engine::on_owner_released(common::time_point now, const std::string& owner) {
     if (m_ownership.state() == ownership_state::standby && owner == m_owner_hint) {
+        m_failed_claims = 0;
         const auto sign = now - m_settings.suspect_after;
         m_last_sign = std::min(m_last_sign.value_or(sign), sign);
     }
@@ -65,12 +74,18 @@
 
 // Ownership.
 
+/// A scheduler that hears no owner but reaches no majority of the workers either takes the shard
+/// away from an owner that does its work. The wait doubles with each such claim.
+common::time_point shard_engine::claim_time() const {
+    const auto wait = std::min(m_settings.suspect_after * (1U << m_failed_claims), max_claim_wait);
+    return *m_last_sign + std::max(wait, m_settings.suspect_after) + m_settings.claim_delay;
+}
+
 void shard_engine::check_silence(common::time_point now) {
     if (!m_last_sign) {
         m_last_sign = now;
     }
-    const bool silent = now - *m_last_sign >= m_settings.suspect_after + m_settings.claim_delay;
-    if (silent && !m_draining && m_fleet.listed() &&
+    if (now >= claim_time() && !m_draining && m_fleet.listed() &&
         m_ownership.on(ownership_event::owner_silent)) {
         note_change("owner_silent");
         m_journal.load(now);
@@ -132,6 +147,9 @@
 }
 
 void shard_engine::step_down(common::time_point now, std::string_view reason) {
+    if (m_ownership.state() == ownership_state::adopting) {
+        m_failed_claims = std::min(m_failed_claims + 1, max_claim_doublings);
+    }
     if (!m_ownership.on(ownership_event::fenced)) {
         return;
     }
@@ -163,6 +181,7 @@
         return;
     }
     (void)m_ownership.on(ownership_event::majority);
+    m_failed_claims = 0;
     m_runner.set_recovery_bound(
         now + with_drift(m_settings.fleet.authority + m_settings.fleet.lease.lease,
                          m_settings.fleet.lease));
@@ -338,7 +357,7 @@
         earlier(m_fleet.next_wakeup());
         earlier(m_runner.next_wakeup(now));
     } else if (m_ownership.state() == ownership_state::standby && m_last_sign && !m_draining) {
-        earlier(*m_last_sign + m_settings.suspect_after + m_settings.claim_delay);
+        earlier(claim_time());
     }
     for (const auto& [tag, call] : m_calls) {
         for (const auto& [ticket, deadline] : call.tickets) {
--- a/source/core/scheduling/shard_engine.h
+++ b/source/core/scheduling/shard_engine.h
@@ -125,6 +125,7 @@
     };
 
     // shard_engine.cpp
+    [[nodiscard]] common::time_point claim_time() const;
     void check_silence(common::time_point now);
     void on_journal_loaded(common::time_point now);
     void on_entry_written(common::time_point now, const entry_written& written);
@@ -163,6 +164,8 @@
     std::uint64_t m_known_epoch = 0;
     std::string m_owner_hint;
     bool m_draining = false;
+    /// Claims in a row that were fenced before a majority of the workers was reached.
+    unsigned m_failed_claims = 0;
     std::optional<common::time_point> m_last_sign;
     std::optional<std::uint64_t> m_claim_tag;
     std::optional<std::uint64_t> m_workers_tag;
--- a/source/core/scheduling/shard_engine_calls.cpp
+++ b/source/core/scheduling/shard_engine_calls.cpp
@@ -139,9 +139,10 @@
         reply(ticket, status(job));
         return;
     }
-    // The tasks are ended at once; only the reply waits for the log.
-    m_runner.cancel(now, job);
+    // The tasks are ended at once; only the reply waits for the log. The entry precedes the ends of
+    // the tasks, so that they are known to follow from it.
     const std::uint64_t tag = m_journal.add(job_cancelled_entry{job});
+    m_runner.cancel(now, job);
     pending_call call;
     call.job = job;
     call.cancel = true;
--- a/source/core/scheduling/worker_fleet.cpp
+++ b/source/core/scheduling/worker_fleet.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr unsigned max_doublings = 10;
+constexpr common::duration stamp_lead = std::chrono::milliseconds(50);
+constexpr common::duration min_events_wait = std::chrono::milliseconds(200);
 
 bool takes_effect(const worker_operation& operation) {
     return operation.op == worker_op::start || operation.op == worker_op::reserve;
@@ -450,10 +452,14 @@
 }
 
 void worker_fleet::send_events(common::time_point now, const std::string& worker, link& l) {
+    // The poll ends just before the next renewal, which then quotes a fresh stamp. A stamp that is
+    // as old as a renewal period would shorten each lease by that much.
+    const auto wait = std::clamp(l.next_call - now - stamp_lead, min_events_wait,
+                                 std::max(m_settings.renew, min_events_wait));
     l.events_call = m_next_call++;
     l.next_events = now;
-    m_events.emplace_back(events_call{worker, l.listing->address, l.events_call, l.events_after,
-                                      m_settings.events_wait});
+    m_events.emplace_back(
+        events_call{worker, l.listing->address, l.events_call, l.events_after, wait});
 }
 
 std::optional<common::time_point> worker_fleet::next_wakeup() const {
--- a/source/core/scheduling/worker_fleet.h
+++ b/source/core/scheduling/worker_fleet.h
@@ -27,7 +27,6 @@
     common::duration gone_after = std::chrono::seconds(60);
     common::duration retry_min = std::chrono::milliseconds(100);
     common::duration retry_max = std::chrono::seconds(1);
-    common::duration events_wait = std::chrono::seconds(5);
     std::size_t max_operations_per_sync = 256;
 };
 
--- a/tests/fakes/worker_model.cpp
+++ b/tests/fakes/worker_model.cpp
@@ -12,6 +12,10 @@
     : m_id(std::move(id)), m_capacity(capacity), m_incarnation(first_incarnation) {}
 
 std::optional<rejection> worker_model::check_epoch(std::uint64_t epoch) {
+    if (m_faults.store_lower_epoch) {
+        m_accepted_epoch = epoch;
+        return std::nullopt;
+    }
     if (epoch < m_accepted_epoch && !m_faults.skip_epoch_check) {
         return rejection{worker_failure::stale_epoch, m_accepted_epoch};
     }
--- a/tests/fakes/worker_model.h
+++ b/tests/fakes/worker_model.h
@@ -20,6 +20,7 @@
     std::int64_t slow_by_ms = 0;
     bool fail_every_task = false;
     bool skip_epoch_check = false;
+    bool store_lower_epoch = false;
     bool skip_lease_end = false;
     bool skip_capacity_check = false;
     bool skip_start_validity = false;
--- a/tests/scenario/scheduling/invariants.cpp
+++ b/tests/scenario/scheduling/invariants.cpp
@@ -19,7 +19,7 @@
     m_workers_touched = false;
     bool started = false;
     for (auto& [id, w] : workers) {
-        if (!w.model.committed().fits(w.model.capacity())) {
+        if (!w.model.committed().fits(w.true_capacity)) {
             throw violation("worker " + id + " is overfull");
         }
         if (w.epoch_incarnation != w.model.incarnation()) {
--- a/tests/scenario/scheduling/simulation.cpp
+++ b/tests/scenario/scheduling/simulation.cpp
@@ -25,11 +25,14 @@
 
 simulation::simulation(const script& s) : m_script(s), m_rng(s.seed), m_store(m_events) {
     const auto& setup = m_script.setup;
+    // Workers that report more than they have, so that the owner overfills them.
+    const bool shrunk = setup.flag("shrunk_capacity", false);
     const placement::resources capacity{setup.number("cpu", 4000), setup.number("memory", 8000), 0};
     const std::int64_t per_rack = setup.number("per_rack", 2);
     for (std::int64_t i = 1; i <= setup.number("workers", 4); ++i) {
         const std::string id = numbered("w", i);
         auto& w = workers.try_emplace(id, id, capacity).first->second;
+        w.true_capacity = shrunk ? placement::resources{1000, 2000, 0} : capacity;
         w.listing.id = id;
         w.listing.region = "r";
         w.listing.place = "p";
@@ -40,8 +43,12 @@
         faults.skip_epoch_check = setup.flag("skip_epoch_check", false);
         faults.skip_lease_end = setup.flag("skip_lease_end", false);
         faults.skip_capacity_check = setup.flag("skip_capacity_check", false);
+        faults.store_lower_epoch = setup.flag("store_lower_epoch", false);
         faults.skip_start_validity = setup.flag("skip_start_validity", false);
     }
+    if (setup.flag("skip_cas_check", false)) {
+        m_store.cas_check = [](const store::kv_request&, const store::kv_entry*) { return true; };
+    }
     for (std::int64_t i = 1; i <= setup.number("schedulers", 3); ++i) {
         start_scheduler(numbered("s", i));
     }
@@ -497,9 +504,9 @@
     std::int64_t sum = 0;
     for (const auto& [id, s] : schedulers) {
         const std::string page = "\n" + s.counters.render();
-        const auto position = page.find("\n" + name + " ");
+        const auto position = page.find("\nbuckthornspar_" + name + " ");
         if (position != std::string::npos) {
-            sum += std::stoll(page.substr(position + name.size() + 2));
+            sum += std::stoll(page.substr(page.find(' ', position)));
         }
     }
     return sum;
--- a/tests/scenario/scheduling/simulation.h
+++ b/tests/scenario/scheduling/simulation.h
@@ -34,6 +34,7 @@
 
     fakes::worker_model model;
     membership::instance listing;
+    placement::resources true_capacity;
     /// The worker's clock starts elsewhere and runs up to 1 % faster or slower.
     std::int64_t clock_offset_ms = 0;
     std::int64_t clock_rate_permille = 1000;
