--- a/source/core/membership/http_instance_list.cpp
+++ b/source/core/membership/http_instance_list.cpp
@@ -1,5 +1,6 @@
 #include "core/membership/http_instance_list.h"
 
+#include "core/common/counters.h"
 #include "core/common/error.h"
 #include "core/membership/instance_format.h"
 
@@ -27,24 +28,35 @@
     request.target = "/v1/instances";
     m_client.send(m_address, std::move(request), m_timeout,
                   [this, complete = std::move(complete)](const net::http_result& result) {
-                      complete(to_snapshot(result));
+                      complete(read(result));
                   });
 }
 
-std::optional<instance_snapshot> http_instance_list::to_snapshot(const net::http_result& result) {
-    if (const auto* const failure = std::get_if<net::http_failure>(&result)) {
+std::optional<instance_snapshot> http_instance_list::read(const net::http_result& result) {
+    const auto* const failure = std::get_if<net::http_failure>(&result);
+    if (failure != nullptr) {
+        if (failure->kind == net::http_failure_kind::timed_out) {
+            // The connections may have become silent while new ones work.
+            m_client.close_idle(m_address);
+        }
         m_counters.get("instance_list_errors_total", "kind", net::to_string(failure->kind)).add();
         return std::nullopt;
     }
     const auto& response = std::get<net::http_response>(result);
     if (response.status != 200) {
-        m_counters.get("instance_list_errors_total", "kind", "status").add();
+        m_counters
+            .get("instance_list_errors_total", "kind", "status_" + std::to_string(response.status))
+            .add();
         return std::nullopt;
     }
     try {
-        return read_instances(response.body);
-    } catch (const common::error&) {
-        m_counters.get("instance_list_errors_total", "kind", "format").add();
+        std::size_t skipped = 0;
+        auto snapshot = read_instances(response.body, &skipped);
+        m_counters.get("instance_list_entries_skipped_total")
+            .add(static_cast<std::int64_t>(skipped));
+        return snapshot;
+    } catch (const common::format_error&) {
+        m_counters.get("instance_list_errors_total", "kind", "bad_answer").add();
         return std::nullopt;
     }
 }
--- a/source/core/membership/instance_format.cpp
+++ b/source/core/membership/instance_format.cpp
@@ -5,6 +5,10 @@
 
 #include <boost/json.hpp>
 
+#include <optional>
+#include <set>
+#include <utility>
+
 namespace buckthornspar::membership {
 
 namespace json = boost::json;
@@ -20,10 +24,23 @@
     return value != nullptr ? std::string(value->as_string()) : std::string();
 }
 
-instance read_instance(const json::object& object) {
+std::optional<instance_role> find_role(std::string_view name) {
+    try {
+        return role_names.value(name);
+    } catch (const common::unknown_name_error&) {
+        return std::nullopt;
+    }
+}
+
+/// Empty when the role is not known.
+std::optional<instance> read_instance(const json::object& object) {
     instance i;
     i.id = std::string(object.at("id").as_string());
-    i.role = role_names.value(object.at("role").as_string());
+    const auto role = find_role(object.at("role").as_string());
+    if (!role) {
+        return std::nullopt;
+    }
+    i.role = *role;
     i.address = net::parse_endpoint(object.at("address").as_string());
     i.region = optional_text(object, "region");
     i.place = optional_text(object, "place");
@@ -38,13 +55,26 @@
 
 } // namespace
 
-instance_snapshot read_instances(const std::string& text) {
+instance_snapshot read_instances(const std::string& text, std::size_t* skipped) {
+    std::size_t left_out = 0;
     try {
         const json::value document = json::parse(text);
         instance_snapshot snapshot;
         snapshot.index = document.at("index").to_number<std::uint64_t>();
+        std::set<std::string> ids;
         for (const auto& item : document.at("instances").as_array()) {
-            snapshot.instances.push_back(read_instance(item.as_object()));
+            auto i = read_instance(item.as_object());
+            if (!i) {
+                ++left_out;
+                continue;
+            }
+            if (!ids.insert(i->id).second) {
+                throw common::format_error(i->id + " is listed twice");
+            }
+            snapshot.instances.push_back(std::move(*i));
+        }
+        if (skipped != nullptr) {
+            *skipped = left_out;
         }
         return snapshot;
     } catch (const std::exception& e) {
--- a/source/core/routing/request_engine.cpp
+++ b/source/core/routing/request_engine.cpp
@@ -104,7 +104,7 @@
     m_metrics.get("refusals_total", "reason", to_string(reason)).add();
     // The id of a repeat may have run for an earlier submission.
     const auto outcome = r.repeat ? run_outcome::unknown : run_outcome::not_run;
-    m_actions.emplace_back(caller_answer{r.key, outcome, reason, 0, {}, {}});
+    m_actions.emplace_back(caller_answer{r.key, outcome, reason, 0, {}, {}, {}});
 }
 
 void request_engine::dispatch(service_route& route, time_point now) {
@@ -153,7 +153,10 @@
 void request_engine::send(pending_request& p, std::size_t index, time_point now) {
     service_route& route = *p.route;
     const std::size_t bytes = p.r.body ? p.r.body->size() : 0;
-    route.on_sent(index, bytes);
+    route.on_sent(index, bytes, now);
+    if (!route.table.is_local(index)) {
+        m_metrics.get("crossings_total").add();
+    }
     if (p.attempts == 0) {
         m_budget.on_first_attempt();
     }
@@ -162,7 +165,7 @@
     p.phase = request_phase::running;
     p.runner = index;
     p.sent_at = now;
-    p.incarnation = target.incarnation;
+    p.incarnation = p.pinned ? p.pinned_incarnation : target.incarnation;
     p.cancel_sent = false;
     p.seen_started = false;
     p.query_token = 0;
@@ -171,7 +174,8 @@
     p.check_delay = std::max(m_settings.overdue_min, route.table.service_time() * 4);
     set_wake(p, std::min(now + p.check_delay, p.r.deadline + m_settings.answer_grace));
     m_actions.emplace_back(run_call{p.run_token, target.id, target.address, p.r.service, p.r.id,
-                                    p.r.deadline - now, p.attempts, p.r.idempotent, p.r.body});
+                                    p.r.deadline - now, p.attempts, p.r.idempotent, p.r.body,
+                                    p.r.content_type, p.pinned_incarnation});
 }
 
 void request_engine::requeue(pending_request& p, time_point now) {
@@ -220,12 +224,12 @@
         return;
     }
     m_metrics.get("refusals_total", "reason", to_string(reason)).add();
-    finish(p, {p.r.key, run_outcome::not_run, reason, 0, {}, {}});
+    finish(p, {p.r.key, run_outcome::not_run, reason, 0, {}, {}, {}});
 }
 
 void request_engine::end_unknown(pending_request& p, refusal_reason reason) {
     m_metrics.get("requests_unknown_total", "reason", to_string(reason)).add();
-    finish(p, {p.r.key, run_outcome::unknown, reason, 0, {}, {}});
+    finish(p, {p.r.key, run_outcome::unknown, reason, 0, {}, {}, {}});
 }
 
 void request_engine::finish(pending_request& p, caller_answer answer) {
--- a/source/core/store/sequenced_log.cpp
+++ b/source/core/store/sequenced_log.cpp
@@ -62,9 +62,7 @@
 void sequenced_log::end_call(common::time_point now, lane& l, const kv_response& response) {
     l.call = 0;
     m_store_available = is_answered(response);
-    if (m_store_available) {
-        l.failures = 0;
-    } else {
+    if (!m_store_available) {
         retry_later(now, l);
     }
 }
@@ -117,7 +115,8 @@
     return std::exchange(m_actions, {});
 }
 
-void sequenced_log::on_response(common::time_point now, std::uint64_t call, kv_response response) {
+void sequenced_log::on_response(common::time_point now, std::uint64_t call,
+                                const kv_response& response) {
     lane* const l = lane_of(call);
     if (l == nullptr) {
         return;
@@ -140,6 +139,10 @@
     } else if (l == &m_snapshot_lane) {
         on_snapshot(now, response);
     }
+    // An answer that cannot be read counts as a failure, so its repetitions slow down too.
+    if (!l->retry_at) {
+        l->failures = 0;
+    }
 }
 
 kv_request sequenced_log::slot_request(kv_operation operation, std::uint64_t position) const {
@@ -217,9 +220,9 @@
         m_actions.emplace_back(snapshot_read{snapshot.covers, std::move(snapshot.body)});
         settle_skipped_append(records);
     }
-    for (auto& record : records) {
+    for (const auto& record : records) {
         if (record.number == m_head + 1) {
-            deliver(std::move(record));
+            deliver(record);
         }
     }
     return true;
@@ -246,9 +249,9 @@
 
 void sequenced_log::take_slot(std::uint64_t position, const kv_response& response) {
     try {
-        log_record record = learn_slot(position, first_entry(response));
+        const log_record record = learn_slot(position, first_entry(response));
         if (record.number == m_head + 1) {
-            deliver(std::move(record));
+            deliver(record);
         } else if (record.number > m_head + 1) {
             // The ring has moved on by more than one turn, so the records between are only in a
             // snapshot.
@@ -260,7 +263,7 @@
     }
 }
 
-void sequenced_log::deliver(log_record record) {
+void sequenced_log::deliver(const log_record& record) {
     m_head = record.number;
     m_actions.emplace_back(record_read{record});
     if (m_append && m_append->record.number == record.number) {
--- a/source/core/store/sequenced_log.h
+++ b/source/core/store/sequenced_log.h
@@ -111,7 +111,7 @@
     /// Starts or stops waiting for records of other writers with a watch on the next slot.
     void follow(common::time_point now, bool on);
 
-    void on_response(common::time_point now, std::uint64_t call, kv_response response);
+    void on_response(common::time_point now, std::uint64_t call, const kv_response& response);
 
     /// Starts the retries that are due.
     void on_time(common::time_point now);
@@ -121,13 +121,19 @@
     [[nodiscard]] std::vector<log_action> take_actions();
 
     [[nodiscard]] bool loaded() const { return m_loaded; }
+    /// A load is in progress; its view of the store may be older than this call.
+    [[nodiscard]] bool loading() const {
+        return m_load_lane.call != 0 || m_load_lane.retry_at.has_value();
+    }
     /// Number of the newest record that is known; 0 for an empty log.
     [[nodiscard]] std::uint64_t head() const { return m_head; }
     /// Records up to this number are covered by a snapshot in the store.
     [[nodiscard]] std::uint64_t covered() const { return m_snapshots.covered(); }
-    /// Records that can be appended before a snapshot is needed.
+    /// Records that can be appended before a snapshot is needed. 0 also when the newest snapshot is
+    /// another writer's and not known here; write_snapshot() then finds it.
     [[nodiscard]] std::uint64_t room() const {
-        return m_snapshots.covered() + m_options.slots - m_head;
+        const std::uint64_t last = m_snapshots.covered() + m_options.slots;
+        return last > m_head ? last - m_head : 0;
     }
     [[nodiscard]] bool append_pending() const { return m_append.has_value(); }
     /// False when the store call that ended last was not answered.
@@ -178,7 +184,7 @@
     [[nodiscard]] bool take_load(const std::vector<kv_entry>& entries);
     void take_slot(std::uint64_t position, const kv_response& response);
     [[nodiscard]] log_record learn_slot(std::uint64_t position, const kv_entry* entry);
-    void deliver(log_record record);
+    void deliver(const log_record& record);
     void settle_append(append_outcome outcome);
     void settle_with(const log_record& found);
     void settle_skipped_append(const std::vector<log_record>& records);
