--- a/tests/standins/standin_runner.cpp
+++ b/tests/standins/standin_runner.cpp
@@ -119,6 +119,12 @@
             to_number("X-Deadline-Ms", required_field(request, "X-Deadline-Ms")));
         arrival.work = work_of(request.body);
         arrival.body = request.body;
+        const std::string expected(request.fields.get("X-Expect-Incarnation"));
+        if (!expected.empty()) {
+            // The model knows the incarnation without the start time of this process.
+            arrival.expected_incarnation =
+                expected == incarnation() ? m_model.incarnation() : expected;
+        }
         m_pending.emplace(arrival.tag, reply);
         m_model.post(std::move(arrival), m_clock.now());
     }
@@ -163,11 +169,21 @@
     [[nodiscard]] net::http_response with_load(net::http_response response) const {
         response.fields.set("X-Slots", std::to_string(m_model.slots()));
         response.fields.set("X-Slots-Free", std::to_string(m_model.slots_free()));
-        // A restarted process must not repeat an incarnation of the one before.
-        response.fields.set("X-Incarnation", m_model.incarnation() + "." + m_started);
+        response.fields.set("X-Incarnation", incarnation());
+        response.fields.set("X-Uptime-Ms", std::to_string(uptime_ms()));
         return response;
     }
 
+    // A restarted process must not repeat an incarnation of the one before.
+    [[nodiscard]] std::string incarnation() const {
+        return m_model.incarnation() + "." + m_started;
+    }
+
+    [[nodiscard]] std::int64_t uptime_ms() const {
+        const auto uptime = m_model.uptime(m_clock.now());
+        return std::chrono::duration_cast<std::chrono::milliseconds>(uptime).count();
+    }
+
     // Sends the replies that are due and sets the timer for the next event of the model.
     void deliver() {
         m_model.advance(m_clock.now());
@@ -226,8 +242,11 @@
                                              const common::command_line& line) {
     const auto slots = static_cast<std::uint32_t>(std::stoul(line.get("slots", "8")));
     const auto work = std::chrono::milliseconds(std::stoll(line.get("work-ms", "5")));
-    return std::make_unique<runner_handler>(loop, runner_model(line.get("id", "runner"), slots),
-                                            work);
+    runner_model model(line.get("id", "runner"), slots);
+    // Entries believe a runner about repeated requests only after it has run for a while.
+    const auto earlier = std::chrono::seconds(std::stoll(line.get("started-s-ago", "0")));
+    model.set_started(common::system_clock().now() - earlier);
+    return std::make_unique<runner_handler>(loop, std::move(model), work);
 }
 
 } // namespace
@@ -240,6 +259,7 @@
         argc, argv, "\nRunner stand-in; a body that begins with \"work_ms=N\" takes N ms.",
         {{"id", 'i', "ID", "id of the runner"},
          {"slots", '\0', "N", "requests that it serves at a time (default 8)"},
+         {"started-s-ago", '\0', "N", "pretend to have started N s earlier (default 0)"},
          {"work-ms", '\0', "N", "time that a request takes (default 5)"}},
         standins::make_runner);
 }
