Carry an unknown outcome between processes as such

The protocol between the processes had no status for an unknown outcome, and the codec sent it as a refusal. Ruled out by the log's records and the counters: a second call of the entry, and a withdrawn record that is written all the same. The new unit test fails with the old mapping.

Besides, a refusal of a later attempt no longer hides that an earlier attempt of the same submission may still take effect: the caller is then told outcome_unknown.

--- a/source/core/peer/peer_codec.cpp
+++ b/source/core/peer/peer_codec.cpp
@@ -22,6 +22,8 @@
         return reply_status::refused;
     case schema::ReplyStatus::NOT_FOUND:
         return reply_status::not_found;
+    case schema::ReplyStatus::OUTCOME_UNKNOWN:
+        return reply_status::no_answer;
     }
     // A newer peer may send a status that this version does not know.
     return reply_status::no_answer;
@@ -37,8 +39,9 @@
         return schema::ReplyStatus::NOT_FOUND;
     case reply_status::refused:
     case reply_status::not_sent:
-    case reply_status::no_answer:
         return schema::ReplyStatus::REFUSED;
+    case reply_status::no_answer:
+        return schema::ReplyStatus::OUTCOME_UNKNOWN;
     }
     return schema::ReplyStatus::REFUSED;
 }
--- a/source/programs/buckthornspar-entry/job_gateway.cpp
+++ b/source/programs/buckthornspar-entry/job_gateway.cpp
@@ -201,6 +201,11 @@
         return;
     }
     case peer::reply_status::refused:
+        // A refusal is about this attempt; an earlier one may still take effect.
+        if (e->may_have_been_executed && e->call.operation == peer::job_operation::submit) {
+            give_up(e);
+            return;
+        }
         m_process.counters().get("refusals_total", "reason", reply.error_type).add();
         finish(e, net::error_response(status_of(reply.error_type), reply.error_type,
                                       reply.error_detail, reply.error_field));
--- a/source/schema/peer.capnp
+++ b/source/schema/peer.capnp
@@ -16,6 +16,7 @@
   notOwner @1;      # the shard belongs to another scheduler; see ownerHint
   refused @2;       # typed refusal; errorType and errorDetail are set
   notFound @3;
+  outcomeUnknown @4; # the call may take effect or have taken effect
 }
 
 struct Reply {
--- a/tests/unit/peer/peer_node_test.cpp
+++ b/tests/unit/peer/peer_node_test.cpp
@@ -30,6 +30,9 @@
             return;
         }
         job_reply reply;
+        if (call.text == "doubtful") {
+            reply.status = reply_status::no_answer;
+        }
         reply.body = call.text + " in " + call.shard + " for " + call.from.id;
         complete(reply);
     }
@@ -104,6 +107,12 @@
     BOOST_TEST(reply.body == "j1 in s1 for caller");
 }
 
+// Guards against an unknown outcome that arrives as a refusal, which promises that nothing was
+// done.
+BOOST_AUTO_TEST_CASE(unknown_outcome_is_not_a_refusal) {
+    BOOST_TEST((call(to, "doubtful").status == reply_status::no_answer));
+}
+
 // Guards against telling a caller that a job may have been accepted when nobody listens.
 BOOST_AUTO_TEST_CASE(refused_connection_is_not_sent) {
     BOOST_TEST((call({"127.0.0.1", 1}, "j1").status == reply_status::not_sent));
