--- a/source/core/scheduling/worker_fleet.cpp
+++ b/source/core/scheduling/worker_fleet.cpp
@@ -51,6 +51,8 @@
         fresh.listing = std::move(l.listing);
         fresh.missing_since = l.missing_since;
         fresh.gone = l.gone;
+        fresh.leaving =
+            fresh.listing && fresh.listing->state == membership::instance_state::leaving;
         l = std::move(fresh);
     }
 }
@@ -62,12 +64,15 @@
     for (const auto& instance : workers) {
         shown.insert(instance.id);
         link& l = m_links[instance.id];
+        const bool leaving = instance.state == membership::instance_state::leaving;
+        // The link forgets that the worker leaves when the ownership ends, so that the state of
+        // the listing alone does not tell whether the placement knows of it.
         const bool changed = !l.listing || l.listing->state != instance.state ||
-                             l.listing->address != instance.address;
+                             l.listing->address != instance.address || l.leaving != leaving;
         l.listing = instance;
         l.missing_since.reset();
         l.gone = false;
-        l.leaving = instance.state == membership::instance_state::leaving;
+        l.leaving = leaving;
         if (changed) {
             m_events.emplace_back(worker_changed{instance.id});
         }
