--- a/tests/process/cluster.cpp
+++ b/tests/process/cluster.cpp
@@ -164,23 +164,26 @@
 }
 
 void cluster::wait_ready() {
-    for (auto& [id, m] : m_members) {
-        if (!is_server(m.role)) {
-            continue;
-        }
-        call_result last;
-        const bool ready = wait_until(
-            [&] {
-                last = m_http.get(m.http, "/readyz");
-                return last.status == 200 || !m.process.running();
-            },
-            ready_timeout);
-        if (!ready || !m.process.running()) {
-            throw std::runtime_error(id + " is not ready: " + last.body + logs());
+    for (const std::string role : {"config", "scheduler", "entry"}) {
+        for (member* const server : of_role(role)) {
+            wait_ready(*server);
         }
     }
 }
 
+void cluster::wait_ready(member& server) {
+    call_result last;
+    (void)wait_until(
+        [&] {
+            last = m_http.get(server.http, "/readyz");
+            return last.status == 200 || !server.process.running();
+        },
+        ready_timeout);
+    if (last.status != 200) {
+        throw std::runtime_error(server.id + " is not ready: " + last.body + logs());
+    }
+}
+
 bool wait_until(const std::function<bool()>& condition, std::chrono::milliseconds timeout) {
     const auto give_up = std::chrono::steady_clock::now() + timeout;
     while (!condition()) {
--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -21,7 +21,7 @@
     int configs = 1;
     int runner_slots = 8;
     /// YAML lines added to the settings of a role, for example {"scheduler", "lease_ms: 3000\n"}.
-    std::map<std::string, std::string> extra_settings;
+    std::map<std::string, std::string> extra_settings = {};
 };
 
 /// One process of the cluster with its addresses.
@@ -64,6 +64,7 @@
     void start_server(const std::string& role, const std::string& id);
     void publish_instances();
     void wait_ready();
+    void wait_ready(member& server);
 
     cluster_options m_options;
     port_reservation m_ports;
--- /dev/null
+++ b/tests/process/job_driver.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "process/cluster.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace buckthornspar::process_test {
+
+/// A submission with small tasks; run_ms 0 keeps a service running.
+struct job_request {
+    std::string id;
+    std::string kind = "batch";
+    int tasks = 1;
+    std::int64_t run_ms = 200;
+    std::int64_t cpu_milli = 500;
+    bool idempotent = true;
+
+    [[nodiscard]] std::string to_json() const;
+};
+
+/// Calls of a caller at the cluster's entries.
+class job_driver {
+public:
+    explicit job_driver(cluster& c) : m_cluster(c) {}
+
+    call_result submit(const job_request& job, const std::string& entry = "entry-1");
+    /// Repeats the submission with the same id until a definite answer, as a caller does.
+    call_result submit_until_settled(const job_request& job, std::chrono::milliseconds timeout);
+    call_result cancel(const std::string& id);
+    call_result status(const std::string& id);
+    [[nodiscard]] std::string state(const std::string& id);
+    /// Polls until the job has the state. Answers false after the timeout.
+    [[nodiscard]] bool wait_state(const std::string& id, const std::string& state,
+                                  std::chrono::milliseconds timeout);
+    /// Id of the scheduler that owns the only shard; empty when there is none.
+    [[nodiscard]] std::string owner();
+
+private:
+    cluster& m_cluster;
+};
+
+} // namespace buckthornspar::process_test
