Repeat unchanged demands and grants every 2.5 s and forget departed entries at once

The lifetime of demands and grants grows from 2 s to 10 s; entries that leave the list are forgotten without waiting for it.

--- a/source/core/routing/routing_messages.h
+++ b/source/core/routing/routing_messages.h
@@ -89,7 +89,7 @@
     std::string service;
     std::vector<slot_count> counts;
 };
-inline constexpr duration slot_grant_lifetime = std::chrono::seconds(2);
+inline constexpr duration slot_grant_lifetime = std::chrono::seconds(10);
 
 struct peer_message {
     /// Entry id of the sender, or of the receiver in an action.
--- a/source/core/routing/slot_grants.cpp
+++ b/source/core/routing/slot_grants.cpp
@@ -13,9 +13,10 @@
 
 namespace {
 
-constexpr duration demand_lifetime = std::chrono::seconds(2);
-// Unchanged demands and grants are repeated, because messages between entries can be lost.
-constexpr duration repeat_period = std::chrono::milliseconds(500);
+constexpr duration demand_lifetime = std::chrono::seconds(10);
+// Unchanged demands and grants are repeated, because messages between entries can be lost. The
+// period is long because messages between regions are billed also in quiet hours.
+constexpr duration repeat_period = std::chrono::milliseconds(2500);
 constexpr double demand_fall_weight = 0.2;
 
 struct grant {
@@ -79,6 +80,7 @@
     }
 
     void on_tick(const policy_tick& t, std::vector<peer_message>& out) override {
+        forget_departed(t);
         update_own_demand(t);
         find_owners(t);
         send_demands(t, out);
@@ -125,6 +127,25 @@
             m_wanted += demand_fall_weight * (in_use - m_wanted);
         }
         m_demands[m_setup.entry_id] = {{m_setup.region, m_wanted + 1}, t.now + demand_lifetime};
+    }
+
+    // An entry that is no longer listed keeps no slots; one that the list does not show yet does.
+    void forget_departed(const policy_tick& t) {
+        const auto listed = [&](const std::string& id) {
+            return std::any_of(t.entries.begin(), t.entries.end(),
+                               [&](const auto& e) { return e.id == id; });
+        };
+        for (const auto& id : m_listed) {
+            if (!listed(id)) {
+                m_demands.erase(id);
+                m_sent_demands.erase(id);
+                m_sent_grants.erase(id);
+            }
+        }
+        m_listed.clear();
+        for (const auto& e : t.entries) {
+            m_listed.push_back(e.id);
+        }
         std::erase_if(m_demands, [&](const auto& item) { return item.second.until <= t.now; });
     }
 
@@ -241,6 +262,7 @@
     policy_setup m_setup;
     double m_wanted = 0;
     std::vector<grant> m_grants;
+    std::vector<std::string> m_listed;
     std::map<std::string, known_demand> m_demands;
     std::map<std::string, double> m_capacity;
     std::set<std::string> m_owners;
--- a/tests/scenario/routing/routing_network.cpp
+++ b/tests/scenario/routing/routing_network.cpp
@@ -148,7 +148,8 @@
 }
 
 void routing_network::query(const std::string& entry_region, runner_node& to,
-                            const routing::query_call& call, query_completion complete_query) {
+                            const routing::query_call& call,
+                            const query_completion& complete_query) {
     routing::query_result none;
     none.token = call.token;
     m_schedule.at(m_schedule.now() + trip(entry_region, to.region),
@@ -183,7 +184,7 @@
 }
 
 void routing_network::ping(const std::string& entry_region, runner_node& to,
-                           const routing::ping_call& call, ping_completion complete_ping) {
+                           const routing::ping_call& call, const ping_completion& complete_ping) {
     const bool answered = to.up && to.model.responds();
     const common::duration delay =
         answered || !to.up ? 2 * trip(entry_region, to.region) : query_timeout;
--- a/tests/scenario/routing/routing_network.h
+++ b/tests/scenario/routing/routing_network.h
@@ -54,9 +54,9 @@
     void run(const std::string& entry, const std::string& entry_region, runner_node& to,
              const routing::run_call& call, common::duration work, run_completion complete);
     void query(const std::string& entry_region, runner_node& to, const routing::query_call& call,
-               query_completion complete);
+               const query_completion& complete);
     void ping(const std::string& entry_region, runner_node& to, const routing::ping_call& call,
-              ping_completion complete);
+              const ping_completion& complete);
     void abandon(const std::string& entry, routing::call_token token);
     void replace_connections(const std::string& entry, const std::string& runner);
 
