--- a/tests/scenario/config/config_scenario_test.cpp
+++ b/tests/scenario/config/config_scenario_test.cpp
@@ -36,6 +36,11 @@
     return run_script(s, make_world).failure;
 }
 
+std::uint64_t number_from(const char* variable, std::uint64_t fallback) {
+    const char* const text = std::getenv(variable);
+    return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
+}
+
 bool mentions(const std::string& text, const std::string& part) {
     return text.find(part) != std::string::npos;
 }
@@ -50,11 +55,11 @@
     BOOST_TEST(failures.empty(), failures);
 }
 
-// Guards against failures in combinations that nobody wrote down. BTS_SEED runs one seed only.
+// Guards against failures in combinations that nobody wrote down. BTS_SEED and BTS_RUNS choose the
+// first seed and the number of runs.
 BOOST_AUTO_TEST_CASE(random_scripts_pass) {
-    const char* const seed = std::getenv("BTS_SEED");
-    const std::uint64_t first = seed == nullptr ? first_seed : std::strtoull(seed, nullptr, 10);
-    const std::size_t runs = seed == nullptr ? random_runs : 1;
+    const std::uint64_t first = number_from("BTS_SEED", first_seed);
+    const std::uint64_t runs = number_from("BTS_RUNS", random_runs);
     const std::string failures = run_random(first, runs, make_random_config_script, make_world);
     BOOST_TEST(failures.empty(), failures);
 }
