--- a/tests/process/config_test.cpp
+++ b/tests/process/config_test.cpp
@@ -178,6 +178,22 @@
     BOOST_TEST(get("config-1", "versions").text("version_in_force") == "3");
 }
 
+// Guards against an entry or a scheduler that takes work without a version, or never gets one. The
+// cluster is constructed only when all its processes are ready.
+BOOST_AUTO_TEST_CASE(other_roles_get_a_version) {
+    cluster_options options = only_configs();
+    options.configs = 1;
+    options.entries = 1;
+    options.schedulers = 1;
+    cluster whole(options);
+    whole.at("config-1").process.kill();
+    whole.restart("entry-1");
+    const bool ready = wait_until(
+        [&] { return whole.http().get(whole.at("entry-1").http, "/readyz").status == 200; },
+        in_force_within);
+    BOOST_TEST(ready, whole.logs());
+}
+
 // Guards against a drain that cuts off a patch in progress, and against new patches after it.
 BOOST_AUTO_TEST_CASE(drain_answers_what_is_in_progress) {
     c.set_faults("store", R"({"slow_ms":300})");
