Apply the limits of the configuration in force to requests

The entry held the configuration but did not use it. The limits per caller, of deadlines, retries and bytes between regions now follow the version in force; where the settings name a lower one, that one protects the process.

--- a/source/core/routing/request_engine.cpp
+++ b/source/core/routing/request_engine.cpp
@@ -22,10 +22,22 @@
     : m_settings(std::move(settings)),
       m_metrics(metrics),
       m_random(seed),
-      m_budget(m_settings.retries) {}
+      m_budget(m_settings.retries),
+      m_max_per_caller(m_settings.max_per_caller),
+      m_crossing_bytes_per_s(m_settings.route.crossing_bytes_per_s) {}
 
 request_engine::~request_engine() = default;
 
+void request_engine::set_limits(const operator_limits& limits) {
+    m_max_per_caller = std::min(m_settings.max_per_caller, limits.max_per_caller);
+    m_budget.set_share(std::min(m_settings.retries.share, limits.retry_share));
+    m_crossing_bytes_per_s =
+        std::min(m_settings.route.crossing_bytes_per_s, limits.crossing_bytes_per_s);
+    for (const auto& [service, route] : m_routes) {
+        route->set_crossing_rate(m_crossing_bytes_per_s);
+    }
+}
+
 void request_engine::submit(request r, time_point now) {
     m_metrics.get("requests_total", "class", to_string(r.priority)).add();
     service_route* route = nullptr;
@@ -89,7 +101,7 @@
     }
     route = position->second.get();
     const auto caller = m_per_caller.find(r.caller);
-    if (caller != m_per_caller.end() && caller->second >= m_settings.max_per_caller) {
+    if (caller != m_per_caller.end() && caller->second >= m_max_per_caller) {
         refuse_submission(r, refusal_reason::caller_limit);
         return false;
     }
@@ -360,6 +372,7 @@
         if (i.role == membership::instance_role::runner && !m_routes.contains(i.service)) {
             route_settings settings = m_settings.route;
             settings.setup.service = i.service;
+            settings.crossing_bytes_per_s = m_crossing_bytes_per_s;
             m_routes.emplace(i.service, std::make_unique<service_route>(settings));
         }
     }
--- a/source/core/routing/request_engine.h
+++ b/source/core/routing/request_engine.h
@@ -36,6 +36,13 @@
     duration suspected_probe_period = std::chrono::milliseconds(500);
 };
 
+/// Limits of the configuration in force. Where the settings name a lower one, that one applies.
+struct operator_limits {
+    std::size_t max_per_caller = 0;
+    double retry_share = 0;
+    double crossing_bytes_per_s = 0;
+};
+
 /// Decides about the requests of one entry: admission, routing, retries, and the outcome of
 /// requests whose connection was silent or lost. Gives exactly one answer to each submission. Not
 /// thread-safe; the caller passes the time of each event and carries out the actions.
@@ -52,6 +59,7 @@
     void on_ping_result(const ping_result& result, time_point now);
     void on_instances(const membership::instance_snapshot& list, time_point now);
     void on_peer(const peer_message& message, time_point now);
+    void set_limits(const operator_limits& limits);
     /// Refuses new submissions from now on; accepted ones are finished.
     void drain() { m_draining = true; }
     /// Call at next_wakeup() or later.
@@ -127,6 +135,9 @@
     common::counters& m_metrics;
     common::rng m_random;
     retry_budget m_budget;
+    /// Limits in force: the lower of settings and configuration.
+    std::size_t m_max_per_caller;
+    double m_crossing_bytes_per_s;
     bool m_draining = false;
     call_token m_next_token = 1;
     std::map<std::string, std::unique_ptr<service_route>> m_routes;
--- a/source/core/routing/retry_budget.h
+++ b/source/core/routing/retry_budget.h
@@ -19,6 +19,9 @@
 public:
     explicit retry_budget(retry_limits limits) : m_limits(limits), m_tokens(limits.burst) {}
 
+    /// Changes the share of retries, for example with a new configuration.
+    void set_share(double share) { m_limits.share = share; }
+
     void on_first_attempt();
 
     /// Takes one retry; false when the budget is spent.
--- a/source/core/routing/service_route.h
+++ b/source/core/routing/service_route.h
@@ -26,6 +26,7 @@
 public:
     explicit byte_budget(double bytes_per_s) : m_per_second(bytes_per_s), m_left(bytes_per_s) {}
 
+    void set_rate(double bytes_per_s) { m_per_second = bytes_per_s; }
     [[nodiscard]] bool has_left(time_point now);
     /// May overdraw the budget; nothing is left then until the debt is paid.
     void spend(double bytes) { m_left -= bytes; }
@@ -72,6 +73,7 @@
 
     [[nodiscard]] const std::string& name() const { return m_settings.setup.service; }
     [[nodiscard]] double crossing_bytes() const { return m_crossing_bytes; }
+    void set_crossing_rate(double bytes_per_s) { m_budget.set_rate(bytes_per_s); }
 
     admission_queue queue;
     runner_table table;
--- a/source/programs/buckthornspar-entry/entry_application.cpp
+++ b/source/programs/buckthornspar-entry/entry_application.cpp
@@ -42,12 +42,24 @@
     return hooks;
 }
 
+void apply_limits(request_service& requests, const config::configuration& c) {
+    constexpr double percent = 0.01;
+    routing::operator_limits limits;
+    limits.max_per_caller =
+        static_cast<std::size_t>(c.get(config::limit::max_queued_requests_per_caller));
+    limits.retry_share = percent * static_cast<double>(c.get(config::limit::retry_budget_percent));
+    limits.crossing_bytes_per_s =
+        static_cast<double>(c.get(config::limit::cross_region_bytes_per_s));
+    requests.on_limits(limits,
+                       std::chrono::milliseconds(c.get(config::limit::max_request_deadline_ms)));
+}
+
 } // namespace
 
 entry_application::entry_application(server::server_process& process, request_settings requests)
     : m_process(process),
       m_config(std::make_unique<server::shared_config>(
-          [](std::uint64_t, const config::configuration&) {})),
+          [this](std::uint64_t, const config::configuration& c) { apply_limits(*m_requests, c); })),
       // The policy has nobody to send to before the member has delivered the first list.
       m_requests(make_request_service(
           process, std::move(requests),
--- a/source/programs/buckthornspar-entry/request_reader.cpp
+++ b/source/programs/buckthornspar-entry/request_reader.cpp
@@ -28,16 +28,16 @@
 }
 
 std::optional<common::duration> read_deadline(const net::http_fields& fields,
-                                              const request_settings& settings) {
+                                              common::duration default_deadline,
+                                              common::duration max_deadline) {
     const auto text = fields.find("X-Deadline-Ms");
     if (!text) {
-        return settings.default_deadline;
+        return std::min(default_deadline, max_deadline);
     }
     std::int64_t value = 0;
     const char* const end = text->data() + text->size();
     const auto result = std::from_chars(text->data(), end, value);
-    const auto max_ms =
-        std::chrono::duration_cast<std::chrono::milliseconds>(settings.max_deadline).count();
+    const auto max_ms = std::chrono::duration_cast<std::chrono::milliseconds>(max_deadline).count();
     if (result.ec != std::errc{} || result.ptr != end || value < 1 || value > max_ms) {
         return std::nullopt;
     }
@@ -98,7 +98,8 @@
 } // namespace
 
 routing::request read_request(net::http_request& http, const request_settings& settings,
-                              common::time_point now, std::optional<request_problem>& problem) {
+                              common::duration max_deadline, common::time_point now,
+                              std::optional<request_problem>& problem) {
     routing::request r;
     const net::http_fields& fields = http.fields;
     r.service = net::path_segments(http.path()).at(2);
@@ -119,7 +120,7 @@
     } catch (const common::unknown_name_error&) {
         problem = {"must be urgent, normal or bulk", "X-Class"};
     }
-    const auto deadline = read_deadline(fields, settings);
+    const auto deadline = read_deadline(fields, settings.default_deadline, max_deadline);
     if (!deadline) {
         problem = {"must be a number of milliseconds from 1 to the longest deadline",
                    "X-Deadline-Ms"};
--- a/source/programs/buckthornspar-entry/request_reader.h
+++ b/source/programs/buckthornspar-entry/request_reader.h
@@ -20,7 +20,7 @@
 /// usable.
 [[nodiscard]] routing::request read_request(net::http_request& http,
                                             const request_settings& settings,
-                                            common::time_point now,
+                                            common::duration max_deadline, common::time_point now,
                                             std::optional<request_problem>& problem);
 
 /// Response of the entry for the engine's answer.
--- a/source/programs/buckthornspar-entry/request_service.cpp
+++ b/source/programs/buckthornspar-entry/request_service.cpp
@@ -30,6 +30,7 @@
       m_events(m_settings.max_unread + result_room),
       m_id_prefix(m_settings.engine.route.setup.entry_id + "-" +
                   std::to_string(common::wall_clock_ms()) + "-"),
+      m_max_deadline_us(m_settings.max_deadline.count()),
       m_thread([this] { decide(); }) {}
 
 request_service::~request_service() {
@@ -50,7 +51,8 @@
         return;
     }
     std::optional<request_problem> problem;
-    routing::request r = read_request(request, m_settings, m_clock.now(), problem);
+    routing::request r = read_request(request, m_settings, common::duration(m_max_deadline_us),
+                                      m_clock.now(), problem);
     if (problem) {
         auto response =
             net::error_response(400, "invalid_request", problem->detail, problem->field);
@@ -92,6 +94,12 @@
     push(message);
 }
 
+void request_service::on_limits(const routing::operator_limits& limits,
+                                common::duration max_deadline) {
+    m_max_deadline_us = std::min(m_settings.max_deadline, max_deadline).count();
+    push(limits);
+}
+
 void request_service::begin_drain() {
     push(drain_request{});
 }
@@ -136,6 +144,8 @@
         m_engine.on_instances(*list, now);
     } else if (const auto* message = std::get_if<routing::peer_message>(&e)) {
         m_engine.on_peer(*message, now);
+    } else if (const auto* limits = std::get_if<routing::operator_limits>(&e)) {
+        m_engine.set_limits(*limits);
     } else {
         m_engine.drain();
     }
--- a/source/programs/buckthornspar-entry/request_service.h
+++ b/source/programs/buckthornspar-entry/request_service.h
@@ -42,6 +42,8 @@
     void handle(net::http_request request, net::http_reply reply);
     void on_instances(const membership::instance_snapshot& list);
     void on_peer(const routing::peer_message& message);
+    /// Limits of a new configuration version.
+    void on_limits(const routing::operator_limits& limits, common::duration max_deadline);
     void begin_drain();
     [[nodiscard]] std::size_t in_progress() const { return m_in_progress; }
 
@@ -51,9 +53,9 @@
         net::http_reply reply;
     };
     struct drain_request {};
-    using event =
-        std::variant<submission, routing::run_result, routing::query_result, routing::ping_result,
-                     membership::instance_snapshot, routing::peer_message, drain_request>;
+    using event = std::variant<submission, routing::run_result, routing::query_result,
+                               routing::ping_result, membership::instance_snapshot,
+                               routing::peer_message, routing::operator_limits, drain_request>;
     struct waiting_caller {
         std::string request_id;
         net::http_reply reply;
@@ -80,6 +82,8 @@
     std::string m_id_prefix;
     std::atomic<std::uint64_t> m_next_key{1};
     std::atomic<std::size_t> m_in_progress{0};
+    /// Longest deadline, in microseconds: the lower of settings and configuration.
+    std::atomic<common::duration::rep> m_max_deadline_us;
     std::atomic<bool> m_stopped{false};
     std::thread m_thread;
 };
