Keep the pause of a worker after a failure and name the reason of a failed job

A success of another job on a worker ended the pause that lets a failed job be tried elsewhere, and a job whose fifth failure was also on its third worker was told as attempts_exhausted. Seen in the script job_failing after the placement changed its order of workers.

--- a/source/core/scheduling/journal.cpp
+++ b/source/core/scheduling/journal.cpp
@@ -70,8 +70,9 @@
     return tags;
 }
 
-void journal::on_response(common::time_point now, std::uint64_t call, store::kv_response response) {
-    m_log.on_response(now, call, std::move(response));
+void journal::on_response(common::time_point now, std::uint64_t call,
+                          const store::kv_response& response) {
+    m_log.on_response(now, call, response);
 }
 
 void journal::on_time(common::time_point now) {
--- a/source/core/scheduling/journal.h
+++ b/source/core/scheduling/journal.h
@@ -56,7 +56,8 @@
     /// Drops all entries that wait. Returns the tags of those whose write may still take effect.
     std::vector<std::uint64_t> abandon();
 
-    void on_response(common::time_point now, std::uint64_t call, store::kv_response response);
+    void on_response(common::time_point now, std::uint64_t call,
+                     const store::kv_response& response);
     void on_time(common::time_point now);
     [[nodiscard]] std::optional<common::time_point> next_wakeup() const;
     [[nodiscard]] std::vector<journal_event> take_events(common::time_point now);
--- a/source/core/scheduling/shard_engine.cpp
+++ b/source/core/scheduling/shard_engine.cpp
@@ -29,8 +29,8 @@
 }
 
 void shard_engine::on_store_response(common::time_point now, std::uint64_t call,
-                                     store::kv_response response) {
-    m_journal.on_response(now, call, std::move(response));
+                                     const store::kv_response& response) {
+    m_journal.on_response(now, call, response);
 }
 
 void shard_engine::on_adopt(common::time_point now, const std::string& worker, std::uint64_t call,
--- a/source/core/scheduling/shard_engine.h
+++ b/source/core/scheduling/shard_engine.h
@@ -78,7 +78,8 @@
     // Events.
     /// A good list, restricted to the workers of this shard.
     void on_list(common::time_point now, const std::vector<membership::instance>& workers);
-    void on_store_response(common::time_point now, std::uint64_t call, store::kv_response response);
+    void on_store_response(common::time_point now, std::uint64_t call,
+                           const store::kv_response& response);
     void on_adopt(common::time_point now, const std::string& worker, std::uint64_t call,
                   const adopt_result& result);
     void on_sync(common::time_point now, const std::string& worker, std::uint64_t call,
--- a/source/core/scheduling/task_runner_attempts.cpp
+++ b/source/core/scheduling/task_runner_attempts.cpp
@@ -266,10 +266,11 @@
     ++run.failures;
     const bool exhausted = run.failures >= m_settings.max_failures &&
                            job.spec.kind != placement::workload_kind::service;
-    if (verdict == health_verdict::job_fails_everywhere || exhausted) {
+    const bool everywhere = verdict == health_verdict::job_fails_everywhere;
+    if (everywhere || exhausted) {
         finish(now, ref, attempt_outcome::failed);
         fail_job(now, job,
-                 exhausted ? job_reason::attempts_exhausted : job_reason::failed_everywhere);
+                 everywhere ? job_reason::failed_everywhere : job_reason::attempts_exhausted);
         return;
     }
     restart(now, ref, "failed");
--- a/source/core/scheduling/worker_health.cpp
+++ b/source/core/scheduling/worker_health.cpp
@@ -15,7 +15,9 @@
     m_jobs[job].succeeded_on.insert(worker);
     const auto position = m_workers.find(worker);
     if (position != m_workers.end()) {
-        position->second = {};
+        // The pause stays: it serves to try the failed job elsewhere.
+        position->second.failures.clear();
+        position->second.level = 0;
     }
 }
 
--- a/tests/scenario/scheduling/invariants.cpp
+++ b/tests/scenario/scheduling/invariants.cpp
@@ -41,6 +41,7 @@
 void simulation::check_starts(const std::string& id, simulated_worker& w) {
     for (; w.starts_checked < w.model.starts().size(); ++w.starts_checked) {
         const std::string& task = w.model.starts()[w.starts_checked];
+        trace(id, "starts " + task);
         if (++m_starts[task] > 1 && !is_idempotent(task)) {
             throw violation("non-idempotent task " + task + " was started twice");
         }
