Apply quotas and excluded workers of the configuration to the shards

The policy is kept over changes of ownership, because the placement engine begins anew with each. The views for other threads are made every 20 ms instead of after each event, because they need a pass over all workers.

--- a/source/core/scheduling/shard_engine.h
+++ b/source/core/scheduling/shard_engine.h
@@ -91,6 +91,10 @@
     /// The owner is known to have released the shard, or its process is known to have ended.
     void on_owner_released(common::time_point now, const std::string& owner);
 
+    void set_policy(common::time_point now, shard_policy policy) {
+        m_runner.set_policy(now, std::move(policy));
+    }
+
     // Calls. Each ticket gets exactly one reply.
     /// Throws invalid_job when the body is not a job.
     void on_submit(common::time_point now, std::uint64_t ticket, const job_spec& job,
--- a/source/core/scheduling/task_runner.cpp
+++ b/source/core/scheduling/task_runner.cpp
@@ -54,10 +54,32 @@
     m_takeover_set.clear();
     m_recovering = false;
     m_recovery_bound.reset();
-    m_placement.emplace(m_placement_settings);
+    reset_placement();
     m_health = worker_health(m_settings.health);
 }
 
+void task_runner::reset_placement() {
+    m_placement.emplace(m_placement_settings);
+    for (const auto& [team, limit] : m_policy.quotas) {
+        m_placement->set_quota(team, limit);
+    }
+}
+
+void task_runner::set_policy(common::time_point now, shard_policy policy) {
+    const shard_policy former = std::exchange(m_policy, std::move(policy));
+    for (const auto& [team, limit] : former.quotas) {
+        if (!m_policy.quotas.contains(team)) {
+            m_placement->clear_quota(team);
+        }
+    }
+    for (const auto& [team, limit] : m_policy.quotas) {
+        m_placement->set_quota(team, limit);
+    }
+    for (const auto& worker : m_fleet.present()) {
+        refresh_worker(now, worker);
+    }
+}
+
 // Jobs.
 
 std::optional<placement::infeasibility> task_runner::check_feasible(const job_spec& job) const {
@@ -366,6 +388,8 @@
     // start its tasks elsewhere.
     if (!m_journal.table().workers().contains(worker)) {
         info->state = placement::worker_state::unreachable;
+    } else if (m_policy.excluded_workers.contains(worker)) {
+        info->state = placement::worker_state::quarantined;
     } else if (info->state == placement::worker_state::available &&
                m_health.excluded(worker, now)) {
         info->state = placement::worker_state::quarantined;
--- a/source/core/scheduling/task_runner.h
+++ b/source/core/scheduling/task_runner.h
@@ -23,6 +23,14 @@
     worker_health_settings health;
 };
 
+/// The operators' configuration as far as it concerns a shard.
+struct shard_policy {
+    /// Most that the running tasks of a team may use; other teams have no quota.
+    std::map<std::string, placement::resources> quotas;
+    /// Workers that get no new tasks.
+    std::set<std::string> excluded_workers;
+};
+
 enum class task_phase {
     recovering, ///< not yet known whether an attempt of a former owner is alive
     waiting,    ///< known to the placement engine
@@ -71,6 +79,8 @@
     /// the set was adopted or is gone, or until the bound that set_recovery_bound() gives.
     void begin(common::time_point now, std::uint64_t epoch);
     void end();
+    /// Replaces the policy; it is kept over changes of ownership.
+    void set_policy(common::time_point now, shard_policy policy);
     void set_recovery_bound(common::time_point bound) { m_recovery_bound = bound; }
     [[nodiscard]] bool recovering() const { return m_recovering; }
 
@@ -113,6 +123,7 @@
     };
 
     // task_runner.cpp
+    void reset_placement();
     [[nodiscard]] std::optional<task_ref> find_task(const std::string& task);
     [[nodiscard]] placement::task_request request_of(const task_ref& ref) const;
     void submit(const task_ref& ref);
@@ -172,6 +183,7 @@
     common::counters& m_counters;
     std::optional<placement::placement_engine> m_placement;
     worker_health m_health;
+    shard_policy m_policy;
     std::map<std::string, job_run> m_jobs;
     std::map<std::string, std::set<std::string>> m_on_worker;
     std::map<std::uint64_t, pending_entry> m_entries;
--- a/source/programs/buckthornspar-scheduler/decision_thread.cpp
+++ b/source/programs/buckthornspar-scheduler/decision_thread.cpp
@@ -16,6 +16,8 @@
 // The engines are driven at least this often, also when they name no wake-up.
 constexpr common::duration max_wait = std::chrono::milliseconds(100);
 constexpr common::duration min_wait = std::chrono::microseconds(200);
+// The views need a pass over all workers.
+constexpr common::duration view_period = std::chrono::milliseconds(20);
 constexpr common::duration result_retry = std::chrono::milliseconds(5);
 constexpr common::duration cancel_deadline = std::chrono::seconds(2);
 
@@ -109,7 +111,7 @@
     });
 }
 
-void decision_thread::job_call(peer::job_call call, job_completion complete) {
+void decision_thread::job_call(peer::job_call call, const job_completion& complete) {
     const std::string name = call.shard;
     if (!m_shards.contains(name)) {
         complete(refused("unknown_shard", "this scheduler does not serve shard " + name));
@@ -144,6 +146,14 @@
     });
 }
 
+void decision_thread::policy_changed(const shard_policy& policy) {
+    for (const auto& [name, s] : m_shards) {
+        push_result(name, [policy](shard& target, common::time_point now) {
+            target.engine->set_policy(now, policy);
+        });
+    }
+}
+
 void decision_thread::drain() {
     for (const auto& [name, s] : m_shards) {
         push_result(name, [](shard& target, common::time_point now) { target.engine->drain(now); });
@@ -179,6 +189,7 @@
 // The loop.
 
 void decision_thread::run() {
+    common::time_point next_view;
     while (!m_stopped) {
         auto events = m_ring.pop_all(wait_time(m_clock.now()));
         const auto now = m_clock.now();
@@ -194,7 +205,10 @@
                 carry_out(name, s, action);
             }
         }
-        publish_views();
+        if (now >= next_view) {
+            publish_views();
+            next_view = now + view_period;
+        }
     }
 }
 
--- a/source/programs/buckthornspar-scheduler/decision_thread.h
+++ b/source/programs/buckthornspar-scheduler/decision_thread.h
@@ -46,11 +46,12 @@
     decision_thread& operator=(const decision_thread&) = delete;
 
     // From any thread.
-    void job_call(peer::job_call call, job_completion complete);
+    void job_call(peer::job_call call, const job_completion& complete);
     /// Workers of the shard as the instance list shows them.
     void list_shown(const std::string& shard, std::vector<membership::instance> workers);
     void owner_heard(const std::string& shard, const std::string& owner, std::uint64_t epoch);
     void owner_released(const std::string& shard, const std::string& owner);
+    void policy_changed(const scheduling::shard_policy& policy);
     void drain();
     void stop();
 
--- a/source/programs/buckthornspar-scheduler/scheduler_application.cpp
+++ b/source/programs/buckthornspar-scheduler/scheduler_application.cpp
@@ -33,6 +33,15 @@
     return engines;
 }
 
+scheduling::shard_policy policy_of(const config::configuration& c) {
+    scheduling::shard_policy policy;
+    policy.quotas = c.quotas;
+    for (const auto& [worker, reason] : c.worker_exclusions) {
+        policy.excluded_workers.insert(worker);
+    }
+    return policy;
+}
+
 } // namespace
 
 scheduler_application::scheduler_application(server::server_process& process,
@@ -42,13 +51,16 @@
       m_workers(std::make_unique<scheduling::http_worker_client>(m_http, settings.worker_timeout)),
       m_store(server::make_kv_store(process)),
       m_config(std::make_unique<server::shared_config>(
-          [](std::uint64_t, const config::configuration&) {})) {
+          [this](std::uint64_t, const config::configuration& c) {
+              m_decisions->policy_changed(policy_of(c));
+          })) {
     m_decisions = std::make_unique<decision_thread>(
         engines_of(own_shards(), settings, process.settings()), settings.ring_capacity,
         process.clock(), process.counters(), process.loop(), *m_store, *m_workers);
     server::member_hooks hooks;
-    hooks.on_job_call = [this](peer::job_call call, std::function<void(peer::job_reply)> complete) {
-        m_decisions->job_call(std::move(call), std::move(complete));
+    hooks.on_job_call = [this](peer::job_call call,
+                               const std::function<void(peer::job_reply)>& complete) {
+        m_decisions->job_call(std::move(call), complete);
     };
     hooks.fill_heartbeat = [this](peer::heartbeat& beat) { fill_heartbeat(beat); };
     hooks.on_peer_heard = [this](const server::peer_status& status) { on_peer_heard(status); };
--- a/tests/scenario/scheduling/invariants.cpp
+++ b/tests/scenario/scheduling/invariants.cpp
@@ -92,13 +92,14 @@
         for (const auto& [job, record] : s.engine->table().jobs()) {
             for (std::uint32_t index = 0; index < record.tasks.size(); ++index) {
                 const auto& task = record.tasks[index];
-                const auto starts = m_starts.find(task_id(job, index));
+                const std::string name = task_id(job, index);
+                const auto starts = m_starts.find(name);
                 const bool started = starts != m_starts.end() && starts->second > 0;
                 if (task.ended && task.answer == run_answer::not_run && started) {
-                    throw violation("task " + task_id(job, index) + " is told as not run, but ran");
+                    throw violation(name + " is told as not run, but ran");
                 }
                 if (task.ended && task.answer == run_answer::ran && !started) {
-                    throw violation("task " + task_id(job, index) + " is told as run, but did not");
+                    throw violation(name + " is told as run, but did not");
                 }
             }
         }
--- a/tests/scenario/scheduling/scheduling_world.cpp
+++ b/tests/scenario/scheduling/scheduling_world.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 std::string name_of(const simulation& sim, const step& s, std::string_view key) {
-    const std::string name = s.args.text(key);
+    std::string name = s.args.text(key);
     if (name != "owner") {
         return name;
     }
@@ -96,6 +96,7 @@
             {"leave",
              [](auto& w, const step& st) { w.m_sim.show_leaving(st.args.text("worker")); }},
             {"worker", &scheduling_world::set_worker},
+            {"policy", &scheduling_world::set_policy},
             {"store", &scheduling_world::set_store},
             {"network", &scheduling_world::set_network},
             {"cut", &scheduling_world::cut},
@@ -187,6 +188,21 @@
         }
     }
 
+    void set_policy(const step& s) {
+        shard_policy policy;
+        if (s.args.has("team")) {
+            policy.quotas[s.args.text("team")] = {s.args.number("cpu"), 1'000'000, 0};
+        }
+        if (s.args.has("exclude")) {
+            policy.excluded_workers.insert(s.args.text("exclude"));
+        }
+        for (auto& [id, scheduler] : m_sim.schedulers) {
+            if (scheduler.engine) {
+                scheduler.engine->set_policy(m_sim.now(), policy);
+            }
+        }
+    }
+
     void set_store(const step& s) {
         auto& faults = m_sim.store().faults;
         faults.down = s.args.flag("down", false);
@@ -230,9 +246,11 @@
         const std::string body = engine->status(job).body;
         for (const std::string key : {"state", "outcome", "reason"}) {
             if (s.args.has(key)) {
-                const std::string part = "\"" + key + "\":\"" + s.args.text(key) + "\"";
-                require(body.find(part) != std::string::npos,
-                        "job " + job + " is " + body + ", expected " + part);
+                std::string part = "\"";
+                part.append(key).append("\":\"").append(s.args.text(key)).append("\"");
+                std::string problem = body;
+                problem.append(" has not ").append(part);
+                require(body.find(part) != std::string::npos, problem);
             }
         }
     }
--- a/tests/scenario/scheduling/simulation.cpp
+++ b/tests/scenario/scheduling/simulation.cpp
@@ -387,7 +387,7 @@
 }
 
 std::string simulation::likely_owner(std::uint64_t attempt_number) const {
-    const std::string found = owner();
+    std::string found = owner();
     // Some attempts go astray, as with callers that follow an old hint.
     if (!found.empty() && attempt_number % 3 != 0) {
         return found;
