--- a/source/core/placement/placement_engine.h
+++ b/source/core/placement/placement_engine.h
@@ -48,7 +48,8 @@
     bool withdraw(const std::string& task);
 
     /// Assigns up to max_assignments tasks and promises their resources. An all-at-once job is
-    /// never split and counts as one.
+    /// never split and counts as one. To be called after events, and every 100 ms or so while work
+    /// waits, because planned starts and overdue reports depend on the time.
     [[nodiscard]] decisions decide(common::time_point now, std::size_t max_assignments);
 
     /// The expected end of a task counts from here.
