--- a/source/core/scheduling/shard_engine.h
+++ b/source/core/scheduling/shard_engine.h
@@ -78,7 +78,8 @@
     // Events.
     /// A good list, restricted to the workers of this shard.
     void on_list(common::time_point now, const std::vector<membership::instance>& workers);
-    void on_store_response(common::time_point now, std::uint64_t call, store::kv_response response);
+    void on_store_response(common::time_point now, std::uint64_t call,
+                           const store::kv_response& response);
     void on_adopt(common::time_point now, const std::string& worker, std::uint64_t call,
                   const adopt_result& result);
     void on_sync(common::time_point now, const std::string& worker, std::uint64_t call,
@@ -90,6 +91,10 @@
     /// The owner is known to have released the shard, or its process is known to have ended.
     void on_owner_released(common::time_point now, const std::string& owner);
 
+    void set_policy(common::time_point now, shard_policy policy) {
+        m_runner.set_policy(now, std::move(policy));
+    }
+
     // Calls. Each ticket gets exactly one reply.
     /// Throws invalid_job when the body is not a job.
     void on_submit(common::time_point now, std::uint64_t ticket, const job_spec& job,
