--- a/tests/scenario/scheduling/invariants.cpp
+++ b/tests/scenario/scheduling/invariants.cpp
@@ -46,7 +46,9 @@
             throw violation("non-idempotent task " + task + " was started twice");
         }
         if (w.leaving_since && now() > *w.leaving_since + leaving_limit) {
-            throw violation("task " + task + " was started on leaving worker " + id);
+            std::string problem = task;
+            problem.append(" was started on leaving worker ").append(id);
+            throw violation(problem);
         }
     }
 }
@@ -58,7 +60,9 @@
         for (const auto& task : w.model.running_tasks()) {
             const auto [position, inserted] = places.emplace(task, id);
             if (!inserted) {
-                throw violation("task " + task + " runs on " + position->second + " and " + id);
+                std::string problem = task;
+                problem.append(" runs on ").append(position->second).append(" and ").append(id);
+                throw violation(problem);
             }
         }
     }
