--- a/cmake/buckthornspar.cmake
+++ b/cmake/buckthornspar.cmake
@@ -60,6 +60,11 @@
   target_link_libraries(${ARG_NAME} PRIVATE bts_options ${ARG_DEPENDS})
 endfunction()
 
+# Builds the tests of one label without the rest, for the sanitizers.
+foreach(label unit scenario process)
+  add_custom_target(tests_${label})
+endforeach()
+
 # bts_add_test(NAME common SOURCES ring_test.cpp DEPENDS bts_common [LABEL unit])
 # adds the Boost.Test executable test_<NAME> and registers it with CTest.
 function(bts_add_test)
@@ -72,6 +77,7 @@
                                                  Boost::unit_test_framework)
   target_compile_definitions(test_${ARG_NAME} PRIVATE BOOST_TEST_DYN_LINK)
   target_include_directories(test_${ARG_NAME} PRIVATE "${CMAKE_SOURCE_DIR}/tests")
+  add_dependencies(tests_${ARG_LABEL} test_${ARG_NAME})
   add_test(NAME ${ARG_NAME} COMMAND test_${ARG_NAME})
   set_tests_properties(${ARG_NAME} PROPERTIES LABELS ${ARG_LABEL} TIMEOUT 300)
 endfunction()
