Take no work before a configuration version is known

Cause: entry and scheduler only withdrew their readiness; a caller that reached a restarted entry directly had its request run without limits, and a scheduler accepted jobs without quotas. Ruled out: relying on the load balancer alone, which asks /readyz only now and then. Before: the new process test got 200 and shard_unavailable. After: both are refused with not_ready, outcome not_run. The scheduler's process test now starts a config process, since a scheduler is not ready without a version.

--- a/source/core/routing/request.cpp
+++ b/source/core/routing/request.cpp
@@ -10,11 +10,11 @@
     "request class", {"urgent", "normal", "bulk"}};
 constexpr common::name_table<run_outcome, 3> outcome_names{"outcome",
                                                            {"ran", "not_run", "unknown"}};
-constexpr common::name_table<refusal_reason, 13> refusal_names{
+constexpr common::name_table<refusal_reason, 14> refusal_names{
     "refusal reason",
     {"queue_full", "caller_limit", "deadline_unreachable", "deadline_passed", "draining",
      "no_runner", "retry_budget", "superseded", "fenced", "attempt_unsettled", "answer_lost",
-     "runner_restarted", "repeat_unsettled"}};
+     "runner_restarted", "repeat_unsettled", "not_ready"}};
 constexpr common::name_table<retry_reason, 6> retry_names{
     "retry reason",
     {"full", "leaving", "expired", "not_sent", "attempt_fenced", "runner_restarted"}};
--- a/source/core/routing/request.h
+++ b/source/core/routing/request.h
@@ -35,6 +35,7 @@
     answer_lost,
     runner_restarted,
     repeat_unsettled,
+    not_ready, ///< the entry knows no configuration version yet
 };
 
 /// Why a request is sent once more, or sent to another runner.
--- a/source/programs/buckthornspar-entry/request_reader.cpp
+++ b/source/programs/buckthornspar-entry/request_reader.cpp
@@ -91,6 +91,8 @@
         return "a runner restarted and may have run the request before";
     case refusal_reason::repeat_unsettled:
         return "not every runner told whether the earlier request ran";
+    case refusal_reason::not_ready:
+        return "no configuration version is known yet";
     }
     return "";
 }
--- a/source/programs/buckthornspar-entry/request_service.cpp
+++ b/source/programs/buckthornspar-entry/request_service.cpp
@@ -64,6 +64,10 @@
     if (r.id.empty()) {
         r.id = m_id_prefix + std::to_string(r.key);
     }
+    if (!m_configured) {
+        refuse(r, reply, routing::refusal_reason::not_ready);
+        return;
+    }
     if (m_events.size() >= m_settings.max_unread) {
         refuse(r, reply, routing::refusal_reason::queue_full);
         return;
@@ -98,6 +102,7 @@
                                 common::duration max_deadline) {
     m_max_deadline_us = std::min(m_settings.max_deadline, max_deadline).count();
     push(limits);
+    m_configured = true;
 }
 
 void request_service::begin_drain() {
--- a/source/programs/buckthornspar-entry/request_service.h
+++ b/source/programs/buckthornspar-entry/request_service.h
@@ -42,7 +42,7 @@
     void handle(net::http_request request, net::http_reply reply);
     void on_instances(const membership::instance_snapshot& list);
     void on_peer(const routing::peer_message& message);
-    /// Limits of a new configuration version.
+    /// Limits of a new configuration version. Requests are refused before the first one.
     void on_limits(const routing::operator_limits& limits, common::duration max_deadline);
     void begin_drain();
     [[nodiscard]] std::size_t in_progress() const { return m_in_progress; }
@@ -84,6 +84,7 @@
     std::atomic<std::size_t> m_in_progress{0};
     /// Longest deadline, in microseconds: the lower of settings and configuration.
     std::atomic<common::duration::rep> m_max_deadline_us;
+    std::atomic<bool> m_configured{false};
     std::atomic<bool> m_stopped{false};
     std::thread m_thread;
 };
--- a/source/programs/buckthornspar-scheduler/scheduler_application.cpp
+++ b/source/programs/buckthornspar-scheduler/scheduler_application.cpp
@@ -60,7 +60,7 @@
     server::member_hooks hooks;
     hooks.on_job_call = [this](peer::job_call call,
                                const std::function<void(peer::job_reply)>& complete) {
-        m_decisions->job_call(std::move(call), complete);
+        serve(std::move(call), complete);
     };
     hooks.fill_heartbeat = [this](peer::heartbeat& beat) { fill_heartbeat(beat); };
     hooks.on_peer_heard = [this](const server::peer_status& status) { on_peer_heard(status); };
@@ -116,6 +116,21 @@
     }
 }
 
+// Without a version, quotas and exclusions are not known. Queries and cancellations need neither.
+void scheduler_application::serve(peer::job_call call,
+                                  const std::function<void(peer::job_reply)>& complete) {
+    if (call.operation == peer::job_operation::submit && m_config->version() == 0) {
+        m_process.counters().get("refusals_total", "reason", "not_ready").add();
+        peer::job_reply reply;
+        reply.status = peer::reply_status::refused;
+        reply.error_type = "not_ready";
+        reply.error_detail = "no configuration version is known yet";
+        complete(std::move(reply));
+        return;
+    }
+    m_decisions->job_call(std::move(call), complete);
+}
+
 void scheduler_application::fill_heartbeat(peer::heartbeat& beat) const {
     for (const auto& view : m_decisions->views()) {
         if (view.owned) {
@@ -135,6 +150,9 @@
     if (!m_listed) {
         return "no instance list yet";
     }
+    if (m_config->version() == 0) {
+        return "no configuration version is known yet";
+    }
     return std::nullopt;
 }
 
--- a/source/programs/buckthornspar-scheduler/scheduler_application.h
+++ b/source/programs/buckthornspar-scheduler/scheduler_application.h
@@ -5,6 +5,7 @@
 #include "scheduler_settings.h"
 
 #include <atomic>
+#include <functional>
 #include <memory>
 
 namespace buckthornspar::membership {
@@ -12,7 +13,9 @@
 }
 namespace buckthornspar::peer {
 struct heartbeat;
-}
+struct job_call;
+struct job_reply;
+} // namespace buckthornspar::peer
 namespace buckthornspar::scheduling {
 class worker_client;
 }
@@ -45,6 +48,7 @@
     [[nodiscard]] std::vector<server::shard_settings> own_shards() const;
     void on_instances(const membership::instance_snapshot& snapshot);
     void on_peer_heard(const server::peer_status& status);
+    void serve(peer::job_call call, const std::function<void(peer::job_reply)>& complete);
     void fill_heartbeat(peer::heartbeat& beat) const;
 
     server::server_process& m_process;
--- a/tests/process/config_test.cpp
+++ b/tests/process/config_test.cpp
@@ -194,6 +194,28 @@
     BOOST_TEST(ready, whole.logs());
 }
 
+// Guards against work that is taken without the limits and quotas of the operators: a process that
+// starts while neither store nor peers can tell the version in force must refuse it.
+BOOST_AUTO_TEST_CASE(entry_without_a_version_takes_no_work) {
+    cluster_options options = only_configs();
+    options.configs = 1;
+    options.entries = 1;
+    options.runners = 1;
+    cluster whole(options);
+    whole.at("config-1").process.kill();
+    whole.restart("entry-1");
+    const auto& entry = whole.at("entry-1").http;
+    BOOST_REQUIRE(
+        wait_until([&] { return whole.http().get(entry, "/healthz").status == 200U; }, 5s));
+    const auto request = whole.http().post(entry, "/v1/requests/echo", "body");
+    BOOST_TEST(request.status == 503U);
+    BOOST_TEST(request.text("reason") == "not_ready");
+    BOOST_TEST(request.text("outcome") == "not_run");
+    const auto job = whole.http().post(entry, "/v1/jobs", R"({"id":"a"})");
+    BOOST_TEST(job.status == 503U);
+    BOOST_TEST(job.text("error.type") == "not_ready");
+}
+
 // Guards against a drain that cuts off a patch in progress, and against new patches after it.
 BOOST_AUTO_TEST_CASE(drain_answers_what_is_in_progress) {
     c.set_faults("store", R"({"slow_ms":300})");
--- a/tests/process/scheduler_test.cpp
+++ b/tests/process/scheduler_test.cpp
@@ -60,16 +60,15 @@
     peer::peer_node m_node;
 };
 
-cluster_options schedulers_only() {
+cluster_options schedulers_with_a_config() {
     cluster_options options;
     options.entries = 0;
-    options.configs = 0;
     options.runners = 0;
     return options;
 }
 
 struct scheduler_fixture {
-    cluster processes{schedulers_only()};
+    cluster processes{schedulers_with_a_config()};
     scheduler_caller caller;
 
     bool reaches(const std::string& job, const std::string& state) {
