Restrict batch work when tasks use more than they declared

Cause: the usage model and the pressure decisions existed, but the shard engine dropped the usage reports, so that tasks with wrong sizes could overload a worker and planned starts believed declared run times. The contract gains resume, which ends a throttle, and the age of a report.

--- a/source/core/scheduling/task_runner.cpp
+++ b/source/core/scheduling/task_runner.cpp
@@ -124,7 +124,9 @@
     request.kind = spec.kind;
     request.priority = spec.priority;
     request.demand = spec.demand;
-    request.expected_run = std::chrono::milliseconds(spec.run_ms);
+    // Declared run times are far off; planned starts use what the family has shown.
+    request.expected_run =
+        m_usage.expected_run(spec.family, std::chrono::milliseconds(spec.run_ms));
     request.submitted = ref.job->accepted_at;
     if (spec.deadline_ms > 0) {
         request.deadline = ref.job->accepted_at + std::chrono::milliseconds(spec.deadline_ms);
@@ -255,6 +257,7 @@
 }
 
 void task_runner::finish(common::time_point now, const task_ref& ref, attempt_outcome outcome) {
+    m_usage.task_dropped(ref.id());
     task_run& run = ref.run();
     const run_answer answer = answer_of(run, outcome);
     if (outcome == attempt_outcome::unknown) {
--- a/source/core/scheduling/task_runner.h
+++ b/source/core/scheduling/task_runner.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "core/placement/placement_engine.h"
+#include "core/placement/pressure_control.h"
+#include "core/placement/usage_model.h"
 #include "core/scheduling/journal.h"
 #include "core/scheduling/worker_fleet.h"
 #include "core/scheduling/worker_health.h"
@@ -93,6 +95,10 @@
     void on_inventory(common::time_point now, const worker_settled& settled);
     void on_operation(common::time_point now, const operation_settled& settled);
     void on_attempt(common::time_point now, const std::string& worker, const ended_attempt& ended);
+    /// Learns from the reports and restricts batch work when the worker's tasks use more than it
+    /// has.
+    void on_usage(common::time_point now, const std::string& worker,
+                  const std::vector<usage_report>& usage);
     void on_lapsed(common::time_point now, const std::string& worker);
     void on_worker_changed(common::time_point now, const std::string& worker);
     /// True when the tag belongs to an entry of this object.
@@ -159,6 +165,12 @@
     void restart(common::time_point now, const task_ref& ref, std::string_view reason);
     void requeue(const task_ref& ref, std::string_view reason);
 
+    // task_runner_usage.cpp
+    void learn_end(common::time_point now, const task_ref& ref, attempt_outcome outcome);
+    void control_pressure(common::time_point now, const std::string& worker);
+    [[nodiscard]] placement::pressured_task pressured(common::time_point now,
+                                                      const task_ref& ref) const;
+
     // task_runner_gangs.cpp
     void assign_gang(common::time_point now, const placement::gang_assignment& gang);
     void on_reserved(const task_ref& ref);
@@ -183,6 +195,8 @@
     common::counters& m_counters;
     std::optional<placement::placement_engine> m_placement;
     worker_health m_health;
+    placement::usage_model m_usage;
+    placement::pressure_control m_pressure;
     shard_policy m_policy;
     std::map<std::string, job_run> m_jobs;
     std::map<std::string, std::set<std::string>> m_on_worker;
--- a/source/core/scheduling/task_runner_attempts.cpp
+++ b/source/core/scheduling/task_runner_attempts.cpp
@@ -220,6 +220,7 @@
     }
     run.has_started = true;
     run.may_have_started = true;
+    learn_end(now, ref, ended.outcome);
     const bool service = job.spec.kind == placement::workload_kind::service;
     if (ended.outcome == attempt_outcome::succeeded) {
         m_health.record_success(run.worker, job.spec.id);
--- a/source/core/scheduling/worker_codec.cpp
+++ b/source/core/scheduling/worker_codec.cpp
@@ -81,8 +81,10 @@
 json::array usage_json(const std::vector<usage_report>& usage) {
     json::array array;
     for (const auto& item : usage) {
-        array.push_back(json::object{
-            {"task", item.task}, {"attempt", item.attempt}, {"used", resources_json(item.used)}});
+        array.push_back(json::object{{"task", item.task},
+                                     {"attempt", item.attempt},
+                                     {"used", resources_json(item.used)},
+                                     {"age_ms", item.age_ms}});
     }
     return array;
 }
@@ -92,7 +94,8 @@
     for (const auto& value : read_array(object, "usage")) {
         const auto& fields = as_object(value, "usage");
         usage.push_back({read_text(fields, "task"), read_text(fields, "attempt"),
-                         read_resources(fields, "used")});
+                         read_resources(fields, "used"),
+                         static_cast<std::int64_t>(read_unsigned(fields, "age_ms"))});
     }
     return usage;
 }
--- a/source/core/scheduling/worker_fleet.cpp
+++ b/source/core/scheduling/worker_fleet.cpp
@@ -186,7 +186,7 @@
     m_authority.note_accepted(worker, l->call_sent);
     l->failures = 0;
     take_results(worker, *l, answer);
-    report(worker, answer.ended);
+    report(worker, answer.ended, answer.usage);
 }
 
 void worker_fleet::take_results(const std::string& worker, link& l, const sync_answer& answer) {
@@ -216,7 +216,11 @@
     }
 }
 
-void worker_fleet::report(const std::string& worker, const std::vector<ended_attempt>& ended) {
+void worker_fleet::report(const std::string& worker, const std::vector<ended_attempt>& ended,
+                          const std::vector<usage_report>& usage) {
+    if (!usage.empty()) {
+        m_events.emplace_back(usage_received{worker, usage});
+    }
     for (const auto& attempt : ended) {
         m_events.emplace_back(attempt_reported{worker, attempt});
     }
@@ -238,7 +242,7 @@
     l.next_events = now;
     l.events_after = answer->next;
     m_leases.note_stamp(worker, {answer->incarnation, answer->stamp_ms, now});
-    report(worker, answer->ended);
+    report(worker, answer->ended, answer->usage);
 }
 
 void worker_fleet::fail(common::time_point now, const std::string& worker, link& l,
--- a/source/core/scheduling/worker_fleet.h
+++ b/source/core/scheduling/worker_fleet.h
@@ -78,6 +78,12 @@
     ended_attempt attempt;
 };
 
+/// Measured use of running attempts.
+struct usage_received {
+    std::string worker;
+    std::vector<usage_report> usage;
+};
+
 /// All leases granted on the worker have certainly ended.
 struct leases_lapsed {
     std::string worker;
@@ -95,7 +101,7 @@
 
 using fleet_event =
     std::variant<adopt_call, sync_call, events_call, worker_settled, operation_settled,
-                 attempt_reported, leases_lapsed, worker_changed, epoch_fenced>;
+                 attempt_reported, usage_received, leases_lapsed, worker_changed, epoch_fenced>;
 
 /// Connections of a shard's owner to its workers: adoption, stamps and leases, bulk renewal,
 /// batched operations, and the settlement of calls without an answer. Pure.
@@ -182,7 +188,8 @@
     void settle_doubtful(const std::string& worker, link& l, const worker_inventory& inventory,
                          bool restarted);
     void take_results(const std::string& worker, link& l, const sync_answer& answer);
-    void report(const std::string& worker, const std::vector<ended_attempt>& ended);
+    void report(const std::string& worker, const std::vector<ended_attempt>& ended,
+                const std::vector<usage_report>& usage);
     void fail(common::time_point now, const std::string& worker, link& l,
               const worker_error& error);
     void return_queued(const std::string& worker, link& l);
--- a/source/core/scheduling/worker_messages.cpp
+++ b/source/core/scheduling/worker_messages.cpp
@@ -6,9 +6,9 @@
 
 using common::name_table;
 
-constexpr name_table<worker_op, 7> op_names("worker operation",
+constexpr name_table<worker_op, 8> op_names("worker operation",
                                             {"start", "reserve", "release", "cancel", "throttle",
-                                             "checkpoint", "stop"});
+                                             "checkpoint", "stop", "resume"});
 
 constexpr name_table<attempt_outcome, 7> outcome_names("attempt outcome",
                                                        {"succeeded", "failed", "cancelled",
--- a/source/core/scheduling/worker_messages.h
+++ b/source/core/scheduling/worker_messages.h
@@ -13,7 +13,7 @@
 namespace buckthornspar::scheduling {
 
 /// Operations of a sync message. See docs/platform-contract.md, section Worker.
-enum class worker_op { start, reserve, release, cancel, throttle, checkpoint, stop };
+enum class worker_op { start, reserve, release, cancel, throttle, checkpoint, stop, resume };
 
 /// How an attempt to run a task ended.
 enum class attempt_outcome { succeeded, failed, cancelled, stopped, lapsed, refused, unknown };
@@ -99,6 +99,8 @@
     std::string task;
     std::string attempt;
     placement::resources used;
+    /// Time since the measurement when the worker sent it, in milliseconds.
+    std::int64_t age_ms = 0;
 };
 
 struct sync_answer {
--- a/tests/fakes/worker_model.cpp
+++ b/tests/fakes/worker_model.cpp
@@ -52,12 +52,26 @@
     answer.stamp_ms = now_ms;
     answer.incarnation = m_incarnation;
     answer.ended = ended_after(0);
+    answer.usage = usage();
     return answer;
 }
 
 events_answer worker_model::events(std::int64_t now_ms, std::uint64_t after) {
     advance(now_ms);
-    return {now_ms, m_incarnation, m_last_event, ended_after(after), {}};
+    return {now_ms, m_incarnation, m_last_event, ended_after(after), usage()};
+}
+
+std::vector<usage_report> worker_model::usage() const {
+    std::vector<usage_report> reports;
+    for (const auto& [attempt, item] : m_held) {
+        const auto use = m_use.find(item.task.task);
+        if (use == m_use.end() || item.task.state != held_state::running) {
+            continue;
+        }
+        const bool throttled = m_throttled.contains(attempt) && !m_faults.ignore_throttle;
+        reports.push_back({item.task.task, attempt, throttled ? item.task.demand : use->second, 0});
+    }
+    return reports;
 }
 
 worker_inventory worker_model::inventory(std::int64_t now_ms) {
@@ -161,6 +175,11 @@
             stop(operation.attempt) ? operation_reason::none : operation_reason::unknown_attempt;
         break;
     case worker_op::throttle:
+        m_throttled.insert(operation.attempt);
+        break;
+    case worker_op::resume:
+        m_throttled.erase(operation.attempt);
+        break;
     case worker_op::checkpoint:
         result.reason = m_held.contains(operation.attempt) ? operation_reason::none
                                                            : operation_reason::unknown_attempt;
--- a/tests/fakes/worker_model.h
+++ b/tests/fakes/worker_model.h
@@ -24,6 +24,8 @@
     bool skip_lease_end = false;
     bool skip_capacity_check = false;
     bool skip_start_validity = false;
+    /// Accepts throttle without any effect.
+    bool ignore_throttle = false;
 };
 
 /// Rejection of a whole message: HTTP 409 with stale_epoch, or 410 with stale_incarnation.
@@ -54,6 +56,8 @@
     /// Loses everything in memory, including the accepted epoch, and changes the incarnation.
     void restart();
     void set_leaving(bool leaving) { m_leaving = leaving; }
+    /// What the task reports as its use from now on; a throttled one reports its demand at most.
+    void set_use(const std::string& task, const placement::resources& used) { m_use[task] = used; }
 
     [[nodiscard]] worker_faults& faults() { return m_faults; }
     [[nodiscard]] const std::string& id() const { return m_id; }
@@ -95,6 +99,8 @@
     void add_ended(scheduling::ended_attempt attempt);
     [[nodiscard]] std::vector<scheduling::ended_attempt> ended_after(std::uint64_t event) const;
 
+    [[nodiscard]] std::vector<scheduling::usage_report> usage() const;
+
     std::string m_id;
     placement::resources m_capacity;
     std::uint64_t m_incarnation;
@@ -106,6 +112,8 @@
     std::map<std::string, ended> m_ended;
     std::set<std::string> m_seen;
     std::set<std::string> m_cancelled;
+    std::map<std::string, placement::resources> m_use;
+    std::set<std::string> m_throttled;
     std::vector<std::string> m_starts;
 };
 
--- a/tests/scenario/scheduling/scheduling_world.cpp
+++ b/tests/scenario/scheduling/scheduling_world.cpp
@@ -96,6 +96,7 @@
             {"leave",
              [](auto& w, const step& st) { w.m_sim.show_leaving(st.args.text("worker")); }},
             {"worker", &scheduling_world::set_worker},
+            {"use", &scheduling_world::set_use},
             {"policy", &scheduling_world::set_policy},
             {"store", &scheduling_world::set_store},
             {"network", &scheduling_world::set_network},
@@ -185,6 +186,13 @@
             faults.lose_answers = s.args.flag("lose_answers", faults.lose_answers);
             faults.fail_every_task = s.args.flag("fail_every_task", faults.fail_every_task);
             faults.slow_by_ms = s.args.number("slow_by_ms", faults.slow_by_ms);
+            faults.ignore_throttle = s.args.flag("ignore_throttle", faults.ignore_throttle);
+        }
+    }
+
+    void set_use(const step& s) {
+        for (auto& [id, worker] : m_sim.workers) {
+            worker.model.set_use(s.args.text("task"), {s.args.number("cpu"), 0, 0});
         }
     }
 
