Cut the traffic of quiet hours: fewer heartbeats, unchanged lists not read again

Cause: every process exchanged heartbeats with every other one and read the whole instance list twice a second, both of which grow with the square of the processes. Found with scripts/measure-capacity config 3 9 24, idle, bytes a second on loopback: 52,430 / 216,200 / 1,125,000 at 6 / 12 / 27 processes. Change: entries exchange no heartbeats with each other, one of two processes of a role sends, other regions get a tenth, one config process a period is asked; the list is fetched by index. The default period is 1 s. Ruled out: a longer period alone, which leaves the square.

--- a/source/core/membership/http_instance_list.cpp
+++ b/source/core/membership/http_instance_list.cpp
@@ -26,6 +26,12 @@
 void http_instance_list::fetch(instance_completion complete) {
     net::http_request request;
     request.target = "/v1/instances";
+    const std::uint64_t known = m_known_index;
+    if (known != 0) {
+        // Without it every process would read the whole list twice a second, traffic that grows
+        // with the square of the fleet.
+        request.target += "?index=" + std::to_string(known);
+    }
     m_client.send(m_address, std::move(request), m_timeout,
                   [this, complete = std::move(complete)](const net::http_result& result) {
                       complete(read(result));
@@ -43,6 +49,9 @@
         return std::nullopt;
     }
     const auto& response = std::get<net::http_response>(result);
+    if (response.status == 304 && m_last) {
+        return m_last;
+    }
     if (response.status != 200) {
         m_counters
             .get("instance_list_errors_total", "kind", "status_" + std::to_string(response.status))
@@ -54,6 +63,8 @@
         auto snapshot = read_instances(response.body, &skipped);
         m_counters.get("instance_list_entries_skipped_total")
             .add(static_cast<std::int64_t>(skipped));
+        m_last = snapshot;
+        m_known_index = snapshot.index;
         return snapshot;
     } catch (const common::format_error&) {
         m_counters.get("instance_list_errors_total", "kind", "bad_answer").add();
--- a/source/core/membership/http_instance_list.h
+++ b/source/core/membership/http_instance_list.h
@@ -4,6 +4,8 @@
 #include "core/membership/instance_list_factory.h"
 #include "core/net/http_client.h"
 
+#include <atomic>
+
 namespace buckthornspar::membership {
 
 /// Adapter "http": GET /v1/instances of docs/platform-contract.md.
@@ -21,6 +23,9 @@
     net::endpoint m_address;
     common::duration m_timeout;
     net::http_client m_client;
+    /// The last good list, which a 304 answer confirms. Used on the loop's thread only.
+    std::optional<instance_snapshot> m_last;
+    std::atomic<std::uint64_t> m_known_index{0};
 };
 
 } // namespace buckthornspar::membership
--- a/source/core/membership/instance_format.cpp
+++ b/source/core/membership/instance_format.cpp
@@ -83,6 +83,10 @@
     }
 }
 
+instance_role instance_role_from(std::string_view name) {
+    return role_names.value(name);
+}
+
 std::string_view to_string(instance_role role) {
     return role_names.name(role);
 }
--- a/source/core/membership/instance_format.h
+++ b/source/core/membership/instance_format.h
@@ -16,6 +16,8 @@
                                                std::size_t* skipped = nullptr);
 
 [[nodiscard]] std::string_view to_string(instance_role role);
+/// Throws common::unknown_name_error.
+[[nodiscard]] instance_role instance_role_from(std::string_view name);
 [[nodiscard]] std::string_view to_string(instance_state state);
 
 } // namespace buckthornspar::membership
--- a/source/core/server/cluster_member.cpp
+++ b/source/core/server/cluster_member.cpp
@@ -1,6 +1,6 @@
 #include "core/server/cluster_member.h"
 
-#include "core/common/logging.h"
+#include "core/membership/instance_format.h"
 #include "core/server/config_holder.h"
 #include "core/server/server_process.h"
 
@@ -18,7 +18,9 @@
       m_hooks(std::move(hooks)),
       m_node(process.settings().peer_listen, *this, {}, process.counters()),
       m_mesh(
-          process.settings().id, m_node, process.clock(), [this] { return make_heartbeat(); },
+          {process.settings().id, membership::instance_role_from(m_role),
+           process.settings().region},
+          m_node, process.clock(), [this] { return make_heartbeat(); },
           [this](const peer_status& status) { heard(status); }) {}
 
 cluster_member::~cluster_member() {
--- a/source/core/server/peer_mesh.cpp
+++ b/source/core/server/peer_mesh.cpp
@@ -18,9 +18,9 @@
 
 } // namespace
 
-peer_mesh::peer_mesh(std::string own_id, peer::peer_node& node, const common::clock& clock,
+peer_mesh::peer_mesh(member_identity self, peer::peer_node& node, const common::clock& clock,
                      beat_source source, beat_listener listener)
-    : m_own_id(std::move(own_id)),
+    : m_self(std::move(self)),
       m_node(node),
       m_clock(clock),
       m_source(std::move(source)),
@@ -30,7 +30,7 @@
     const std::lock_guard lock(m_mutex);
     std::set<std::string> listed;
     for (const auto& i : instances) {
-        if (!is_own_role(i.role) || i.id == m_own_id) {
+        if (!is_own_role(i.role) || i.id == m_self.id) {
             continue;
         }
         listed.insert(i.id);
@@ -45,13 +45,43 @@
 
 void peer_mesh::send_heartbeats() {
     const peer::heartbeat beat = m_source();
+    ++m_period;
     for (const auto& p : peers()) {
-        m_node.send_heartbeat(p.address, beat, [this](std::optional<peer::heartbeat> reply) {
-            if (reply) {
-                heard(*reply);
-            }
-        });
+        const auto interval = heartbeat_interval(m_self, {p.id, p.role, p.region});
+        // A peer that was never heard may be new: waiting a whole interval for it delays its use.
+        if (interval && (m_period % *interval == 0 || !p.last_heard)) {
+            send_to(p, beat);
+        }
+    }
+    if (m_self.role != instance_role::config) {
+        const auto configs = config_peers();
+        if (!configs.empty()) {
+            send_to(configs[m_period % configs.size()], beat);
+        }
+    }
+}
+
+void peer_mesh::send_to(const peer_status& p, const peer::heartbeat& beat) {
+    m_node.send_heartbeat(p.address, beat, [this](std::optional<peer::heartbeat> reply) {
+        if (reply) {
+            heard(*reply);
+        }
+    });
+}
+
+std::vector<peer_status> peer_mesh::config_peers() const {
+    std::vector<peer_status> local;
+    std::vector<peer_status> all;
+    for (const auto& p : peers()) {
+        if (p.role != instance_role::config) {
+            continue;
+        }
+        all.push_back(p);
+        if (p.region == m_self.region) {
+            local.push_back(p);
+        }
     }
+    return local.empty() ? all : local;
 }
 
 void peer_mesh::heard(const peer::heartbeat& beat) {
--- a/source/core/server/peer_mesh.h
+++ b/source/core/server/peer_mesh.h
@@ -3,6 +3,7 @@
 #include "core/common/clock.h"
 #include "core/membership/instance_list.h"
 #include "core/peer/peer_messages.h"
+#include "core/server/heartbeat_plan.h"
 
 #include <functional>
 #include <map>
@@ -35,16 +36,18 @@
     using beat_source = std::function<peer::heartbeat()>;
     using beat_listener = std::function<void(const peer_status&)>;
 
-    /// own_id is left out of the peers. source makes the heartbeat to send; listener is told of
-    /// each heartbeat received, on the peer thread.
-    peer_mesh(std::string own_id, peer::peer_node& node, const common::clock& clock,
+    /// The own process is left out of the peers. source makes the heartbeat to send; listener is
+    /// told of each heartbeat received, on the peer thread.
+    peer_mesh(member_identity self, peer::peer_node& node, const common::clock& clock,
               beat_source source, beat_listener listener);
 
     /// Takes over the processes of the roles entry, scheduler and config from the instance list.
     /// Peers that left the list are forgotten.
     void update_peers(const std::vector<membership::instance>& instances);
 
-    /// Sends one heartbeat to every peer.
+    /// Sends the heartbeats that are due in this period, see heartbeat_interval(). Entries and
+    /// schedulers also send one to a config process of their region, each in turn, to learn of new
+    /// versions; without one in the region, to those of other regions.
     void send_heartbeats();
 
     /// Records a heartbeat that a peer sent by itself.
@@ -59,7 +62,11 @@
     [[nodiscard]] bool heard_within(const std::string& id, common::duration age) const;
 
 private:
-    std::string m_own_id;
+    void send_to(const peer_status& p, const peer::heartbeat& beat);
+    [[nodiscard]] std::vector<peer_status> config_peers() const;
+
+    member_identity m_self;
+    std::uint64_t m_period = 0;
     peer::peer_node& m_node;
     const common::clock& m_clock;
     beat_source m_source;
--- a/source/core/server/server_settings.cpp
+++ b/source/core/server/server_settings.cpp
@@ -48,7 +48,7 @@
     s.instances = read_adapter(settings.section("instances"));
     s.instance_poll_period =
         milliseconds(settings.number("instance_poll_ms", {50, 60'000, "ms"}, 500));
-    s.heartbeat_period = milliseconds(settings.number("heartbeat_ms", {50, 60'000, "ms"}, 500));
+    s.heartbeat_period = milliseconds(settings.number("heartbeat_ms", {50, 60'000, "ms"}, 1'000));
     s.drain_grace = milliseconds(settings.number("drain_grace_ms", {0, 60'000, "ms"}, 200));
     s.drain_timeout =
         milliseconds(settings.number("drain_timeout_ms", {100, 3'600'000, "ms"}, 30'000));
--- a/source/programs/buckthornspar-config/config_application.cpp
+++ b/source/programs/buckthornspar-config/config_application.cpp
@@ -64,7 +64,7 @@
     s.max_history =
         static_cast<std::size_t>(section.number("max_history", {1025, 100'000, "versions"}, 2'000));
     s.watcher_silence =
-        milliseconds(section.number("watcher_silence_ms", {100, 60'000, "ms"}, 1'500));
+        milliseconds(section.number("watcher_silence_ms", {100, 60'000, "ms"}, 2'500));
     s.regions = section.list("regions");
     s.scorers = section.list("scorers");
     section.finish();
--- a/tests/standins/standin_list.cpp
+++ b/tests/standins/standin_list.cpp
@@ -52,6 +52,12 @@
             reply(net::error_response(404, "unknown_path", "expected GET /v1/instances"));
             return;
         }
+        if (request.query("index") == std::to_string(m_index)) {
+            net::http_response unchanged;
+            unchanged.status = 304;
+            reply(std::move(unchanged));
+            return;
+        }
         const json::object body{{"index", m_index}, {"instances", m_visible}};
         reply(net::json_response(200, json::serialize(body)));
     }
--- a/tests/unit/membership/http_instance_list_test.cpp
+++ b/tests/unit/membership/http_instance_list_test.cpp
@@ -91,4 +91,30 @@
     BOOST_TEST(counts.get("instance_list_entries_skipped_total").value() == 1);
 }
 
+// Guards against every poll transferring the whole list, and against an unchanged list that is
+// taken for an empty one.
+BOOST_AUTO_TEST_CASE(unchanged_list_is_not_read_again) {
+    net::event_loop loop;
+    common::counters counts;
+    list_handler handler;
+    net::http_server server(loop, {"127.0.0.1", 0}, {}, handler);
+    const auto list = instance_list_registry::instance().make(
+        "http", {loop, counts, {"127.0.0.1", server.port()}, 1s});
+    loop.start();
+    const auto fetch = [&] {
+        std::promise<std::optional<instance_snapshot>> promise;
+        list->fetch([&](std::optional<instance_snapshot> s) { promise.set_value(std::move(s)); });
+        return promise.get_future().get();
+    };
+    handler.answer = net::json_response(200, good_list);
+    BOOST_REQUIRE(fetch().has_value());
+    handler.answer = {};
+    handler.answer.status = 304;
+    const auto again = fetch();
+    BOOST_TEST(handler.target == "/v1/instances?index=7");
+    BOOST_REQUIRE(again.has_value());
+    BOOST_TEST(again->instances.size() == 2U);
+    loop.stop();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
