Ask another scheduler of the region when the owner gives no answer

Cause: since heartbeats between regions come every 10 s, an entry could ask a dead owner in another region until its deadline of 5 s. Any scheduler of the region names the present owner. Ruled out: more heartbeats, which are billed. Checked with process_jobs and process_takeover in one region; no test of two regions with real processes exists yet (listed in docs/PROOFS.md).

--- a/source/programs/buckthornspar-entry/job_gateway.cpp
+++ b/source/programs/buckthornspar-entry/job_gateway.cpp
@@ -100,6 +100,9 @@
     bool may_have_been_executed = false;
     /// Scheduler named by the last not_owner answer.
     std::string owner_hint;
+    /// Scheduler of the attempt in progress, and the last one that gave no answer.
+    std::string asked;
+    std::string unreachable;
 };
 
 job_gateway::job_gateway(server::server_process& process, server::cluster_member& member,
@@ -166,22 +169,36 @@
     attempt(e);
 }
 
+// Heartbeats from another region are rare, so that the owner known here may be dead for long. Any
+// other scheduler of the shard's region can name the present one.
+std::optional<server::peer_status> job_gateway::choose_scheduler(const exchange& e) const {
+    auto chosen = m_member.mesh().owner_of(e.shard);
+    const std::string region = m_directory.region_of(e.shard);
+    for (const auto& p : m_member.mesh().peers()) {
+        if (p.id == e.owner_hint) {
+            return p;
+        }
+        const bool can_tell = p.role == membership::instance_role::scheduler &&
+                              p.region == region && p.id != e.unreachable;
+        if (can_tell && chosen && chosen->id == e.unreachable) {
+            chosen = p;
+        }
+    }
+    return chosen;
+}
+
 void job_gateway::attempt(const exchange_ptr& e) {
     const auto now = m_process.clock().now();
     if (now >= e->give_up_at) {
         give_up(e);
         return;
     }
-    auto owner = m_member.mesh().owner_of(e->shard);
-    for (const auto& p : m_member.mesh().peers()) {
-        if (p.id == e->owner_hint) {
-            owner = p;
-        }
-    }
+    const auto owner = choose_scheduler(*e);
     if (!owner) {
         retry(e, "no_owner");
         return;
     }
+    e->asked = owner->id;
     e->call.from = m_member.self();
     e->call.shard = e->shard;
     const auto left =
@@ -219,10 +236,12 @@
         return;
     case peer::reply_status::not_sent:
         e->owner_hint.clear();
+        e->unreachable = e->asked;
         retry(e, "not_sent");
         return;
     case peer::reply_status::no_answer:
         e->owner_hint.clear();
+        e->unreachable = e->asked;
         e->may_have_been_executed = true;
         retry(e, "no_answer");
         return;
--- a/source/programs/buckthornspar-entry/job_gateway.h
+++ b/source/programs/buckthornspar-entry/job_gateway.h
@@ -3,10 +3,12 @@
 #include "core/common/rng.h"
 #include "core/net/http_server.h"
 #include "core/peer/peer_messages.h"
+#include "core/server/peer_mesh.h"
 #include "shard_directory.h"
 
 #include <atomic>
 #include <memory>
+#include <optional>
 
 namespace buckthornspar::server {
 class cluster_member;
@@ -34,6 +36,7 @@
 
     void submit(const net::http_request& request, net::http_reply reply);
     void start(peer::job_call call, std::string shard, net::http_reply reply);
+    [[nodiscard]] std::optional<server::peer_status> choose_scheduler(const exchange& e) const;
     void attempt(const exchange_ptr& e);
     void on_reply(const exchange_ptr& e, const peer::job_reply& reply);
     void retry(const exchange_ptr& e, std::string_view reason);
--- a/source/programs/buckthornspar-entry/shard_directory.cpp
+++ b/source/programs/buckthornspar-entry/shard_directory.cpp
@@ -34,4 +34,13 @@
     return best;
 }
 
+std::string shard_directory::region_of(std::string_view shard) const {
+    for (const auto& s : m_shards) {
+        if (s.id == shard) {
+            return s.region;
+        }
+    }
+    return {};
+}
+
 } // namespace buckthornspar::entry
--- a/source/programs/buckthornspar-entry/shard_directory.h
+++ b/source/programs/buckthornspar-entry/shard_directory.h
@@ -18,6 +18,9 @@
     /// empty. Empty when the region has no shard.
     [[nodiscard]] std::string home(std::string_view job_id, std::string_view region) const;
 
+    /// Region of the shard; empty when it is unknown.
+    [[nodiscard]] std::string region_of(std::string_view shard) const;
+
     [[nodiscard]] const std::vector<server::shard_settings>& shards() const { return m_shards; }
 
 private:
