Share the lookup of a worker's tasks and drop what is not used

Three loops over the tasks of a worker copied the same lookup; tasks_on() serves them. The pressure control keeps its own, since it tells a worker without an entry from one without tasks. The heartbeats copied the table of peers twice in each period, now once. An unused template of the peer node and an unused parameter of the job gateway are gone. Behaviour is unchanged: scheduling scenarios, unit tests of peer and server, process_config and process_jobs pass.

--- a/source/core/peer/peer_node.cpp
+++ b/source/core/peer/peer_node.cpp
@@ -160,11 +160,6 @@
 
 using loop_task = std::function<void(peer_loop&)>;
 
-template <typename Response>
-job_reply reply_of(const Response& response) {
-    return decode(response.getReply());
-}
-
 kj::Promise<job_reply> send_job_call(schema::Peer::Client client, const job_call& call) {
     const auto take_reply = [](auto response) { return decode(response.getReply()); };
     switch (call.operation) {
--- a/source/core/scheduling/task_runner.cpp
+++ b/source/core/scheduling/task_runner.cpp
@@ -401,16 +401,17 @@
     m_placement->upsert_worker(*info);
 }
 
+std::set<std::string> task_runner::tasks_on(const std::string& worker) const {
+    const auto position = m_on_worker.find(worker);
+    return position == m_on_worker.end() ? std::set<std::string>() : position->second;
+}
+
 void task_runner::on_worker_changed(common::time_point now, const std::string& worker) {
     refresh_worker(now, worker);
     if (!m_fleet.leaving(worker)) {
         return;
     }
-    const auto position = m_on_worker.find(worker);
-    if (position == m_on_worker.end()) {
-        return;
-    }
-    for (const auto& task : std::set<std::string>(position->second)) {
+    for (const auto& task : tasks_on(worker)) {
         const auto ref = find_task(task);
         if (!ref) {
             continue;
--- a/source/core/scheduling/task_runner.h
+++ b/source/core/scheduling/task_runner.h
@@ -131,6 +131,8 @@
     // task_runner.cpp
     void reset_placement();
     [[nodiscard]] std::optional<task_ref> find_task(const std::string& task);
+    /// Copy of the ids, because settling one task may move others.
+    [[nodiscard]] std::set<std::string> tasks_on(const std::string& worker) const;
     [[nodiscard]] placement::task_request request_of(const task_ref& ref) const;
     void submit(const task_ref& ref);
     void submit_gang(job_run& job);
--- a/source/core/scheduling/task_runner_attempts.cpp
+++ b/source/core/scheduling/task_runner_attempts.cpp
@@ -303,11 +303,7 @@
 }
 
 void task_runner::on_lapsed(common::time_point now, const std::string& worker) {
-    const auto position = m_on_worker.find(worker);
-    if (position == m_on_worker.end()) {
-        return;
-    }
-    for (const auto& task : std::set<std::string>(position->second)) {
+    for (const auto& task : tasks_on(worker)) {
         const auto ref = find_task(task);
         if (!ref) {
             continue;
--- a/source/core/scheduling/task_runner_recovery.cpp
+++ b/source/core/scheduling/task_runner_recovery.cpp
@@ -42,11 +42,7 @@
     for (const auto& ended : inventory.ended) {
         on_attempt(now, worker, ended);
     }
-    const auto position = m_on_worker.find(worker);
-    if (position == m_on_worker.end()) {
-        return;
-    }
-    for (const auto& task : std::set<std::string>(position->second)) {
+    for (const auto& task : tasks_on(worker)) {
         const auto ref = find_task(task);
         if (!ref || ref->run().phase != task_phase::running) {
             continue;
--- a/source/core/server/peer_mesh.cpp
+++ b/source/core/server/peer_mesh.cpp
@@ -46,7 +46,8 @@
 void peer_mesh::send_heartbeats() {
     const peer::heartbeat beat = m_source();
     ++m_period;
-    for (const auto& p : peers()) {
+    const auto known = peers();
+    for (const auto& p : known) {
         const auto interval = heartbeat_interval(m_self, {p.id, p.role, p.region});
         // A peer that was never heard may be new: waiting a whole interval for it delays its use.
         if (interval && (m_period % *interval == 0 || !p.last_heard)) {
@@ -54,7 +55,7 @@
         }
     }
     if (m_self.role != instance_role::config) {
-        const auto configs = config_peers();
+        const auto configs = config_peers(known);
         if (!configs.empty()) {
             send_to(configs[m_period % configs.size()], beat);
         }
@@ -69,10 +70,10 @@
     });
 }
 
-std::vector<peer_status> peer_mesh::config_peers() const {
+std::vector<peer_status> peer_mesh::config_peers(const std::vector<peer_status>& known) const {
     std::vector<peer_status> local;
     std::vector<peer_status> all;
-    for (const auto& p : peers()) {
+    for (const auto& p : known) {
         if (p.role != instance_role::config) {
             continue;
         }
--- a/source/core/server/peer_mesh.h
+++ b/source/core/server/peer_mesh.h
@@ -63,7 +63,8 @@
 
 private:
     void send_to(const peer_status& p, const peer::heartbeat& beat);
-    [[nodiscard]] std::vector<peer_status> config_peers() const;
+    [[nodiscard]] std::vector<peer_status>
+    config_peers(const std::vector<peer_status>& known) const;
 
     member_identity m_self;
     std::uint64_t m_period = 0;
--- a/source/programs/buckthornspar-entry/job_gateway.cpp
+++ b/source/programs/buckthornspar-entry/job_gateway.cpp
@@ -228,7 +228,7 @@
                                       reply.error_detail, reply.error_field));
         return;
     case peer::reply_status::not_found:
-        search_next_shard(e, reply);
+        search_next_shard(e);
         return;
     case peer::reply_status::not_owner:
         e->owner_hint = reply.owner_hint;
@@ -250,7 +250,7 @@
 
 // A job that was submitted with a region lives in a shard of that region, which a later query by id
 // alone doesn't tell. The home shard among all shards is asked first, then the others.
-void job_gateway::search_next_shard(const exchange_ptr& e, const peer::job_reply&) {
+void job_gateway::search_next_shard(const exchange_ptr& e) {
     const auto& shards = m_directory.shards();
     const std::string home = m_directory.home(e->call.text, "");
     std::size_t index = e->shards_searched++;
--- a/source/programs/buckthornspar-entry/job_gateway.h
+++ b/source/programs/buckthornspar-entry/job_gateway.h
@@ -40,7 +40,7 @@
     void attempt(const exchange_ptr& e);
     void on_reply(const exchange_ptr& e, const peer::job_reply& reply);
     void retry(const exchange_ptr& e, std::string_view reason);
-    void search_next_shard(const exchange_ptr& e, const peer::job_reply& reply);
+    void search_next_shard(const exchange_ptr& e);
     void finish(const exchange_ptr& e, net::http_response response);
     void give_up(const exchange_ptr& e);
 
