Refuse no request early while the rate of answers is rising

The early refusal divides the queue by the rate of answers of the last half second. After a quiet time that rate shows the demand of the quiet time, and right after the first answers of a burst it is a few per second. Requests with the same deadline were also not counted as ahead, which hid part of the fault.

Ruled out: a slow machine alone (the unit test shows it with a virtual clock); a longer window or a higher minimum rate, which only move the case.

--- a/source/core/routing/admission_queue.cpp
+++ b/source/core/routing/admission_queue.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
 
 namespace buckthornspar::routing {
 
@@ -100,7 +101,9 @@
     }
     const auto& own = m_levels[index(priority)];
     if (own.size() <= max_counted_ahead) {
-        const auto position = own.upper_bound({deadline, 0});
+        // A new item goes behind those with the same deadline.
+        const auto position =
+            own.upper_bound({deadline, std::numeric_limits<std::uint64_t>::max()});
         return ahead + static_cast<std::size_t>(std::distance(own.begin(), position));
     }
     return ahead + (deadline > std::prev(own.end())->first ? own.size() : own.size() / 2);
--- a/source/core/routing/runner_table.h
+++ b/source/core/routing/runner_table.h
@@ -82,6 +82,8 @@
 
     /// Mean time between sending and answer, newest weighted most.
     [[nodiscard]] duration service_time() const;
+    /// False until a runner has answered; service_time() is a default until then.
+    [[nodiscard]] bool service_time_known() const { return m_answers > 0; }
     [[nodiscard]] std::uint32_t outstanding() const { return m_outstanding; }
 
 private:
--- a/source/core/routing/service_route.cpp
+++ b/source/core/routing/service_route.cpp
@@ -100,14 +100,18 @@
     }
 }
 
+// The rate of answers alone is too low when a burst follows a quiet time, since it then shows the
+// demand of that time. What is in progress, divided by the service time, is what the runners work
+// off now. A deadline counts as unreachable only if the higher of the two says so.
 duration service_route::expected_wait(request_class priority, time_point deadline,
                                       time_point now) const {
     const std::size_t ahead = queue.ahead_of(priority, deadline);
-    const double rate = m_answers.per_second(now);
-    if (ahead == 0 || rate < min_rate_per_s) {
+    const double service_time = seconds(table.service_time());
+    if (ahead == 0 || !table.service_time_known() || service_time <= 0) {
         return duration(0);
     }
-    return from_seconds(static_cast<double>(ahead) / rate);
+    const double rate = std::max(m_answers.per_second(now), table.outstanding() / service_time);
+    return rate < min_rate_per_s ? duration(0) : from_seconds(static_cast<double>(ahead) / rate);
 }
 
 } // namespace buckthornspar::routing
