Apply workload policies and job limits of the configuration in the scheduler

Cause: workload_policies, limits/max_tasks_per_job and limits/max_pending_jobs_per_team were checked, versioned and distributed, and had no effect.

Scorer and spread rule now apply to each workload kind (batch work can be spread as well), attempts to each task, and the two limits to submissions, with the typed refusals job_too_large and team_limit. A spread rule for all-at-once jobs is refused by the patch check, since these jobs are packed as a whole. A new spread rule counts the tasks that run already.

Limits: the count of pending jobs is per shard, and is not applied while a new owner still learns which jobs have started.

--- a/source/core/config/configuration.cpp
+++ b/source/core/config/configuration.cpp
@@ -31,8 +31,6 @@
     {"retry_budget_percent", 0, 100, 10},
 }};
 
-constexpr common::name_table<spread_rule, 3> spread_names{"spread rule", {"none", "rack", "place"}};
-
 bool contains(const std::vector<std::string>& names, std::string_view name) {
     return std::find(names.begin(), names.end(), name) != names.end();
 }
@@ -103,7 +101,7 @@
     }
     const std::string spread = require_text(object, path, "spread");
     try {
-        policy.spread = spread_names.value(spread);
+        policy.spread = placement::spread_rule_names.value(spread);
     } catch (const common::unknown_name_error&) {
         throw configuration_error(configuration_fault::unknown_value, join_path(path, "spread"),
                                   "'" + spread + "' is not one of none, rack, place");
@@ -112,6 +110,14 @@
     return policy;
 }
 
+/// All-at-once jobs are packed as a whole; a rule without effect would mislead its author.
+void check_spread(const std::string& path, const std::string& kind, spread_rule spread) {
+    if (kind == "all_at_once" && spread != spread_rule::none) {
+        throw configuration_error(configuration_fault::unknown_value, join_path(path, "spread"),
+                                  "all-at-once jobs are packed; only none is possible");
+    }
+}
+
 std::string read_exclusion(const std::string& path, const json::value& value) {
     const json::object& object = require_object(value, path);
     check_fields(object, path, {"reason"});
@@ -169,7 +175,7 @@
 
 json::object to_object(const workload_policy_settings& policy) {
     return {{"scorer", policy.scorer},
-            {"spread", spread_names.name(policy.spread)},
+            {"spread", placement::spread_rule_names.name(policy.spread)},
             {"max_attempts", policy.max_attempts}};
 }
 
@@ -239,6 +245,7 @@
                                                    "is not a workload kind");
                      }
                      c.workload_policies[kind] = read_policy(path, value, rules);
+                     check_spread(path, kind, c.workload_policies[kind].spread);
                  });
     read_section(object, "worker_exclusions",
                  [&](const auto& path, const auto& worker, const auto& value) {
--- a/source/core/config/configuration.h
+++ b/source/core/config/configuration.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/placement/resources.h"
+#include "core/placement/placement_types.h"
 
 #include <array>
 #include <cstddef>
@@ -12,7 +12,7 @@
 
 namespace buckthornspar::config {
 
-enum class spread_rule { none, rack, place };
+using placement::spread_rule;
 
 /// How the tasks of one workload kind are placed and repeated.
 struct workload_policy_settings {
--- a/source/core/placement/placement_engine.cpp
+++ b/source/core/placement/placement_engine.cpp
@@ -66,6 +66,10 @@
     return m_state->explain_gang(job);
 }
 
+void placement_engine::set_workload(workload_kind kind, const workload_settings& settings) {
+    m_state->set_workload(kind, settings);
+}
+
 void placement_engine::set_quota(const std::string& team, const resources& limit) {
     m_state->set_quota(team, limit);
 }
--- a/source/core/placement/placement_engine.h
+++ b/source/core/placement/placement_engine.h
@@ -73,6 +73,10 @@
     /// Empty when the job is not a waiting all-at-once job.
     [[nodiscard]] std::optional<gang_wait> explain_gang(const std::string& job) const;
 
+    /// Concerns what is placed from now on. Throws unknown_name_error when the scorer is not
+    /// registered.
+    void set_workload(workload_kind kind, const workload_settings& settings);
+
     void set_quota(const std::string& team, const resources& limit);
     void clear_quota(const std::string& team);
 
--- a/source/core/placement/placement_events.cpp
+++ b/source/core/placement/placement_events.cpp
@@ -16,7 +16,7 @@
 placement_engine::state::state(placement_settings settings)
     : m_settings(std::move(settings)),
       m_queue(m_tasks, m_quotas),
-      m_scorer(scorer_registry::instance().make(m_settings.scorer, m_settings.seed)) {
+      m_scorers(m_settings.scorer, m_settings.seed) {
     for (std::size_t i = 0; i < m_policies.size(); ++i) {
         const std::string name(workload_kind_names.name(static_cast<workload_kind>(i)));
         m_policies[i] = policy_registry::instance().make(name, m_settings);
@@ -25,7 +25,7 @@
 
 void placement_engine::state::upsert_worker(const worker_info& info) {
     const worker_index worker = m_workers.upsert(info);
-    m_scorer->worker_changed(m_workers, worker);
+    m_scorers.worker_changed(m_workers, worker);
     m_fleet_changed = true;
     if (m_workers[worker].usable()) {
         note_freed(worker);
@@ -34,6 +34,19 @@
     }
 }
 
+void placement_engine::state::set_workload(workload_kind kind, const workload_settings& settings) {
+    m_scorers.use(kind, settings.scorer, m_workers);
+    workload_policy& changed = policy(kind);
+    if (!changed.set_spread(settings.spread)) {
+        return;
+    }
+    for (const task_entry& entry : m_tasks.entries()) {
+        if (entry.phase == task_phase::promised && entry.request.kind == kind) {
+            changed.promised(entry.request, entry.location);
+        }
+    }
+}
+
 void placement_engine::state::remove_worker(const std::string& id) {
     const auto worker = m_workers.find(id);
     if (!worker || !m_workers[*worker].present) {
@@ -43,7 +56,7 @@
         drop_plan();
     }
     m_workers.remove(*worker);
-    m_scorer->worker_changed(m_workers, *worker);
+    m_scorers.worker_changed(m_workers, *worker);
     m_fleet_changed = true;
 }
 
@@ -214,7 +227,7 @@
         ++m_gangs[entry.gang].promised;
         m_gangs.refresh(entry.gang);
     }
-    m_scorer->worker_changed(m_workers, worker);
+    m_scorers.worker_changed(m_workers, worker);
     m_quotas.charge(entry.team, entry.request.demand);
     m_queue.team_changed(entry.team, m_workers.usable_capacity());
     policy(entry.request.kind).promised(entry.request, entry.location);
@@ -229,7 +242,7 @@
         m_changes.relieved_teams.push_back(entry.team);
     }
     m_workers.free(entry.worker, entry.request.demand);
-    m_scorer->worker_changed(m_workers, entry.worker);
+    m_scorers.worker_changed(m_workers, entry.worker);
     note_freed(entry.worker);
     if (entry.gang != no_gang) {
         --m_gangs[entry.gang].promised;
--- a/source/core/placement/placement_state.h
+++ b/source/core/placement/placement_state.h
@@ -3,6 +3,7 @@
 #include "core/placement/capacity_plan.h"
 #include "core/placement/gang_table.h"
 #include "core/placement/placement_engine.h"
+#include "core/placement/scorer_set.h"
 #include "core/placement/task_queue.h"
 #include "core/placement/workload_policy.h"
 
@@ -27,6 +28,7 @@
     void requeue(const std::string& task);
     void adopt_running(const std::string& worker, const task_request& request,
                        common::time_point now);
+    void set_workload(workload_kind kind, const workload_settings& settings);
     void set_quota(const std::string& team, const std::optional<resources>& limit);
 
     [[nodiscard]] wait_reason explain(const std::string& task) const;
@@ -100,7 +102,7 @@
     quota_ledger m_quotas;
     task_queue m_queue;
     gang_table m_gangs;
-    std::unique_ptr<scorer> m_scorer;
+    scorer_set m_scorers;
     std::array<std::unique_ptr<workload_policy>, workload_kind_names.size()> m_policies;
     std::size_t m_waiting_in_gangs = 0;
 
--- a/source/core/placement/placement_types.h
+++ b/source/core/placement/placement_types.h
@@ -15,6 +15,24 @@
 inline constexpr common::name_table<workload_kind, 3> workload_kind_names{
     "workload kind", {"service", "batch", "all_at_once"}};
 
+/// Over what the tasks of a job are spread evenly.
+enum class spread_rule {
+    none,
+    rack,
+    place, ///< over places first, then over the racks of each
+};
+inline constexpr common::name_table<spread_rule, 3> spread_rule_names{"spread rule",
+                                                                      {"none", "rack", "place"}};
+
+/// How the tasks of one workload kind are placed. All-at-once jobs are packed together by the
+/// engine and use neither.
+struct workload_settings {
+    std::string scorer;
+    spread_rule spread = spread_rule::none;
+
+    bool operator==(const workload_settings&) const = default;
+};
+
 /// In order of precedence.
 enum class priority_class { urgent, normal, bulk };
 inline constexpr common::name_table<priority_class, 3> priority_class_names{
@@ -125,6 +143,7 @@
 };
 
 struct placement_settings {
+    /// For the kinds for which set_workload() was not called.
     std::string scorer = "best_fit";
     std::uint64_t seed = 1;
     /// Share of the starts that lower classes get while a higher class waits as well.
--- a/source/core/placement/plugins/batch.cpp
+++ b/source/core/placement/plugins/batch.cpp
@@ -1,4 +1,4 @@
-#include "core/placement/workload_policy.h"
+#include "core/placement/spread_chooser.h"
 
 #include <memory>
 
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr std::size_t no_rack_limit = 0;
+
 placement_choice choose_packed(const placement_view& view, const task_request& request) {
     const auto worker =
         view.scoring.choose(view.workers, request.demand, view.open, search_effort::exhaustive);
@@ -17,13 +19,31 @@
     return {std::nullopt, reserved ? wait_reason::gang_reserved : wait_reason::no_capacity};
 }
 
-/// Packed: the scorer alone decides.
+/// Packed, the scorer alone decides, unless the operators' configuration has a spread rule.
 class batch final : public workload_policy {
 public:
+    bool set_spread(spread_rule rule) override { return m_spread.set_rule(rule); }
+
     [[nodiscard]] placement_choice choose(const placement_view& view,
                                           const task_request& request) override {
-        return choose_packed(view, request);
+        return m_spread.rule() == spread_rule::none ? choose_packed(view, request)
+                                                    : m_spread.choose(view, request);
+    }
+
+    void promised(const task_request& request, const worker_location& location) override {
+        if (m_spread.rule() != spread_rule::none) {
+            m_spread.promised(request, location);
+        }
+    }
+
+    void freed(const task_request& request, const worker_location& location) override {
+        if (m_spread.rule() != spread_rule::none) {
+            m_spread.freed(request, location);
+        }
     }
+
+private:
+    spread_chooser m_spread{spread_rule::none, no_rack_limit};
 };
 
 /// Tasks of a job are reserved together by the engine; a single one is packed like batch work.
--- /dev/null
+++ b/source/core/placement/spread_chooser.cpp
@@ -0,0 +1,205 @@
+#include "core/placement/spread_chooser.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace buckthornspar::placement {
+
+namespace {
+
+constexpr std::uint32_t no_limit = std::numeric_limits<std::uint32_t>::max();
+
+class spread_filter final : public worker_filter {
+public:
+    spread_filter(const placement_view& view, const job_spread& spread)
+        : m_view(view), m_spread(spread) {}
+
+    /// Most tasks of the job that the place and the rack may hold before this one.
+    void limit(std::uint32_t place, std::uint32_t rack) {
+        m_place_limit = place;
+        m_rack_limit = rack;
+    }
+
+    [[nodiscard]] bool accepts(worker_index worker) const override {
+        const worker_location& at = m_view.workers[worker].location;
+        return m_spread.in_place(at.place) <= m_place_limit &&
+               m_spread.in_rack(at.rack) <= m_rack_limit &&
+               (!m_view.open || m_view.open->accepts(worker));
+    }
+
+private:
+    const placement_view& m_view;
+    const job_spread& m_spread;
+    std::uint32_t m_place_limit = no_limit;
+    std::uint32_t m_rack_limit = no_limit;
+};
+
+std::vector<std::uint32_t> place_levels(const worker_table& workers, const job_spread& spread) {
+    std::vector<std::uint32_t> levels;
+    for (std::uint32_t place = 0; place < workers.places().size(); ++place) {
+        if (workers.places()[place].usable_workers > 0) {
+            levels.push_back(spread.in_place(place));
+        }
+    }
+    std::sort(levels.begin(), levels.end());
+    levels.erase(std::unique(levels.begin(), levels.end()), levels.end());
+    return levels;
+}
+
+// Counting the least used rack would visit each rack; the level that an even spread has reached in
+// the places of this level is enough.
+std::uint32_t even_rack_level(const worker_table& workers, const job_spread& spread,
+                              std::uint32_t place_level) {
+    std::uint32_t level = 0;
+    for (std::uint32_t place = 0; place < workers.places().size(); ++place) {
+        const std::uint32_t racks = workers.places()[place].racks;
+        if (spread.in_place(place) == place_level && racks > 0) {
+            level = std::max(level, place_level / racks);
+        }
+    }
+    return level;
+}
+
+std::vector<std::uint32_t> rack_levels(const worker_table& workers, const job_spread& spread) {
+    std::size_t racks = 0;
+    for (const auto& place : workers.places()) {
+        racks += place.racks;
+    }
+    std::vector<std::uint32_t> levels;
+    if (spread.by_rack.size() < racks) {
+        levels.push_back(0);
+    }
+    for (const auto& [rack, tasks] : spread.by_rack) {
+        levels.push_back(tasks);
+    }
+    std::sort(levels.begin(), levels.end());
+    levels.erase(std::unique(levels.begin(), levels.end()), levels.end());
+    return levels;
+}
+
+wait_reason explain(const placement_view& view, const task_request& request) {
+    const auto fits = [&](const worker_filter* filter) {
+        return view.scoring
+            .choose(view.workers, request.demand, filter, search_effort::exhaustive)
+            .has_value();
+    };
+    if (fits(view.open)) {
+        return wait_reason::spread_constraint;
+    }
+    return view.open && fits(nullptr) ? wait_reason::gang_reserved : wait_reason::no_capacity;
+}
+
+} // namespace
+
+std::uint32_t job_spread::in_place(std::uint32_t place) const {
+    return place < by_place.size() ? by_place[place] : 0;
+}
+
+std::uint32_t job_spread::in_rack(std::uint32_t rack) const {
+    const auto position = by_rack.find(rack);
+    return position == by_rack.end() ? 0 : position->second;
+}
+
+spread_chooser::spread_chooser(spread_rule rule, std::size_t max_per_rack)
+    : m_rule(rule),
+      m_rack_limit(max_per_rack == 0 ? no_limit : static_cast<std::uint32_t>(max_per_rack) - 1) {}
+
+bool spread_chooser::set_rule(spread_rule rule) {
+    if (rule == m_rule) {
+        return false;
+    }
+    m_rule = rule;
+    m_jobs.clear();
+    return true;
+}
+
+placement_choice spread_chooser::choose(const placement_view& view,
+                                        const task_request& request) const {
+    static const job_spread no_tasks;
+    const auto position = m_jobs.find(request.job);
+    const job_spread& spread = position == m_jobs.end() ? no_tasks : position->second;
+    if (const auto worker = choose_even(view, request, spread)) {
+        return {worker, wait_reason::none};
+    }
+    spread_filter filter(view, spread);
+    filter.limit(no_limit, m_rack_limit);
+    if (const auto worker = view.scoring.choose(view.workers, request.demand, &filter,
+                                                search_effort::exhaustive)) {
+        return {worker, wait_reason::none};
+    }
+    return {std::nullopt, explain(view, request)};
+}
+
+std::optional<worker_index> spread_chooser::choose_even(const placement_view& view,
+                                                        const task_request& request,
+                                                        const job_spread& spread) const {
+    switch (m_rule) {
+    case spread_rule::none:
+        return std::nullopt;
+    case spread_rule::rack:
+        return choose_by_rack(view, request, spread);
+    case spread_rule::place:
+        return choose_by_place(view, request, spread);
+    }
+    return std::nullopt;
+}
+
+// A place that is full must not stop the spread over the others, so that the levels are tried one
+// after the other.
+std::optional<worker_index> spread_chooser::choose_by_place(const placement_view& view,
+                                                            const task_request& request,
+                                                            const job_spread& spread) const {
+    spread_filter filter(view, spread);
+    for (const std::uint32_t place_level : place_levels(view.workers, spread)) {
+        const std::uint32_t even = even_rack_level(view.workers, spread, place_level);
+        for (const std::uint32_t rack_level : {std::min(even, m_rack_limit), m_rack_limit}) {
+            filter.limit(place_level, rack_level);
+            const auto worker = view.scoring.choose(view.workers, request.demand, &filter,
+                                                    search_effort::bounded);
+            if (worker) {
+                return worker;
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<worker_index> spread_chooser::choose_by_rack(const placement_view& view,
+                                                           const task_request& request,
+                                                           const job_spread& spread) const {
+    spread_filter filter(view, spread);
+    for (const std::uint32_t level : rack_levels(view.workers, spread)) {
+        filter.limit(no_limit, std::min(level, m_rack_limit));
+        const auto worker =
+            view.scoring.choose(view.workers, request.demand, &filter, search_effort::bounded);
+        if (worker) {
+            return worker;
+        }
+    }
+    return std::nullopt;
+}
+
+void spread_chooser::promised(const task_request& request, const worker_location& location) {
+    job_spread& spread = m_jobs[request.job];
+    if (location.place >= spread.by_place.size()) {
+        spread.by_place.resize(location.place + 1);
+    }
+    ++spread.by_place[location.place];
+    ++spread.by_rack[location.rack];
+    ++spread.tasks;
+}
+
+void spread_chooser::freed(const task_request& request, const worker_location& location) {
+    const auto position = m_jobs.find(request.job);
+    job_spread& spread = position->second;
+    --spread.by_place[location.place];
+    const auto rack = spread.by_rack.find(location.rack);
+    if (--rack->second == 0) {
+        spread.by_rack.erase(rack);
+    }
+    if (--spread.tasks == 0) {
+        m_jobs.erase(position);
+    }
+}
+
+} // namespace buckthornspar::placement
--- a/source/core/placement/workload_policy.cpp
+++ b/source/core/placement/workload_policy.cpp
@@ -2,6 +2,10 @@
 
 namespace buckthornspar::placement {
 
+bool workload_policy::set_spread(spread_rule /*rule*/) {
+    return false;
+}
+
 void workload_policy::promised(const task_request& /*request*/,
                                const worker_location& /*location*/) {}
 
--- a/source/core/placement/workload_policy.h
+++ b/source/core/placement/workload_policy.h
@@ -36,6 +36,10 @@
     /// True when demand alone decides: if one task finds no worker, no equal or larger one does.
     [[nodiscard]] virtual bool depends_on_demand_only() const { return true; }
 
+    /// True when the rule is a new one; promised() is then called again for each promise. Without
+    /// effect for kinds whose tasks are not spread.
+    [[nodiscard]] virtual bool set_spread(spread_rule rule);
+
     [[nodiscard]] virtual placement_choice choose(const placement_view& view,
                                                   const task_request& request) = 0;
 
--- a/source/core/scheduling/shard_engine.h
+++ b/source/core/scheduling/shard_engine.h
@@ -37,6 +37,8 @@
     queue_full,        ///< too many entries wait for the store
     id_conflict,       ///< the id was used for a job with other content
     infeasible,        ///< no worker can run the job
+    job_too_large,     ///< more tasks than the configuration allows
+    team_limit,        ///< the team has too many jobs that have not started
     ownership_lost,    ///< the shard was lost while the entry was being written
     draining,          ///< planned stop
 };
@@ -151,6 +153,7 @@
 
     // shard_engine_calls.cpp
     [[nodiscard]] std::optional<job_reply> check_submission(const job_spec& job) const;
+    [[nodiscard]] std::optional<job_reply> check_limits(const job_spec& job) const;
     bool join_pending(std::uint64_t ticket, const job_spec& job, common::time_point deadline);
     void check_call_deadlines(common::time_point now);
     void finish_call(common::time_point now, std::uint64_t tag);
--- a/source/core/scheduling/shard_engine_calls.cpp
+++ b/source/core/scheduling/shard_engine_calls.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace buckthornspar::scheduling {
@@ -12,9 +13,11 @@
 
 namespace {
 
-constexpr common::name_table<refusal, 7>
-    refusal_names("refusal", {"none", "store_unavailable", "queue_full", "id_conflict",
-                              "infeasible", "ownership_lost", "draining"});
+constexpr common::name_table<refusal, 9> refusal_names("refusal",
+                                                       {"none", "store_unavailable", "queue_full",
+                                                        "id_conflict", "infeasible",
+                                                        "job_too_large", "team_limit",
+                                                        "ownership_lost", "draining"});
 
 /// The text of a task while its end is not in the log.
 std::string_view task_state(const task_record& record, const job_run* run, std::size_t index) {
@@ -88,6 +91,9 @@
     if (m_ownership.state() == ownership_state::stepping_down) {
         return refuse(refusal::draining, "the scheduler is stopping", run_answer::not_run);
     }
+    if (const auto problem = check_limits(job)) {
+        return problem;
+    }
     if (m_ownership.state() == ownership_state::active) {
         if (const auto problem = m_runner.check_feasible(job)) {
             return refuse(refusal::infeasible, problem->detail, run_answer::not_run);
@@ -101,6 +107,34 @@
     return std::nullopt;
 }
 
+std::optional<job_reply> shard_engine::check_limits(const job_spec& job) const {
+    const shard_policy& policy = m_runner.policy();
+    if (job.tasks > policy.max_tasks_per_job) {
+        return refuse(refusal::job_too_large,
+                      std::to_string(job.tasks) + " tasks; the configuration allows " +
+                          std::to_string(policy.max_tasks_per_job) + " per job",
+                      run_answer::not_run);
+    }
+    // A submission that repeats one that is being written joins it and adds no job.
+    const auto being_written = std::count_if(m_calls.begin(), m_calls.end(), [&](const auto& c) {
+        return !c.second.cancel && c.second.spec.team == job.team && c.second.job != job.id;
+    });
+    const bool repeated = std::any_of(m_calls.begin(), m_calls.end(), [&](const auto& c) {
+        return !c.second.cancel && c.second.job == job.id;
+    });
+    const std::size_t pending =
+        m_runner.pending_jobs(job.team) + static_cast<std::size_t>(being_written);
+    // While recovering, it is not known which jobs have started.
+    if (!repeated && !m_runner.recovering() && pending >= policy.max_pending_jobs_per_team) {
+        return refuse(refusal::team_limit,
+                      "team '" + job.team + "' has " + std::to_string(pending) +
+                          " jobs that have not started; the configuration allows " +
+                          std::to_string(policy.max_pending_jobs_per_team),
+                      run_answer::not_run);
+    }
+    return std::nullopt;
+}
+
 bool shard_engine::join_pending(std::uint64_t ticket, const job_spec& job,
                                 common::time_point deadline) {
     for (auto& [tag, call] : m_calls) {
--- a/source/core/scheduling/task_runner.cpp
+++ b/source/core/scheduling/task_runner.cpp
@@ -47,6 +47,7 @@
 
 void task_runner::end() {
     m_jobs.clear();
+    m_pending_by_team.clear();
     m_on_worker.clear();
     m_entries.clear();
     m_deadlines.clear();
@@ -63,6 +64,7 @@
     for (const auto& [team, limit] : m_policy.quotas) {
         m_placement->set_quota(team, limit);
     }
+    apply_workloads();
 }
 
 void task_runner::set_policy(common::time_point now, shard_policy policy) {
@@ -75,6 +77,7 @@
     for (const auto& [team, limit] : m_policy.quotas) {
         m_placement->set_quota(team, limit);
     }
+    apply_workloads();
     for (const auto& worker : m_fleet.present()) {
         refresh_worker(now, worker);
     }
@@ -103,6 +106,7 @@
     job.spec = spec;
     job.tasks.resize(spec.tasks);
     job.accepted_at = now;
+    set_pending(job, true);
     if (spec.deadline_ms > 0) {
         m_deadlines.emplace(now + std::chrono::milliseconds(spec.deadline_ms), spec.id);
     }
@@ -296,7 +300,11 @@
     const std::string job = split_task_id(entry.task).job;
     const job_record* const record = m_journal.table().find(job);
     if (record == nullptr || record->ended()) {
-        m_jobs.erase(job);
+        const auto ended = m_jobs.find(job);
+        if (ended != m_jobs.end()) {
+            set_pending(ended->second, false);
+            m_jobs.erase(ended);
+        }
         m_health.forget_job(job);
     }
     return true;
--- a/source/core/scheduling/task_runner.h
+++ b/source/core/scheduling/task_runner.h
@@ -8,6 +8,7 @@
 #include "core/scheduling/worker_health.h"
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -31,6 +32,16 @@
     std::map<std::string, placement::resources> quotas;
     /// Workers that get no new tasks.
     std::set<std::string> excluded_workers;
+    struct workload {
+        placement::workload_settings placing;
+        /// Failures of one task after which its job is ended; the setting applies if it is lower.
+        std::uint32_t max_failures = 0;
+    };
+    /// Kinds without an entry are placed as the settings say.
+    std::map<placement::workload_kind, workload> workloads;
+    std::uint32_t max_tasks_per_job = std::numeric_limits<std::uint32_t>::max();
+    /// Jobs of one team in one shard of which no task has started.
+    std::size_t max_pending_jobs_per_team = std::numeric_limits<std::size_t>::max();
 };
 
 enum class task_phase {
@@ -67,6 +78,8 @@
     bool stopping = false;
     /// All-at-once: the tasks are being ended to be started together again.
     bool unwinding = false;
+    /// No task has started.
+    bool pending = false;
 };
 
 /// Runs the jobs of a shard while this process owns it: placement, attempts, restarts, all-at-once
@@ -86,6 +99,9 @@
     void set_recovery_bound(common::time_point bound) { m_recovery_bound = bound; }
     [[nodiscard]] bool recovering() const { return m_recovering; }
 
+    [[nodiscard]] const shard_policy& policy() const { return m_policy; }
+    /// Jobs of the team of which no task has started.
+    [[nodiscard]] std::size_t pending_jobs(const std::string& team) const;
     [[nodiscard]] std::optional<placement::infeasibility> check_feasible(const job_spec& job) const;
     /// The job is in the log.
     void accept(common::time_point now, const job_spec& job);
@@ -148,6 +164,12 @@
     void refresh_worker(common::time_point now, const std::string& worker);
     void count_retry(std::string_view reason);
 
+    // task_runner_policy.cpp
+    void apply_workloads();
+    [[nodiscard]] unsigned max_failures(placement::workload_kind kind) const;
+    void set_pending(job_run& job, bool pending);
+    void note_started(const task_ref& ref);
+
     // task_runner_attempts.cpp
     [[nodiscard]] std::string new_attempt(const task_ref& ref);
     void assign(common::time_point now, const task_ref& ref, const std::string& worker);
@@ -201,6 +223,7 @@
     placement::pressure_control m_pressure;
     shard_policy m_policy;
     std::map<std::string, job_run> m_jobs;
+    std::map<std::string, std::size_t> m_pending_by_team;
     std::map<std::string, std::set<std::string>> m_on_worker;
     std::map<std::uint64_t, pending_entry> m_entries;
     std::multimap<common::time_point, std::string> m_deadlines;
--- a/source/core/scheduling/task_runner_attempts.cpp
+++ b/source/core/scheduling/task_runner_attempts.cpp
@@ -127,8 +127,7 @@
 void task_runner::on_started(common::time_point now, const task_ref& ref) {
     task_run& run = ref.run();
     run.phase = task_phase::running;
-    run.has_started = true;
-    run.may_have_started = true;
+    note_started(ref);
     run.started_at = now;
     m_placement->confirm_started(ref.id(), now);
     m_counters.get("task_starts_total").add();
@@ -218,8 +217,7 @@
         on_not_started(now, ref, to_string(ended.outcome));
         return;
     }
-    run.has_started = true;
-    run.may_have_started = true;
+    note_started(ref);
     learn_end(now, ref, ended.outcome);
     const bool service = job.spec.kind == placement::workload_kind::service;
     if (ended.outcome == attempt_outcome::succeeded) {
@@ -265,7 +263,7 @@
         return;
     }
     ++run.failures;
-    const bool exhausted = run.failures >= m_settings.max_failures &&
+    const bool exhausted = run.failures >= max_failures(job.spec.kind) &&
                            job.spec.kind != placement::workload_kind::service;
     const bool everywhere = verdict == health_verdict::job_fails_everywhere;
     if (everywhere || exhausted) {
--- a/source/core/scheduling/task_runner_recovery.cpp
+++ b/source/core/scheduling/task_runner_recovery.cpp
@@ -17,6 +17,7 @@
         job_run& job = m_jobs[id];
         job.spec = record.spec;
         job.accepted_at = now;
+        set_pending(job, true);
         job.stopping = record.reason != job_reason::none;
         job.tasks.resize(record.tasks.size());
         if (job.spec.deadline_ms > 0) {
@@ -88,8 +89,7 @@
     m_counters.get("attempts_adopted_total").add();
     place_on(ref, worker, held.attempt);
     run.phase = task_phase::running;
-    run.has_started = true;
-    run.may_have_started = true;
+    note_started(ref);
     run.started_at = now;
     m_placement->adopt_running(worker, request_of(ref), now);
     if (ref.job->stopping) {
--- a/source/programs/buckthornspar-entry/job_gateway.cpp
+++ b/source/programs/buckthornspar-entry/job_gateway.cpp
@@ -28,7 +28,7 @@
 unsigned status_of(std::string_view error_type) {
     static const std::map<std::string_view, unsigned> statuses{
         {"invalid_job", 400},       {"id_conflict", 409}, {"infeasible", 422},
-        {"store_unavailable", 503}, {"queue_full", 429},  {"quota_exceeded", 429},
+        {"store_unavailable", 503}, {"queue_full", 429},  {"team_limit", 429},
         {"draining", 503},          {"wrong_role", 503},  {"not_ready", 503},
     };
     const auto position = statuses.find(error_type);
--- a/tests/scenario/scheduling/scheduling_world.cpp
+++ b/tests/scenario/scheduling/scheduling_world.cpp
@@ -204,6 +204,18 @@
         if (s.args.has("exclude")) {
             policy.excluded_workers.insert(s.args.text("exclude"));
         }
+        if (s.args.has("max_tasks")) {
+            policy.max_tasks_per_job = static_cast<std::uint32_t>(s.args.number("max_tasks"));
+        }
+        if (s.args.has("max_pending")) {
+            policy.max_pending_jobs_per_team =
+                static_cast<std::size_t>(s.args.number("max_pending"));
+        }
+        if (s.args.has("max_failures")) {
+            policy.workloads[placement::workload_kind::batch] = {
+                {"best_fit", placement::spread_rule::none},
+                static_cast<std::uint32_t>(s.args.number("max_failures"))};
+        }
         for (auto& [id, scheduler] : m_sim.schedulers) {
             if (scheduler.engine) {
                 scheduler.engine->set_policy(m_sim.now(), policy);
