Choose the home region of a team's jobs and find repeated submissions

Cause: region_preferences was checked, versioned and distributed, and had no effect.

A job that names no region now goes to the first preferred region of its team that has a shard. The choice does not depend on which schedulers are alive: a choice by liveness would send the repeat of a submission to another shard, and the job would run twice. The entry then asks all shards for the id first and submits to the one that knows it.

Ruled out: asking all shards at each submission, which costs a call to other regions for each job; remembering earlier preferences in the entries, which are replaced at any time.

Not proved by a test yet: the choice of the region itself, which needs a cluster with several regions.

--- a/source/core/placement/placement_decide.cpp
+++ b/source/core/placement/placement_decide.cpp
@@ -193,9 +193,8 @@
     const plan_filter filter(m_plan, request.demand);
     const bool restricted = bound_by_plan(task) && !ends_before_plan(request);
     workload_policy& chosen_policy = policy(request.kind);
-    const placement_choice choice =
-        chosen_policy.choose(
-            {m_workers, m_scorers.of(request.kind), restricted ? &filter : nullptr}, request);
+    const placement_choice choice = chosen_policy.choose(
+        {m_workers, m_scorers.of(request.kind), restricted ? &filter : nullptr}, request);
     if (choice.reason == wait_reason::no_capacity && chosen_policy.depends_on_demand_only()) {
         remember_failed(request.demand);
     }
--- a/source/core/placement/spread_chooser.cpp
+++ b/source/core/placement/spread_chooser.cpp
@@ -79,8 +79,7 @@
 
 wait_reason explain(const placement_view& view, const task_request& request) {
     const auto fits = [&](const worker_filter* filter) {
-        return view.scoring
-            .choose(view.workers, request.demand, filter, search_effort::exhaustive)
+        return view.scoring.choose(view.workers, request.demand, filter, search_effort::exhaustive)
             .has_value();
     };
     if (fits(view.open)) {
@@ -123,8 +122,8 @@
     }
     spread_filter filter(view, spread);
     filter.limit(no_limit, m_rack_limit);
-    if (const auto worker = view.scoring.choose(view.workers, request.demand, &filter,
-                                                search_effort::exhaustive)) {
+    if (const auto worker =
+            view.scoring.choose(view.workers, request.demand, &filter, search_effort::exhaustive)) {
         return {worker, wait_reason::none};
     }
     return {std::nullopt, explain(view, request)};
@@ -154,8 +153,8 @@
         const std::uint32_t even = even_rack_level(view.workers, spread, place_level);
         for (const std::uint32_t rack_level : {std::min(even, m_rack_limit), m_rack_limit}) {
             filter.limit(place_level, rack_level);
-            const auto worker = view.scoring.choose(view.workers, request.demand, &filter,
-                                                    search_effort::bounded);
+            const auto worker =
+                view.scoring.choose(view.workers, request.demand, &filter, search_effort::bounded);
             if (worker) {
                 return worker;
             }
--- a/source/core/scheduling/shard_engine_calls.cpp
+++ b/source/core/scheduling/shard_engine_calls.cpp
@@ -13,11 +13,10 @@
 
 namespace {
 
-constexpr common::name_table<refusal, 9> refusal_names("refusal",
-                                                       {"none", "store_unavailable", "queue_full",
-                                                        "id_conflict", "infeasible",
-                                                        "job_too_large", "team_limit",
-                                                        "ownership_lost", "draining"});
+constexpr common::name_table<refusal, 9>
+    refusal_names("refusal",
+                  {"none", "store_unavailable", "queue_full", "id_conflict", "infeasible",
+                   "job_too_large", "team_limit", "ownership_lost", "draining"});
 
 /// The text of a task while its end is not in the log.
 std::string_view task_state(const task_record& record, const job_run* run, std::size_t index) {
--- a/source/programs/buckthornspar-entry/entry_application.cpp
+++ b/source/programs/buckthornspar-entry/entry_application.cpp
@@ -59,7 +59,10 @@
 entry_application::entry_application(server::server_process& process, request_settings requests)
     : m_process(process),
       m_config(std::make_unique<server::shared_config>(
-          [this](std::uint64_t, const config::configuration& c) { apply_limits(*m_requests, c); })),
+          [this](std::uint64_t, const config::configuration& c) {
+              apply_limits(*m_requests, c);
+              m_jobs->set_region_preferences(c.region_preferences);
+          })),
       // The policy has nobody to send to before the member has delivered the first list.
       m_requests(make_request_service(
           process, std::move(requests),
--- a/source/programs/buckthornspar-entry/job_gateway.cpp
+++ b/source/programs/buckthornspar-entry/job_gateway.cpp
@@ -51,11 +51,13 @@
 struct submission {
     std::string id;
     std::string region;
+    std::string team;
     std::optional<submission_problem> problem;
 };
 
 submission invalid(std::string detail, std::string field) {
-    return {{}, {}, submission_problem{400, "invalid_job", std::move(detail), std::move(field)}};
+    return {
+        {}, {}, {}, submission_problem{400, "invalid_job", std::move(detail), std::move(field)}};
 }
 
 // The gateway reads only what it needs to find the home shard; the scheduler checks the rest.
@@ -63,7 +65,7 @@
     json::error_code failure;
     const json::value document = json::parse(body, failure);
     if (failure) {
-        return {{}, {}, submission_problem{400, "malformed_json", failure.message(), ""}};
+        return {{}, {}, {}, submission_problem{400, "malformed_json", failure.message(), ""}};
     }
     if (!document.is_object()) {
         return invalid("the body is not a JSON object", "");
@@ -84,6 +86,10 @@
         }
         s.region = std::string(region->get_string());
     }
+    const json::value* const team = object.if_contains("team");
+    if (team != nullptr && team->is_string()) {
+        s.team = std::string(team->get_string());
+    }
     return s;
 }
 
@@ -97,6 +103,8 @@
     common::time_point give_up_at;
     /// Shards that have answered that they don't know the job.
     std::size_t shards_searched = 0;
+    /// Set while the shards are asked whether they know the job of a repeated submission.
+    std::optional<repeated_submission> repeated;
     bool may_have_been_executed = false;
     /// Scheduler named by the last not_owner answer.
     std::string owner_hint;
@@ -148,7 +156,9 @@
                                   s.problem->field));
         return;
     }
-    const std::string home = m_directory.home(s.id, s.region);
+    std::string home = s.region.empty()
+                           ? m_directory.preferred_home(s.id, preferred_regions(s.team))
+                           : m_directory.home(s.id, s.region);
     if (home.empty()) {
         reply(net::error_response(422, "unknown_region", "no shard serves this region", "region"));
         return;
@@ -156,11 +166,34 @@
     peer::job_call call;
     call.operation = peer::job_operation::submit;
     call.text = request.body;
-    start(std::move(call), home, std::move(reply));
+    if (request.fields.get("X-Repeat") != "true") {
+        start(std::move(call), std::move(home), std::move(reply));
+        return;
+    }
+    peer::job_call search;
+    search.text = s.id;
+    start(std::move(search), m_directory.home(s.id, ""), std::move(reply),
+          repeated_submission{std::move(call), std::move(home)});
+}
+
+std::vector<std::string> job_gateway::preferred_regions(const std::string& team) const {
+    const auto position = m_region_preferences.find(team);
+    return position == m_region_preferences.end() ? std::vector<std::string>{} : position->second;
+}
+
+void job_gateway::set_region_preferences(
+    std::map<std::string, std::vector<std::string>> preferences) {
+    m_process.loop().post([this, preferences = std::move(preferences)]() mutable {
+        m_region_preferences = std::move(preferences);
+    });
 }
 
-void job_gateway::start(peer::job_call call, std::string shard, net::http_reply reply) {
+void job_gateway::start(peer::job_call call, std::string shard, net::http_reply reply,
+                        std::optional<repeated_submission> repeated) {
     auto e = std::make_shared<exchange>();
+    e->repeated = std::move(repeated);
+    // The earlier submission may have been accepted.
+    e->may_have_been_executed = e->repeated.has_value();
     e->call = std::move(call);
     e->shard = std::move(shard);
     e->reply = std::move(reply);
@@ -213,6 +246,10 @@
 void job_gateway::on_reply(const exchange_ptr& e, const peer::job_reply& reply) {
     switch (reply.status) {
     case peer::reply_status::ok: {
+        if (e->repeated) {
+            submit_repeated(e, e->shard);
+            return;
+        }
         const bool created = e->call.operation == peer::job_operation::submit;
         finish(e, net::json_response(created ? 201 : 200, reply.body));
         return;
@@ -257,6 +294,12 @@
     if (index < shards.size() && shards[index].id == home) {
         index = e->shards_searched++;
     }
+    if (index >= shards.size() && e->repeated) {
+        const std::string chosen = e->repeated->home;
+        e->may_have_been_executed = false;
+        submit_repeated(e, chosen);
+        return;
+    }
     if (index >= shards.size()) {
         finish(e, net::error_response(404, "unknown_job", "no shard knows a job with this id"));
         return;
@@ -266,6 +309,15 @@
     attempt(e);
 }
 
+// The shard that knows the job compares the contents and answers with the first result.
+void job_gateway::submit_repeated(const exchange_ptr& e, const std::string& shard) {
+    e->call = std::move(e->repeated->call);
+    e->repeated.reset();
+    e->shard = shard;
+    e->owner_hint.clear();
+    attempt(e);
+}
+
 void job_gateway::retry(const exchange_ptr& e, std::string_view reason) {
     m_process.counters().get("retries_total", "reason", reason).add();
     const auto delay = common::duration(static_cast<std::int64_t>(
--- a/source/programs/buckthornspar-entry/job_gateway.h
+++ b/source/programs/buckthornspar-entry/job_gateway.h
@@ -7,8 +7,11 @@
 #include "shard_directory.h"
 
 #include <atomic>
+#include <map>
 #include <memory>
 #include <optional>
+#include <string>
+#include <vector>
 
 namespace buckthornspar::server {
 class cluster_member;
@@ -25,17 +28,28 @@
     job_gateway(server::server_process& process, server::cluster_member& member,
                 shard_directory directory);
 
+    /// Regions in which the jobs of a team are placed, best first, unless a job names its region.
+    void set_region_preferences(std::map<std::string, std::vector<std::string>> preferences);
+
     /// Serves a request below /v1/jobs, on the network thread.
     void handle(const net::http_request& request, net::http_reply reply);
 
     [[nodiscard]] std::size_t in_progress() const { return m_in_progress; }
 
 private:
+    /// To be made when it is known where the job is, or that no shard knows it.
+    struct repeated_submission {
+        peer::job_call call;
+        std::string home;
+    };
     struct exchange;
     using exchange_ptr = std::shared_ptr<exchange>;
 
     void submit(const net::http_request& request, net::http_reply reply);
-    void start(peer::job_call call, std::string shard, net::http_reply reply);
+    void start(peer::job_call call, std::string shard, net::http_reply reply,
+               std::optional<repeated_submission> repeated = std::nullopt);
+    void submit_repeated(const exchange_ptr& e, const std::string& shard);
+    [[nodiscard]] std::vector<std::string> preferred_regions(const std::string& team) const;
     [[nodiscard]] std::optional<server::peer_status> choose_scheduler(const exchange& e) const;
     void attempt(const exchange_ptr& e);
     void on_reply(const exchange_ptr& e, const peer::job_reply& reply);
@@ -49,6 +63,7 @@
     shard_directory m_directory;
     // Used on the network thread only.
     common::rng m_jitter;
+    std::map<std::string, std::vector<std::string>> m_region_preferences;
     std::atomic<std::size_t> m_in_progress{0};
 };
 
--- a/source/programs/buckthornspar-entry/shard_directory.cpp
+++ b/source/programs/buckthornspar-entry/shard_directory.cpp
@@ -34,6 +34,16 @@
     return best;
 }
 
+std::string shard_directory::preferred_home(std::string_view job_id,
+                                            const std::vector<std::string>& regions) const {
+    for (const auto& region : regions) {
+        if (std::string found = home(job_id, region); !region.empty() && !found.empty()) {
+            return found;
+        }
+    }
+    return home(job_id, "");
+}
+
 std::string shard_directory::region_of(std::string_view shard) const {
     for (const auto& s : m_shards) {
         if (s.id == shard) {
--- a/source/programs/buckthornspar-entry/shard_directory.h
+++ b/source/programs/buckthornspar-entry/shard_directory.h
@@ -18,6 +18,11 @@
     /// empty. Empty when the region has no shard.
     [[nodiscard]] std::string home(std::string_view job_id, std::string_view region) const;
 
+    /// Home shard in the first of the regions that has a shard, or among all shards when none has.
+    /// It does not depend on which schedulers are alive, so that a repeated submission finds it.
+    [[nodiscard]] std::string preferred_home(std::string_view job_id,
+                                             const std::vector<std::string>& regions) const;
+
     /// Region of the shard; empty when it is unknown.
     [[nodiscard]] std::string region_of(std::string_view shard) const;
 
--- a/source/programs/buckthornspar-scheduler/scheduler_application.cpp
+++ b/source/programs/buckthornspar-scheduler/scheduler_application.cpp
@@ -43,8 +43,7 @@
         policy.workloads[placement::workload_kind_names.value(kind)] = {
             {workload.scorer, workload.spread}, static_cast<std::uint32_t>(workload.max_attempts)};
     }
-    policy.max_tasks_per_job =
-        static_cast<std::uint32_t>(c.get(config::limit::max_tasks_per_job));
+    policy.max_tasks_per_job = static_cast<std::uint32_t>(c.get(config::limit::max_tasks_per_job));
     policy.max_pending_jobs_per_team =
         static_cast<std::size_t>(c.get(config::limit::max_pending_jobs_per_team));
     return policy;
--- a/source/programs/buckthornsparctl/commands.cpp
+++ b/source/programs/buckthornsparctl/commands.cpp
@@ -126,11 +126,17 @@
 
 ctl_call submit(const command_line& line) {
     no_operand(line);
+    ctl_call call;
     if (line.has("file")) {
-        return {json_request("/v1/jobs", read_file(line.get("file"))), ""};
+        call.request = json_request("/v1/jobs", read_file(line.get("file")));
+    } else {
+        call.id = line.get("id", random_id());
+        call.request = json_request("/v1/jobs", json::serialize(job_from_options(line, call.id)));
     }
-    const std::string id = line.get("id", random_id());
-    return {json_request("/v1/jobs", json::serialize(job_from_options(line, id))), id};
+    if (line.has("repeat")) {
+        call.request.fields.set("X-Repeat", "true");
+    }
+    return call;
 }
 
 ctl_call cancel(const command_line& line) {
@@ -285,7 +291,7 @@
         {"deadline-ms", '\0', "N", "submit, request: time until the work is no longer wanted"},
         {"non-idempotent", '\0', "", "submit, request: run at most once"},
         {"caller", '\0', "NAME", "request: whose limits apply"},
-        {"repeat", '\0', "", "request: this id may have been sent before"},
+        {"repeat", '\0', "", "submit, request: this id may have been sent before"},
         {"body", '\0', "TEXT", "request: body"},
         {"author", '\0', "NAME", "patch: who makes the change"},
         {"base", '\0', "N", "patch: version that the patch was made against"},
--- a/tests/process/job_driver.cpp
+++ b/tests/process/job_driver.cpp
@@ -42,6 +42,16 @@
     return m_cluster.http().post(m_cluster.at(entry).http, "/v1/jobs", job.to_json());
 }
 
+call_result job_driver::submit_repeated(const job_request& job, const std::string& entry) {
+    net::http_request request;
+    request.method = net::http_method::post;
+    request.target = "/v1/jobs";
+    request.fields.set("Content-Type", "application/json");
+    request.fields.set("X-Repeat", "true");
+    request.body = job.to_json();
+    return m_cluster.http().call(m_cluster.at(entry).http, request);
+}
+
 call_result job_driver::submit_until_settled(const job_request& job,
                                              std::chrono::milliseconds timeout) {
     call_result result;
--- a/tests/process/job_driver.h
+++ b/tests/process/job_driver.h
@@ -26,6 +26,8 @@
     explicit job_driver(cluster& c) : m_cluster(c) {}
 
     call_result submit(const job_request& job, const std::string& entry = "entry-1");
+    /// Says that the job may have been submitted before.
+    call_result submit_repeated(const job_request& job, const std::string& entry = "entry-1");
     /// Repeats the submission with the same id until a definite answer, as a caller does.
     call_result submit_until_settled(const job_request& job, std::chrono::milliseconds timeout);
     call_result cancel(const std::string& id);
--- a/tests/process/jobs_test.cpp
+++ b/tests/process/jobs_test.cpp
@@ -51,6 +51,19 @@
     BOOST_TEST(repeated(executions).empty());
 }
 
+// Guards against a repeated submission that runs a job again, or is not accepted although no shard
+// knows the job.
+BOOST_AUTO_TEST_CASE(repeated_submission_finds_the_job) {
+    const job_request job{.id = "again", .tasks = 2, .run_ms = 100};
+    BOOST_TEST(jobs.submit(job).status == 201U);
+    BOOST_REQUIRE(jobs.wait_state("again", "succeeded", 15s));
+    BOOST_TEST(jobs.submit_repeated(job, "entry-2").text("state") == "succeeded");
+    BOOST_TEST(of_job(task_executions(c), "again").size() == 2U);
+
+    BOOST_TEST(jobs.submit_repeated({.id = "lost", .tasks = 1, .run_ms = 100}).status == 201U);
+    BOOST_TEST(jobs.wait_state("lost", "succeeded", 15s));
+}
+
 // Guards against an idempotency key that hides a different job.
 BOOST_AUTO_TEST_CASE(same_id_with_other_content_is_refused) {
     BOOST_TEST(jobs.submit({.id = "key", .tasks = 1}).status == 201U);
--- a/tests/process/patches_test.cpp
+++ b/tests/process/patches_test.cpp
@@ -98,4 +98,50 @@
     BOOST_TEST(wait_until([&] { return in_force("config-1") == base + 1; }, 10s), c.logs());
 }
 
+// Guards against limits and policies of jobs that are versioned and distributed without effect, and
+// against a rule without effect that is accepted.
+BOOST_AUTO_TEST_CASE(job_limits_and_policies_apply) {
+    const auto change = [&](const std::string& id, const std::string& path,
+                            const json::value& value) {
+        const json::array changes{json::object{{"op", "set"}, {"path", path}, {"value", value}}};
+        return apply("config-1", json::serialize(json::object{{"id", id},
+                                                              {"author", "tester"},
+                                                              {"base_version", in_force()},
+                                                              {"changes", changes}}));
+    };
+    BOOST_TEST(change("limit", "limits/max_tasks_per_job", 2).status / 100 == 2U);
+    const json::object packed{{"scorer", "first_fit"}, {"spread", "rack"}, {"max_attempts", 2}};
+    BOOST_TEST(change("batch", "workload_policies/batch", packed).status / 100 == 2U);
+    BOOST_TEST(change("gang", "workload_policies/all_at_once", packed).status / 100 == 4U);
+
+    const auto submit = [&](const std::string& id, int tasks) {
+        return c.http().post(
+            c.at("entry-1").http, "/v1/jobs",
+            json::serialize(json::object{
+                {"id", id},
+                {"team", "t"},
+                {"kind", "batch"},
+                {"tasks", tasks},
+                {"run_ms", 100},
+                {"demand",
+                 json::object{{"cpu_milli", 100}, {"memory_mb", 10}, {"accelerators", 0}}}}));
+    };
+    int attempt = 0;
+    BOOST_TEST(wait_until(
+                   [&] {
+                       const auto large = submit("large-" + std::to_string(++attempt), 3);
+                       return large.status == 422 && large.text("error.type") == "job_too_large";
+                   },
+                   4s),
+               c.logs());
+    BOOST_TEST(submit("small", 2).status == 201U);
+    BOOST_TEST(wait_until(
+                   [&] {
+                       return c.http().get(c.at("entry-1").http, "/v1/jobs/small").text("state") ==
+                              "succeeded";
+                   },
+                   5s),
+               c.logs());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/placement/workload_settings_test.cpp
+++ b/tests/unit/placement/workload_settings_test.cpp
@@ -59,8 +59,7 @@
 BOOST_AUTO_TEST_CASE(batch_work_spreads_over_racks_when_told) {
     engine.set_workload(workload_kind::batch, {"best_fit", spread_rule::rack});
     submit(workload_kind::batch, "b", 8);
-    BOOST_TEST((start() ==
-                std::map<std::string, int>{{"r0", 2}, {"r1", 2}, {"r2", 2}, {"r3", 2}}));
+    BOOST_TEST((start() == std::map<std::string, int>{{"r0", 2}, {"r1", 2}, {"r2", 2}, {"r3", 2}}));
 }
 
 // Guards against a new rule that does not count the tasks that run already.
@@ -95,8 +94,7 @@
         engine.release(task, at(1s));
     }
     submit(workload_kind::batch, "b", 8);
-    BOOST_TEST((start() ==
-                std::map<std::string, int>{{"r0", 2}, {"r1", 2}, {"r2", 2}, {"r3", 2}}));
+    BOOST_TEST((start() == std::map<std::string, int>{{"r0", 2}, {"r1", 2}, {"r2", 2}, {"r3", 2}}));
 }
 
 // Guards against a scorer of one kind that is used for another, and against a scorer that does not
