--- a/source/core/scheduling/shard_engine_calls.cpp
+++ b/source/core/scheduling/shard_engine_calls.cpp
@@ -90,7 +90,7 @@
     if (m_ownership.state() == ownership_state::stepping_down) {
         return refuse(refusal::draining, "the scheduler is stopping", run_answer::not_run);
     }
-    if (const auto problem = check_limits(job)) {
+    if (auto problem = check_limits(job)) {
         return problem;
     }
     if (m_ownership.state() == ownership_state::active) {
