Find blocked lanes by level of demand instead of searching all of them

Blocked lanes now lie in cells by the levels of their demand. A lane that fits into the freed room competes while it is blocked and is tried alone, so that about one try a round fails: that of the task submitted in the round. Freed workers are compared one by one, up to 64 of them; above, all lanes that may fit are made ready, as before. The search for a worker skips empty rows, has the middles of the levels in a table, and scores no cell before it has found a worker.

Ruled out: keeping the lanes sorted by share, because the share of a team changes with each start and end; a search by team alone, because a room that fits nothing would visit each team of each class.

--- a/source/core/placement/bucket_index.cpp
+++ b/source/core/placement/bucket_index.cpp
@@ -10,6 +10,25 @@
 // Two bits after the leading one: four levels for each power of two.
 constexpr unsigned fraction_bits = 2;
 
+constexpr double middle_of(unsigned level) {
+    constexpr unsigned exact = 1U << fraction_bits;
+    if (level < exact) {
+        return level;
+    }
+    const unsigned shift = (level >> fraction_bits) - 1;
+    const auto lowest = static_cast<double>(exact + (level & (exact - 1)));
+    const auto width = static_cast<double>(std::uint64_t{1} << shift);
+    return (lowest + 0.5) * width - 0.5;
+}
+
+constexpr std::array<double, bucket_levels> middles_of_levels() {
+    std::array<double, bucket_levels> middles{};
+    for (unsigned level = 0; level < bucket_levels; ++level) {
+        middles[level] = middle_of(level);
+    }
+    return middles;
+}
+
 } // namespace
 
 unsigned bucket_level(std::int64_t units) {
@@ -24,14 +43,9 @@
 }
 
 double bucket_middle(unsigned level) {
-    constexpr unsigned exact = 1U << fraction_bits;
-    if (level < exact) {
-        return level;
-    }
-    const unsigned shift = (level >> fraction_bits) - 1;
-    const auto lowest = static_cast<double>(exact + (level & (exact - 1)));
-    const auto width = static_cast<double>(std::uint64_t{1} << shift);
-    return (lowest + 0.5) * width - 0.5;
+    // A search asks for the middles of each row and cell that it passes.
+    static constexpr auto middles = middles_of_levels();
+    return middles[level];
 }
 
 bucket_index::bucket_index() : m_planes(plane_count) {
--- a/source/core/placement/bucket_scorer.cpp
+++ b/source/core/placement/bucket_scorer.cpp
@@ -88,12 +88,16 @@
     std::uint64_t rows = m_index.rows(plane) & from_level(first_row);
     for (; rows != 0; rows &= rows - 1) {
         const auto row = static_cast<unsigned>(std::countr_zero(rows));
-        const double cpu = bucket_middle(row) * cpu_milli_per_unit;
         std::uint64_t columns = m_index.columns(plane, row) & from_level(first_column);
+        if (columns == 0) {
+            continue;
+        }
+        const double cpu = bucket_middle(row) * cpu_milli_per_unit;
         for (; columns != 0; columns &= columns - 1) {
             const auto column = static_cast<unsigned>(std::countr_zero(columns));
             const double memory = bucket_middle(column) * memory_mb_per_unit;
-            if (m_score(s.make_fit(cpu, memory)) < s.best) {
+            // Without a worker found so far each cell is searched, whatever its score.
+            if (!s.found || m_score(s.make_fit(cpu, memory)) < s.best) {
                 search_cell(s, m_index.cell(plane, row, column));
             }
         }
--- /dev/null
+++ b/source/core/placement/freed_room.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "core/placement/resources.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <vector>
+
+namespace buckthornspar::placement {
+
+/// What the workers that were freed since the last decision offer.
+class freed_room {
+public:
+    /// With more workers than this, as after a start, only the most that any of them offers of each
+    /// resource is known.
+    static constexpr std::size_t max_workers = 64;
+
+    void add(const resources& free) {
+        m_most.cpu_milli = std::max(m_most.cpu_milli, free.cpu_milli);
+        m_most.memory_mb = std::max(m_most.memory_mb, free.memory_mb);
+        m_most.accelerators = std::max(m_most.accelerators, free.accelerators);
+        if (m_workers.size() <= max_workers) {
+            m_workers.push_back(free);
+        }
+    }
+
+    [[nodiscard]] bool empty() const { return m_workers.empty(); }
+    [[nodiscard]] bool exact() const { return m_workers.size() <= max_workers; }
+    /// For each resource the most that a worker offers.
+    [[nodiscard]] const resources& most() const { return m_most; }
+
+    /// True when a worker can take the demand, or may when the room is not exact.
+    [[nodiscard]] bool fits(const resources& demand) const {
+        if (empty() || !demand.fits(m_most)) {
+            return false;
+        }
+        return !exact() || std::any_of(m_workers.begin(), m_workers.end(),
+                                       [&](const resources& free) { return demand.fits(free); });
+    }
+
+private:
+    resources m_most;
+    std::vector<resources> m_workers;
+};
+
+} // namespace buckthornspar::placement
--- a/source/core/placement/placement_decide.cpp
+++ b/source/core/placement/placement_decide.cpp
@@ -1,7 +1,6 @@
 #include "core/placement/placement_state.h"
 
 #include <algorithm>
-#include <limits>
 #include <tuple>
 #include <utility>
 
@@ -11,11 +10,6 @@
 
 /// More remembered demands than this cost more to compare than they save.
 constexpr std::size_t max_failed_demands = 32;
-/// Lanes that are unblocked together. The room of a worker that was freed is used up by a few
-/// tasks, and each lane that is unblocked in vain costs several set operations.
-constexpr std::size_t unblocked_lanes = 8;
-/// With more freed workers than this, as after a start, all lanes that may fit are unblocked.
-constexpr std::size_t max_freed_workers = 64;
 /// Shortest time between two attempts to start all-at-once jobs after capacity was freed. An
 /// attempt looks at each worker, about 45 us for 1,050 of them; at 10 ms it made a decision cost
 /// 6.7 us on average when a thousand tasks end each second.
@@ -28,18 +22,14 @@
     report_overdue(result);
     refresh_plan();
     apply_changes();
-    m_queue.start_round();
-    class_flags may_unblock{};
-    // Blocked work is older than most of what was submitted since, so that it competes for the
-    // freed room from the beginning.
-    unblock_for_room(may_unblock, true);
+    tidy_freed();
+    m_queue.start_round(room_of_freed());
     std::size_t started = 0;
     if (m_plan.strict() && m_plan.gang() != no_gang && max_assignments > 0) {
         started += start_gang(m_plan.gang(), result) ? 1 : 0;
     }
     class_flags gangs_untried = untried_gangs();
     while (started < max_assignments) {
-        unblock_for_room(may_unblock, false);
         const auto next = next_class(gangs_untried);
         if (!next) {
             break;
@@ -67,31 +57,26 @@
     return result;
 }
 
-void placement_engine::state::unblock_for_room(class_flags& may_unblock, bool first) {
-    for (std::size_t i = 0; i < priority_class_count; ++i) {
-        const auto c = static_cast<priority_class>(i);
-        if (!first && (!may_unblock[i] || m_queue.ready(c))) {
-            continue;
-        }
-        const auto room = freed_room();
-        const std::size_t limit = m_freed.size() > max_freed_workers
-                                      ? std::numeric_limits<std::size_t>::max()
-                                      : unblocked_lanes;
-        may_unblock[i] = room && m_queue.unblock_first(c, *room, limit);
+void placement_engine::state::tidy_freed() {
+    std::erase_if(m_freed, [this](worker_index worker) { return !m_workers[worker].usable(); });
+    std::sort(m_freed.begin(), m_freed.end());
+    m_freed.erase(std::unique(m_freed.begin(), m_freed.end()), m_freed.end());
+}
+
+void placement_engine::state::note_used(worker_index worker) {
+    // A room that is not exact is not searched.
+    if (m_freed.size() <= freed_room::max_workers &&
+        std::binary_search(m_freed.begin(), m_freed.end(), worker)) {
+        m_queue.set_room(room_of_freed());
     }
 }
 
-std::optional<resources> placement_engine::state::freed_room() const {
-    std::optional<resources> room;
+freed_room placement_engine::state::room_of_freed() const {
+    freed_room room;
     for (const worker_index worker : m_freed) {
-        if (!m_workers[worker].usable()) {
-            continue;
+        if (m_workers[worker].usable()) {
+            room.add(m_workers[worker].free());
         }
-        const resources free = m_workers[worker].free();
-        resources& most = room ? *room : room.emplace(free);
-        most.cpu_milli = std::max(most.cpu_milli, free.cpu_milli);
-        most.memory_mb = std::max(most.memory_mb, free.memory_mb);
-        most.accelerators = std::max(most.accelerators, free.accelerators);
     }
     return room;
 }
@@ -127,24 +112,23 @@
     return untried;
 }
 
-bool placement_engine::state::has_work(std::size_t c, const class_flags& gangs_untried) const {
+bool placement_engine::state::has_work(std::size_t c, const class_flags& gangs_untried) {
     return gangs_untried[c] || m_queue.ready(static_cast<priority_class>(c));
 }
 
 std::optional<priority_class>
-placement_engine::state::next_class(const class_flags& gangs_untried) const {
+placement_engine::state::next_class(const class_flags& gangs_untried) {
     std::optional<priority_class> highest;
     for (std::size_t c = 0; c < priority_class_count; ++c) {
-        if (!has_work(c, gangs_untried)) {
+        const bool may_go_before = m_credit[c] >= 100 - m_settings.lower_class_percent;
+        if ((highest && !may_go_before) || !has_work(c, gangs_untried)) {
             continue;
         }
         const auto named = static_cast<priority_class>(c);
-        if (highest && m_credit[c] >= 100 - m_settings.lower_class_percent) {
+        if (highest) {
             return named;
         }
-        if (!highest) {
-            highest = named;
-        }
+        highest = named;
     }
     return highest;
 }
@@ -180,6 +164,7 @@
     }
     m_queue.remove_started(task, m_now);
     promise(task, *choice.worker, m_now);
+    note_used(*choice.worker);
     keep_plan_informed(task);
     result.tasks.push_back({entry.request.task, m_workers[*choice.worker].info.id});
     return true;
@@ -272,6 +257,7 @@
     for (std::size_t i = 0; i < tasks.size(); ++i) {
         const worker_index worker = (*chosen)[i];
         promise(tasks[i], worker, m_now);
+        note_used(worker);
         keep_plan_informed(tasks[i]);
         started.tasks.push_back({m_tasks[tasks[i]].request.task, m_workers[worker].info.id});
     }
--- a/source/core/placement/placement_events.cpp
+++ b/source/core/placement/placement_events.cpp
@@ -270,9 +270,8 @@
         return m_gangs[gang].reason;
     }
     const wait_reason reason = m_queue.reason(*task);
-    const auto room = freed_room();
-    const bool outdated =
-        reason != wait_reason::quota_exceeded && room && m_tasks[*task].request.demand.fits(*room);
+    const bool outdated = reason != wait_reason::quota_exceeded &&
+                          room_of_freed().fits(m_tasks[*task].request.demand);
     return outdated ? wait_reason::queued : reason;
 }
 
--- a/source/core/placement/placement_state.h
+++ b/source/core/placement/placement_state.h
@@ -61,14 +61,16 @@
 
     // Decisions.
     void apply_fleet();
-    void unblock_for_room(class_flags& may_unblock, bool first);
-    [[nodiscard]] std::optional<resources> freed_room() const;
+    /// Leaves each usable worker in m_freed once, in order.
+    void tidy_freed();
+    [[nodiscard]] freed_room room_of_freed() const;
+    void note_used(worker_index worker);
     void remember_failed(const resources& demand);
     void apply_changes();
-    [[nodiscard]] std::optional<priority_class> next_class(const class_flags& gangs_untried) const;
+    [[nodiscard]] std::optional<priority_class> next_class(const class_flags& gangs_untried);
     void count_start(priority_class served, const class_flags& gangs_untried);
     [[nodiscard]] class_flags untried_gangs();
-    [[nodiscard]] bool has_work(std::size_t c, const class_flags& gangs_untried) const;
+    [[nodiscard]] bool has_work(std::size_t c, const class_flags& gangs_untried);
     bool place_front(priority_class c, decisions& result);
     placement_choice choose_worker(task_index task);
     [[nodiscard]] bool bound_by_plan(task_index task) const;
--- a/source/core/placement/task_queue.cpp
+++ b/source/core/placement/task_queue.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <bit>
 #include <functional>
+#include <utility>
 
 namespace buckthornspar::placement {
 
@@ -57,6 +58,9 @@
         l.blocked != wait_reason::none && (!goes_first || first_demand(l) == request.demand);
     if (stays_blocked || !goes_first) {
         l.tasks.insert(added);
+        if (goes_first) {
+            queue_of(l).blocked.set_first(index, added);
+        }
         return;
     }
     take_out(index);
@@ -94,68 +98,85 @@
     remove(task);
 }
 
-std::optional<task_index> task_queue::front(priority_class c) const {
-    const class_queue& queue = m_classes[static_cast<std::size_t>(c)];
+void task_queue::start_round(freed_room room) {
+    ++m_round;
+    m_room = std::move(room);
+    for (class_queue& queue : m_classes) {
+        queue.candidate.reset();
+        // Trying many lanes one after the other costs less when they are all made ready first.
+        queue.searched = m_room.empty() || !m_room.exact();
+        if (!m_room.exact()) {
+            unblock(queue.blocked.all_fitting(m_room));
+        }
+    }
+}
+
+void task_queue::set_room(freed_room room) {
+    m_room = std::move(room);
+    for (class_queue& queue : m_classes) {
+        search_again(queue);
+    }
+}
+
+void task_queue::search_again(class_queue& queue) {
+    if (queue.candidate) {
+        queue.candidate.reset();
+        queue.searched = false;
+    }
+}
+
+const std::optional<blocked_lanes::candidate>& task_queue::find_candidate(class_queue& queue) {
+    if (!queue.searched) {
+        queue.candidate = queue.blocked.first_fitting(m_room, m_round);
+        queue.searched = true;
+    }
+    return queue.candidate;
+}
+
+std::optional<task_index> task_queue::front(priority_class c) {
+    class_queue& queue = m_classes[static_cast<std::size_t>(c)];
+    const auto& candidate = find_candidate(queue);
     if (queue.teams.empty()) {
-        return std::nullopt;
+        return candidate ? std::optional(candidate->rank.first.task) : std::nullopt;
     }
-    const class_team& team = queue.by_team[queue.teams.begin()->team];
-    return team.lanes.begin()->first.task;
+    const team_rank& team = *queue.teams.begin();
+    const task_rank& first = queue.by_team[team.team].lanes.begin()->first;
+    const bool blocked_goes_first = candidate && candidate->rank < front_rank{team, first};
+    return blocked_goes_first ? candidate->rank.first.task : first.task;
+}
+
+bool task_queue::ready(priority_class c) {
+    class_queue& queue = m_classes[static_cast<std::size_t>(c)];
+    return !queue.teams.empty() || find_candidate(queue);
 }
 
 void task_queue::block(task_index task, wait_reason reason) {
     const lane_index index = m_places[task].lane;
-    remove_ready(index);
+    take_out(index);
     lane& l = m_lanes[index];
-    auto& blocked = queue_of(l).blocked;
+    class_queue& queue = queue_of(l);
     l.blocked = reason;
-    l.blocked_slot = blocked.size();
-    blocked.push_back({first_demand(l), *l.tasks.begin(), m_round, index, l.key.team, reason});
+    const team_index team = l.key.team;
+    queue.blocked.insert(index, {first_demand(l), *l.tasks.begin(), m_round, team, reason},
+                         m_quotas.share(team, m_fleet));
 }
 
 void task_queue::unblock(const queue_changes& changes) {
-    if (!changes.any()) {
-        return;
-    }
     for (class_queue& queue : m_classes) {
-        for (std::size_t i = queue.blocked.size(); i-- > 0;) {
-            const blocked_lane& b = queue.blocked[i];
-            if (!concerns(changes, b)) {
-                continue;
-            }
-            const lane_index index = b.lane;
-            remove_blocked(index);
-            add_ready(index);
+        for (const team_index team : changes.relieved_teams) {
+            unblock(queue.blocked.over_quota(team));
+        }
+        if (changes.plan_changed) {
+            unblock(queue.blocked.with_reason(wait_reason::gang_reserved));
         }
     }
 }
 
-bool task_queue::concerns(const queue_changes& changes, const blocked_lane& b) {
-    if (b.reason == wait_reason::quota_exceeded) {
-        const auto& relieved = changes.relieved_teams;
-        return std::binary_search(relieved.begin(), relieved.end(), b.team);
-    }
-    return b.reason == wait_reason::gang_reserved && changes.plan_changed;
-}
-
-bool task_queue::unblock_first(priority_class c, const resources& room, std::size_t limit) {
-    m_candidates.clear();
-    for (const blocked_lane& b : m_classes[static_cast<std::size_t>(c)].blocked) {
-        if (b.demand.fits(room) && b.round != m_round && b.reason != wait_reason::quota_exceeded) {
-            m_candidates.push_back({m_quotas.share(b.team, m_fleet), b.first, b.lane});
-        }
-    }
-    if (m_candidates.size() > limit) {
-        std::nth_element(
-            m_candidates.begin(), m_candidates.begin() + static_cast<std::ptrdiff_t>(limit),
-            m_candidates.end(), [](const candidate& x, const candidate& y) { return x < y; });
-        m_candidates.resize(limit);
-    }
-    for (const candidate& chosen : m_candidates) {
-        remove_blocked(chosen.lane);
-        add_ready(chosen.lane);
+void task_queue::unblock(const std::vector<lane_index>& lanes) {
+    for (const lane_index index : lanes) {
+        remove_blocked(index);
+        add_ready(index);
     }
-    return !m_candidates.empty();
 }
 
 wait_reason task_queue::reason(task_index task) const {
@@ -168,6 +189,8 @@
     m_fleet = fleet;
     const double share = m_quotas.share(team, fleet);
     for (class_queue& queue : m_classes) {
+        queue.blocked.set_share(team, share);
+        search_again(queue);
         if (team >= queue.by_team.size() || queue.by_team[team].lanes.empty()) {
             continue;
         }
@@ -189,29 +212,31 @@
             teams.insert({share, old.team});
         }
         queue.teams = std::move(teams);
+        for (const team_index team : queue.blocked.teams()) {
+            queue.blocked.set_share(team, m_quotas.share(team, fleet));
+        }
     }
 }
 
 std::optional<task_index> task_queue::longest_blocked(common::time_point before) const {
     std::optional<task_index> longest;
     for (const class_queue& queue : m_classes) {
-        for (const blocked_lane& b : queue.blocked) {
-            if (b.reason != wait_reason::no_capacity && b.reason != wait_reason::gang_reserved) {
-                continue;
-            }
-            const lane& l = m_lanes[b.lane];
-            const task_index task = l.tasks.begin()->task;
-            const auto since = std::max(m_tasks[task].request.submitted, l.last_start);
-            if (since < before) {
-                longest = task;
-                before = since;
+        for (const wait_reason reason : {wait_reason::no_capacity, wait_reason::gang_reserved}) {
+            for (const lane_index index : queue.blocked.with_reason(reason)) {
+                const lane& l = m_lanes[index];
+                const task_index task = l.tasks.begin()->task;
+                const auto since = std::max(m_tasks[task].request.submitted, l.last_start);
+                if (since < before) {
+                    longest = task;
+                    before = since;
+                }
             }
         }
     }
     return longest;
 }
 
-task_queue::task_rank task_queue::make_rank(task_index task) const {
+task_rank task_queue::make_rank(task_index task) const {
     const task_entry& entry = m_tasks[task];
     const task_request& request = entry.request;
     const auto due = request.deadline.value_or(request.submitted + due_without_deadline);
@@ -222,7 +247,7 @@
             entry.sequence, task};
 }
 
-task_queue::lane_index task_queue::lane_of(const lane_key& key) {
+lane_index task_queue::lane_of(const lane_key& key) {
     const auto next =
         static_cast<lane_index>(m_unused_lanes.empty() ? m_lanes.size() : m_unused_lanes.back());
     const auto [position, inserted] = m_lane_index.emplace(key, next);
@@ -268,10 +293,9 @@
 
 void task_queue::remove_blocked(lane_index index) {
     lane& l = m_lanes[index];
-    auto& blocked = queue_of(l).blocked;
-    blocked[l.blocked_slot] = blocked.back();
-    m_lanes[blocked[l.blocked_slot].lane].blocked_slot = l.blocked_slot;
-    blocked.pop_back();
+    class_queue& queue = queue_of(l);
+    search_again(queue);
+    queue.blocked.erase(index);
     l.blocked = wait_reason::none;
 }
 
--- a/source/core/placement/task_queue.h
+++ b/source/core/placement/task_queue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/placement/blocked_lanes.h"
 #include "core/placement/quota_ledger.h"
 #include "core/placement/task_table.h"
 
@@ -25,13 +26,12 @@
 ///
 /// Tasks that differ in demand by less than a level of the bucket index share a lane, and only the
 /// first one of a lane is tried. A lane whose first task found no worker is blocked until something
-/// changes that concerns it, so that a decision does not look at each waiting task. Within a class
-/// the team with the smallest share goes first, and within a team the lane with the earliest
+/// changes that concerns it, so that a decision does not look at each waiting task. A blocked lane
+/// that fits into the freed room of a round competes with the lanes that are not blocked. Within a
+/// class the team with the smallest share goes first, and within a team the lane with the earliest
 /// deadline.
 class task_queue {
 public:
-    using lane_index = std::uint32_t;
-
     task_queue(const task_table& tasks, const quota_ledger& quotas)
         : m_tasks(tasks), m_quotas(quotas) {}
 
@@ -41,21 +41,19 @@
     /// Removes a task that is started, and notes that its lane makes progress.
     void remove_started(task_index task, common::time_point now);
 
-    /// The task that goes first in the class, if any is not blocked.
-    [[nodiscard]] std::optional<task_index> front(priority_class c) const;
-    [[nodiscard]] bool ready(priority_class c) const {
-        return !m_classes[static_cast<std::size_t>(c)].teams.empty();
-    }
+    /// Begins a decision in which each blocked lane is tried once at most.
+    void start_round(freed_room room);
+    /// What was freed has shrunk by a start.
+    void set_room(freed_room room);
+
+    /// The task that goes first in the class, if any is not blocked or fits into the freed room.
+    [[nodiscard]] std::optional<task_index> front(priority_class c);
+    [[nodiscard]] bool ready(priority_class c);
 
     /// Blocks the lane of the task.
     void block(task_index task, wait_reason reason);
     void unblock(const queue_changes& changes);
 
-    /// Unblocks those lanes of the class that go first among the ones that may fit into the room,
-    /// and that were not blocked again since start_round(). Returns false when there are none. The
-    /// room holds for each resource the most that a worker offers.
-    bool unblock_first(priority_class c, const resources& room, std::size_t limit);
-    void start_round() { ++m_round; }
     [[nodiscard]] wait_reason reason(task_index task) const;
 
     /// Places the team anew after its share has changed.
@@ -70,25 +68,11 @@
     [[nodiscard]] std::size_t size() const { return m_size; }
 
 private:
-    struct task_rank {
-        common::time_point due;
-        /// Negative, so that of tasks that are due in the same second the larger goes first. Small
-        /// tasks then fill the gaps that large ones leave.
-        double negative_size = 0;
-        std::uint64_t sequence = 0;
-        task_index task = 0;
-        auto operator<=>(const task_rank&) const = default;
-    };
     struct lane_rank {
         task_rank first;
         lane_index lane = 0;
         auto operator<=>(const lane_rank&) const = default;
     };
-    struct team_rank {
-        double share = 0;
-        team_index team = 0;
-        auto operator<=>(const team_rank&) const = default;
-    };
     struct lane_key {
         workload_kind kind = workload_kind::batch;
         priority_class priority = priority_class::normal;
@@ -108,23 +92,6 @@
         std::set<task_rank> tasks;
         common::time_point last_start = common::time_point::min();
         wait_reason blocked = wait_reason::none;
-        /// Position in the list of blocked lanes of the class.
-        std::size_t blocked_slot = 0;
-    };
-    /// Has all that a search for candidates needs, because there can be thousands.
-    struct blocked_lane {
-        resources demand;
-        task_rank first;
-        std::uint64_t round = 0;
-        lane_index lane = 0;
-        team_index team = 0;
-        wait_reason reason = wait_reason::none;
-    };
-    struct candidate {
-        double share = 0;
-        task_rank first;
-        lane_index lane = 0;
-        auto operator<=>(const candidate&) const = default;
     };
     struct class_team {
         double share = 0;
@@ -133,7 +100,10 @@
     struct class_queue {
         std::set<team_rank> teams;
         std::vector<class_team> by_team;
-        std::vector<blocked_lane> blocked;
+        blocked_lanes blocked;
+        /// What a search found for the room; a search that found nothing holds for the round.
+        bool searched = false;
+        std::optional<blocked_lanes::candidate> candidate;
     };
 
     [[nodiscard]] task_rank make_rank(task_index task) const;
@@ -147,10 +117,15 @@
     void add_ready(lane_index index);
     void remove_ready(lane_index index);
     void remove_blocked(lane_index index);
+    /// Makes blocked lanes ready.
+    void unblock(const std::vector<lane_index>& lanes);
+    /// Drops the result of a search that may no longer be the first. That nothing fits holds for
+    /// the whole round, because the room only shrinks.
+    static void search_again(class_queue& queue);
+    const std::optional<blocked_lanes::candidate>& find_candidate(class_queue& queue);
     /// Takes the lane out of the ready or the blocked ones.
     void take_out(lane_index index);
     void erase_lane(lane_index index);
-    static bool concerns(const queue_changes& changes, const blocked_lane& b);
 
     const task_table& m_tasks;
     const quota_ledger& m_quotas;
@@ -165,7 +140,7 @@
     };
     /// By task_index.
     std::vector<place_in_queue> m_places;
-    std::vector<candidate> m_candidates;
+    freed_room m_room;
     std::uint64_t m_round = 0;
     std::size_t m_size = 0;
 };
