Keep the evidence of ended jobs against a failing worker

Cause: a worker is quarantined after three failures of jobs that succeed elsewhere, but when such a job had ended, forget_job() dropped what was known about it, and its failures no longer counted. A worker that fails each task and gets one every second, of jobs that are short, was never quarantined; it was only paused for 500 ms after each failure.

The test failures_of_ended_jobs_still_speak_against_the_worker failed before the change. A job that failed everywhere still speaks against no worker, and a success still clears the failures; each has a test, which passed before too.

--- a/source/core/scheduling/worker_health.cpp
+++ b/source/core/scheduling/worker_health.cpp
@@ -17,6 +17,7 @@
     if (position != m_workers.end()) {
         // The pause stays: it serves to try the failed job elsewhere.
         position->second.failures.clear();
+        position->second.failures_of_ended_jobs = 0;
         position->second.level = 0;
     }
 }
@@ -40,9 +41,26 @@
     return health_verdict::none;
 }
 
+void worker_health::forget_job(const std::string& job) {
+    const auto position = m_jobs.find(job);
+    if (position == m_jobs.end()) {
+        return;
+    }
+    const job_entry& j = position->second;
+    for (const std::string& worker : j.failed_on) {
+        worker_entry& w = m_workers.at(worker);
+        const auto failures = w.failures.extract(job);
+        if (!failures.empty() && !j.succeeded_on.empty() && !j.succeeded_on.contains(worker)) {
+            w.failures_of_ended_jobs += failures.mapped();
+        }
+    }
+    m_jobs.erase(position);
+}
+
 unsigned worker_health::evidence_against(const std::string& worker) const {
-    unsigned evidence = 0;
-    for (const auto& [job, failures] : m_workers.at(worker).failures) {
+    const worker_entry& w = m_workers.at(worker);
+    unsigned evidence = w.failures_of_ended_jobs;
+    for (const auto& [job, failures] : w.failures) {
         const auto position = m_jobs.find(job);
         if (position == m_jobs.end()) {
             continue;
@@ -66,6 +84,7 @@
     w.quarantined_until = now + length;
     ++w.level;
     w.failures.clear();
+    w.failures_of_ended_jobs = 0;
     // What failed here says nothing about the jobs.
     for (auto& [job, j] : m_jobs) {
         j.failed_on.erase(worker);
--- a/source/core/scheduling/worker_health.h
+++ b/source/core/scheduling/worker_health.h
@@ -34,7 +34,8 @@
     void record_success(const std::string& worker, const std::string& job);
     [[nodiscard]] health_verdict record_failure(const std::string& worker, const std::string& job,
                                                 common::time_point now);
-    void forget_job(const std::string& job) { m_jobs.erase(job); }
+    /// The job has ended. Its failures still speak against workers when it succeeded elsewhere.
+    void forget_job(const std::string& job);
 
     /// True while the worker is paused or quarantined.
     [[nodiscard]] bool excluded(const std::string& worker, common::time_point now) const;
@@ -46,6 +47,8 @@
     struct worker_entry {
         /// Failures by job since the last success.
         std::map<std::string, unsigned> failures;
+        /// Failures since the last success of jobs that have ended and succeeded elsewhere.
+        unsigned failures_of_ended_jobs = 0;
         /// Quarantines without a success since.
         unsigned level = 0;
         common::time_point paused_until;
--- /dev/null
+++ b/tests/unit/scheduling/worker_health_test.cpp
@@ -0,0 +1,62 @@
+#include "core/scheduling/worker_health.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+
+using namespace buckthornspar;
+using namespace buckthornspar::scheduling;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(worker_health_rules)
+
+namespace {
+
+common::time_point at(common::duration since_start) {
+    return common::time_point{since_start};
+}
+
+std::string job(int i) {
+    return "job" + std::to_string(i);
+}
+
+} // namespace
+
+// Guards against a worker that is never quarantined because each job that it fails succeeds
+// elsewhere and ends before the next one fails.
+BOOST_AUTO_TEST_CASE(failures_of_ended_jobs_still_speak_against_the_worker) {
+    worker_health health{worker_health_settings{}};
+    auto verdict = health_verdict::none;
+    for (int i = 0; i < 3; ++i) {
+        BOOST_TEST((verdict == health_verdict::none));
+        verdict = health.record_failure("bad", job(i), at(i * 1s));
+        health.record_success("good", job(i));
+        health.forget_job(job(i));
+    }
+    BOOST_TEST((verdict == health_verdict::quarantine_worker));
+}
+
+// Guards against a worker that is quarantined for jobs that failed everywhere and are ended.
+BOOST_AUTO_TEST_CASE(ended_jobs_that_failed_everywhere_do_not_speak_against_a_worker) {
+    worker_health health{worker_health_settings{}};
+    for (int i = 0; i < 5; ++i) {
+        for (const std::string worker : {"a", "b", "c"}) {
+            BOOST_TEST((health.record_failure(worker, job(i), at(i * 1s)) !=
+                        health_verdict::quarantine_worker));
+        }
+        health.forget_job(job(i));
+    }
+}
+
+// Guards against old failures that count after the worker has shown that it works.
+BOOST_AUTO_TEST_CASE(a_success_clears_the_failures_of_ended_jobs) {
+    worker_health health{worker_health_settings{}};
+    for (int i = 0; i < 5; ++i) {
+        BOOST_TEST((health.record_failure("worker", job(i), at(i * 1s)) == health_verdict::none));
+        health.record_success("other", job(i));
+        health.forget_job(job(i));
+        health.record_success("worker", "other job");
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
