Measure the waiting time under faults

`buckthornspar-bench waiting` runs its patterns with no fault and with workers that return, a lost rack, a worker that fails all tasks, wrong declarations, a wave of cancellations, a slow or absent store, and an owner that dies.

The setting `failures` is now the number of workers of the fault `returning`. A wait counts until the worker's acceptance, and includes the acceptance of the submission; it was 0 at low load before.

--- a/source/programs/buckthornspar-bench/cell_simulation.cpp
+++ b/source/programs/buckthornspar-bench/cell_simulation.cpp
@@ -8,6 +8,15 @@
 
 using placement::resources;
 
+namespace {
+
+/// A worker that fails all tasks does so this long after the start.
+constexpr auto time_to_fail = std::chrono::milliseconds(100);
+/// Of the workers for which the processors in use matter.
+constexpr double worker_cpu_milli = 64 * cores;
+
+} // namespace
+
 std::vector<placement::worker_info> make_workers(std::size_t count, const resources& capacity,
                                                  const std::string& prefix) {
     constexpr std::size_t workers_per_rack = 8;
@@ -57,17 +66,22 @@
                     share(demand.memory_mb, capacity.memory_mb));
 }
 
-void cell_simulation::add_task(placement::task_request request, common::duration real_run) {
-    const std::string name = request.task;
-    m_events.emplace(request.submitted, event{event_kind::submission, name});
-    m_tasks[name] = {std::move(request), real_run, {}};
+void cell_simulation::schedule(common::time_point at, event_kind kind, const std::string& name,
+                               std::uint64_t number) {
+    m_events.emplace(at, event{kind, name, number});
+}
+
+void cell_simulation::add_workers(const std::vector<placement::worker_info>& workers) {
+    for (const placement::worker_info& worker : workers) {
+        m_workers[worker.id] = worker;
+        m_engine.upsert_worker(worker);
+    }
 }
 
-void cell_simulation::add_failure(common::time_point at, const placement::worker_info& worker,
-                                  common::duration outage) {
-    m_failing[worker.id] = worker;
-    m_events.emplace(at, event{event_kind::failure, worker.id});
-    m_events.emplace(at + outage, event{event_kind::recovery, worker.id});
+void cell_simulation::add_task(placement::task_request request, const task_truth& truth) {
+    const std::string name = request.task;
+    schedule(request.submitted + m_delays.submission, event_kind::submission, name);
+    m_tasks[name] = {std::move(request), truth, {}};
 }
 
 common::time_point cell_simulation::run() {
@@ -76,44 +90,94 @@
         while (!m_events.empty() && m_events.begin()->first == m_now) {
             const event next = m_events.begin()->second;
             m_events.erase(m_events.begin());
-            process(next);
+            if (waits_for_owner(next.kind)) {
+                schedule(m_owner_returns, next.kind, next.name, next.number);
+            } else {
+                process(next);
+            }
+        }
+        if (m_now >= m_owner_returns) {
+            decide();
         }
-        decide();
     }
     return m_now;
 }
 
+bool cell_simulation::waits_for_owner(event_kind kind) const {
+    const bool without_owner = kind == event_kind::submission ||
+                               kind == event_kind::worker_failure ||
+                               kind == event_kind::rack_failure || kind == event_kind::fault ||
+                               kind == event_kind::owner_loss;
+    return m_now < m_owner_returns && !without_owner;
+}
+
 void cell_simulation::process(const event& e) {
+    switch (e.kind) {
+    case event_kind::cancellations:
+        return cancel(e.number);
+    case event_kind::owner_loss:
+        m_owner_returns = m_now + common::duration(static_cast<std::int64_t>(e.number));
+        return schedule(m_owner_returns, event_kind::owner_return);
+    case event_kind::owner_return:
+        return;
+    case event_kind::acceptance:
+        return e.number == m_acceptance_number ? accept() : void();
+    case event_kind::submission:
+    case event_kind::end:
+    case event_kind::task_failure:
+        return process_task_event(e);
+    default:
+        return process_worker_event(e);
+    }
+}
+
+void cell_simulation::process_task_event(const event& e) {
     if (e.kind == event_kind::submission) {
-        m_engine.submit(m_tasks.at(e.name).request);
-    } else if (e.kind == event_kind::failure) {
-        fail(e.name);
-    } else if (e.kind == event_kind::recovery) {
-        m_engine.upsert_worker(m_failing.at(e.name));
+        submit(e.name);
+    } else if (e.kind == event_kind::end) {
+        end(e.name, e.number);
     } else {
-        const auto task = m_tasks.find(e.name);
-        if (task != m_tasks.end() && task->second.attempt == e.attempt) {
-            m_engine.release(e.name, m_now);
-            m_tasks.erase(task);
-        }
+        fail_task(e.name, e.number);
     }
 }
 
-void cell_simulation::fail(const std::string& worker) {
-    m_engine.remove_worker(worker);
-    std::vector<std::string> lost;
-    for (auto& [name, task] : m_tasks) {
-        if (task.worker == worker) {
-            lost.push_back(name);
-        }
+void cell_simulation::submit(const std::string& task) {
+    if (!m_acceptance) {
+        m_tasks.at(task).submitted = true;
+        m_engine.submit(m_tasks.at(task).request);
+    } else if (!m_acceptance->add(task, m_now)) {
+        refuse(task);
+    } else {
+        schedule_acceptance(m_now);
     }
-    // The order of a hash table must not decide the order of the queue.
-    std::sort(lost.begin(), lost.end());
-    for (const std::string& name : lost) {
-        running_task& task = m_tasks.at(name);
-        ++task.attempt;
-        task.worker.clear();
-        m_engine.requeue(name);
+}
+
+void cell_simulation::schedule_acceptance(common::time_point at) {
+    if (!m_acceptance_due || at < *m_acceptance_due) {
+        m_acceptance_due = at;
+        schedule(at, event_kind::acceptance, {}, ++m_acceptance_number);
+    }
+}
+
+void cell_simulation::refuse(const std::string& task) {
+    schedule(m_now + m_delays.resubmission, event_kind::submission, task);
+    if (m_on_refusal) {
+        m_on_refusal(task, m_now);
+    }
+}
+
+void cell_simulation::accept() {
+    m_acceptance_due.reset();
+    const auto result = m_acceptance->step(m_now);
+    for (const std::string& task : result.accepted) {
+        m_tasks.at(task).submitted = true;
+        m_engine.submit(m_tasks.at(task).request);
+    }
+    for (const std::string& task : result.refused) {
+        refuse(task);
+    }
+    if (const auto next = m_acceptance->next_step()) {
+        schedule_acceptance(*next);
     }
 }
 
@@ -134,10 +198,52 @@
     task.worker = a.worker;
     ++m_starts;
     m_engine.confirm_started(a.task, m_now);
-    m_events.emplace(m_now + task.real_run, event{event_kind::end, a.task, task.attempt});
+    const auto started = m_now + m_delays.start;
+    const common::duration run = run_on(a.worker, task.truth);
+    if (m_down.contains(a.worker)) {
+        return;
+    }
+    if (m_faulty.contains(a.worker)) {
+        schedule(started + time_to_fail, event_kind::task_failure, a.task, task.attempt);
+        return;
+    }
+    schedule(started + run, event_kind::end, a.task, task.attempt);
     if (m_on_start) {
-        m_on_start(a.task, m_now);
+        m_on_start(a.task, started);
+    }
+}
+
+common::duration cell_simulation::run_on(const std::string& worker, const task_truth& truth) {
+    if (truth.cpu_milli == 0) {
+        return truth.run;
+    }
+    std::int64_t& used = m_used_cpu[worker];
+    used += truth.cpu_milli;
+    const double slowdown = std::max(1.0, static_cast<double>(used) / worker_cpu_milli);
+    return common::duration(
+        static_cast<std::int64_t>(slowdown * static_cast<double>(truth.run.count())));
+}
+
+void cell_simulation::end(const std::string& name, std::uint64_t attempt) {
+    const auto task = m_tasks.find(name);
+    if (task == m_tasks.end() || task->second.attempt != attempt) {
+        return;
+    }
+    if (!m_faulty.empty()) {
+        m_health.record_success(task->second.worker, task->second.request.job);
+        m_health.forget_job(task->second.request.job);
+    }
+    leave_worker(task->second);
+    m_engine.release(name, m_now);
+    m_tasks.erase(task);
+}
+
+void cell_simulation::leave_worker(running_task& task) {
+    if (task.truth.cpu_milli > 0) {
+        m_used_cpu[task.worker] -= task.truth.cpu_milli;
     }
+    task.worker.clear();
+    ++task.attempt;
 }
 
 } // namespace buckthornspar::bench
--- a/source/programs/buckthornspar-bench/packing.cpp
+++ b/source/programs/buckthornspar-bench/packing.cpp
@@ -194,7 +194,7 @@
             auto request = make_request(i, tasks[i]);
             request.submitted = common::time_point{common::duration(static_cast<std::int64_t>(
                 random.unit() * static_cast<double>(common::duration(length).count())))};
-            cell.add_task(request, tasks[i].run);
+            cell.add_task(request, {tasks[i].run});
         }
         use_meter meter{common::time_point{warm_up}, common::time_point{length}};
         cell.on_start([&](const std::string& task, common::time_point now) {
