Test patches and requests with real processes in three regions

The process tests ran in one region without latency, so that nothing showed what a cut between regions does to the real programs. The stand-in standin-link relays TCP with a one-way delay, counts the payload of each direction and can cut, silence and open its relays over HTTP. The cluster of the process tests gets regions: each has its own instance list, which shows the processes of other regions, and the store if it is elsewhere, at relays of 20 ms one way.

Ruled out: a delay in the programs or in the HTTP stand-ins only (the peer protocol would not be delayed, and a delay cannot show a connection that stays open and carries nothing).

--- a/tests/process/cluster.cpp
+++ b/tests/process/cluster.cpp
@@ -3,6 +3,7 @@
 #include <boost/json.hpp>
 
 #include <fstream>
+#include <sstream>
 #include <stdexcept>
 #include <thread>
 #include <utility>
@@ -29,31 +30,49 @@
     return (id.back() - '0') % 2 == 0 ? "rack-2" : "rack-1";
 }
 
+std::string place_of(const std::string& region) {
+    return "p" + region.substr(1);
+}
+
 } // namespace
 
 cluster::cluster(cluster_options options) : m_options(std::move(options)) {
-    start_standin("store", "store", {});
-    start_standin("list", "list", {});
-    for (int i = 1; i <= m_options.workers; ++i) {
-        start_standin("worker", numbered("worker", i), {"--id", numbered("worker", i)});
+    start_standin("store", "store", "r1", {});
+    for (int i = 1; i <= m_options.regions; ++i) {
+        start_standin("list", list_of(region_of(i)), region_of(i), {});
     }
-    for (int i = 1; i <= m_options.runners; ++i) {
-        start_standin(
-            "runner", numbered("runner", i),
-            {"--id", numbered("runner", i), "--slots", std::to_string(m_options.runner_slots)});
+    if (m_options.regions > 1) {
+        start_standin("link", "link", "",
+                      {"--delay-ms", std::to_string(m_options.one_way_delay_ms)});
+        m_links = std::make_unique<region_links>(m_http, at("link").http);
     }
+    start_targets();
     const std::vector<std::pair<std::string, int>> servers{{"config", m_options.configs},
                                                            {"scheduler", m_options.schedulers},
                                                            {"entry", m_options.entries}};
     for (const auto& [role, count] : servers) {
         for (int i = 1; i <= count; ++i) {
-            start_server(role, numbered(role, i));
+            start_server(role, numbered(role, i), region_of(i));
         }
     }
-    publish_instances();
+    for (int i = 1; i <= m_options.regions; ++i) {
+        publish_instances(region_of(i));
+    }
     wait_ready();
 }
 
+void cluster::start_targets() {
+    for (int i = 1; i <= m_options.workers; ++i) {
+        const std::string id = numbered("worker", i);
+        start_standin("worker", id, region_of(i), {"--id", id});
+    }
+    for (int i = 1; i <= m_options.runners; ++i) {
+        const std::string id = numbered("runner", i);
+        start_standin("runner", id, region_of(i),
+                      {"--id", id, "--slots", std::to_string(m_options.runner_slots)});
+    }
+}
+
 cluster::~cluster() {
     for (auto& [id, m] : m_members) {
         m.process.kill();
@@ -74,6 +93,29 @@
     return found;
 }
 
+std::vector<member*> cluster::servers_in(const std::string& region) {
+    std::vector<member*> found;
+    for (auto& [id, m] : m_members) {
+        if (is_server(m.role) && m.region == region) {
+            found.push_back(&m);
+        }
+    }
+    return found;
+}
+
+std::string cluster::region_of(int number) const {
+    return "r" + std::to_string(1 + (number - 1) % m_options.regions);
+}
+
+std::string cluster::list_of(const std::string& region) const {
+    return region == "r1" ? "list" : "list-" + region.substr(1);
+}
+
+net::endpoint cluster::reach(const std::string& from, const std::string& to,
+                             const net::endpoint& target) {
+    return from == to ? target : m_links->relay(from, to, target);
+}
+
 void cluster::restart(const std::string& id) {
     member& m = at(id);
     m.process.kill();
@@ -90,9 +132,11 @@
 
 void cluster::show_leaving(const std::string& id) {
     const json::object change{{"id", id}, {"state", "leaving"}};
-    const auto result = m_http.post(at("list").http, "/v1/instances", json::serialize(change));
-    if (result.status != 200) {
-        throw std::runtime_error("list: " + result.body + result.failure);
+    for (const member* const list : of_role("list")) {
+        const auto result = m_http.post(list->http, "/v1/instances", json::serialize(change));
+        if (result.status != 200) {
+            throw std::runtime_error("list: " + result.body + result.failure);
+        }
     }
 }
 
@@ -111,43 +155,56 @@
 }
 
 void cluster::start_standin(const std::string& role, const std::string& id,
-                            std::vector<std::string> arguments) {
+                            const std::string& region, std::vector<std::string> arguments) {
     arguments.insert(arguments.end(), {"--listen", "127.0.0.1:0"});
     child_process process("standin-" + role, arguments, log_path(id));
     const auto address = process.wait_for_address();
-    m_members.emplace(id, member{id, role, address, {}, std::move(process)});
+    m_members.emplace(id, member{id, role, region, address, {}, std::move(process)});
 }
 
-void cluster::start_server(const std::string& role, const std::string& id) {
+void cluster::start_server(const std::string& role, const std::string& id,
+                           const std::string& region) {
     const net::endpoint http{"127.0.0.1", m_ports.take()};
     const net::endpoint peer{"127.0.0.1", m_ports.take()};
     const std::string path = m_directory.file(id + ".yaml");
     std::ofstream file(path);
-    file << "id: " << id << "\nregion: r1\nplace: p1\nlisten: " << net::to_string(http)
-         << "\npeer_listen: " << net::to_string(peer) << "\nstore: {address: \""
-         << net::to_string(at("store").http) << "\"}\ninstances: {address: \""
-         << net::to_string(at("list").http) << "\"}\ninstance_poll_ms: 200\nheartbeat_ms: 200\n"
-         << "shards:\n  - {id: s1, region: r1, places: [p1]}\n";
+    file << settings_text(id, region, http, peer);
     const auto extra = m_options.extra_settings.find(role);
     if (extra != m_options.extra_settings.end()) {
         file << extra->second;
     }
     file.close();
     child_process process("buckthornspar-" + role, {"--config", path}, log_path(id));
-    m_members.emplace(id, member{id, role, http, peer, std::move(process)});
+    m_members.emplace(id, member{id, role, region, http, peer, std::move(process)});
+}
+
+std::string cluster::settings_text(const std::string& id, const std::string& region,
+                                   const net::endpoint& http, const net::endpoint& peer) {
+    std::ostringstream text;
+    text << "id: " << id << "\nregion: " << region << "\nplace: " << place_of(region)
+         << "\nlisten: " << net::to_string(http) << "\npeer_listen: " << net::to_string(peer)
+         << "\nstore: {address: \"" << net::to_string(reach(region, "r1", at("store").http))
+         << "\"}\ninstances: {address: \"" << net::to_string(at(list_of(region)).http)
+         << "\"}\ninstance_poll_ms: " << m_options.instance_poll_ms
+         << "\nheartbeat_ms: " << m_options.heartbeat_ms << "\nshards:\n";
+    for (int i = 1; i <= m_options.regions; ++i) {
+        text << "  - {id: s" << i << ", region: r" << i << ", places: [p" << i << "]}\n";
+    }
+    return text.str();
 }
 
-void cluster::publish_instances() {
+void cluster::publish_instances(const std::string& region) {
     json::array instances;
     for (const auto& [id, m] : m_members) {
-        if (m.role == "store" || m.role == "list") {
+        if (m.role == "store" || m.role == "list" || m.role == "link") {
             continue;
         }
+        const auto address = reach(region, m.region, is_server(m.role) ? m.peer : m.http);
         json::object instance{{"id", id},
                               {"role", m.role},
-                              {"address", net::to_string(is_server(m.role) ? m.peer : m.http)},
-                              {"place", "p1"},
-                              {"region", "r1"},
+                              {"address", net::to_string(address)},
+                              {"place", place_of(m.region)},
+                              {"region", m.region},
                               {"rack", rack_of(id)},
                               {"state", "live"}};
         if (m.role == "runner") {
@@ -157,7 +214,8 @@
         instances.push_back(std::move(instance));
     }
     const json::object body{{"instances", std::move(instances)}};
-    const auto result = m_http.put(at("list").http, "/v1/instances", json::serialize(body));
+    const auto result =
+        m_http.put(at(list_of(region)).http, "/v1/instances", json::serialize(body));
     if (result.status != 200) {
         throw std::runtime_error("list: " + result.body + result.failure);
     }
--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -3,11 +3,13 @@
 #include "process/child_process.h"
 #include "process/http_caller.h"
 #include "process/port_reservation.h"
+#include "process/region_links.h"
 #include "process/temporary_directory.h"
 
 #include <chrono>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -20,6 +22,13 @@
     int schedulers = 2;
     int configs = 1;
     int runner_slots = 8;
+    /// Regions r1, r2, ... with the place p1, p2, ... and the shard s1, s2, ... each. Number n of a
+    /// role is in region 1 + (n - 1) % regions. Each region has an instance list, which shows the
+    /// processes of other regions at relays. The store is in r1.
+    int regions = 1;
+    int one_way_delay_ms = 20;
+    int instance_poll_ms = 200;
+    int heartbeat_ms = 200;
     /// YAML lines added to the settings of a role, for example {"scheduler", "lease_ms: 3000\n"}.
     std::map<std::string, std::string> extra_settings = {};
 };
@@ -28,6 +37,7 @@
 struct member {
     std::string id;
     std::string role;
+    std::string region;
     net::endpoint http;
     /// Address of the peer protocol; servers only.
     net::endpoint peer;
@@ -43,10 +53,14 @@
     cluster(const cluster&) = delete;
     cluster& operator=(const cluster&) = delete;
 
-    /// Members are named by role and number from 1: "worker-1", "entry-2", "store", "list".
+    /// Members are named by role and number from 1: "worker-1", "entry-2", "store", "list"; the
+    /// lists of further regions are "list-2" and so on, the stand-in of the links is "link".
     [[nodiscard]] member& at(const std::string& id);
     [[nodiscard]] std::vector<member*> of_role(const std::string& role);
+    [[nodiscard]] std::vector<member*> servers_in(const std::string& region);
     [[nodiscard]] http_caller& http() { return m_http; }
+    /// Links between the regions; only with more than one region.
+    [[nodiscard]] region_links& links() { return *m_links; }
 
     /// Starts a server again with its old settings.
     void restart(const std::string& id);
@@ -59,10 +73,18 @@
     [[nodiscard]] std::string log_path(const std::string& id) const;
 
 private:
-    void start_standin(const std::string& role, const std::string& id,
+    void start_standin(const std::string& role, const std::string& id, const std::string& region,
                        std::vector<std::string> arguments);
-    void start_server(const std::string& role, const std::string& id);
-    void publish_instances();
+    void start_targets();
+    void start_server(const std::string& role, const std::string& id, const std::string& region);
+    [[nodiscard]] std::string settings_text(const std::string& id, const std::string& region,
+                                            const net::endpoint& http, const net::endpoint& peer);
+    [[nodiscard]] std::string region_of(int number) const;
+    [[nodiscard]] std::string list_of(const std::string& region) const;
+    /// Address at which the region reaches a target in its own or another region.
+    [[nodiscard]] net::endpoint reach(const std::string& from, const std::string& to,
+                                      const net::endpoint& target);
+    void publish_instances(const std::string& region);
     void wait_ready();
     void wait_ready(member& server);
 
@@ -70,6 +92,7 @@
     port_reservation m_ports;
     temporary_directory m_directory;
     http_caller m_http;
+    std::unique_ptr<region_links> m_links;
     std::map<std::string, member> m_members;
 };
 
--- /dev/null
+++ b/tests/process/regions_test.cpp
@@ -0,0 +1,175 @@
+#define BOOST_TEST_MODULE process_regions
+#include "process/cluster.h"
+#include "process/execution_log.h"
+#include "process/job_driver.h"
+#include "process/request_driver.h"
+#include "process/version_log.h"
+
+#include <boost/json.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <future>
+#include <thread>
+
+using namespace buckthornspar::process_test;
+using namespace std::chrono_literals;
+namespace json = boost::json;
+
+namespace {
+
+/// Time within which an accepted version is in force everywhere, also after a heal.
+constexpr auto in_force_limit = 4s;
+/// The entry gives up on a call to a scheduler after 5 s and a config process on a patch.
+constexpr auto answer_limit = 5500ms;
+
+struct timed_answer {
+    call_result result;
+    std::chrono::steady_clock::duration took{};
+};
+
+struct regions_fixture {
+    regions_fixture()
+        : c({.workers = 3,
+             .runners = 3,
+             .entries = 3,
+             .schedulers = 3,
+             .configs = 3,
+             .regions = 3,
+             .instance_poll_ms = 500,
+             .heartbeat_ms = 1000}),
+          jobs(c) {}
+
+    // Guards in every test against a process that goes back to a lower version.
+    ~regions_fixture() {
+        for (const std::string region : {"r1", "r2", "r3"}) {
+            for (const member* const server : c.servers_in(region)) {
+                const auto seen = versions_seen(server->process.log());
+                const auto lower =
+                    std::adjacent_find(seen.begin(), seen.end(), [](const auto& a, const auto& b) {
+                        return b.version <= a.version;
+                    });
+                BOOST_TEST((lower == seen.end()), server->id << server->process.log());
+            }
+        }
+    }
+
+    std::int64_t version_at(const std::string& config) {
+        const auto version = c.http().get(c.at(config).http, "/v1/config/in-force").text("version");
+        return version.empty() ? -1 : std::stoll(version);
+    }
+
+    call_result patch(const std::string& config, std::int64_t base) {
+        const json::object value{
+            {"cpu_milli", 1000 + base}, {"memory_mb", 1024}, {"accelerators", 0}};
+        const json::array changes{
+            json::object{{"op", "set"}, {"path", "quotas/team"}, {"value", value}}};
+        const json::object body{{"id", config + "-" + std::to_string(base)},
+                                {"author", "tester"},
+                                {"base_version", base},
+                                {"changes", changes}};
+        return c.http().post(c.at(config).http, "/v1/config/patches", json::serialize(body));
+    }
+
+    bool in_force(const std::string& region, std::int64_t version) {
+        const auto servers = c.servers_in(region);
+        return std::all_of(servers.begin(), servers.end(), [&](const member* server) {
+            return last_version(server->process.log()) >= version;
+        });
+    }
+
+    bool in_force_within(std::chrono::milliseconds limit, const std::vector<std::string>& regions,
+                         std::int64_t version) {
+        return wait_until(
+            [&] {
+                return std::all_of(regions.begin(), regions.end(),
+                                   [&](const auto& region) { return in_force(region, version); });
+            },
+            limit);
+    }
+
+    call_result request(const std::string& entry) {
+        const auto id = entry + "-" + std::to_string(++requests);
+        return c.http().call(c.at(entry).http, to_request({id}));
+    }
+
+    // Makes the call on another thread.
+    static std::future<timed_answer> begin(std::function<call_result()> call) {
+        return std::async(std::launch::async, [call = std::move(call)] {
+            const auto start = std::chrono::steady_clock::now();
+            timed_answer answer{call(), {}};
+            answer.took = std::chrono::steady_clock::now() - start;
+            return answer;
+        });
+    }
+
+    // The caller learns in time what happened.
+    static void check_typed_refusal(const timed_answer& answer) {
+        const auto& result = answer.result;
+        BOOST_TEST(result.status >= 500U, result.status << result.body << result.failure);
+        BOOST_TEST(!result.text("error.type").empty(), result.body);
+        BOOST_TEST((answer.took < answer_limit), result.body << answer.took.count() << " ns");
+    }
+
+    cluster c;
+    job_driver jobs;
+    int requests = 0;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(regions_test, regions_fixture)
+
+// Guards against a version that does not leave the region in which it was accepted.
+BOOST_AUTO_TEST_CASE(patch_is_in_force_in_all_regions_within_4_s) {
+    for (const std::string config : {"config-2", "config-1", "config-3"}) {
+        const auto base = version_at(config);
+        const auto result = patch(config, base);
+        BOOST_REQUIRE_MESSAGE(result.status / 100 == 2U, result.body);
+        BOOST_TEST(in_force_within(in_force_limit, {"r1", "r2", "r3"}, base + 1), c.logs());
+    }
+}
+
+// Guards against a region that, after a cut, waits for a timer instead of catching up, takes only
+// the newest of the versions that it missed without its predecessors, or falls back to an older
+// one.
+BOOST_AUTO_TEST_CASE(region_cut_off_for_20_s_catches_up_within_4_s_of_the_heal) {
+    auto version = version_at("config-1");
+    const auto before_cut = version;
+    BOOST_REQUIRE(in_force_within(in_force_limit, {"r3"}, before_cut));
+    c.links().cut("r3");
+    const auto heal_at = std::chrono::steady_clock::now() + 20s;
+    auto refused = begin([&] { return patch("config-3", before_cut); });
+    for (int i = 0; std::chrono::steady_clock::now() < heal_at; ++i) {
+        const auto result = patch(i % 2 == 0 ? "config-1" : "config-2", version);
+        BOOST_REQUIRE_MESSAGE(result.status / 100 == 2U, result.body << c.logs());
+        ++version;
+        BOOST_REQUIRE(in_force_within(in_force_limit, {"r1", "r2"}, version));
+        BOOST_TEST(version_at("config-3") == before_cut);
+        std::this_thread::sleep_for(500ms);
+    }
+    c.links().heal("r3");
+    BOOST_TEST(in_force_within(in_force_limit, {"r1", "r2", "r3"}, version), c.logs());
+    BOOST_TEST(version_at("config-3") == version);
+    check_typed_refusal(refused.get());
+}
+
+// Guards against requests that need anything from outside of their region.
+BOOST_AUTO_TEST_CASE(requests_go_on_within_a_region_that_is_cut_off) {
+    for (const std::string entry : {"entry-1", "entry-3"}) {
+        BOOST_REQUIRE(wait_until([&] { return request(entry).status == 200; }, 10s));
+    }
+    c.links().cut("r3");
+    auto submission = begin([&] { return jobs.submit({.id = "elsewhere", .region = "r3"}); });
+    const auto end = std::chrono::steady_clock::now() + 5s;
+    while (std::chrono::steady_clock::now() < end) {
+        for (const std::string entry : {"entry-1", "entry-3"}) {
+            const auto result = request(entry);
+            BOOST_TEST(result.status == 200U, entry << result.body << result.failure);
+        }
+        std::this_thread::sleep_for(10ms);
+    }
+    check_typed_refusal(submission.get());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/standins/standin_link.cpp
@@ -0,0 +1,130 @@
+// Links between regions: TCP relays that delay, count, cut and silence what goes over them.
+
+#include "core/common/error.h"
+#include "standins/relay.h"
+#include "standins/standin.h"
+
+#include <boost/json.hpp>
+
+#include <utility>
+
+namespace buckthornspar::standins {
+
+namespace json = boost::json;
+
+namespace {
+
+struct link {
+    std::string from;
+    std::string to;
+    net::endpoint target;
+    std::unique_ptr<relay> path;
+};
+
+std::string text_of(const json::object& object, std::string_view name) {
+    const json::value* const value = object.if_contains(name);
+    if (value == nullptr) {
+        return {};
+    }
+    if (!value->is_string()) {
+        throw common::format_error(std::string(name) + " must be a text");
+    }
+    return std::string(value->get_string());
+}
+
+json::object to_json(const link& l) {
+    const auto bytes = l.path->bytes();
+    return {{"from", l.from},
+            {"to", l.to},
+            {"target", net::to_string(l.target)},
+            {"address", net::to_string(l.path->address())},
+            {"state", to_string(l.path->state())},
+            {"bytes_forward", bytes.forward},
+            {"bytes_back", bytes.back},
+            {"connections", l.path->open_connections()}};
+}
+
+/// POST /v1/relays {"from","to","target"} adds a relay and answers it with its address; GET
+/// /v1/relays answers all with their counts of bytes; POST /v1/state {"state"} changes all relays,
+/// with "region" those from or to the region, with "target" those to the address.
+class link_handler final : public standin_handler {
+public:
+    link_handler(net::event_loop& loop, common::duration one_way_delay)
+        : standin_handler(loop), m_delay(one_way_delay) {}
+
+protected:
+    void serve(const net::http_request& /*request*/, const net::http_reply& reply) override {
+        reply(net::error_response(404, "unknown_path", "expected /v1/relays or /v1/state"));
+    }
+
+    std::string call_kind(const net::http_request& /*request*/) const override { return "unknown"; }
+    bool is_write(const net::http_request& /*request*/) const override { return false; }
+
+    bool serve_control(const net::http_request& request, const net::http_reply& reply) override {
+        const bool is_post = request.method == net::http_method::post;
+        const auto path = request.path();
+        if (path == "/v1/relays" && is_post) {
+            reply(net::json_response(200, json::serialize(add(parse_object(request.body)))));
+        } else if (path == "/v1/relays") {
+            reply(net::json_response(200, json::serialize(json::object{{"relays", list()}})));
+        } else if (path == "/v1/state" && is_post) {
+            change_state(parse_object(request.body));
+            reply(net::json_response(200, "{}"));
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+private:
+    json::object add(const json::object& description) {
+        link l;
+        l.from = text_of(description, "from");
+        l.to = text_of(description, "to");
+        l.target = net::parse_endpoint(text_of(description, "target"));
+        l.path = std::make_unique<relay>(loop(), l.target, m_delay);
+        m_links.push_back(std::move(l));
+        return to_json(m_links.back());
+    }
+
+    json::array list() const {
+        json::array all;
+        for (const auto& l : m_links) {
+            all.push_back(to_json(l));
+        }
+        return all;
+    }
+
+    void change_state(const json::object& change) {
+        const relay_state state = relay_state_from(text_of(change, "state"));
+        const std::string region = text_of(change, "region");
+        const std::string target = text_of(change, "target");
+        for (auto& l : m_links) {
+            const bool in_region = region.empty() || l.from == region || l.to == region;
+            const bool to_target = target.empty() || net::to_string(l.target) == target;
+            if (in_region && to_target) {
+                l.path->set_state(state);
+            }
+        }
+    }
+
+    common::duration m_delay;
+    std::vector<link> m_links;
+};
+
+std::unique_ptr<standin_handler> make_link(net::event_loop& loop,
+                                           const common::command_line& line) {
+    return std::make_unique<link_handler>(
+        loop, std::chrono::milliseconds(std::stoll(line.get("delay-ms", "20"))));
+}
+
+} // namespace
+
+} // namespace buckthornspar::standins
+
+int main(int argc, char** argv) {
+    using namespace buckthornspar;
+    return standins::run_standin(
+        argc, argv, "\nStand-in for the links between regions.",
+        {{"delay-ms", '\0', "N", "one-way delay of the relays, default 20"}}, standins::make_link);
+}
