Ask any scheduler of the region when the owner of a shard is unknown

Cause: an entry hears from schedulers of other regions with one heartbeat in ten periods. When the first one comes before the shard has an owner, the entry refused every submission to that region for up to 10 s (no_owner until its deadline of 5 s, then shard_unavailable), although the schedulers of that region could name the owner.

Ruled out: more heartbeats between regions, which are billed in quiet hours.

The new test job_of_another_regions_shard_is_placed_and_its_status_is_readable failed first: the submission at entry-1 got shard_unavailable after 5 s, while the same submission at entry-2 in the owner's region was accepted. It passes now: build/bin/test_process_regions -t '*/job_of*'.

--- a/source/programs/buckthornspar-entry/job_gateway.cpp
+++ b/source/programs/buckthornspar-entry/job_gateway.cpp
@@ -169,22 +169,31 @@
     attempt(e);
 }
 
-// Heartbeats from another region are rare, so that the owner known here may be dead for long. Any
-// other scheduler of the shard's region can name the present one.
+// Heartbeats from another region are rare, so that the owner is unknown here for a while after it
+// has changed, or may be dead for long. Any other scheduler of the shard's region can name the
+// present one.
 std::optional<server::peer_status> job_gateway::choose_scheduler(const exchange& e) const {
-    auto chosen = m_member.mesh().owner_of(e.shard);
+    const auto owner = m_member.mesh().owner_of(e.shard);
     const std::string region = m_directory.region_of(e.shard);
+    std::optional<server::peer_status> last_resort = owner;
+    std::optional<server::peer_status> can_tell;
     for (const auto& p : m_member.mesh().peers()) {
         if (p.id == e.owner_hint) {
             return p;
         }
-        const bool can_tell = p.role == membership::instance_role::scheduler &&
-                              p.region == region && p.id != e.unreachable;
-        if (can_tell && chosen && chosen->id == e.unreachable) {
-            chosen = p;
+        if (p.role != membership::instance_role::scheduler || p.region != region) {
+            continue;
         }
+        if (p.id != e.unreachable) {
+            can_tell = p;
+        } else if (!last_resort) {
+            last_resort = p;
+        }
+    }
+    if (owner && owner->id != e.unreachable) {
+        return owner;
     }
-    return chosen;
+    return can_tell ? can_tell : last_resort;
 }
 
 void job_gateway::attempt(const exchange_ptr& e) {
--- a/tests/process/regions_test.cpp
+++ b/tests/process/regions_test.cpp
@@ -154,6 +154,22 @@
     check_typed_refusal(refused.get());
 }
 
+// Guards against a job that only the entries of the owner's region can submit or find, and against
+// entries of other regions that refuse submissions until a rare heartbeat names the owner.
+BOOST_AUTO_TEST_CASE(job_of_another_regions_shard_is_placed_and_its_status_is_readable) {
+    BOOST_REQUIRE(wait_until(
+        [&] { return jobs.submit({.id = "local", .region = "r2"}, "entry-2").status == 201; },
+        15s));
+    const auto result = jobs.submit({.id = "remote", .tasks = 2, .region = "r2"}, "entry-1");
+    BOOST_REQUIRE_MESSAGE(result.status == 201U, result.body << c.logs());
+    BOOST_TEST(result.text("shard") == "s2");
+    BOOST_REQUIRE_MESSAGE(jobs.wait_state("remote", "succeeded", 10s), jobs.status("remote").body);
+    BOOST_TEST(c.http().get(c.at("entry-3").http, "/v1/jobs/remote").text("state") == "succeeded");
+    for (const auto& e : task_executions(c)) {
+        BOOST_TEST(e.target == "worker-2");
+    }
+}
+
 // Guards against requests that need anything from outside of their region.
 BOOST_AUTO_TEST_CASE(requests_go_on_within_a_region_that_is_cut_off) {
     for (const std::string entry : {"entry-1", "entry-3"}) {
