Notice a lost watch of the configuration within 4 s

Cause: a config process waits on the store with a watch of 5 s. When the connection becomes silent, the watch ends after 5.3 s and the call timeout of 2 s, and a growing pause of up to 1 s follows. A version accepted during a silence of 200 ms was in force in the region only when the watch ended or a heartbeat from another region (one in ten seconds) arrived: more than 4 s after the heal.

The watch of the configuration is now 1.5 s long, and the pause before a retry counts from the start of the call: 1.6 s + 2 s after the heal at the latest. Refusals at once still back off as before. The default of the log stays at 5 s; only the configuration is followed today.

Ruled out: heartbeats between all config processes each 3 s (grows with the square of the processes and is billed between regions); a shorter timeout of store calls (a slow store would never answer a watch); keep-alive probes of TCP (a device that drops the payload may answer them).

Price: a region makes one idle call each 1.5 s instead of each 5 s.

--- a/source/core/store/sequenced_log.cpp
+++ b/source/core/store/sequenced_log.cpp
@@ -46,6 +46,7 @@
 void sequenced_log::send(lane& l, call_kind kind, kv_request request) {
     l.call = m_next_call++;
     l.kind = kind;
+    l.sent_at = m_now;
     l.retry_at.reset();
     m_actions.emplace_back(log_call{l.call, std::move(request)});
 }
@@ -74,7 +75,8 @@
         std::min(m_options.retry_max, m_options.retry_min * (1U << doublings));
     const auto jitter = static_cast<std::int64_t>(static_cast<double>(longest.count()) *
                                                   (0.5 + 0.5 * m_rng.unit()));
-    l.retry_at = now + common::duration(jitter);
+    // A call that timed out has waited long enough; a pause on top of it would only delay the news.
+    l.retry_at = std::max(now, l.sent_at + common::duration(jitter));
 }
 
 void sequenced_log::step(lane& l) {
@@ -92,6 +94,7 @@
 }
 
 void sequenced_log::on_time(common::time_point now) {
+    m_now = now;
     for (lane* const l : lanes()) {
         if (l->retry_at && *l->retry_at <= now) {
             l->retry_at.reset();
@@ -117,6 +120,7 @@
 
 void sequenced_log::on_response(common::time_point now, std::uint64_t call,
                                 const kv_response& response) {
+    m_now = now;
     lane* const l = lane_of(call);
     if (l == nullptr) {
         return;
@@ -154,7 +158,8 @@
 
 // Load.
 
-void sequenced_log::load(common::time_point /*now*/) {
+void sequenced_log::load(common::time_point now) {
+    m_now = now;
     start_load();
 }
 
@@ -273,7 +278,8 @@
 
 // Append.
 
-append_start sequenced_log::append(common::time_point /*now*/, std::string body) {
+append_start sequenced_log::append(common::time_point now, std::string body) {
+    m_now = now;
     if (body.size() > max_log_value_bytes) {
         throw common::usage_error("record of " + std::to_string(body.size()) +
                                   " bytes is larger than a log value may be");
@@ -392,7 +398,8 @@
 
 // Watch.
 
-void sequenced_log::follow(common::time_point /*now*/, bool on) {
+void sequenced_log::follow(common::time_point now, bool on) {
+    m_now = now;
     m_following = on;
     if (!on) {
         m_watch_lane = {};
@@ -432,8 +439,8 @@
 
 // Snapshot.
 
-bool sequenced_log::write_snapshot(common::time_point /*now*/, std::uint64_t covers,
-                                   std::string body) {
+bool sequenced_log::write_snapshot(common::time_point now, std::uint64_t covers, std::string body) {
+    m_now = now;
     if (!m_loaded || covers > m_head || !m_snapshots.begin(covers, std::move(body))) {
         return false;
     }
--- a/source/core/store/sequenced_log.h
+++ b/source/core/store/sequenced_log.h
@@ -153,6 +153,7 @@
     struct lane {
         std::uint64_t call = 0;
         call_kind kind = call_kind::read;
+        common::time_point sent_at;
         std::optional<common::time_point> retry_at;
         unsigned failures = 0;
     };
@@ -206,6 +207,8 @@
     bool m_loaded = false;
     bool m_following = false;
     bool m_store_available = true;
+    /// Time of the last event, at which calls are sent.
+    common::time_point m_now;
     lane m_load_lane;
     lane m_append_lane;
     lane m_watch_lane;
--- a/source/programs/buckthornspar-config/config_application.cpp
+++ b/source/programs/buckthornspar-config/config_application.cpp
@@ -21,6 +21,10 @@
 
 constexpr std::size_t default_listed_versions = 50;
 constexpr std::size_t max_listed_versions = 1000;
+/// A watch whose connection has become silent ends after this time, a sixteenth of it and the
+/// timeout of a store call (2 s). Together they stay below the 4 s within which a version is in
+/// force after a partition has healed. A longer wait would save calls in quiet hours.
+constexpr common::duration watch_wait = std::chrono::milliseconds(1500);
 
 /// Sequence numbers begin anew with each start, so the writer id differs for each start.
 std::string make_writer_id(const std::string& process_id) {
@@ -100,6 +104,7 @@
     o.log.prefix = m_settings.log_prefix;
     o.log.writer = make_writer_id(m_process.settings().id);
     o.log.slots = m_settings.ring_slots;
+    o.log.watch_wait = watch_wait;
     o.log.seed = std::hash<std::string>{}(o.log.writer);
     o.rules.regions = m_settings.regions;
     if (!m_settings.scorers.empty()) {
--- a/tests/process/regions_test.cpp
+++ b/tests/process/regions_test.cpp
@@ -194,6 +194,21 @@
     BOOST_TEST(patch("config-3", version_at("config-1")).status / 100 == 2U);
 }
 
+// Guards against a version that waits until a watch of the store on a lost connection ends. The
+// watch begins right before the silence, so that it lasts as long as it can after the heal.
+BOOST_AUTO_TEST_CASE(version_of_a_short_silence_is_in_force_within_4_s_of_the_heal) {
+    const auto base = version_at("config-1");
+    BOOST_REQUIRE(patch("config-1", base).status / 100 == 2U);
+    BOOST_REQUIRE(in_force_within(in_force_limit, {"r1", "r2", "r3"}, base + 1));
+    std::this_thread::sleep_for(200ms);
+    c.links().silence("r3");
+    BOOST_REQUIRE(patch("config-1", base + 1).status / 100 == 2U);
+    std::this_thread::sleep_for(200ms);
+    BOOST_REQUIRE(version_at("config-3") == base + 1);
+    c.links().heal("r3");
+    BOOST_TEST(in_force_within(in_force_limit, {"r1", "r2", "r3"}, base + 2), c.logs());
+}
+
 // Guards against requests that need anything from outside of their region.
 BOOST_AUTO_TEST_CASE(requests_go_on_within_a_region_that_is_cut_off) {
     for (const std::string entry : {"entry-1", "entry-3"}) {
--- a/tests/unit/store/sequenced_log_test.cpp
+++ b/tests/unit/store/sequenced_log_test.cpp
@@ -127,6 +127,19 @@
     BOOST_TEST(a.state == "nnnnnnb");
 }
 
+// Guards against a pause after a call that has waited longer than the pause, which would delay the
+// first news after a partition.
+BOOST_AUTO_TEST_CASE(call_that_timed_out_is_repeated_at_once) {
+    const auto begin = events.now();
+    a.log.load(begin);
+    const auto actions = a.log.take_actions();
+    const auto timed_out = begin + 2s;
+    a.log.on_response(timed_out, std::get<log_call>(actions.at(0)).id,
+                      {kv_status::unavailable, {}, 0});
+    BOOST_REQUIRE(a.log.next_wakeup().has_value());
+    BOOST_TEST((*a.log.next_wakeup() <= timed_out));
+}
+
 // Guards against a call rate that stays high while a value cannot be read.
 BOOST_AUTO_TEST_CASE(unreadable_log_is_read_again_with_backoff) {
     (void)kv.apply({kv_operation::put_if, "test/log/slot/1", "not a record", 0, 0, 0ms});
