Test the preferred region of a team with processes in three regions

Guards against a preference without effect and against a repeat that runs in another region. With a plain submission in place of the marked repeat the test fails: the job is accepted by s3 as well and runs twice.

--- a/tests/process/regions_test.cpp
+++ b/tests/process/regions_test.cpp
@@ -60,10 +60,14 @@
     }
 
     call_result patch(const std::string& config, std::int64_t base) {
-        const json::object value{
-            {"cpu_milli", 1000 + base}, {"memory_mb", 1024}, {"accelerators", 0}};
-        const json::array changes{
-            json::object{{"op", "set"}, {"path", "quotas/team"}, {"value", value}}};
+        return patch(
+            config, base, "quotas/team",
+            json::object{{"cpu_milli", 1000 + base}, {"memory_mb", 1024}, {"accelerators", 0}});
+    }
+
+    call_result patch(const std::string& config, std::int64_t base, const std::string& path,
+                      const json::value& value) {
+        const json::array changes{json::object{{"op", "set"}, {"path", path}, {"value", value}}};
         const json::object body{{"id", config + "-" + std::to_string(base)},
                                 {"author", "tester"},
                                 {"base_version", base},
@@ -170,6 +174,37 @@
     }
 }
 
+// Guards against preferences that have no effect, and against a repeated submission that runs again
+// in another region because the preference has changed in between.
+BOOST_AUTO_TEST_CASE(job_goes_to_the_preferred_region_and_its_repeat_finds_it) {
+    const auto prefer = [&](const std::string& region) {
+        const auto base = version_at("config-1");
+        const auto result =
+            patch("config-1", base, "region_preferences/test", json::array{"r9", region.c_str()});
+        BOOST_REQUIRE_MESSAGE(result.status / 100 == 2U, result.body);
+        BOOST_REQUIRE(in_force_within(in_force_limit, {"r1", "r2", "r3"}, base + 1));
+    };
+    prefer("r2");
+    for (int i = 0; i < 6; ++i) {
+        const job_request job{.id = "preferred-" + std::to_string(i), .run_ms = 50};
+        const auto result = jobs.submit_until_settled(job, 15s);
+        BOOST_REQUIRE_MESSAGE(result.status == 201U, result.body << c.logs());
+        BOOST_TEST(result.text("shard") == "s2");
+    }
+    prefer("r3");
+    const job_request again{.id = "preferred-0", .run_ms = 50};
+    const auto repeated = jobs.submit_repeated(again, "entry-3");
+    BOOST_TEST(repeated.text("shard") == "s2", repeated.body);
+    BOOST_TEST(jobs.submit_until_settled({.id = "next"}, 15s).text("shard") == "s3");
+    for (int i = 0; i < 6; ++i) {
+        BOOST_TEST(jobs.wait_state("preferred-" + std::to_string(i), "succeeded", 10s));
+    }
+    const auto executions = task_executions(c);
+    BOOST_TEST(std::count_if(executions.begin(), executions.end(), [](const execution& e) {
+                   return e.id.starts_with("preferred-0/");
+               }) == 1);
+}
+
 // Guards against calls that wait for good on a connection that is open but carries nothing, and
 // against such a connection that stays in use after new ones work again.
 BOOST_AUTO_TEST_CASE(calls_over_silent_links_get_a_typed_answer_and_work_after_the_heal) {
