--- a/source/core/scheduling/quota_exchange.cpp
+++ b/source/core/scheduling/quota_exchange.cpp
@@ -135,10 +135,10 @@
         verdict = home(message.to_shard, shard, message.team).on_statement(now, message);
     } else if (statement && message.to_epoch < shard.epoch) {
         home(message.to_shard, shard, message.team).on_misdirected(message.from_shard);
-    } else if (!statement && (message.kind == quota_message_kind::query ||
-                              message.to_epoch == shard.epoch)) {
-        verdict = holder(now, shard, message.team)
-                      .on_message(now, message, m_quotas.at(message.team));
+    } else if (!statement &&
+               (message.kind == quota_message_kind::query || message.to_epoch == shard.epoch)) {
+        verdict =
+            holder(now, shard, message.team).on_message(now, message, m_quotas.at(message.team));
     }
     if (verdict == quota_verdict::stale_epoch) {
         count("quota_messages_stale_total", "epoch");
--- a/source/core/scheduling/quota_exchange.h
+++ b/source/core/scheduling/quota_exchange.h
@@ -52,7 +52,9 @@
 
     void set_quotas(std::map<std::string, placement::resources> quotas);
 
-    /// This process owns the shard and knows all tasks that run in it.
+    /// This process owns the shard and knows all tasks that run in it. Two owners of a shard must
+    /// not take part at the same time: a former home owner and a former holder could otherwise
+    /// settle with the successor of the other one, and a part would count twice.
     void own(const std::string& shard, std::uint64_t epoch);
     void disown(const std::string& shard);
     /// Another process owns the shard with this epoch.
--- a/source/core/scheduling/quota_holder.cpp
+++ b/source/core/scheduling/quota_holder.cpp
@@ -50,8 +50,8 @@
         return quota_verdict::taken;
     }
     // A grant of a quota that was lowered meanwhile must not raise the limit.
-    const bool raises = message.sequence > m_grant && !message.recall &&
-                        exceeds(message.amount, m_limit);
+    const bool raises =
+        message.sequence > m_grant && !message.recall && exceeds(message.amount, m_limit);
     if (raises && message.quota != m_quota) {
         return quota_verdict::stale_quota;
     }
@@ -172,8 +172,8 @@
         wake_at(due);
         return std::nullopt;
     }
-    m_retry = fresh ? m_settings.retry
-                    : std::clamp(m_retry * 2, m_settings.retry, m_settings.max_retry);
+    m_retry =
+        fresh ? m_settings.retry : std::clamp(m_retry * 2, m_settings.retry, m_settings.max_retry);
     m_retry_at = now + m_retry;
     m_earliest = now + m_settings.min_interval;
     m_reply_due = false;
--- a/source/core/scheduling/quota_home.cpp
+++ b/source/core/scheduling/quota_home.cpp
@@ -65,8 +65,7 @@
 bool quota_home::anybody_waits(const quota_need& need) const {
     return need.waiting != resources{} ||
            std::any_of(m_parts.begin(), m_parts.end(), [](const auto& item) {
-               return item.second.asks_quota ||
-                      exceeds(item.second.wanted, item.second.counted);
+               return item.second.asks_quota || exceeds(item.second.wanted, item.second.counted);
            });
 }
 
@@ -208,7 +207,8 @@
 std::optional<outgoing_quota_message> quota_home::next_message(common::time_point now, part& p,
                                                                bool waits) {
     const bool silent = now >= p.last_heard + m_settings.refresh_after;
-    const bool query = p.misdirected || (waits && (!p.known || (silent && p.counted != resources{})));
+    const bool query =
+        p.misdirected || (waits && (!p.known || (silent && p.counted != resources{})));
     if (waits && p.known && !silent && p.counted != resources{}) {
         wake_at(p.last_heard + m_settings.refresh_after);
     }
