--- a/source/core/peer/peer.capnp.h
+++ b/source/core/peer/peer.capnp.h
@@ -36,6 +36,15 @@
 CAPNP_DECLARE_SCHEMA(a68e370aa87d9571);
 CAPNP_DECLARE_SCHEMA(c5d55b89f50909b8);
 CAPNP_DECLARE_SCHEMA(be06369ff639d671);
+CAPNP_DECLARE_SCHEMA(f6371f9d5ee28a55);
+CAPNP_DECLARE_SCHEMA(94ed5d590fd8b913);
+enum class QuotaMessageKind_94ed5d590fd8b913: uint16_t {
+  STATEMENT,
+  GRANT,
+  QUERY,
+};
+CAPNP_DECLARE_ENUM(QuotaMessageKind, 94ed5d590fd8b913);
+CAPNP_DECLARE_SCHEMA(f06244898dd5fc97);
 CAPNP_DECLARE_SCHEMA(e51128bb69ee9b5b);
 CAPNP_DECLARE_SCHEMA(f4b8303071df7e20);
 CAPNP_DECLARE_SCHEMA(c54a1656424ed512);
@@ -55,6 +64,8 @@
 CAPNP_DECLARE_SCHEMA(b2349c215e0a761d);
 CAPNP_DECLARE_SCHEMA(e0935f8bb9e1932f);
 CAPNP_DECLARE_SCHEMA(8d16b91872ad7ed1);
+CAPNP_DECLARE_SCHEMA(d5e9ef18224a65a7);
+CAPNP_DECLARE_SCHEMA(853646e6ced6c0f1);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -185,6 +196,38 @@
   };
 };
 
+struct Amount {
+  Amount() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f6371f9d5ee28a55, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+typedef ::capnp::schemas::QuotaMessageKind_94ed5d590fd8b913 QuotaMessageKind;
+
+struct QuotaMessage {
+  QuotaMessage() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f06244898dd5fc97, 5, 7)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Peer {
   Peer() = delete;
 
@@ -211,6 +254,8 @@
   struct SlotDemandResults;
   struct SlotGrantParams;
   struct SlotGrantResults;
+  struct QuotaMessagesParams;
+  struct QuotaMessagesResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -490,6 +535,36 @@
   };
 };
 
+struct Peer::QuotaMessagesParams {
+  QuotaMessagesParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d5e9ef18224a65a7, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::QuotaMessagesResults {
+  QuotaMessagesResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(853646e6ced6c0f1, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class Sender::Reader {
@@ -1281,6 +1356,272 @@
 };
 #endif  // !CAPNP_LITE
 
+class Amount::Reader {
+public:
+  typedef Amount Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getCpuMilli() const;
+
+  inline  ::int64_t getMemoryMb() const;
+
+  inline  ::int64_t getAccelerators() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Amount::Builder {
+public:
+  typedef Amount Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getCpuMilli();
+  inline void setCpuMilli( ::int64_t value);
+
+  inline  ::int64_t getMemoryMb();
+  inline void setMemoryMb( ::int64_t value);
+
+  inline  ::int64_t getAccelerators();
+  inline void setAccelerators( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Amount::Pipeline {
+public:
+  typedef Amount Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class QuotaMessage::Reader {
+public:
+  typedef QuotaMessage Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::buckthornspar::peer::schema::QuotaMessageKind getKind() const;
+
+  inline bool hasTeam() const;
+  inline  ::capnp::Text::Reader getTeam() const;
+
+  inline bool hasFromShard() const;
+  inline  ::capnp::Text::Reader getFromShard() const;
+
+  inline  ::uint64_t getFromEpoch() const;
+
+  inline bool hasToShard() const;
+  inline  ::capnp::Text::Reader getToShard() const;
+
+  inline  ::uint64_t getToEpoch() const;
+
+  inline  ::uint64_t getSequence() const;
+
+  inline  ::uint64_t getAnswers() const;
+
+  inline bool hasAmount() const;
+  inline  ::buckthornspar::peer::schema::Amount::Reader getAmount() const;
+
+  inline bool hasWanted() const;
+  inline  ::buckthornspar::peer::schema::Amount::Reader getWanted() const;
+
+  inline bool hasLeast() const;
+  inline  ::buckthornspar::peer::schema::Amount::Reader getLeast() const;
+
+  inline bool hasQuota() const;
+  inline  ::buckthornspar::peer::schema::Amount::Reader getQuota() const;
+
+  inline bool getRecall() const;
+
+  inline bool getReply() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class QuotaMessage::Builder {
+public:
+  typedef QuotaMessage Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::buckthornspar::peer::schema::QuotaMessageKind getKind();
+  inline void setKind( ::buckthornspar::peer::schema::QuotaMessageKind value);
+
+  inline bool hasTeam();
+  inline  ::capnp::Text::Builder getTeam();
+  inline void setTeam( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTeam(unsigned int size);
+  inline void adoptTeam(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTeam();
+
+  inline bool hasFromShard();
+  inline  ::capnp::Text::Builder getFromShard();
+  inline void setFromShard( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFromShard(unsigned int size);
+  inline void adoptFromShard(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFromShard();
+
+  inline  ::uint64_t getFromEpoch();
+  inline void setFromEpoch( ::uint64_t value);
+
+  inline bool hasToShard();
+  inline  ::capnp::Text::Builder getToShard();
+  inline void setToShard( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initToShard(unsigned int size);
+  inline void adoptToShard(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownToShard();
+
+  inline  ::uint64_t getToEpoch();
+  inline void setToEpoch( ::uint64_t value);
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline  ::uint64_t getAnswers();
+  inline void setAnswers( ::uint64_t value);
+
+  inline bool hasAmount();
+  inline  ::buckthornspar::peer::schema::Amount::Builder getAmount();
+  inline void setAmount( ::buckthornspar::peer::schema::Amount::Reader value);
+  inline  ::buckthornspar::peer::schema::Amount::Builder initAmount();
+  inline void adoptAmount(::capnp::Orphan< ::buckthornspar::peer::schema::Amount>&& value);
+  inline ::capnp::Orphan< ::buckthornspar::peer::schema::Amount> disownAmount();
+
+  inline bool hasWanted();
+  inline  ::buckthornspar::peer::schema::Amount::Builder getWanted();
+  inline void setWanted( ::buckthornspar::peer::schema::Amount::Reader value);
+  inline  ::buckthornspar::peer::schema::Amount::Builder initWanted();
+  inline void adoptWanted(::capnp::Orphan< ::buckthornspar::peer::schema::Amount>&& value);
+  inline ::capnp::Orphan< ::buckthornspar::peer::schema::Amount> disownWanted();
+
+  inline bool hasLeast();
+  inline  ::buckthornspar::peer::schema::Amount::Builder getLeast();
+  inline void setLeast( ::buckthornspar::peer::schema::Amount::Reader value);
+  inline  ::buckthornspar::peer::schema::Amount::Builder initLeast();
+  inline void adoptLeast(::capnp::Orphan< ::buckthornspar::peer::schema::Amount>&& value);
+  inline ::capnp::Orphan< ::buckthornspar::peer::schema::Amount> disownLeast();
+
+  inline bool hasQuota();
+  inline  ::buckthornspar::peer::schema::Amount::Builder getQuota();
+  inline void setQuota( ::buckthornspar::peer::schema::Amount::Reader value);
+  inline  ::buckthornspar::peer::schema::Amount::Builder initQuota();
+  inline void adoptQuota(::capnp::Orphan< ::buckthornspar::peer::schema::Amount>&& value);
+  inline ::capnp::Orphan< ::buckthornspar::peer::schema::Amount> disownQuota();
+
+  inline bool getRecall();
+  inline void setRecall(bool value);
+
+  inline bool getReply();
+  inline void setReply(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QuotaMessage::Pipeline {
+public:
+  typedef QuotaMessage Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::buckthornspar::peer::schema::Amount::Pipeline getAmount();
+  inline  ::buckthornspar::peer::schema::Amount::Pipeline getWanted();
+  inline  ::buckthornspar::peer::schema::Amount::Pipeline getLeast();
+  inline  ::buckthornspar::peer::schema::Amount::Pipeline getQuota();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class Peer::Client
     : public virtual ::capnp::Capability::Client {
@@ -1318,6 +1659,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::buckthornspar::peer::schema::Peer::SlotGrantParams,  ::buckthornspar::peer::schema::Peer::SlotGrantResults> slotGrantRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::buckthornspar::peer::schema::Peer::QuotaMessagesParams,  ::buckthornspar::peer::schema::Peer::QuotaMessagesResults> quotaMessagesRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1370,6 +1713,10 @@
   typedef  ::buckthornspar::peer::schema::Peer::SlotGrantResults SlotGrantResults;
   typedef ::capnp::CallContext<SlotGrantParams, SlotGrantResults> SlotGrantContext;
   virtual ::kj::Promise<void> slotGrant(SlotGrantContext context);
+  typedef  ::buckthornspar::peer::schema::Peer::QuotaMessagesParams QuotaMessagesParams;
+  typedef  ::buckthornspar::peer::schema::Peer::QuotaMessagesResults QuotaMessagesResults;
+  typedef ::capnp::CallContext<QuotaMessagesParams, QuotaMessagesResults> QuotaMessagesContext;
+  virtual ::kj::Promise<void> quotaMessages(QuotaMessagesContext context);
 
   inline  ::buckthornspar::peer::schema::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -2956,59 +3303,222 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class Peer::QuotaMessagesParams::Reader {
+public:
+  typedef QuotaMessagesParams Reads;
 
-inline bool Sender::Reader::hasId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Sender::Builder::hasId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Sender::Reader::getId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Sender::Builder::getId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Sender::Builder::setId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Sender::Builder::initId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Sender::Builder::adoptId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Sender::Builder::disownId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline bool Sender::Reader::hasRole() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Sender::Builder::hasRole() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Sender::Reader::getRole() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Sender::Builder::getRole() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Sender::Builder::setRole( ::capnp::Text::Reader value) {
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSender() const;
+  inline  ::buckthornspar::peer::schema::Sender::Reader getSender() const;
+
+  inline bool hasMessages() const;
+  inline  ::capnp::List< ::buckthornspar::peer::schema::QuotaMessage,  ::capnp::Kind::STRUCT>::Reader getMessages() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::QuotaMessagesParams::Builder {
+public:
+  typedef QuotaMessagesParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSender();
+  inline  ::buckthornspar::peer::schema::Sender::Builder getSender();
+  inline void setSender( ::buckthornspar::peer::schema::Sender::Reader value);
+  inline  ::buckthornspar::peer::schema::Sender::Builder initSender();
+  inline void adoptSender(::capnp::Orphan< ::buckthornspar::peer::schema::Sender>&& value);
+  inline ::capnp::Orphan< ::buckthornspar::peer::schema::Sender> disownSender();
+
+  inline bool hasMessages();
+  inline  ::capnp::List< ::buckthornspar::peer::schema::QuotaMessage,  ::capnp::Kind::STRUCT>::Builder getMessages();
+  inline void setMessages( ::capnp::List< ::buckthornspar::peer::schema::QuotaMessage,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::buckthornspar::peer::schema::QuotaMessage,  ::capnp::Kind::STRUCT>::Builder initMessages(unsigned int size);
+  inline void adoptMessages(::capnp::Orphan< ::capnp::List< ::buckthornspar::peer::schema::QuotaMessage,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::buckthornspar::peer::schema::QuotaMessage,  ::capnp::Kind::STRUCT>> disownMessages();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::QuotaMessagesParams::Pipeline {
+public:
+  typedef QuotaMessagesParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::buckthornspar::peer::schema::Sender::Pipeline getSender();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::QuotaMessagesResults::Reader {
+public:
+  typedef QuotaMessagesResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::QuotaMessagesResults::Builder {
+public:
+  typedef QuotaMessagesResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::QuotaMessagesResults::Pipeline {
+public:
+  typedef QuotaMessagesResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool Sender::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Sender::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Sender::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Sender::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Sender::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Sender::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Sender::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Sender::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Sender::Reader::hasRole() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Sender::Builder::hasRole() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Sender::Reader::getRole() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Sender::Builder::getRole() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Sender::Builder::setRole( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
@@ -3675,6 +4185,404 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t Amount::Reader::getCpuMilli() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Amount::Builder::getCpuMilli() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Amount::Builder::setCpuMilli( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Amount::Reader::getMemoryMb() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Amount::Builder::getMemoryMb() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Amount::Builder::setMemoryMb( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Amount::Reader::getAccelerators() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Amount::Builder::getAccelerators() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Amount::Builder::setAccelerators( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::buckthornspar::peer::schema::QuotaMessageKind QuotaMessage::Reader::getKind() const {
+  return _reader.getDataField< ::buckthornspar::peer::schema::QuotaMessageKind>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::buckthornspar::peer::schema::QuotaMessageKind QuotaMessage::Builder::getKind() {
+  return _builder.getDataField< ::buckthornspar::peer::schema::QuotaMessageKind>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void QuotaMessage::Builder::setKind( ::buckthornspar::peer::schema::QuotaMessageKind value) {
+  _builder.setDataField< ::buckthornspar::peer::schema::QuotaMessageKind>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QuotaMessage::Reader::hasTeam() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool QuotaMessage::Builder::hasTeam() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader QuotaMessage::Reader::getTeam() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder QuotaMessage::Builder::getTeam() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void QuotaMessage::Builder::setTeam( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder QuotaMessage::Builder::initTeam(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void QuotaMessage::Builder::adoptTeam(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> QuotaMessage::Builder::disownTeam() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool QuotaMessage::Reader::hasFromShard() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool QuotaMessage::Builder::hasFromShard() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader QuotaMessage::Reader::getFromShard() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder QuotaMessage::Builder::getFromShard() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void QuotaMessage::Builder::setFromShard( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder QuotaMessage::Builder::initFromShard(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void QuotaMessage::Builder::adoptFromShard(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> QuotaMessage::Builder::disownFromShard() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t QuotaMessage::Reader::getFromEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuotaMessage::Builder::getFromEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void QuotaMessage::Builder::setFromEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QuotaMessage::Reader::hasToShard() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool QuotaMessage::Builder::hasToShard() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader QuotaMessage::Reader::getToShard() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder QuotaMessage::Builder::getToShard() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void QuotaMessage::Builder::setToShard( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder QuotaMessage::Builder::initToShard(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void QuotaMessage::Builder::adoptToShard(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> QuotaMessage::Builder::disownToShard() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t QuotaMessage::Reader::getToEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuotaMessage::Builder::getToEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void QuotaMessage::Builder::setToEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t QuotaMessage::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuotaMessage::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void QuotaMessage::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t QuotaMessage::Reader::getAnswers() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuotaMessage::Builder::getAnswers() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void QuotaMessage::Builder::setAnswers( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QuotaMessage::Reader::hasAmount() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool QuotaMessage::Builder::hasAmount() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::buckthornspar::peer::schema::Amount::Reader QuotaMessage::Reader::getAmount() const {
+  return ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Amount>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::buckthornspar::peer::schema::Amount::Builder QuotaMessage::Builder::getAmount() {
+  return ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Amount>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::buckthornspar::peer::schema::Amount::Pipeline QuotaMessage::Pipeline::getAmount() {
+  return  ::buckthornspar::peer::schema::Amount::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void QuotaMessage::Builder::setAmount( ::buckthornspar::peer::schema::Amount::Reader value) {
+  ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Amount>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::buckthornspar::peer::schema::Amount::Builder QuotaMessage::Builder::initAmount() {
+  return ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Amount>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void QuotaMessage::Builder::adoptAmount(
+    ::capnp::Orphan< ::buckthornspar::peer::schema::Amount>&& value) {
+  ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Amount>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::buckthornspar::peer::schema::Amount> QuotaMessage::Builder::disownAmount() {
+  return ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Amount>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool QuotaMessage::Reader::hasWanted() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool QuotaMessage::Builder::hasWanted() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::buckthornspar::peer::schema::Amount::Reader QuotaMessage::Reader::getWanted() const {
+  return ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Amount>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::buckthornspar::peer::schema::Amount::Builder QuotaMessage::Builder::getWanted() {
+  return ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Amount>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::buckthornspar::peer::schema::Amount::Pipeline QuotaMessage::Pipeline::getWanted() {
+  return  ::buckthornspar::peer::schema::Amount::Pipeline(_typeless.getPointerField(4));
+}
+#endif  // !CAPNP_LITE
+inline void QuotaMessage::Builder::setWanted( ::buckthornspar::peer::schema::Amount::Reader value) {
+  ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Amount>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::buckthornspar::peer::schema::Amount::Builder QuotaMessage::Builder::initWanted() {
+  return ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Amount>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void QuotaMessage::Builder::adoptWanted(
+    ::capnp::Orphan< ::buckthornspar::peer::schema::Amount>&& value) {
+  ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Amount>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::buckthornspar::peer::schema::Amount> QuotaMessage::Builder::disownWanted() {
+  return ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Amount>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool QuotaMessage::Reader::hasLeast() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool QuotaMessage::Builder::hasLeast() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::buckthornspar::peer::schema::Amount::Reader QuotaMessage::Reader::getLeast() const {
+  return ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Amount>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::buckthornspar::peer::schema::Amount::Builder QuotaMessage::Builder::getLeast() {
+  return ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Amount>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::buckthornspar::peer::schema::Amount::Pipeline QuotaMessage::Pipeline::getLeast() {
+  return  ::buckthornspar::peer::schema::Amount::Pipeline(_typeless.getPointerField(5));
+}
+#endif  // !CAPNP_LITE
+inline void QuotaMessage::Builder::setLeast( ::buckthornspar::peer::schema::Amount::Reader value) {
+  ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Amount>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::buckthornspar::peer::schema::Amount::Builder QuotaMessage::Builder::initLeast() {
+  return ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Amount>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void QuotaMessage::Builder::adoptLeast(
+    ::capnp::Orphan< ::buckthornspar::peer::schema::Amount>&& value) {
+  ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Amount>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::buckthornspar::peer::schema::Amount> QuotaMessage::Builder::disownLeast() {
+  return ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Amount>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline bool QuotaMessage::Reader::hasQuota() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool QuotaMessage::Builder::hasQuota() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::buckthornspar::peer::schema::Amount::Reader QuotaMessage::Reader::getQuota() const {
+  return ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Amount>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::buckthornspar::peer::schema::Amount::Builder QuotaMessage::Builder::getQuota() {
+  return ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Amount>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::buckthornspar::peer::schema::Amount::Pipeline QuotaMessage::Pipeline::getQuota() {
+  return  ::buckthornspar::peer::schema::Amount::Pipeline(_typeless.getPointerField(6));
+}
+#endif  // !CAPNP_LITE
+inline void QuotaMessage::Builder::setQuota( ::buckthornspar::peer::schema::Amount::Reader value) {
+  ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Amount>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::buckthornspar::peer::schema::Amount::Builder QuotaMessage::Builder::initQuota() {
+  return ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Amount>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void QuotaMessage::Builder::adoptQuota(
+    ::capnp::Orphan< ::buckthornspar::peer::schema::Amount>&& value) {
+  ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Amount>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::buckthornspar::peer::schema::Amount> QuotaMessage::Builder::disownQuota() {
+  return ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Amount>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline bool QuotaMessage::Reader::getRecall() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline bool QuotaMessage::Builder::getRecall() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void QuotaMessage::Builder::setRecall(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QuotaMessage::Reader::getReply() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+}
+
+inline bool QuotaMessage::Builder::getReply() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+}
+inline void QuotaMessage::Builder::setReply(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -4719,6 +5627,79 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::QuotaMessagesParams::Reader::hasSender() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::QuotaMessagesParams::Builder::hasSender() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::buckthornspar::peer::schema::Sender::Reader Peer::QuotaMessagesParams::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Sender>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::buckthornspar::peer::schema::Sender::Builder Peer::QuotaMessagesParams::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Sender>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::buckthornspar::peer::schema::Sender::Pipeline Peer::QuotaMessagesParams::Pipeline::getSender() {
+  return  ::buckthornspar::peer::schema::Sender::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::QuotaMessagesParams::Builder::setSender( ::buckthornspar::peer::schema::Sender::Reader value) {
+  ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Sender>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::buckthornspar::peer::schema::Sender::Builder Peer::QuotaMessagesParams::Builder::initSender() {
+  return ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Sender>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::QuotaMessagesParams::Builder::adoptSender(
+    ::capnp::Orphan< ::buckthornspar::peer::schema::Sender>&& value) {
+  ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Sender>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::buckthornspar::peer::schema::Sender> Peer::QuotaMessagesParams::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::buckthornspar::peer::schema::Sender>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::QuotaMessagesParams::Reader::hasMessages() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::QuotaMessagesParams::Builder::hasMessages() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::buckthornspar::peer::schema::QuotaMessage,  ::capnp::Kind::STRUCT>::Reader Peer::QuotaMessagesParams::Reader::getMessages() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::buckthornspar::peer::schema::QuotaMessage,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::buckthornspar::peer::schema::QuotaMessage,  ::capnp::Kind::STRUCT>::Builder Peer::QuotaMessagesParams::Builder::getMessages() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::buckthornspar::peer::schema::QuotaMessage,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::QuotaMessagesParams::Builder::setMessages( ::capnp::List< ::buckthornspar::peer::schema::QuotaMessage,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::buckthornspar::peer::schema::QuotaMessage,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::buckthornspar::peer::schema::QuotaMessage,  ::capnp::Kind::STRUCT>::Builder Peer::QuotaMessagesParams::Builder::initMessages(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::buckthornspar::peer::schema::QuotaMessage,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Peer::QuotaMessagesParams::Builder::adoptMessages(
+    ::capnp::Orphan< ::capnp::List< ::buckthornspar::peer::schema::QuotaMessage,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::buckthornspar::peer::schema::QuotaMessage,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::buckthornspar::peer::schema::QuotaMessage,  ::capnp::Kind::STRUCT>> Peer::QuotaMessagesParams::Builder::disownMessages() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::buckthornspar::peer::schema::QuotaMessage,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/source/core/peer/peer_codec.cpp
+++ b/source/core/peer/peer_codec.cpp
@@ -66,6 +66,81 @@
     builder.setPendingTasks(load.pending_tasks);
 }
 
+amount decode_amount(schema::Amount::Reader reader) {
+    return {reader.getCpuMilli(), reader.getMemoryMb(), reader.getAccelerators()};
+}
+
+void encode_amount(const amount& value, schema::Amount::Builder builder) {
+    builder.setCpuMilli(value.cpu_milli);
+    builder.setMemoryMb(value.memory_mb);
+    builder.setAccelerators(value.accelerators);
+}
+
+// An unknown kind of a newer peer becomes a query, which only causes a statement.
+quota_message_kind decode_kind(schema::QuotaMessageKind kind) {
+    switch (kind) {
+    case schema::QuotaMessageKind::STATEMENT:
+        return quota_message_kind::statement;
+    case schema::QuotaMessageKind::GRANT:
+        return quota_message_kind::grant;
+    case schema::QuotaMessageKind::QUERY:
+        break;
+    }
+    return quota_message_kind::query;
+}
+
+schema::QuotaMessageKind encode_kind(quota_message_kind kind) {
+    switch (kind) {
+    case quota_message_kind::statement:
+        return schema::QuotaMessageKind::STATEMENT;
+    case quota_message_kind::grant:
+        return schema::QuotaMessageKind::GRANT;
+    case quota_message_kind::query:
+        break;
+    }
+    return schema::QuotaMessageKind::QUERY;
+}
+
+quota_message decode_quota(schema::QuotaMessage::Reader reader) {
+    quota_message message;
+    message.kind = decode_kind(reader.getKind());
+    message.team = to_text(reader.getTeam());
+    message.from_shard = to_text(reader.getFromShard());
+    message.from_epoch = reader.getFromEpoch();
+    message.to_shard = to_text(reader.getToShard());
+    message.to_epoch = reader.getToEpoch();
+    message.sequence = reader.getSequence();
+    message.answers = reader.getAnswers();
+    message.amount = decode_amount(reader.getAmount());
+    message.wanted = decode_amount(reader.getWanted());
+    message.least = decode_amount(reader.getLeast());
+    message.quota = decode_amount(reader.getQuota());
+    message.recall = reader.getRecall();
+    message.reply = reader.getReply();
+    return message;
+}
+
+void encode_quota(const quota_message& value, schema::QuotaMessage::Builder builder) {
+    builder.setKind(encode_kind(value.kind));
+    builder.setTeam(to_ptr(value.team));
+    builder.setFromShard(to_ptr(value.from_shard));
+    builder.setFromEpoch(value.from_epoch);
+    builder.setToShard(to_ptr(value.to_shard));
+    builder.setToEpoch(value.to_epoch);
+    builder.setSequence(value.sequence);
+    builder.setAnswers(value.answers);
+    encode_amount(value.amount, builder.initAmount());
+    builder.setRecall(value.recall);
+    builder.setReply(value.reply);
+    // Structures that a kind does not use are left out, because the links are billed by volume.
+    if (value.kind == quota_message_kind::statement) {
+        encode_amount(value.wanted, builder.initWanted());
+        encode_amount(value.least, builder.initLeast());
+    } else {
+        encode_amount(value.quota, builder.initQuota());
+    }
+}
+
 } // namespace
 
 sender decode(schema::Sender::Reader reader) {
@@ -163,4 +238,20 @@
     }
 }
 
+std::vector<quota_message> decode(capnp::List<schema::QuotaMessage>::Reader reader) {
+    std::vector<quota_message> messages;
+    messages.reserve(reader.size());
+    for (const auto item : reader) {
+        messages.push_back(decode_quota(item));
+    }
+    return messages;
+}
+
+void encode(const std::vector<quota_message>& value,
+            capnp::List<schema::QuotaMessage>::Builder builder) {
+    for (unsigned i = 0; i < builder.size(); ++i) {
+        encode_quota(value[i], builder[i]);
+    }
+}
+
 } // namespace buckthornspar::peer
--- a/source/core/peer/peer_codec.h
+++ b/source/core/peer/peer_codec.h
@@ -26,4 +26,8 @@
 [[nodiscard]] slot_grant decode(schema::SlotGrant::Reader reader);
 void encode(const slot_grant& value, schema::SlotGrant::Builder builder);
 
+[[nodiscard]] std::vector<quota_message> decode(capnp::List<schema::QuotaMessage>::Reader reader);
+void encode(const std::vector<quota_message>& value,
+            capnp::List<schema::QuotaMessage>::Builder builder);
+
 } // namespace buckthornspar::peer
--- a/source/core/peer/peer_handler.h
+++ b/source/core/peer/peer_handler.h
@@ -22,6 +22,8 @@
                                      std::function<void(std::uint64_t)> complete);
     virtual void on_slot_demand(const sender& /*from*/, const slot_demand& /*demand*/) {}
     virtual void on_slot_grant(const sender& /*from*/, const slot_grant& /*grant*/) {}
+    virtual void on_quota_messages(const sender& /*from*/,
+                                   const std::vector<quota_message>& /*messages*/) {}
 
 protected:
     peer_handler() = default;
--- a/source/core/peer/peer_messages.h
+++ b/source/core/peer/peer_messages.h
@@ -95,4 +95,31 @@
     std::vector<slot_count> counts;
 };
 
+struct amount {
+    std::int64_t cpu_milli = 0;
+    std::int64_t memory_mb = 0;
+    std::int64_t accelerators = 0;
+};
+
+enum class quota_message_kind { statement, grant, query };
+
+/// About the quota of one team, between the owners of two shards: see
+/// scheduling::quota_message for the fields.
+struct quota_message {
+    quota_message_kind kind = quota_message_kind::statement;
+    std::string team;
+    std::string from_shard;
+    std::uint64_t from_epoch = 0;
+    std::string to_shard;
+    std::uint64_t to_epoch = 0;
+    std::uint64_t sequence = 0;
+    std::uint64_t answers = 0;
+    peer::amount amount;
+    peer::amount wanted;
+    peer::amount least;
+    peer::amount quota;
+    bool recall = false;
+    bool reply = false;
+};
+
 } // namespace buckthornspar::peer
--- a/source/core/peer/peer_node.cpp
+++ b/source/core/peer/peer_node.cpp
@@ -387,4 +387,16 @@
     (void)m_state->call<bool>(to, std::move(send), ignored_completion{});
 }
 
+void peer_node::send_quota_messages(const net::endpoint& to, sender from,
+                                    std::vector<quota_message> messages) {
+    auto send = [from = std::move(from),
+                 messages = std::move(messages)](schema::Peer::Client client) {
+        auto request = client.quotaMessagesRequest();
+        encode(from, request.initSender());
+        encode(messages, request.initMessages(static_cast<unsigned>(messages.size())));
+        return request.send().then([](auto) { return true; });
+    };
+    (void)m_state->call<bool>(to, std::move(send), ignored_completion{});
+}
+
 } // namespace buckthornspar::peer
--- a/source/core/peer/peer_node.h
+++ b/source/core/peer/peer_node.h
@@ -62,6 +62,8 @@
     /// policy.
     void send_slot_demand(const net::endpoint& to, sender from, slot_demand demand);
     void send_slot_grant(const net::endpoint& to, sender from, slot_grant grant);
+    void send_quota_messages(const net::endpoint& to, sender from,
+                             std::vector<quota_message> messages);
 
     struct state;
 
--- a/source/core/peer/peer_service.cpp
+++ b/source/core/peer/peer_service.cpp
@@ -132,4 +132,10 @@
     return kj::READY_NOW;
 }
 
+kj::Promise<void> peer_service::quotaMessages(QuotaMessagesContext context) {
+    const auto params = context.getParams();
+    m_handler.on_quota_messages(decode(params.getSender()), decode(params.getMessages()));
+    return kj::READY_NOW;
+}
+
 } // namespace buckthornspar::peer
--- a/source/core/peer/peer_service.h
+++ b/source/core/peer/peer_service.h
@@ -21,6 +21,7 @@
     kj::Promise<void> announceConfig(AnnounceConfigContext context) override;
     kj::Promise<void> slotDemand(SlotDemandContext context) override;
     kj::Promise<void> slotGrant(SlotGrantContext context) override;
+    kj::Promise<void> quotaMessages(QuotaMessagesContext context) override;
 
 private:
     peer_handler& m_handler;
--- a/source/core/placement/placement_engine.cpp
+++ b/source/core/placement/placement_engine.cpp
@@ -74,6 +74,14 @@
     m_state->set_quota(team, std::nullopt);
 }
 
+void placement_engine::set_quota_part(const std::string& team, const resources& part) {
+    m_state->set_quota_part(team, part);
+}
+
+std::vector<quota_demand> placement_engine::quota_demands() const {
+    return m_state->quota_demands();
+}
+
 resources placement_engine::promised(const std::string& worker) const {
     return m_state->promised(worker);
 }
--- a/source/core/placement/placement_engine.h
+++ b/source/core/placement/placement_engine.h
@@ -75,6 +75,11 @@
 
     void set_quota(const std::string& team, const resources& limit);
     void clear_quota(const std::string& team);
+    /// The part of the team's quota that may be used here. Work that exceeds the part waits; only
+    /// work that exceeds the quota is infeasible.
+    void set_quota_part(const std::string& team, const resources& part);
+    /// Of each team with a quota that uses or wants something. What waits is known after decide().
+    [[nodiscard]] std::vector<quota_demand> quota_demands() const;
 
     /// Zero for an unknown worker.
     [[nodiscard]] resources promised(const std::string& worker) const;
--- a/source/core/placement/placement_events.cpp
+++ b/source/core/placement/placement_events.cpp
@@ -137,19 +137,6 @@
     charge(*task, *worker, now);
 }
 
-void placement_engine::state::set_quota(const std::string& name,
-                                        const std::optional<resources>& limit) {
-    const team_index team = m_quotas.team(name);
-    if (limit) {
-        m_quotas.set_limit(team, *limit);
-    } else {
-        m_quotas.clear_limit(team);
-    }
-    m_queue.team_changed(team, m_workers.usable_capacity());
-    m_changes.relieved_teams.push_back(team);
-    m_gangs_changed = true;
-}
-
 void placement_engine::state::enqueue(task_index task) {
     task_entry& entry = m_tasks[task];
     entry.phase = task_phase::waiting;
--- a/source/core/placement/placement_planning.cpp
+++ b/source/core/placement/placement_planning.cpp
@@ -48,12 +48,16 @@
     return rooms;
 }
 
-bool placement_engine::state::quota_allows(gang_index gang) const {
+resources placement_engine::state::total_demand(gang_index gang) const {
     resources total;
     for (const resources& demand : demands_of(gang)) {
         total += demand;
     }
-    return m_quotas.allows(m_gangs[gang].team, total);
+    return total;
+}
+
+bool placement_engine::state::quota_allows(gang_index gang) const {
+    return m_quotas.allows(m_gangs[gang].team, total_demand(gang));
 }
 
 wait_reason placement_engine::state::gang_reason(gang_index gang) const {
--- a/source/core/placement/placement_state.h
+++ b/source/core/placement/placement_state.h
@@ -28,6 +28,8 @@
     void adopt_running(const std::string& worker, const task_request& request,
                        common::time_point now);
     void set_quota(const std::string& team, const std::optional<resources>& limit);
+    void set_quota_part(const std::string& team, const resources& part);
+    [[nodiscard]] std::vector<quota_demand> quota_demands() const;
 
     [[nodiscard]] wait_reason explain(const std::string& task) const;
     [[nodiscard]] std::optional<gang_wait> explain_gang(const std::string& job) const;
@@ -43,6 +45,7 @@
     using class_flags = std::array<bool, priority_class_count>;
 
     // Events.
+    void quota_changed(team_index team);
     [[nodiscard]] workload_policy& policy(workload_kind kind) const {
         return *m_policies[static_cast<std::size_t>(kind)];
     }
@@ -83,6 +86,7 @@
     void keep_plan_informed(task_index task);
     [[nodiscard]] worker_rooms all_rooms() const;
     [[nodiscard]] wait_reason gang_reason(gang_index gang) const;
+    [[nodiscard]] resources total_demand(gang_index gang) const;
     [[nodiscard]] bool quota_allows(gang_index gang) const;
     void report_overdue(decisions& result);
     void refresh_plan();
--- a/source/core/placement/placement_types.h
+++ b/source/core/placement/placement_types.h
@@ -63,6 +63,15 @@
     std::vector<assignment> tasks;
 };
 
+/// What a team with a quota uses, and what its tasks need that wait for the quota.
+struct quota_demand {
+    std::string team;
+    resources used;
+    resources waiting;
+    /// The smallest amount with which a waiting task or all-at-once job can start.
+    resources next;
+};
+
 struct decisions {
     std::vector<assignment> tasks;
     std::vector<gang_assignment> gangs;
--- a/source/core/placement/quota_ledger.cpp
+++ b/source/core/placement/quota_ledger.cpp
@@ -22,7 +22,7 @@
     const auto [position, inserted] =
         m_index.emplace(name, static_cast<team_index>(m_teams.size()));
     if (inserted) {
-        m_teams.emplace_back();
+        m_teams.emplace_back().name = name;
     }
     return position->second;
 }
@@ -37,7 +37,7 @@
 
 bool quota_ledger::allows(team_index team, const resources& demand) const {
     const account& a = m_teams[team];
-    return !a.limit || (a.used + demand).fits(*a.limit);
+    return !a.limit || (a.used + demand).fits(a.part.value_or(*a.limit));
 }
 
 double quota_ledger::share(team_index team, const resources& fleet) const {
--- a/source/core/placement/quota_ledger.h
+++ b/source/core/placement/quota_ledger.h
@@ -17,14 +17,23 @@
 /// offers none of it.
 [[nodiscard]] double dominant_share(const resources& amount, const resources& whole);
 
-/// What each team has been promised, and its limit.
+/// What each team has been promised, and its limits.
 class quota_ledger {
 public:
     team_index team(const std::string& name);
     [[nodiscard]] std::optional<team_index> find(const std::string& name) const;
 
+    [[nodiscard]] const std::string& name(team_index team) const { return m_teams[team].name; }
+    [[nodiscard]] std::size_t size() const { return m_teams.size(); }
+
+    /// The limit over all shards. It holds here until set_part().
     void set_limit(team_index team, const resources& limit) { m_teams[team].limit = limit; }
-    void clear_limit(team_index team) { m_teams[team].limit.reset(); }
+    void clear_limit(team_index team) {
+        m_teams[team].limit.reset();
+        m_teams[team].part.reset();
+    }
+    /// The part of the limit that this shard may use.
+    void set_part(team_index team, const resources& part) { m_teams[team].part = part; }
     [[nodiscard]] const std::optional<resources>& limit(team_index team) const {
         return m_teams[team].limit;
     }
@@ -40,8 +49,10 @@
 
 private:
     struct account {
+        std::string name;
         resources used;
         std::optional<resources> limit;
+        std::optional<resources> part;
     };
 
     std::unordered_map<std::string, team_index> m_index;
--- a/source/core/placement/resources.h
+++ b/source/core/placement/resources.h
@@ -29,6 +29,10 @@
     friend resources operator+(resources a, const resources& b) { return a += b; }
     friend resources operator-(resources a, const resources& b) { return a -= b; }
 
+    friend resources operator*(const resources& a, std::int64_t factor) {
+        return {a.cpu_milli * factor, a.memory_mb * factor, a.accelerators * factor};
+    }
+
     /// True when each component fits into that of the capacity.
     [[nodiscard]] bool fits(const resources& capacity) const {
         return cpu_milli <= capacity.cpu_milli && memory_mb <= capacity.memory_mb &&
--- a/source/core/placement/task_queue.cpp
+++ b/source/core/placement/task_queue.cpp
@@ -211,6 +211,16 @@
     return longest;
 }
 
+void task_queue::for_each_over_quota(const quota_visitor& visit) const {
+    for (const class_queue& queue : m_classes) {
+        for (const blocked_lane& b : queue.blocked) {
+            if (b.reason == wait_reason::quota_exceeded) {
+                visit(b.team, b.demand, m_lanes[b.lane].tasks.size());
+            }
+        }
+    }
+}
+
 task_queue::task_rank task_queue::make_rank(task_index task) const {
     const task_entry& entry = m_tasks[task];
     const task_request& request = entry.request;
--- a/source/core/placement/task_queue.h
+++ b/source/core/placement/task_queue.h
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <set>
 #include <unordered_map>
@@ -67,6 +68,11 @@
     /// had no start for the longest time since that task was submitted, if that is before the time.
     [[nodiscard]] std::optional<task_index> longest_blocked(common::time_point before) const;
 
+    /// Told the team, the demand of the first task and the number of tasks of each lane that waits
+    /// for the quota. The tasks of a lane differ little in demand.
+    using quota_visitor = std::function<void(team_index, const resources&, std::size_t)>;
+    void for_each_over_quota(const quota_visitor& visit) const;
+
     [[nodiscard]] std::size_t size() const { return m_size; }
 
 private:
--- a/source/core/scheduling/quota_exchange.cpp
+++ b/source/core/scheduling/quota_exchange.cpp
@@ -59,6 +59,7 @@
 void quota_exchange::own(const std::string& shard, std::uint64_t epoch) {
     const auto position = m_own.find(shard);
     if (position != m_own.end() && position->second.epoch == epoch) {
+        position->second.paused = false;
         return;
     }
     m_own[shard] = own_shard{};
@@ -69,6 +70,13 @@
     m_own.erase(shard);
 }
 
+void quota_exchange::pause(const std::string& shard) {
+    const auto position = m_own.find(shard);
+    if (position != m_own.end()) {
+        position->second.paused = true;
+    }
+}
+
 void quota_exchange::on_owner(common::time_point now, const std::string& shard,
                               std::uint64_t epoch) {
     std::uint64_t& known = m_epochs[shard];
@@ -103,7 +111,8 @@
     if (!known(message.from_shard) || message.from_shard == message.to_shard) {
         return "unknown_shard";
     }
-    if (!m_own.contains(message.to_shard)) {
+    const auto own = m_own.find(message.to_shard);
+    if (own == m_own.end() || own->second.paused) {
         return "not_owner";
     }
     if (!m_quotas.contains(message.team)) {
@@ -197,7 +206,9 @@
         }
         m_wakeup.reset();
         for (auto& [name, shard] : m_own) {
-            run(now, name, shard, step);
+            if (!shard.paused) {
+                run(now, name, shard, step);
+            }
         }
     } while (!m_local.empty());
     return step;
--- a/source/core/scheduling/quota_exchange.h
+++ b/source/core/scheduling/quota_exchange.h
@@ -57,6 +57,9 @@
     /// settle with the successor of the other one, and a part would count twice.
     void own(const std::string& shard, std::uint64_t epoch);
     void disown(const std::string& shard);
+    /// The workers may obey another owner at present. Without effect on the limits; own() with the
+    /// same epoch goes on.
+    void pause(const std::string& shard);
     /// Another process owns the shard with this epoch.
     void on_owner(common::time_point now, const std::string& shard, std::uint64_t epoch);
 
@@ -71,6 +74,7 @@
 private:
     struct own_shard {
         std::uint64_t epoch = 0;
+        bool paused = false;
         std::map<std::string, quota_need> needs;
         std::map<std::string, quota_home> homes;
         std::map<std::string, quota_holder> holders;
--- a/source/core/scheduling/shard_engine.cpp
+++ b/source/core/scheduling/shard_engine.cpp
@@ -109,6 +109,7 @@
 /// Majorities are counted over the set of the last owner: its tasks run there. Only an empty shard
 /// starts with the listed workers.
 void shard_engine::claim(common::time_point /*now*/) {
+    m_replaces_owner = !m_journal.table().owner().empty();
     std::set<std::string> workers = m_journal.table().workers();
     if (workers.empty()) {
         workers = m_fleet.present();
@@ -182,12 +183,23 @@
     }
     (void)m_ownership.on(ownership_event::majority);
     m_failed_claims = 0;
+    m_former_ended = now;
+    if (m_replaces_owner) {
+        m_former_ended += with_drift(m_settings.fleet.authority, m_settings.fleet.lease);
+    }
     m_runner.set_recovery_bound(
         now + with_drift(m_settings.fleet.authority + m_settings.fleet.lease.lease,
                          m_settings.fleet.lease));
     note_change("majority");
 }
 
+bool shard_engine::speaks_for_quotas(common::time_point now) const {
+    if (m_ownership.state() != ownership_state::active || recovering() || now < m_former_ended) {
+        return false;
+    }
+    return m_journal.table().workers().empty() || m_fleet.has_authority(now);
+}
+
 /// The set changes only after the recovery, which refers to the set at the take-over.
 void shard_engine::check_worker_set() {
     update_quorums();
--- a/source/core/scheduling/shard_engine.h
+++ b/source/core/scheduling/shard_engine.h
@@ -95,6 +95,17 @@
         m_runner.set_policy(now, std::move(policy));
     }
 
+    /// See task_runner::set_quota_part().
+    void set_quota_part(const std::string& team, const placement::resources& part) {
+        m_runner.set_quota_part(team, part);
+    }
+    [[nodiscard]] std::vector<placement::quota_demand> quota_demands() const {
+        return m_runner.quota_demands();
+    }
+    /// True while this process may speak for the shard about quotas: it knows the running tasks,
+    /// the workers obey it, and the authority of a former owner has ended.
+    [[nodiscard]] bool speaks_for_quotas(common::time_point now) const;
+
     // Calls. Each ticket gets exactly one reply.
     /// Throws invalid_job when the body is not a job.
     void on_submit(common::time_point now, std::uint64_t ticket, const job_spec& job,
@@ -176,6 +187,9 @@
     std::optional<std::uint64_t> m_workers_tag;
     std::optional<std::uint64_t> m_release_tag;
     std::set<std::string> m_pending_workers;
+    bool m_replaces_owner = false;
+    /// End of the authority of the former owner.
+    common::time_point m_former_ended{};
     std::map<std::uint64_t, pending_call> m_calls;
     std::vector<shard_action> m_actions;
 };
--- a/source/core/scheduling/task_runner.cpp
+++ b/source/core/scheduling/task_runner.cpp
@@ -60,8 +60,23 @@
 
 void task_runner::reset_placement() {
     m_placement.emplace(m_placement_settings);
+    m_quota_parts.clear();
+    apply_quotas();
+}
+
+void task_runner::apply_quotas() {
     for (const auto& [team, limit] : m_policy.quotas) {
         m_placement->set_quota(team, limit);
+        if (m_settings.shared_quotas) {
+            m_placement->set_quota_part(team, m_quota_parts[team]);
+        }
+    }
+}
+
+void task_runner::set_quota_part(const std::string& team, const placement::resources& part) {
+    m_quota_parts[team] = part;
+    if (m_policy.quotas.contains(team)) {
+        m_placement->set_quota_part(team, part);
     }
 }
 
@@ -70,11 +85,10 @@
     for (const auto& [team, limit] : former.quotas) {
         if (!m_policy.quotas.contains(team)) {
             m_placement->clear_quota(team);
+            m_quota_parts.erase(team);
         }
     }
-    for (const auto& [team, limit] : m_policy.quotas) {
-        m_placement->set_quota(team, limit);
-    }
+    apply_quotas();
     for (const auto& worker : m_fleet.present()) {
         refresh_worker(now, worker);
     }
--- a/source/core/scheduling/task_runner.h
+++ b/source/core/scheduling/task_runner.h
@@ -20,6 +20,8 @@
     /// Failures of one task after which its job is ended; services are restarted for good.
     unsigned max_failures = 5;
     std::size_t max_assignments = 512;
+    /// Quotas hold over several shards: the part of this shard is zero until it is set.
+    bool shared_quotas = false;
     /// A failure after a run of at least this length says nothing about worker or job.
     common::duration healthy_run = std::chrono::seconds(10);
     worker_health_settings health;
@@ -83,6 +85,11 @@
     void end();
     /// Replaces the policy; it is kept over changes of ownership.
     void set_policy(common::time_point now, shard_policy policy);
+    /// The part of a team's quota that may be used in this shard. Lost at the end of the ownership.
+    void set_quota_part(const std::string& team, const placement::resources& part);
+    [[nodiscard]] std::vector<placement::quota_demand> quota_demands() const {
+        return m_placement->quota_demands();
+    }
     void set_recovery_bound(common::time_point bound) { m_recovery_bound = bound; }
     [[nodiscard]] bool recovering() const { return m_recovering; }
 
@@ -130,6 +137,7 @@
 
     // task_runner.cpp
     void reset_placement();
+    void apply_quotas();
     [[nodiscard]] std::optional<task_ref> find_task(const std::string& task);
     /// Copy of the ids, because settling one task may move others.
     [[nodiscard]] std::set<std::string> tasks_on(const std::string& worker) const;
@@ -200,6 +208,7 @@
     placement::usage_model m_usage;
     placement::pressure_control m_pressure;
     shard_policy m_policy;
+    std::map<std::string, placement::resources> m_quota_parts;
     std::map<std::string, job_run> m_jobs;
     std::map<std::string, std::set<std::string>> m_on_worker;
     std::map<std::uint64_t, pending_entry> m_entries;
--- a/source/core/server/cluster_member.cpp
+++ b/source/core/server/cluster_member.cpp
@@ -90,6 +90,13 @@
     }
 }
 
+void cluster_member::on_quota_messages(const peer::sender& from,
+                                       const std::vector<peer::quota_message>& messages) {
+    if (m_hooks.on_quota_messages) {
+        m_hooks.on_quota_messages(from, messages);
+    }
+}
+
 void cluster_member::heard(const peer_status& status) {
     if (status.last_beat.from.config_version > m_config.version()) {
         pull_config(status.address);
--- a/source/core/server/cluster_member.h
+++ b/source/core/server/cluster_member.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace buckthornspar::server {
 
@@ -26,6 +27,9 @@
     /// Told of the slot messages of other entries. Peer thread.
     std::function<void(const peer::sender&, const peer::slot_demand&)> on_slot_demand;
     std::function<void(const peer::sender&, const peer::slot_grant&)> on_slot_grant;
+    /// Told of the quota messages of other schedulers. Peer thread.
+    std::function<void(const peer::sender&, const std::vector<peer::quota_message>&)>
+        on_quota_messages;
     /// Told of each good instance list. Any thread.
     std::function<void(const membership::instance_snapshot&)> on_instances;
 };
@@ -62,6 +66,8 @@
                              std::function<void(std::uint64_t)> complete) override;
     void on_slot_demand(const peer::sender& from, const peer::slot_demand& demand) override;
     void on_slot_grant(const peer::sender& from, const peer::slot_grant& grant) override;
+    void on_quota_messages(const peer::sender& from,
+                           const std::vector<peer::quota_message>& messages) override;
 
     [[nodiscard]] peer::heartbeat make_heartbeat();
     void heard(const peer_status& status);
--- a/source/programs/buckthornspar-scheduler/decision_thread.cpp
+++ b/source/programs/buckthornspar-scheduler/decision_thread.cpp
@@ -61,7 +61,7 @@
 
 } // namespace
 
-decision_thread::decision_thread(std::vector<shard_engine_settings> shards,
+decision_thread::decision_thread(std::vector<shard_engine_settings> shards, quota_links links,
                                  std::size_t ring_capacity, const common::clock& clock,
                                  common::counters& counters, net::event_loop& loop,
                                  store::kv_store& store, worker_client& workers)
@@ -70,7 +70,8 @@
       m_loop(loop),
       m_store(store),
       m_workers(workers),
-      m_ring(ring_capacity) {
+      m_ring(ring_capacity),
+      m_quotas(std::move(links), counters) {
     for (auto& settings : shards) {
         const std::string name = settings.shard;
         m_shards[name].engine = std::make_unique<shard_engine>(std::move(settings), counters);
@@ -146,10 +147,21 @@
     });
 }
 
+void decision_thread::quota_message(const scheduling::quota_message& message) {
+    if (!m_shards.contains(message.to_shard)) {
+        m_counters.get("quota_messages_refused_total", "reason", "not_owner").add();
+        return;
+    }
+    (void)push(message.to_shard, [this, message](shard&, common::time_point now) {
+        m_quotas.on_message(now, message);
+    });
+}
+
 void decision_thread::policy_changed(const shard_policy& policy) {
     for (const auto& [name, s] : m_shards) {
-        push_result(name, [policy](shard& target, common::time_point now) {
+        push_result(name, [this, policy](shard& target, common::time_point now) {
             target.engine->set_policy(now, policy);
+            m_quotas.set_quotas(policy.quotas);
         });
     }
 }
@@ -190,6 +202,7 @@
 
 void decision_thread::run() {
     common::time_point next_view;
+    const auto engine_map = engines();
     while (!m_stopped) {
         auto events = m_ring.pop_all(wait_time(m_clock.now()));
         const auto now = m_clock.now();
@@ -205,6 +218,7 @@
                 carry_out(name, s, action);
             }
         }
+        m_quotas.on_time(now, engine_map);
         if (now >= next_view) {
             publish_views();
             next_view = now + view_period;
@@ -212,6 +226,14 @@
     }
 }
 
+quota_sharing::engine_map decision_thread::engines() const {
+    quota_sharing::engine_map engines;
+    for (const auto& [name, s] : m_shards) {
+        engines.emplace(name, s.engine.get());
+    }
+    return engines;
+}
+
 std::chrono::microseconds decision_thread::wait_time(common::time_point now) const {
     common::duration wait = max_wait;
     for (const auto& [name, s] : m_shards) {
--- a/source/programs/buckthornspar-scheduler/decision_thread.h
+++ b/source/programs/buckthornspar-scheduler/decision_thread.h
@@ -5,6 +5,7 @@
 #include "core/scheduling/shard_engine.h"
 #include "core/scheduling/worker_client.h"
 #include "core/store/kv_store.h"
+#include "quota_sharing.h"
 #include "scheduler_settings.h"
 
 #include <atomic>
@@ -37,7 +38,7 @@
 public:
     using job_completion = std::function<void(peer::job_reply)>;
 
-    decision_thread(std::vector<scheduling::shard_engine_settings> shards,
+    decision_thread(std::vector<scheduling::shard_engine_settings> shards, quota_links links,
                     std::size_t ring_capacity, const common::clock& clock,
                     common::counters& counters, net::event_loop& loop, store::kv_store& store,
                     scheduling::worker_client& workers);
@@ -51,6 +52,8 @@
     void list_shown(const std::string& shard, std::vector<membership::instance> workers);
     void owner_heard(const std::string& shard, const std::string& owner, std::uint64_t epoch);
     void owner_released(const std::string& shard, const std::string& owner);
+    /// Messages of other schedulers; what is lost is repeated by its sender.
+    void quota_message(const scheduling::quota_message& message);
     void policy_changed(const scheduling::shard_policy& policy);
     void drain();
     void stop();
@@ -79,6 +82,7 @@
     void serve(shard& s, common::time_point now, const peer::job_call& call,
                job_completion complete);
     void publish_views();
+    [[nodiscard]] quota_sharing::engine_map engines() const;
     [[nodiscard]] std::chrono::microseconds wait_time(common::time_point now) const;
 
     const common::clock& m_clock;
@@ -88,6 +92,7 @@
     scheduling::worker_client& m_workers;
     common::bounded_ring<queued_event> m_ring;
     std::map<std::string, shard> m_shards;
+    quota_sharing m_quotas;
     std::uint64_t m_next_ticket = 1;
     std::atomic<bool> m_stopped{false};
     mutable std::mutex m_views_mutex;
--- /dev/null
+++ b/source/programs/buckthornspar-scheduler/quota_messages.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "core/peer/peer_messages.h"
+#include "core/scheduling/quota_message.h"
+
+namespace buckthornspar::scheduler {
+
+// Conversion between the messages of the quota exchange and those of the peer protocol.
+
+[[nodiscard]] peer::quota_message to_peer(const scheduling::quota_message& message);
+[[nodiscard]] scheduling::quota_message from_peer(const peer::quota_message& message);
+
+} // namespace buckthornspar::scheduler
--- /dev/null
+++ b/source/programs/buckthornspar-scheduler/quota_sharing.cpp
@@ -0,0 +1,65 @@
+#include "quota_sharing.h"
+
+#include "core/scheduling/shard_engine.h"
+
+#include <utility>
+
+namespace buckthornspar::scheduler {
+
+namespace {
+
+// What the teams use and want needs a pass over the queues.
+constexpr common::duration exchange_period = std::chrono::milliseconds(20);
+
+} // namespace
+
+quota_sharing::quota_sharing(quota_links links, common::counters& counters)
+    : m_links(std::move(links)),
+      m_exchange(m_links.shards, {}, counters),
+      m_enabled(m_links.shards.size() > 1) {}
+
+void quota_sharing::set_quotas(const std::map<std::string, placement::resources>& quotas) {
+    m_exchange.set_quotas(quotas);
+}
+
+void quota_sharing::on_message(common::time_point now, const scheduling::quota_message& message) {
+    m_exchange.on_message(now, message);
+    m_next = now;
+}
+
+void quota_sharing::update_shard(common::time_point now, const std::string& name,
+                                 const scheduling::shard_engine& engine) {
+    if (!engine.owns()) {
+        m_exchange.disown(name);
+        return;
+    }
+    if (!engine.speaks_for_quotas(now)) {
+        m_exchange.pause(name);
+        return;
+    }
+    m_exchange.own(name, engine.epoch());
+    std::map<std::string, scheduling::quota_need> needs;
+    for (const auto& demand : engine.quota_demands()) {
+        needs[demand.team] = {demand.used, demand.waiting, demand.next};
+    }
+    m_exchange.set_needs(name, std::move(needs));
+}
+
+void quota_sharing::on_time(common::time_point now, const engine_map& engines) {
+    if (!m_enabled || now < m_next) {
+        return;
+    }
+    m_next = now + exchange_period;
+    for (const auto& [name, engine] : engines) {
+        update_shard(now, name, *engine);
+    }
+    const auto step = m_exchange.on_time(now);
+    for (const auto& item : step.limits) {
+        engines.at(item.shard)->set_quota_part(item.team, item.limit);
+    }
+    if (!step.messages.empty()) {
+        m_links.send(step.messages);
+    }
+}
+
+} // namespace buckthornspar::scheduler
--- a/source/programs/buckthornspar-scheduler/scheduler_application.cpp
+++ b/source/programs/buckthornspar-scheduler/scheduler_application.cpp
@@ -6,6 +6,8 @@
 #include "core/server/server_process.h"
 #include "core/server/shared_config.h"
 #include "decision_thread.h"
+#include "quota_messages.h"
+#include "quota_router.h"
 
 #include <algorithm>
 #include <utility>
@@ -53,10 +55,12 @@
       m_config(std::make_unique<server::shared_config>(
           [this](std::uint64_t, const config::configuration& c) {
               m_decisions->policy_changed(policy_of(c));
-          })) {
+          })),
+      m_quota_router(std::make_unique<quota_router>(process.settings().shards)) {
     m_decisions = std::make_unique<decision_thread>(
-        engines_of(own_shards(), settings, process.settings()), settings.ring_capacity,
-        process.clock(), process.counters(), process.loop(), *m_store, *m_workers);
+        engines_of(own_shards(), settings, process.settings()), make_quota_links(),
+        settings.ring_capacity, process.clock(), process.counters(), process.loop(), *m_store,
+        *m_workers);
     server::member_hooks hooks;
     hooks.on_job_call = [this](peer::job_call call,
                                const std::function<void(peer::job_reply)>& complete) {
@@ -64,9 +68,13 @@
     };
     hooks.fill_heartbeat = [this](peer::heartbeat& beat) { fill_heartbeat(beat); };
     hooks.on_peer_heard = [this](const server::peer_status& status) { on_peer_heard(status); };
+    hooks.on_quota_messages = [this](const peer::sender& from, const auto& messages) {
+        on_quota_messages(from, messages);
+    };
     hooks.on_instances = [this](const membership::instance_snapshot& s) { on_instances(s); };
     m_member = std::make_unique<server::cluster_member>(
         process, "scheduler", server::make_instance_list(process), *m_config, std::move(hooks));
+    m_quota_member = m_member.get();
     m_member->start();
 }
 
@@ -139,6 +147,27 @@
     }
 }
 
+quota_links scheduler_application::make_quota_links() {
+    quota_links links;
+    for (const auto& shard : m_process.settings().shards) {
+        links.shards.push_back(shard.id);
+    }
+    links.send = [this](const auto& messages) {
+        if (server::cluster_member* const member = m_quota_member) {
+            m_quota_router->send(*member, messages);
+        }
+    };
+    return links;
+}
+
+void scheduler_application::on_quota_messages(const peer::sender& from,
+                                              const std::vector<peer::quota_message>& messages) {
+    for (const auto& message : messages) {
+        m_quota_router->heard(from.id, message.from_shard, message.from_epoch);
+        m_decisions->quota_message(from_peer(message));
+    }
+}
+
 void scheduler_application::handle(net::http_request, net::http_reply reply) {
     reply(net::error_response(404, "not_found", "jobs are submitted at an entry"));
 }
--- a/source/programs/buckthornspar-scheduler/scheduler_application.h
+++ b/source/programs/buckthornspar-scheduler/scheduler_application.h
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace buckthornspar::membership {
 struct instance_snapshot;
@@ -15,6 +16,8 @@
 struct heartbeat;
 struct job_call;
 struct job_reply;
+struct quota_message;
+struct sender;
 } // namespace buckthornspar::peer
 namespace buckthornspar::scheduling {
 class worker_client;
@@ -32,6 +35,8 @@
 namespace buckthornspar::scheduler {
 
 class decision_thread;
+class quota_router;
+struct quota_links;
 
 /// Owns shards of workers of its region and the jobs whose home shards these are.
 class scheduler_application final : public server::server_application {
@@ -50,14 +55,20 @@
     void on_peer_heard(const server::peer_status& status);
     void serve(peer::job_call call, const std::function<void(peer::job_reply)>& complete);
     void fill_heartbeat(peer::heartbeat& beat) const;
+    [[nodiscard]] quota_links make_quota_links();
+    void on_quota_messages(const peer::sender& from,
+                           const std::vector<peer::quota_message>& messages);
 
     server::server_process& m_process;
     net::http_client m_http;
     std::unique_ptr<scheduling::worker_client> m_workers;
     std::unique_ptr<store::kv_store> m_store;
     std::unique_ptr<server::config_holder> m_config;
+    std::unique_ptr<quota_router> m_quota_router;
     std::unique_ptr<decision_thread> m_decisions;
     std::unique_ptr<server::cluster_member> m_member;
+    /// The decision thread starts before the member exists.
+    std::atomic<server::cluster_member*> m_quota_member{nullptr};
     std::atomic<bool> m_listed{false};
     std::atomic<bool> m_draining{false};
 };
--- a/source/programs/buckthornspar-scheduler/scheduler_settings.cpp
+++ b/source/programs/buckthornspar-scheduler/scheduler_settings.cpp
@@ -66,6 +66,7 @@
     s.fleet.shard = shard;
     s.fleet.self = shared.id;
     s.tasks = own.tasks;
+    s.tasks.shared_quotas = shared.shards.size() > 1;
     s.placement = own.placement;
     s.placement.seed = hash;
     s.log.log.prefix = "shards/" + shard;
--- a/source/schema/peer.capnp
+++ b/source/schema/peer.capnp
@@ -65,6 +65,36 @@
   counts @1 :List(SlotCount);   # slots of the sender's runners that the receiver may fill
 }
 
+struct Amount {
+  cpuMilli @0 :Int64;
+  memoryMb @1 :Int64;
+  accelerators @2 :Int64;
+}
+
+enum QuotaMessageKind {
+  statement @0;                 # a holder to the home shard
+  grant @1;                     # the home shard to a holder
+  query @2;                     # the home shard asks for a statement
+}
+
+struct QuotaMessage {
+  # About the quota of one team, between the owners of two shards. Amounts are totals.
+  kind @0 :QuotaMessageKind;
+  team @1 :Text;
+  fromShard @2 :Text;
+  fromEpoch @3 :UInt64;
+  toShard @4 :Text;
+  toEpoch @5 :UInt64;           # 0 when unknown
+  sequence @6 :UInt64;
+  answers @7 :UInt64;           # highest sequence received from the other side
+  amount @8 :Amount;            # statement: held; grant: limit
+  wanted @9 :Amount;            # statement only
+  least @10 :Amount;            # statement only
+  quota @11 :Amount;            # grant only: the quota from which it was made
+  recall @12 :Bool;             # grant only: the limit must not rise
+  reply @13 :Bool;              # the sender repeats the message until it is answered
+}
+
 interface Peer {
   # One interface for all roles: a process refuses the calls that its role does not serve with
   # status refused and errorType "wrong_role".
@@ -80,4 +110,6 @@
 
   slotDemand @7 (sender :Sender, demand :SlotDemand) -> ();
   slotGrant @8 (sender :Sender, grant :SlotGrant) -> ();
+
+  quotaMessages @9 (sender :Sender, messages :List(QuotaMessage)) -> ();
 }
--- a/tests/process/cluster.cpp
+++ b/tests/process/cluster.cpp
@@ -29,6 +29,20 @@
     return (id.back() - '0') % 2 == 0 ? "rack-2" : "rack-1";
 }
 
+// Members are numbered from 1.
+std::string region_number(const std::string& id, int regions) {
+    return std::to_string((id.back() - '1') % regions + 1);
+}
+
+std::string shard_list(int regions) {
+    std::string text = "shards:\n";
+    for (int i = 1; i <= regions; ++i) {
+        const std::string n = std::to_string(i);
+        text += "  - {id: s" + n + ", region: r" + n + ", places: [p" + n + "]}\n";
+    }
+    return text;
+}
+
 } // namespace
 
 cluster::cluster(cluster_options options) : m_options(std::move(options)) {
@@ -122,12 +136,14 @@
     const net::endpoint http{"127.0.0.1", m_ports.take()};
     const net::endpoint peer{"127.0.0.1", m_ports.take()};
     const std::string path = m_directory.file(id + ".yaml");
+    const std::string region = region_number(id, m_options.regions);
     std::ofstream file(path);
-    file << "id: " << id << "\nregion: r1\nplace: p1\nlisten: " << net::to_string(http)
-         << "\npeer_listen: " << net::to_string(peer) << "\nstore: {address: \""
-         << net::to_string(at("store").http) << "\"}\ninstances: {address: \""
-         << net::to_string(at("list").http) << "\"}\ninstance_poll_ms: 200\nheartbeat_ms: 200\n"
-         << "shards:\n  - {id: s1, region: r1, places: [p1]}\n";
+    file << "id: " << id << "\nregion: r" << region << "\nplace: p" << region
+         << "\nlisten: " << net::to_string(http) << "\npeer_listen: " << net::to_string(peer)
+         << "\nstore: {address: \"" << net::to_string(at("store").http)
+         << "\"}\ninstances: {address: \"" << net::to_string(at("list").http)
+         << "\"}\ninstance_poll_ms: 200\nheartbeat_ms: 200\n"
+         << shard_list(m_options.regions);
     const auto extra = m_options.extra_settings.find(role);
     if (extra != m_options.extra_settings.end()) {
         file << extra->second;
@@ -143,11 +159,12 @@
         if (m.role == "store" || m.role == "list") {
             continue;
         }
+        const std::string region = region_number(id, m_options.regions);
         json::object instance{{"id", id},
                               {"role", m.role},
                               {"address", net::to_string(is_server(m.role) ? m.peer : m.http)},
-                              {"place", "p1"},
-                              {"region", "r1"},
+                              {"place", "p" + region},
+                              {"region", "r" + region},
                               {"rack", rack_of(id)},
                               {"state", "live"}};
         if (m.role == "runner") {
--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -20,6 +20,8 @@
     int schedulers = 2;
     int configs = 1;
     int runner_slots = 8;
+    /// Regions r1, r2, ... with a place and a shard each; members are spread over them in turn.
+    int regions = 1;
     /// YAML lines added to the settings of a role, for example {"scheduler", "lease_ms: 3000\n"}.
     std::map<std::string, std::string> extra_settings = {};
 };
--- /dev/null
+++ b/tests/process/quota_test.cpp
@@ -0,0 +1,145 @@
+#define BOOST_TEST_MODULE process_quota
+#include "process/cluster.h"
+#include "process/execution_log.h"
+#include "process/job_driver.h"
+
+#include <boost/json.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <limits>
+
+using namespace buckthornspar::process_test;
+using namespace std::chrono_literals;
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::size_t tasks_in_quota = 4;
+constexpr std::int64_t task_cpu_milli = 500;
+
+/// Two regions with a scheduler, an entry, a shard and a worker each.
+struct quota_fixture {
+    quota_fixture()
+        : c({.workers = 2,
+             .runners = 0,
+             .entries = 2,
+             .schedulers = 2,
+             .configs = 2,
+             .regions = 2}),
+          jobs(c) {
+        const json::object quota{{"cpu_milli", tasks_in_quota * task_cpu_milli},
+                                 {"memory_mb", 100'000},
+                                 {"accelerators", 0}};
+        const json::array changes{
+            json::object{{"op", "set"}, {"path", "quotas/test"}, {"value", quota}}};
+        const json::object patch{
+            {"id", "quota"}, {"author", "tester"}, {"base_version", 1}, {"changes", changes}};
+        const auto answer =
+            c.http().post(c.at("config-1").http, "/v1/config/patches", json::serialize(patch));
+        BOOST_REQUIRE_MESSAGE(answer.status / 100 == 2U, answer.body);
+        // A job that no worker refuses and the quota does shows that the quota is in force.
+        for (const std::string entry : {"entry-1", "entry-2"}) {
+            BOOST_REQUIRE_MESSAGE(wait_until([&] { return refuses_large_job(entry); }, 10s),
+                                  c.logs());
+        }
+    }
+
+    bool refuses_large_job(const std::string& entry) {
+        const job_request large{.id = "large-" + std::to_string(++m_number),
+                                .tasks = 1,
+                                .run_ms = 1,
+                                .cpu_milli = tasks_in_quota * task_cpu_milli + 1};
+        return jobs.submit(large, entry).body.find("quota of team test") != std::string::npos;
+    }
+
+    std::vector<execution> of_job(const std::string& job) {
+        auto found = task_executions(c);
+        std::erase_if(found, [&](const execution& e) { return e.id.rfind(job, 0) != 0; });
+        return found;
+    }
+
+    bool ended(const std::string& job, std::size_t tasks) {
+        const auto executions = of_job(job);
+        return executions.size() == tasks && running_count(executions) == 0;
+    }
+
+    std::size_t most_at_once() {
+        const auto executions = task_executions(c);
+        std::size_t most = 0;
+        for (const auto& at : executions) {
+            const auto together =
+                std::count_if(executions.begin(), executions.end(), [&](const execution& e) {
+                    return e.start_ms <= at.start_ms && e.end_ms.value_or(INT64_MAX) > at.start_ms;
+                });
+            most = std::max(most, static_cast<std::size_t>(together));
+        }
+        return most;
+    }
+
+    /// Value of a counter of both schedulers together.
+    std::int64_t total(const std::string& counter) {
+        std::int64_t sum = 0;
+        for (const member* const scheduler : c.of_role("scheduler")) {
+            const std::string page = c.http().get(scheduler->http, "/metrics").body;
+            const auto position = page.find("\n" + counter + " ");
+            if (position != std::string::npos) {
+                sum += std::stoll(page.substr(position + counter.size() + 2));
+            }
+        }
+        return sum;
+    }
+
+    cluster c;
+    job_driver jobs;
+    int m_number = 0;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(quota_test, quota_fixture)
+
+// Guards against schedulers that each enforce the whole quota, and against room that a shard with
+// waiting tasks does not get after those of the other shard have ended.
+BOOST_AUTO_TEST_CASE(quota_holds_over_shards_and_room_moves) {
+    BOOST_REQUIRE(jobs.submit({.id = "north", .tasks = 4, .run_ms = 6000}, "entry-1").status ==
+                  201U);
+    BOOST_REQUIRE_MESSAGE(
+        wait_until([&] { return running_count(of_job("north")) == tasks_in_quota; }, 10s),
+        c.logs());
+    BOOST_REQUIRE(jobs.submit({.id = "south", .tasks = 8, .run_ms = 1000}, "entry-2").status ==
+                  201U);
+    const auto explained = [&] {
+        return c.http().get(c.at("entry-2").http, "/v1/jobs/south/explain").body;
+    };
+    BOOST_TEST(
+        wait_until([&] { return explained().find("quota_exceeded") != std::string::npos; }, 3s),
+        explained());
+    BOOST_TEST(wait_until([&] { return ended("south", 8); }, 30s), describe(task_executions(c))
+                                                                       << c.logs());
+    std::int64_t north_end = 0;
+    for (const auto& e : of_job("north")) {
+        north_end = std::max(north_end, e.end_ms.value_or(0));
+    }
+    std::int64_t south_start = std::numeric_limits<std::int64_t>::max();
+    for (const auto& e : of_job("south")) {
+        south_start = std::min(south_start, e.start_ms);
+    }
+    BOOST_TEST_MESSAGE("room used after " << south_start - north_end << " ms, "
+                                          << total("quota_messages_sent_total") << " messages");
+    BOOST_TEST(south_start - north_end < 6000);
+    BOOST_TEST(most_at_once() == tasks_in_quota, describe(task_executions(c)));
+}
+
+// Guards against two schedulers that both take the rest of the quota at the same moment.
+BOOST_AUTO_TEST_CASE(jobs_at_both_shards_share_the_quota) {
+    BOOST_REQUIRE(jobs.submit({.id = "north", .tasks = 12, .run_ms = 300}, "entry-1").status ==
+                  201U);
+    BOOST_REQUIRE(jobs.submit({.id = "south", .tasks = 12, .run_ms = 300}, "entry-2").status ==
+                  201U);
+    BOOST_TEST(wait_until([&] { return ended("north", 12) && ended("south", 12); }, 40s),
+               describe(task_executions(c)) << c.logs());
+    BOOST_TEST(most_at_once() <= tasks_in_quota, describe(task_executions(c)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
