--- a/tests/process/job_driver.cpp
+++ b/tests/process/job_driver.cpp
@@ -26,7 +26,7 @@
 } // namespace
 
 std::string job_request::to_json() const {
-    return json::serialize(json::object{
+    json::object job{
         {"id", id},
         {"team", "test"},
         {"kind", kind},
@@ -34,8 +34,11 @@
         {"idempotent", idempotent},
         {"tasks", tasks},
         {"run_ms", run_ms},
-        {"demand",
-         json::object{{"cpu_milli", cpu_milli}, {"memory_mb", 64}, {"accelerators", 0}}}});
+        {"demand", json::object{{"cpu_milli", cpu_milli}, {"memory_mb", 64}, {"accelerators", 0}}}};
+    if (!region.empty()) {
+        job["region"] = region;
+    }
+    return json::serialize(job);
 }
 
 call_result job_driver::submit(const job_request& job, const std::string& entry) {
--- a/tests/process/job_driver.h
+++ b/tests/process/job_driver.h
@@ -16,6 +16,8 @@
     std::int64_t run_ms = 200;
     std::int64_t cpu_milli = 500;
     bool idempotent = true;
+    /// Empty for any region.
+    std::string region = {};
 
     [[nodiscard]] std::string to_json() const;
 };
--- a/tests/process/quota_test.cpp
+++ b/tests/process/quota_test.cpp
@@ -39,18 +39,25 @@
             c.http().post(c.at("config-1").http, "/v1/config/patches", json::serialize(patch));
         BOOST_REQUIRE_MESSAGE(answer.status / 100 == 2U, answer.body);
         // A job that no worker refuses and the quota does shows that the quota is in force.
-        for (const std::string entry : {"entry-1", "entry-2"}) {
-            BOOST_REQUIRE_MESSAGE(wait_until([&] { return refuses_large_job(entry); }, 10s),
+        for (const std::string region : {"r1", "r2"}) {
+            BOOST_REQUIRE_MESSAGE(wait_until([&] { return refuses_large_job(region); }, 10s),
                                   c.logs());
         }
     }
 
-    bool refuses_large_job(const std::string& entry) {
+    bool refuses_large_job(const std::string& region) {
         const job_request large{.id = "large-" + std::to_string(++m_number),
                                 .tasks = 1,
                                 .run_ms = 1,
-                                .cpu_milli = tasks_in_quota * task_cpu_milli + 1};
-        return jobs.submit(large, entry).body.find("quota of team test") != std::string::npos;
+                                .cpu_milli = tasks_in_quota * task_cpu_milli + 1,
+                                .region = region};
+        return jobs.submit(large).body.find("quota of team test") != std::string::npos;
+    }
+
+    void submit(const std::string& job, const std::string& region, int tasks, std::int64_t run_ms) {
+        const auto answer =
+            jobs.submit({.id = job, .tasks = tasks, .run_ms = run_ms, .region = region});
+        BOOST_REQUIRE_MESSAGE(answer.status == 201U, answer.body);
     }
 
     std::vector<execution> of_job(const std::string& job) {
@@ -82,14 +89,44 @@
         std::int64_t sum = 0;
         for (const member* const scheduler : c.of_role("scheduler")) {
             const std::string page = c.http().get(scheduler->http, "/metrics").body;
-            const auto position = page.find("\n" + counter + " ");
+            const std::string name = "\nbuckthornspar_" + counter + " ";
+            const auto position = page.find(name);
             if (position != std::string::npos) {
-                sum += std::stoll(page.substr(position + counter.size() + 2));
+                sum += std::stoll(page.substr(position + name.size()));
             }
         }
         return sum;
     }
 
+    void check_room_moves(const std::string& north_region, const std::string& south_region) {
+        submit("north", north_region, 4, 6000);
+        BOOST_REQUIRE_MESSAGE(
+            wait_until([&] { return running_count(of_job("north")) == tasks_in_quota; }, 10s),
+            c.logs());
+        submit("south", south_region, 8, 1000);
+        std::string explained;
+        const auto waits_for_quota = [&] {
+            explained = c.http().get(c.at("entry-1").http, "/v1/jobs/south/explain").body;
+            return explained.find("quota_exceeded") != std::string::npos;
+        };
+        BOOST_TEST(wait_until(waits_for_quota, 3s), explained);
+        BOOST_REQUIRE_MESSAGE(wait_until([&] { return ended("south", 8); }, 30s),
+                              describe(task_executions(c)) << c.logs());
+        std::int64_t north_end = 0;
+        for (const auto& e : of_job("north")) {
+            north_end = std::max(north_end, e.end_ms.value_or(0));
+        }
+        std::int64_t south_start = std::numeric_limits<std::int64_t>::max();
+        for (const auto& e : of_job("south")) {
+            BOOST_TEST(e.target != of_job("north").front().target);
+            south_start = std::min(south_start, e.start_ms);
+        }
+        BOOST_TEST_MESSAGE("room used after " << south_start - north_end << " ms, "
+                                              << total("quota_messages_sent_total") << " messages");
+        BOOST_TEST(south_start - north_end < 6000);
+        BOOST_TEST(most_at_once() == tasks_in_quota, describe(task_executions(c)));
+    }
+
     cluster c;
     job_driver jobs;
     int m_number = 0;
@@ -100,43 +137,20 @@
 BOOST_FIXTURE_TEST_SUITE(quota_test, quota_fixture)
 
 // Guards against schedulers that each enforce the whole quota, and against room that a shard with
-// waiting tasks does not get after those of the other shard have ended.
-BOOST_AUTO_TEST_CASE(quota_holds_over_shards_and_room_moves) {
-    BOOST_REQUIRE(jobs.submit({.id = "north", .tasks = 4, .run_ms = 6000}, "entry-1").status ==
-                  201U);
-    BOOST_REQUIRE_MESSAGE(
-        wait_until([&] { return running_count(of_job("north")) == tasks_in_quota; }, 10s),
-        c.logs());
-    BOOST_REQUIRE(jobs.submit({.id = "south", .tasks = 8, .run_ms = 1000}, "entry-2").status ==
-                  201U);
-    const auto explained = [&] {
-        return c.http().get(c.at("entry-2").http, "/v1/jobs/south/explain").body;
-    };
-    BOOST_TEST(
-        wait_until([&] { return explained().find("quota_exceeded") != std::string::npos; }, 3s),
-        explained());
-    BOOST_TEST(wait_until([&] { return ended("south", 8); }, 30s), describe(task_executions(c))
-                                                                       << c.logs());
-    std::int64_t north_end = 0;
-    for (const auto& e : of_job("north")) {
-        north_end = std::max(north_end, e.end_ms.value_or(0));
-    }
-    std::int64_t south_start = std::numeric_limits<std::int64_t>::max();
-    for (const auto& e : of_job("south")) {
-        south_start = std::min(south_start, e.start_ms);
-    }
-    BOOST_TEST_MESSAGE("room used after " << south_start - north_end << " ms, "
-                                          << total("quota_messages_sent_total") << " messages");
-    BOOST_TEST(south_start - north_end < 6000);
-    BOOST_TEST(most_at_once() == tasks_in_quota, describe(task_executions(c)));
+// waiting tasks does not get after those of the other shard have ended. One of the shards is the
+// home shard.
+BOOST_AUTO_TEST_CASE(quota_holds_and_room_moves_to_the_second_region) {
+    check_room_moves("r1", "r2");
+}
+
+BOOST_AUTO_TEST_CASE(quota_holds_and_room_moves_to_the_first_region) {
+    check_room_moves("r2", "r1");
 }
 
 // Guards against two schedulers that both take the rest of the quota at the same moment.
 BOOST_AUTO_TEST_CASE(jobs_at_both_shards_share_the_quota) {
-    BOOST_REQUIRE(jobs.submit({.id = "north", .tasks = 12, .run_ms = 300}, "entry-1").status ==
-                  201U);
-    BOOST_REQUIRE(jobs.submit({.id = "south", .tasks = 12, .run_ms = 300}, "entry-2").status ==
-                  201U);
+    submit("north", "r1", 12, 300);
+    submit("south", "r2", 12, 300);
     BOOST_TEST(wait_until([&] { return ended("north", 12) && ended("south", 12); }, 40s),
                describe(task_executions(c)) << c.logs());
     BOOST_TEST(most_at_once() <= tasks_in_quota, describe(task_executions(c)));
