--- a/source/core/peer/peer_messages.h
+++ b/source/core/peer/peer_messages.h
@@ -99,6 +99,7 @@
     std::int64_t cpu_milli = 0;
     std::int64_t memory_mb = 0;
     std::int64_t accelerators = 0;
+    bool operator==(const amount&) const = default;
 };
 
 enum class quota_message_kind { statement, grant, query };
@@ -120,6 +121,7 @@
     peer::amount quota;
     bool recall = false;
     bool reply = false;
+    bool operator==(const quota_message&) const = default;
 };
 
 } // namespace buckthornspar::peer
--- a/tests/process/cluster.cpp
+++ b/tests/process/cluster.cpp
@@ -38,7 +38,8 @@
     std::string text = "shards:\n";
     for (int i = 1; i <= regions; ++i) {
         const std::string n = std::to_string(i);
-        text += "  - {id: s" + n + ", region: r" + n + ", places: [p" + n + "]}\n";
+        text.append("  - {id: s").append(n).append(", region: r").append(n);
+        text.append(", places: [p").append(n).append("]}\n");
     }
     return text;
 }
--- a/tests/scenario/quota/quota_world.cpp
+++ b/tests/scenario/quota/quota_world.cpp
@@ -241,10 +241,10 @@
         }
         position->second.authority = m_mutation == "owners_overlap";
         const auto overlap = m_mutation == "owners_overlap" ? 2 * takeover_time : 0s;
-        m_events.after(zombie + overlap, [this, name, shard_name] {
-            process& former = m_processes.at(name);
-            former.exchange->disown(shard_name);
-            former.shards.erase(shard_name);
+        m_events.after(zombie + overlap, [this, former = name, shard_name] {
+            process& q = m_processes.at(former);
+            q.exchange->disown(shard_name);
+            q.shards.erase(shard_name);
         });
         ++m_shards.at(shard_name).epoch;
         m_events.after(takeover_time, [this, shard_name] { take_over(shard_name); });
@@ -275,9 +275,9 @@
     for (const auto& [name, p] : m_processes) {
         const auto delay = common::duration(
             m_rng.below(static_cast<std::uint64_t>(slowest_configuration.count())));
-        m_events.after(delay, [this, name = name, units] {
+        m_events.after(delay, [this, told = name, units] {
             if (units == m_quota) {
-                tell_quota(name, units);
+                tell_quota(told, units);
             }
         });
     }
--- a/tests/unit/peer/peer_node_test.cpp
+++ b/tests/unit/peer/peer_node_test.cpp
@@ -46,7 +46,12 @@
         granted.set_value(from.id + ":" + grant.counts.at(0).runner);
     }
 
+    void on_quota_messages(const sender&, const std::vector<quota_message>& messages) override {
+        quotas.set_value(messages);
+    }
+
     std::promise<std::string> granted;
+    std::promise<std::vector<quota_message>> quotas;
 
 private:
     std::mutex m_mutex;
@@ -138,4 +143,31 @@
     BOOST_TEST(handler.granted.get_future().get() == "a:runner-1");
 }
 
+// Guards against a field that is lost on the way; a wrong total would exceed a quota.
+BOOST_AUTO_TEST_CASE(quota_messages_arrive_unchanged) {
+    quota_message grant;
+    grant.kind = quota_message_kind::grant;
+    grant.team = "team-1";
+    grant.from_shard = "north";
+    grant.from_epoch = 7;
+    grant.to_shard = "south";
+    grant.to_epoch = 9;
+    grant.sequence = 11;
+    grant.answers = 13;
+    grant.amount = {4000, 8192, 1};
+    grant.quota = {64'000, 131'072, 8};
+    grant.recall = true;
+    quota_message statement = grant;
+    statement.kind = quota_message_kind::statement;
+    statement.wanted = {6000, 8192, 2};
+    statement.least = {5000, 8192, 1};
+    statement.reply = true;
+    client.send_quota_messages(to, {"a", "scheduler", 0}, {grant, statement});
+    const auto arrived = handler.quotas.get_future().get();
+    BOOST_REQUIRE(arrived.size() == 2U);
+    BOOST_TEST((arrived[0] == grant));
+    statement.quota = {};
+    BOOST_TEST((arrived[1] == statement));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/placement/engine_test.cpp
+++ b/tests/unit/placement/engine_test.cpp
@@ -93,6 +93,25 @@
     BOOST_TEST((engine.explain("t") == wait_reason::none));
 }
 
+// Guards against a job that is refused for good because the part of this shard is small, and
+// against waiting work of which the other shards do not hear.
+BOOST_AUTO_TEST_CASE(part_of_a_quota_makes_work_wait) {
+    placement_engine engine = engine_with(1, large_worker);
+    engine.set_quota("team", {4 * cores, 64 * gigabytes, 0});
+    engine.set_quota_part("team", {});
+    BOOST_TEST(detail_of(engine, {3 * cores, gigabytes, 0}) == "feasible");
+    engine.submit(make_task("t", one_core));
+    BOOST_TEST(engine.decide(at(0s), 10).empty());
+    BOOST_TEST((engine.explain("t") == wait_reason::quota_exceeded));
+    BOOST_REQUIRE(engine.quota_demands().size() == 1U);
+    BOOST_TEST((engine.quota_demands().front().waiting == one_core));
+    BOOST_TEST((engine.quota_demands().front().next == one_core));
+    engine.set_quota_part("team", one_core);
+    BOOST_TEST(engine.decide(at(1s), 10).tasks.size() == 1U);
+    BOOST_TEST((engine.quota_demands().front().used == one_core));
+    BOOST_TEST((engine.quota_demands().front().waiting == resources{}));
+}
+
 // Guards against a team exceeding its quota, and against its work staying blocked afterwards.
 BOOST_AUTO_TEST_CASE(quota_limits_a_team_until_work_ends) {
     placement_engine engine = engine_with(1, large_worker);
