--- a/source/core/placement/blocked_lanes.cpp
+++ b/source/core/placement/blocked_lanes.cpp
@@ -211,6 +211,14 @@
     return team < m_teams.size() ? m_teams[team].over_quota : std::vector<lane_index>{};
 }
 
+std::vector<lane_index> blocked_lanes::all_over_quota() const {
+    std::vector<lane_index> found;
+    for (const team_lanes& team : m_teams) {
+        found.insert(found.end(), team.over_quota.begin(), team.over_quota.end());
+    }
+    return found;
+}
+
 std::vector<lane_index> blocked_lanes::with_reason(wait_reason reason) const {
     std::vector<lane_index> found;
     for (const team_rank& team : m_order) {
--- a/source/core/placement/blocked_lanes.h
+++ b/source/core/placement/blocked_lanes.h
@@ -81,6 +81,8 @@
     [[nodiscard]] std::vector<lane_index> all_fitting(const freed_room& room) const;
     /// The team's lanes that are over its quota.
     [[nodiscard]] std::vector<lane_index> over_quota(team_index team) const;
+    /// The lanes of all teams that are over their quotas.
+    [[nodiscard]] std::vector<lane_index> all_over_quota() const;
     /// Lanes with this reason, other than quota_exceeded.
     [[nodiscard]] std::vector<lane_index> with_reason(wait_reason reason) const;
 
--- a/source/core/placement/task_queue.cpp
+++ b/source/core/placement/task_queue.cpp
@@ -236,6 +236,15 @@
     return longest;
 }
 
+void task_queue::for_each_over_quota(const quota_visitor& visit) const {
+    for (const class_queue& queue : m_classes) {
+        for (const lane_index index : queue.blocked.all_over_quota()) {
+            const lane& l = m_lanes[index];
+            visit(l.key.team, first_demand(l), l.tasks.size());
+        }
+    }
+}
+
 task_rank task_queue::make_rank(task_index task) const {
     const task_entry& entry = m_tasks[task];
     const task_request& request = entry.request;
