--- a/source/programs/buckthornspar-entry/job_gateway.cpp
+++ b/source/programs/buckthornspar-entry/job_gateway.cpp
@@ -173,7 +173,7 @@
 // has changed, or may be dead for long. Any other scheduler of the shard's region can name the
 // present one.
 std::optional<server::peer_status> job_gateway::choose_scheduler(const exchange& e) const {
-    const auto owner = m_member.mesh().owner_of(e.shard);
+    auto owner = m_member.mesh().owner_of(e.shard);
     const std::string region = m_directory.region_of(e.shard);
     std::optional<server::peer_status> last_resort = owner;
     std::optional<server::peer_status> can_tell;
