--- a/source/programs/buckthornspar-bench/placement_cost.cpp
+++ b/source/programs/buckthornspar-bench/placement_cost.cpp
@@ -1,8 +1,8 @@
 #include "benchmark.h"
 #include "cell_simulation.h"
+#include "processor_time.h"
 
 #include <algorithm>
-#include <ctime>
 #include <memory>
 #include <numeric>
 
@@ -12,12 +12,6 @@
 
 using placement::resources;
 
-double processor_time_us() {
-    timespec t{};
-    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &t);
-    return static_cast<double>(t.tv_sec) * 1e6 + static_cast<double>(t.tv_nsec) / 1e3;
-}
-
 /// Half of the workers have 64 cores and half 32; each seventh has 8 accelerators; 1,050 to a
 /// place.
 std::vector<placement::worker_info> make_fleet(std::size_t count) {
