Count the owner's majority at changes and not in each pass

The quorums are set again, and the set in the log is compared with the present workers, only when the version of the fleet's presence, of the log's set or the pending change is a new one.

Ruled out: checking the sets at intervals, which delays the step from a list to the log; the time of the majority by selection of the median at each acceptance, which is a walk again.

--- a/source/core/scheduling/authority.cpp
+++ b/source/core/scheduling/authority.cpp
@@ -1,22 +1,50 @@
 #include "core/scheduling/authority.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace buckthornspar::scheduling {
 
+void authority::set_quorums(std::set<std::string> logged, std::set<std::string> pending) {
+    m_quorums = {quorum{std::move(logged), 0}, quorum{std::move(pending), 0}};
+    for (const auto& [worker, sent_at] : m_accepted) {
+        if (m_valid_until.contains(worker)) {
+            count(worker, 1);
+        }
+    }
+}
+
 void authority::note_accepted(const std::string& worker, common::time_point sent_at) {
     auto& known = m_accepted.try_emplace(worker, sent_at).first->second;
     known = std::max(known, sent_at);
+    if (!m_valid_until.contains(worker)) {
+        count(worker, 1);
+    }
+    m_valid_until.set(worker, known + m_validity);
 }
 
-bool authority::held(common::time_point now, const std::set<std::string>& workers) const {
-    std::size_t recent = 0;
-    for (const auto& [worker, sent_at] : m_accepted) {
-        if (sent_at + m_validity > now && workers.contains(worker)) {
-            ++recent;
+bool authority::held(common::time_point now) {
+    for (const auto& worker : m_valid_until.take_due(now)) {
+        count(worker, -1);
+    }
+    return std::all_of(m_quorums.begin(), m_quorums.end(),
+                       [](const quorum& q) { return q.recent * 2 > q.workers.size(); });
+}
+
+void authority::clear() {
+    m_accepted.clear();
+    m_valid_until.clear();
+    for (auto& q : m_quorums) {
+        q.recent = 0;
+    }
+}
+
+void authority::count(const std::string& worker, int change) {
+    for (auto& q : m_quorums) {
+        if (q.workers.contains(worker)) {
+            q.recent += static_cast<std::size_t>(change);
         }
     }
-    return recent * 2 > workers.size();
 }
 
 } // namespace buckthornspar::scheduling
--- a/source/core/scheduling/job_table.cpp
+++ b/source/core/scheduling/job_table.cpp
@@ -78,6 +78,7 @@
 void job_table::apply(std::uint64_t number, const journal_entry& entry) {
     const auto set_workers = [&](const std::vector<std::string>& workers) {
         m_workers = {workers.begin(), workers.end()};
+        ++m_workers_version;
     };
     std::visit(common::overloaded{
                    [&](const owner_entry& e) {
@@ -174,6 +175,7 @@
     m_owner = read_text(object, "owner");
     m_epoch = static_cast<std::uint64_t>(read_int(object, "epoch"));
     m_workers.clear();
+    ++m_workers_version;
     for (const auto& item : read_array(object, "workers")) {
         m_workers.emplace(item.as_string().c_str());
     }
--- a/source/core/scheduling/job_table.h
+++ b/source/core/scheduling/job_table.h
@@ -59,6 +59,8 @@
     [[nodiscard]] const std::string& owner() const { return m_owner; }
     [[nodiscard]] std::uint64_t epoch() const { return m_epoch; }
     [[nodiscard]] const std::set<std::string>& workers() const { return m_workers; }
+    /// Changes whenever the set of workers may have changed.
+    [[nodiscard]] std::uint64_t workers_version() const { return m_workers_version; }
 
     [[nodiscard]] std::string snapshot() const;
     /// Replaces the state. Throws common::format_error or common::unknown_name_error.
@@ -74,6 +76,7 @@
     std::string m_owner;
     std::uint64_t m_epoch = 0;
     std::set<std::string> m_workers;
+    std::uint64_t m_workers_version = 0;
     std::map<std::string, job_record, std::less<>> m_jobs;
     std::deque<std::string> m_ended_order;
 };
--- a/source/core/scheduling/shard_engine.cpp
+++ b/source/core/scheduling/shard_engine.cpp
@@ -194,19 +194,38 @@
     if (m_ownership.state() != ownership_state::active || m_runner.recovering() || m_workers_tag) {
         return;
     }
-    const auto present = m_fleet.present();
-    if (present == m_journal.table().workers()) {
+    if (logged_set_is_present()) {
         return;
     }
-    m_pending_workers = present;
-    m_workers_tag =
-        m_journal.add(workers_entry{std::vector<std::string>(present.begin(), present.end())});
+    m_pending_workers = m_fleet.present();
+    m_workers_tag = m_journal.add(workers_entry{
+        std::vector<std::string>(m_pending_workers.begin(), m_pending_workers.end())});
     update_quorums();
 }
 
+/// The sets are large and change rarely, so that they are compared only after a change.
+bool shard_engine::logged_set_is_present() {
+    if (m_present_versions == versions()) {
+        return true;
+    }
+    if (m_fleet.present() != m_journal.table().workers()) {
+        return false;
+    }
+    m_present_versions = versions();
+    return true;
+}
+
+shard_engine::set_versions shard_engine::versions() const {
+    return {m_fleet.presence_version(), m_journal.table().workers_version(), m_workers_tag};
+}
+
 /// A worker that is gone is terminated: no owner can reach it. While a change of the set is being
 /// written, a majority of either set may already count for another scheduler.
 void shard_engine::update_quorums() {
+    if (m_quorum_versions == versions()) {
+        return;
+    }
+    m_quorum_versions = versions();
     const auto without_gone = [&](std::set<std::string> workers) {
         std::erase_if(workers, [&](const std::string& worker) { return m_fleet.gone(worker); });
         return workers;
--- a/source/core/scheduling/shard_engine.h
+++ b/source/core/scheduling/shard_engine.h
@@ -121,6 +121,14 @@
     [[nodiscard]] placement::resources free_resources() const { return m_runner.free_resources(); }
 
 private:
+    /// Versions of the worker sets that a result was computed from.
+    struct set_versions {
+        std::uint64_t fleet = 0;
+        std::uint64_t table = 0;
+        std::optional<std::uint64_t> pending_tag;
+
+        bool operator==(const set_versions&) const = default;
+    };
     struct pending_call {
         std::string job;
         bool cancel = false;
@@ -131,6 +139,7 @@
 
     // shard_engine.cpp
     [[nodiscard]] common::time_point claim_time() const;
+    [[nodiscard]] set_versions versions() const;
     void check_silence(common::time_point now);
     void on_journal_loaded(common::time_point now);
     void on_entry_written(common::time_point now, const entry_written& written);
@@ -143,6 +152,7 @@
     void check_majority(common::time_point now);
     void check_worker_set();
     void update_quorums();
+    [[nodiscard]] bool logged_set_is_present();
     void check_release();
     void note_change(std::string_view reason);
     bool drain_journal(common::time_point now);
@@ -176,6 +186,10 @@
     std::optional<std::uint64_t> m_workers_tag;
     std::optional<std::uint64_t> m_release_tag;
     std::set<std::string> m_pending_workers;
+    /// For which versions the quorums are set, and for which the set in the log was found to be
+    /// that of the workers present. Empty when not known.
+    std::optional<set_versions> m_quorum_versions;
+    std::optional<set_versions> m_present_versions;
     std::map<std::uint64_t, pending_call> m_calls;
     std::vector<shard_action> m_actions;
 };
--- a/source/core/scheduling/worker_fleet.cpp
+++ b/source/core/scheduling/worker_fleet.cpp
@@ -8,17 +8,11 @@
 namespace {
 
 constexpr unsigned max_doublings = 10;
-constexpr common::duration stamp_lead = std::chrono::milliseconds(50);
-constexpr common::duration min_events_wait = std::chrono::milliseconds(200);
 
 bool takes_effect(const worker_operation& operation) {
     return operation.op == worker_op::start || operation.op == worker_op::reserve;
 }
 
-void earlier(std::optional<common::time_point>& next, common::time_point candidate) {
-    next = std::min(next.value_or(candidate), candidate);
-}
-
 } // namespace
 
 worker_fleet::worker_fleet(worker_fleet_settings settings, common::counters& counters)
@@ -46,6 +40,7 @@
     m_leases.clear();
     m_authority.clear();
     m_lapsed.clear();
+    ++m_presence_version;
     for (auto& [worker, l] : m_links) {
         link fresh;
         fresh.listing = std::move(l.listing);
@@ -69,10 +64,7 @@
         // the listing alone does not tell whether the placement knows of it.
         const bool changed = !l.listing || l.listing->state != instance.state ||
                              l.listing->address != instance.address || l.leaving != leaving;
-        l.listing = instance;
-        l.missing_since.reset();
-        l.gone = false;
-        l.leaving = leaving;
+        note_listed(instance, l);
         if (changed) {
             m_events.emplace_back(worker_changed{instance.id});
         }
@@ -84,11 +76,25 @@
     }
 }
 
-void worker_fleet::note_missing(common::time_point now, link& l) const {
+void worker_fleet::note_listed(const membership::instance& instance, link& l) {
+    if (!l.listing || l.gone) {
+        ++m_presence_version;
+    }
+    l.listing = instance;
+    l.missing_since.reset();
+    l.gone = false;
+    l.leaving = instance.state == membership::instance_state::leaving;
+}
+
+void worker_fleet::note_missing(common::time_point now, link& l) {
     if (!l.missing_since) {
         l.missing_since = now;
     }
-    l.gone = now - *l.missing_since >= m_settings.gone_after;
+    const bool gone = now - *l.missing_since >= m_settings.gone_after;
+    if (gone != l.gone) {
+        ++m_presence_version;
+    }
+    l.gone = gone;
 }
 
 // Results of calls.
@@ -126,6 +132,9 @@
     }
     m_leases.note_stamp(worker, {inventory.incarnation, inventory.stamp_ms, now});
     m_authority.note_accepted(worker, l.call_sent);
+    if (!l.seen && !l.listing) {
+        ++m_presence_version;
+    }
     l.seen = true;
     l.adopted = true;
     l.failures = 0;
@@ -297,12 +306,11 @@
 // Queries and commands.
 
 void worker_fleet::set_quorums(std::set<std::string> logged, std::set<std::string> pending) {
-    m_logged = std::move(logged);
-    m_pending = std::move(pending);
+    m_authority.set_quorums(std::move(logged), std::move(pending));
 }
 
-bool worker_fleet::has_authority(common::time_point now) const {
-    return m_running && m_authority.held(now, m_logged) && m_authority.held(now, m_pending);
+bool worker_fleet::has_authority(common::time_point now) {
+    return m_running && m_authority.held(now);
 }
 
 void worker_fleet::queue(const std::string& worker, worker_operation operation) {
@@ -363,7 +371,7 @@
 std::set<std::string> worker_fleet::present() const {
     std::set<std::string> workers;
     for (const auto& [worker, l] : m_links) {
-        if (!l.gone && (l.listing || l.seen)) {
+        if (l.present()) {
             workers.insert(worker);
         }
     }
@@ -376,122 +384,6 @@
                       [&](const std::string& worker) { return adopted(worker); }));
 }
 
-// Time.
-
-void worker_fleet::on_time(common::time_point now) {
-    if (!m_running) {
-        return;
-    }
-    check_leases(now);
-    const bool authorised = has_authority(now);
-    for (auto& [worker, l] : m_links) {
-        step(now, worker, l, authorised);
-    }
-}
-
-void worker_fleet::check_leases(common::time_point now) {
-    for (auto& [worker, l] : m_links) {
-        const auto end = m_leases.latest_end(worker);
-        if (!end || now < *end || m_lapsed[worker] == *end) {
-            continue;
-        }
-        m_lapsed[worker] = *end;
-        l.doubtful.clear();
-        m_events.emplace_back(leases_lapsed{worker});
-    }
-}
-
-/// Without authority the owner must not renew, and adopts again instead: that extends nothing, and
-/// its acceptance restores the authority.
-void worker_fleet::step(common::time_point now, const std::string& worker, link& l,
-                        bool authorised) {
-    if (!l.listing) {
-        return;
-    }
-    if (l.call == 0) {
-        const bool due = now >= l.next_call;
-        if (!l.adopted || !l.doubtful.empty() || !authorised) {
-            if (due) {
-                send_adopt(now, worker, l);
-            }
-        } else if (due || !l.outbox.empty()) {
-            send_sync(now, worker, l);
-        }
-    }
-    if (l.adopted && l.events_call == 0 && now >= l.next_events) {
-        send_events(now, worker, l);
-    }
-}
-
-void worker_fleet::send_adopt(common::time_point now, const std::string& worker, link& l) {
-    l.call = m_next_call++;
-    l.call_sent = now;
-    l.next_call = now + m_settings.retry_max;
-    m_events.emplace_back(adopt_call{
-        worker, l.listing->address, l.call, {m_settings.shard, m_epoch, m_settings.self}});
-}
-
-void worker_fleet::send_sync(common::time_point now, const std::string& worker, link& l) {
-    const worker_stamp* const stamp = m_leases.newest(worker);
-    if (stamp == nullptr) {
-        return;
-    }
-    const auto in_ms = [](common::duration d) {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
-    };
-    sync_request request;
-    request.shard = m_settings.shard;
-    request.epoch = m_epoch;
-    request.owner = m_settings.self;
-    request.stamp_ms = stamp->stamp_ms;
-    request.incarnation = l.incarnation;
-    request.lease_ms = in_ms(m_settings.lease.lease);
-    request.start_validity_ms = in_ms(m_settings.lease.start_validity);
-    request.renew = true;
-    request.acknowledge = l.outbox.take_acknowledged();
-    request.operations = l.outbox.take_operations(m_settings.max_operations_per_sync);
-    m_leases.note_grant(worker);
-    l.in_flight = request.operations;
-    l.in_flight_stamp_ms = request.stamp_ms;
-    l.call = m_next_call++;
-    l.call_sent = now;
-    l.next_call = now + m_settings.renew;
-    m_counters.get("worker_renewals_total").add();
-    m_events.emplace_back(sync_call{worker, l.listing->address, l.call, std::move(request)});
-}
-
-void worker_fleet::send_events(common::time_point now, const std::string& worker, link& l) {
-    // The poll ends just before the next renewal, which then quotes a fresh stamp. A stamp that is
-    // as old as a renewal period would shorten each lease by that much.
-    const auto wait = std::clamp(l.next_call - now - stamp_lead, min_events_wait,
-                                 std::max(m_settings.renew, min_events_wait));
-    l.events_call = m_next_call++;
-    l.next_events = now;
-    m_events.emplace_back(
-        events_call{worker, l.listing->address, l.events_call, l.events_after, wait});
-}
-
-std::optional<common::time_point> worker_fleet::next_wakeup() const {
-    std::optional<common::time_point> next;
-    if (!m_running) {
-        return next;
-    }
-    for (const auto& [worker, l] : m_links) {
-        if (l.listing && l.call == 0) {
-            earlier(next, l.next_call);
-        }
-        if (l.listing && l.adopted && l.events_call == 0) {
-            earlier(next, l.next_events);
-        }
-        const auto end = m_leases.latest_end(worker);
-        const auto lapsed = m_lapsed.find(worker);
-        if (end && (lapsed == m_lapsed.end() || lapsed->second != *end)) {
-            earlier(next, *end);
-        }
-    }
-    return next;
-}
-
 std::vector<fleet_event> worker_fleet::take_events() {
     return std::exchange(m_events, {});
 }
--- a/source/core/scheduling/worker_fleet.h
+++ b/source/core/scheduling/worker_fleet.h
@@ -124,7 +124,8 @@
 
     /// The sets over each of which a majority is needed.
     void set_quorums(std::set<std::string> logged, std::set<std::string> pending);
-    [[nodiscard]] bool has_authority(common::time_point now) const;
+    /// The time must not go back from one call to the next.
+    [[nodiscard]] bool has_authority(common::time_point now);
 
     void queue(const std::string& worker, worker_operation operation);
     [[nodiscard]] bool remove_queued(const std::string& worker, const std::string& attempt);
@@ -141,6 +142,8 @@
     [[nodiscard]] std::optional<placement::worker_info> info(const std::string& worker) const;
     /// Workers that are listed, or known and not gone.
     [[nodiscard]] std::set<std::string> present() const;
+    /// Changes whenever a result of present() or gone() may have changed.
+    [[nodiscard]] std::uint64_t presence_version() const { return m_presence_version; }
     [[nodiscard]] std::size_t adopted_of(const std::set<std::string>& workers) const;
     [[nodiscard]] bool listed() const { return m_listed_once; }
 
@@ -175,10 +178,13 @@
         std::uint64_t events_call = 0;
         std::uint64_t events_after = 0;
         common::time_point next_events;
+
+        [[nodiscard]] bool present() const { return !gone && (listing || seen); }
     };
 
     [[nodiscard]] link* answered_link(const std::string& worker, std::uint64_t call);
-    void note_missing(common::time_point now, link& l) const;
+    void note_listed(const membership::instance& instance, link& l);
+    void note_missing(common::time_point now, link& l);
     void send_adopt(common::time_point now, const std::string& worker, link& l);
     void send_sync(common::time_point now, const std::string& worker, link& l);
     void send_events(common::time_point now, const std::string& worker, link& l);
@@ -202,8 +208,7 @@
     bool m_listed_once = false;
     std::uint64_t m_epoch = 0;
     std::uint64_t m_next_call = 1;
-    std::set<std::string> m_logged;
-    std::set<std::string> m_pending;
+    std::uint64_t m_presence_version = 0;
     lease_table m_leases;
     authority m_authority;
     std::map<std::string, link> m_links;
--- /dev/null
+++ b/source/core/scheduling/worker_fleet_time.cpp
@@ -0,0 +1,133 @@
+#include "core/scheduling/worker_fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace buckthornspar::scheduling {
+
+namespace {
+
+constexpr common::duration stamp_lead = std::chrono::milliseconds(50);
+constexpr common::duration min_events_wait = std::chrono::milliseconds(200);
+
+void earlier(std::optional<common::time_point>& next, common::time_point candidate) {
+    next = std::min(next.value_or(candidate), candidate);
+}
+
+} // namespace
+
+void worker_fleet::on_time(common::time_point now) {
+    if (!m_running) {
+        return;
+    }
+    check_leases(now);
+    const bool authorised = has_authority(now);
+    for (auto& [worker, l] : m_links) {
+        step(now, worker, l, authorised);
+    }
+}
+
+void worker_fleet::check_leases(common::time_point now) {
+    for (auto& [worker, l] : m_links) {
+        const auto end = m_leases.latest_end(worker);
+        if (!end || now < *end || m_lapsed[worker] == *end) {
+            continue;
+        }
+        m_lapsed[worker] = *end;
+        l.doubtful.clear();
+        m_events.emplace_back(leases_lapsed{worker});
+    }
+}
+
+/// Without authority the owner must not renew, and adopts again instead: that extends nothing, and
+/// its acceptance restores the authority.
+void worker_fleet::step(common::time_point now, const std::string& worker, link& l,
+                        bool authorised) {
+    if (!l.listing) {
+        return;
+    }
+    if (l.call == 0) {
+        const bool due = now >= l.next_call;
+        if (!l.adopted || !l.doubtful.empty() || !authorised) {
+            if (due) {
+                send_adopt(now, worker, l);
+            }
+        } else if (due || !l.outbox.empty()) {
+            send_sync(now, worker, l);
+        }
+    }
+    if (l.adopted && l.events_call == 0 && now >= l.next_events) {
+        send_events(now, worker, l);
+    }
+}
+
+void worker_fleet::send_adopt(common::time_point now, const std::string& worker, link& l) {
+    l.call = m_next_call++;
+    l.call_sent = now;
+    l.next_call = now + m_settings.retry_max;
+    m_events.emplace_back(adopt_call{
+        worker, l.listing->address, l.call, {m_settings.shard, m_epoch, m_settings.self}});
+}
+
+void worker_fleet::send_sync(common::time_point now, const std::string& worker, link& l) {
+    const worker_stamp* const stamp = m_leases.newest(worker);
+    if (stamp == nullptr) {
+        return;
+    }
+    const auto in_ms = [](common::duration d) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
+    };
+    sync_request request;
+    request.shard = m_settings.shard;
+    request.epoch = m_epoch;
+    request.owner = m_settings.self;
+    request.stamp_ms = stamp->stamp_ms;
+    request.incarnation = l.incarnation;
+    request.lease_ms = in_ms(m_settings.lease.lease);
+    request.start_validity_ms = in_ms(m_settings.lease.start_validity);
+    request.renew = true;
+    request.acknowledge = l.outbox.take_acknowledged();
+    request.operations = l.outbox.take_operations(m_settings.max_operations_per_sync);
+    m_leases.note_grant(worker);
+    l.in_flight = request.operations;
+    l.in_flight_stamp_ms = request.stamp_ms;
+    l.call = m_next_call++;
+    l.call_sent = now;
+    l.next_call = now + m_settings.renew;
+    m_counters.get("worker_renewals_total").add();
+    m_events.emplace_back(sync_call{worker, l.listing->address, l.call, std::move(request)});
+}
+
+void worker_fleet::send_events(common::time_point now, const std::string& worker, link& l) {
+    // The poll ends just before the next renewal, which then quotes a fresh stamp. A stamp that is
+    // as old as a renewal period would shorten each lease by that much.
+    const auto wait = std::clamp(l.next_call - now - stamp_lead, min_events_wait,
+                                 std::max(m_settings.renew, min_events_wait));
+    l.events_call = m_next_call++;
+    l.next_events = now;
+    m_events.emplace_back(
+        events_call{worker, l.listing->address, l.events_call, l.events_after, wait});
+}
+
+std::optional<common::time_point> worker_fleet::next_wakeup() const {
+    std::optional<common::time_point> next;
+    if (!m_running) {
+        return next;
+    }
+    for (const auto& [worker, l] : m_links) {
+        if (l.listing && l.call == 0) {
+            earlier(next, l.next_call);
+        }
+        if (l.listing && l.adopted && l.events_call == 0) {
+            earlier(next, l.next_events);
+        }
+        const auto end = m_leases.latest_end(worker);
+        const auto lapsed = m_lapsed.find(worker);
+        if (end && (lapsed == m_lapsed.end() || lapsed->second != *end)) {
+            earlier(next, *end);
+        }
+    }
+    return next;
+}
+
+} // namespace buckthornspar::scheduling
--- /dev/null
+++ b/tests/unit/scheduling/authority_test.cpp
@@ -0,0 +1,66 @@
+#include "core/scheduling/authority.h"
+
+#include <boost/test/unit_test.hpp>
+
+using buckthornspar::common::time_point;
+using buckthornspar::scheduling::authority;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr seconds validity{4};
+
+time_point at(milliseconds since_start) {
+    return time_point(since_start);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(authority_test)
+
+// Guards against acceptances that stay counted after their end, with which a superseded owner would
+// go on.
+BOOST_AUTO_TEST_CASE(authority_ends_with_the_acceptances_of_the_majority) {
+    authority a(validity);
+    a.set_quorums({"w1", "w2", "w3"}, {"w1", "w2", "w3"});
+    a.note_accepted("w1", at(seconds(1)));
+    BOOST_TEST(!a.held(at(seconds(1))));
+    a.note_accepted("w2", at(seconds(2)));
+    BOOST_TEST(a.held(at(milliseconds(4999))));
+    BOOST_TEST(!a.held(at(seconds(5))));
+    a.note_accepted("w1", at(seconds(5)));
+    BOOST_TEST(a.held(at(milliseconds(5999))));
+    BOOST_TEST(!a.held(at(seconds(6))));
+}
+
+// Guards against an answer that is overtaken by a newer one and shortens the validity.
+BOOST_AUTO_TEST_CASE(older_acceptance_does_not_replace_a_newer_one) {
+    authority a(validity);
+    a.set_quorums({"w1"}, {"w1"});
+    a.note_accepted("w1", at(seconds(3)));
+    a.note_accepted("w1", at(seconds(1)));
+    BOOST_TEST(a.held(at(seconds(6))));
+    BOOST_TEST(!a.held(at(seconds(7))));
+    a.note_accepted("w1", at(seconds(2)));
+    BOOST_TEST(!a.held(at(seconds(7))));
+}
+
+// Guards against counts that do not follow a change of the sets.
+BOOST_AUTO_TEST_CASE(both_sets_need_a_majority) {
+    authority a(validity);
+    BOOST_TEST(!a.held(at(seconds(0))));
+    a.note_accepted("w1", at(seconds(1)));
+    a.note_accepted("w2", at(seconds(1)));
+    a.set_quorums({"w1", "w2"}, {"w1", "w2", "w3", "w4"});
+    BOOST_TEST(!a.held(at(seconds(1))));
+    a.set_quorums({"w1", "w2"}, {"w1", "w2", "w3"});
+    BOOST_TEST(a.held(at(seconds(1))));
+    a.clear();
+    BOOST_TEST(!a.held(at(seconds(1))));
+    a.note_accepted("w1", at(seconds(2)));
+    a.note_accepted("w3", at(seconds(2)));
+    BOOST_TEST(!a.held(at(seconds(2))));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
