Look only at the workers that have an event or are due

Cause: each pass of worker_fleet::on_time went over all workers to check leases and due calls, and next_wakeup() went over them again, with two look-ups each.

The fleet keeps the due times of its links in a queue. A link is looked at when an event has changed it or its time has come, in the order of the workers' names as before. When the authority comes back, all links are looked at, since operations may have been held back for the lack of it; the unit test of that case was seen to fail without it.

Ruled out: a queue of calls instead of links, because the next call of a link depends on its outbox and on the authority, and both change without a timer.

--- a/source/core/scheduling/worker_fleet.cpp
+++ b/source/core/scheduling/worker_fleet.cpp
@@ -32,6 +32,7 @@
     for (auto& [worker, l] : m_links) {
         l.next_call = now;
     }
+    touch_all();
 }
 
 void worker_fleet::end() {
@@ -39,7 +40,9 @@
     m_events.clear();
     m_leases.clear();
     m_authority.clear();
-    m_lapsed.clear();
+    m_due.clear();
+    m_touched.clear();
+    m_authorised = false;
     ++m_presence_version;
     for (auto& [worker, l] : m_links) {
         link fresh;
@@ -66,6 +69,7 @@
                              l.listing->address != instance.address || l.leaving != leaving;
         note_listed(instance, l);
         if (changed) {
+            touch(instance.id);
             m_events.emplace_back(worker_changed{instance.id});
         }
     }
@@ -105,6 +109,7 @@
         return nullptr;
     }
     position->second.call = 0;
+    touch(worker);
     return &position->second;
 }
 
@@ -243,6 +248,7 @@
     }
     link& l = position->second;
     l.events_call = 0;
+    touch(worker);
     const auto* const answer = std::get_if<events_answer>(&result);
     if (answer == nullptr || answer->incarnation != l.incarnation) {
         l.next_events = now + m_settings.retry_max;
@@ -315,6 +321,7 @@
 
 void worker_fleet::queue(const std::string& worker, worker_operation operation) {
     m_links[worker].outbox.add(std::move(operation));
+    touch(worker);
 }
 
 bool worker_fleet::remove_queued(const std::string& worker, const std::string& attempt) {
@@ -324,6 +331,7 @@
 
 void worker_fleet::acknowledge(const std::string& worker, const std::string& attempt) {
     m_links[worker].outbox.acknowledge(attempt);
+    touch(worker);
 }
 
 bool worker_fleet::adopted(const std::string& worker) const {
--- a/source/core/scheduling/worker_fleet.h
+++ b/source/core/scheduling/worker_fleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/common/counters.h"
+#include "core/common/due_queue.h"
 #include "core/membership/instance_list.h"
 #include "core/placement/placement_types.h"
 #include "core/scheduling/authority.h"
@@ -178,6 +179,8 @@
         std::uint64_t events_call = 0;
         std::uint64_t events_after = 0;
         common::time_point next_events;
+        /// End of the leases that was reported as lapsed, so that each is reported once.
+        std::optional<common::time_point> lapsed_end;
 
         [[nodiscard]] bool present() const { return !gone && (listing || seen); }
     };
@@ -199,7 +202,12 @@
     void fail(common::time_point now, const std::string& worker, link& l,
               const worker_error& error);
     void return_queued(const std::string& worker, link& l);
-    void check_leases(common::time_point now);
+    /// The next on_time() looks at the link.
+    void touch(const std::string& worker);
+    void touch_all();
+    void check_lease(common::time_point now, const std::string& worker, link& l);
+    [[nodiscard]] std::optional<common::time_point> due_time(const std::string& worker,
+                                                             const link& l) const;
     [[nodiscard]] common::duration backoff(unsigned failures) const;
 
     worker_fleet_settings m_settings;
@@ -212,8 +220,12 @@
     lease_table m_leases;
     authority m_authority;
     std::map<std::string, link> m_links;
-    /// Ends of leases that were reported as lapsed, so that each is reported once.
-    std::map<std::string, common::time_point> m_lapsed;
+    /// Times at which links have something to do.
+    common::due_queue<std::string> m_due;
+    /// Links that an event has changed since the last on_time().
+    std::set<std::string> m_touched;
+    /// Whether the owner had authority at the last on_time().
+    bool m_authorised = false;
     std::vector<fleet_event> m_events;
 };
 
--- a/source/core/scheduling/worker_fleet_time.cpp
+++ b/source/core/scheduling/worker_fleet_time.cpp
@@ -16,27 +16,48 @@
 
 } // namespace
 
+void worker_fleet::touch(const std::string& worker) {
+    m_touched.insert(worker);
+}
+
+void worker_fleet::touch_all() {
+    for (const auto& [worker, l] : m_links) {
+        touch(worker);
+    }
+}
+
+/// Links without an event and without a due time have nothing to do, except when the authority
+/// comes back: operations that were held back are then sent at once.
 void worker_fleet::on_time(common::time_point now) {
     if (!m_running) {
         return;
     }
-    check_leases(now);
+    for (const auto& worker : m_due.take_due(now)) {
+        touch(worker);
+    }
+    for (const auto& worker : m_touched) {
+        check_lease(now, worker, m_links.at(worker));
+    }
     const bool authorised = has_authority(now);
-    for (auto& [worker, l] : m_links) {
+    if (authorised && !m_authorised) {
+        touch_all();
+    }
+    m_authorised = authorised;
+    for (const auto& worker : std::exchange(m_touched, {})) {
+        link& l = m_links.at(worker);
         step(now, worker, l, authorised);
+        m_due.set(worker, due_time(worker, l));
     }
 }
 
-void worker_fleet::check_leases(common::time_point now) {
-    for (auto& [worker, l] : m_links) {
-        const auto end = m_leases.latest_end(worker);
-        if (!end || now < *end || m_lapsed[worker] == *end) {
-            continue;
-        }
-        m_lapsed[worker] = *end;
-        l.doubtful.clear();
-        m_events.emplace_back(leases_lapsed{worker});
+void worker_fleet::check_lease(common::time_point now, const std::string& worker, link& l) {
+    const auto end = m_leases.latest_end(worker);
+    if (!end || now < *end || l.lapsed_end == end) {
+        return;
     }
+    l.lapsed_end = end;
+    l.doubtful.clear();
+    m_events.emplace_back(leases_lapsed{worker});
 }
 
 /// Without authority the owner must not renew, and adopts again instead: that extends nothing, and
@@ -109,22 +130,27 @@
         events_call{worker, l.listing->address, l.events_call, l.events_after, wait});
 }
 
-std::optional<common::time_point> worker_fleet::next_wakeup() const {
-    std::optional<common::time_point> next;
-    if (!m_running) {
-        return next;
+std::optional<common::time_point> worker_fleet::due_time(const std::string& worker,
+                                                         const link& l) const {
+    std::optional<common::time_point> due;
+    if (l.listing && l.call == 0) {
+        earlier(due, l.next_call);
     }
-    for (const auto& [worker, l] : m_links) {
-        if (l.listing && l.call == 0) {
-            earlier(next, l.next_call);
-        }
-        if (l.listing && l.adopted && l.events_call == 0) {
-            earlier(next, l.next_events);
-        }
-        const auto end = m_leases.latest_end(worker);
-        const auto lapsed = m_lapsed.find(worker);
-        if (end && (lapsed == m_lapsed.end() || lapsed->second != *end)) {
-            earlier(next, *end);
+    if (l.listing && l.adopted && l.events_call == 0) {
+        earlier(due, l.next_events);
+    }
+    const auto end = m_leases.latest_end(worker);
+    if (end && l.lapsed_end != end) {
+        earlier(due, *end);
+    }
+    return due;
+}
+
+std::optional<common::time_point> worker_fleet::next_wakeup() const {
+    std::optional<common::time_point> next = m_due.next();
+    for (const auto& worker : m_touched) {
+        if (const auto due = due_time(worker, m_links.at(worker))) {
+            earlier(next, *due);
         }
     }
     return next;
--- /dev/null
+++ b/tests/unit/scheduling/worker_fleet_test.cpp
@@ -0,0 +1,100 @@
+#include "core/scheduling/worker_fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace buckthornspar;
+using namespace buckthornspar::scheduling;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::uint64_t epoch = 7;
+const std::set<std::string> three_workers{"w1", "w2", "w3"};
+
+/// An owner that has sent its adoptions to three workers.
+struct adopting_fleet {
+    adopting_fleet() : fleet({}, counters) {
+        std::vector<membership::instance> shown;
+        for (const auto& worker : three_workers) {
+            shown.emplace_back().id = worker;
+        }
+        fleet.on_list(now, shown);
+        fleet.begin(now, epoch, three_workers);
+        fleet.set_quorums(three_workers, three_workers);
+        step();
+    }
+
+    void step() {
+        fleet.on_time(now);
+        events = fleet.take_events();
+        for (const auto& event : events) {
+            if (const auto* const call = std::get_if<adopt_call>(&event)) {
+                adoptions[call->worker] = call->call;
+            }
+        }
+    }
+
+    void answer_adoption(const std::string& worker) {
+        worker_inventory inventory;
+        inventory.worker = worker;
+        inventory.incarnation = 1;
+        inventory.stamp_ms = common::to_milliseconds(now);
+        fleet.on_adopt(now, worker, adoptions.at(worker), inventory);
+        step();
+    }
+
+    [[nodiscard]] std::size_t starts_sent_to(const std::string& worker) const {
+        std::size_t sent = 0;
+        for (const auto& event : events) {
+            const auto* const call = std::get_if<sync_call>(&event);
+            sent += call != nullptr && call->worker == worker ? call->request.operations.size() : 0;
+        }
+        return sent;
+    }
+
+    common::counters counters;
+    worker_fleet fleet;
+    common::time_point now{milliseconds(1000)};
+    std::vector<fleet_event> events;
+    std::map<std::string, std::uint64_t> adoptions;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(worker_fleet_test)
+
+// Guards against operations that stay held back until the link's own next call, because nothing but
+// the authority has changed.
+BOOST_AUTO_TEST_CASE(held_back_start_is_sent_when_the_authority_is_reached) {
+    adopting_fleet f;
+    f.answer_adoption("w1");
+    f.fleet.queue("w1", {worker_op::start, "a@7.1", "a/0", {}, {}, ""});
+    f.step();
+    BOOST_TEST(f.starts_sent_to("w1") == 0U);
+    f.now += milliseconds(1);
+    f.answer_adoption("w2");
+    BOOST_TEST(f.starts_sent_to("w1") == 1U);
+}
+
+// Guards against a lease whose end is missed when no other event of the worker comes.
+BOOST_AUTO_TEST_CASE(lapse_of_a_silent_worker_is_due_and_reported_once) {
+    adopting_fleet f;
+    f.answer_adoption("w1");
+    f.answer_adoption("w2");
+    std::size_t lapses = 0;
+    const auto until = f.now + std::chrono::seconds(30);
+    for (auto next = f.fleet.next_wakeup(); next && *next < until; next = f.fleet.next_wakeup()) {
+        f.now = std::max(f.now + milliseconds(1), *next);
+        f.step();
+        lapses += static_cast<std::size_t>(
+            std::count_if(f.events.begin(), f.events.end(), [](const fleet_event& event) {
+                const auto* const lapsed = std::get_if<leases_lapsed>(&event);
+                return lapsed != nullptr && lapsed->worker == "w1";
+            }));
+    }
+    BOOST_TEST(lapses == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
