--- a/source/core/scheduling/shard_engine.h
+++ b/source/core/scheduling/shard_engine.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "core/scheduling/pending_calls.h"
 #include "core/scheduling/shard_ownership.h"
 #include "core/scheduling/task_runner.h"
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <variant>
@@ -106,7 +106,7 @@
     }
     /// True while this process may speak for the shard about quotas: it knows the running tasks,
     /// the workers obey it, and the authority of a former owner has ended.
-    [[nodiscard]] bool speaks_for_quotas(common::time_point now) const;
+    [[nodiscard]] bool speaks_for_quotas(common::time_point now);
 
     // Calls. Each ticket gets exactly one reply.
     /// Throws invalid_job when the body is not a job.
@@ -131,19 +131,22 @@
     [[nodiscard]] const job_table& table() const { return m_journal.table(); }
     [[nodiscard]] const std::string& owner_hint() const { return m_owner_hint; }
     [[nodiscard]] std::size_t waiting_tasks() const { return m_runner.waiting(); }
+    /// Room on the workers that may get new tasks.
     [[nodiscard]] placement::resources free_resources() const { return m_runner.free_resources(); }
 
 private:
-    struct pending_call {
-        std::string job;
-        bool cancel = false;
-        job_spec spec;
-        /// Callers that wait for the entry, with their deadlines.
-        std::map<std::uint64_t, common::time_point> tickets;
+    /// Versions of the worker sets that a result was computed from.
+    struct set_versions {
+        std::uint64_t fleet = 0;
+        std::uint64_t table = 0;
+        std::optional<std::uint64_t> pending_tag;
+
+        bool operator==(const set_versions&) const = default;
     };
 
     // shard_engine.cpp
     [[nodiscard]] common::time_point claim_time() const;
+    [[nodiscard]] set_versions versions() const;
     void check_silence(common::time_point now);
     void on_journal_loaded(common::time_point now);
     void on_entry_written(common::time_point now, const entry_written& written);
@@ -156,6 +159,7 @@
     void check_majority(common::time_point now);
     void check_worker_set();
     void update_quorums();
+    [[nodiscard]] bool logged_set_is_present();
     void check_release();
     void note_change(std::string_view reason);
     bool drain_journal(common::time_point now);
@@ -193,7 +197,11 @@
     bool m_replaces_owner = false;
     /// End of the authority of the former owner.
     common::time_point m_former_ended{};
-    std::map<std::uint64_t, pending_call> m_calls;
+    /// For which versions the quorums are set, and for which the set in the log was found to be
+    /// that of the workers present. Empty when not known.
+    std::optional<set_versions> m_quorum_versions;
+    std::optional<set_versions> m_present_versions;
+    pending_calls m_calls;
     std::vector<shard_action> m_actions;
 };
 
--- a/source/core/scheduling/worker_fleet.h
+++ b/source/core/scheduling/worker_fleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/common/counters.h"
+#include "core/common/due_queue.h"
 #include "core/membership/instance_list.h"
 #include "core/placement/placement_types.h"
 #include "core/scheduling/authority.h"
@@ -124,7 +125,8 @@
 
     /// The sets over each of which a majority is needed.
     void set_quorums(std::set<std::string> logged, std::set<std::string> pending);
-    [[nodiscard]] bool has_authority(common::time_point now) const;
+    /// The time must not go back from one call to the next.
+    [[nodiscard]] bool has_authority(common::time_point now);
 
     void queue(const std::string& worker, worker_operation operation);
     [[nodiscard]] bool remove_queued(const std::string& worker, const std::string& attempt);
@@ -141,6 +143,8 @@
     [[nodiscard]] std::optional<placement::worker_info> info(const std::string& worker) const;
     /// Workers that are listed, or known and not gone.
     [[nodiscard]] std::set<std::string> present() const;
+    /// Changes whenever a result of present() or gone() may have changed.
+    [[nodiscard]] std::uint64_t presence_version() const { return m_presence_version; }
     [[nodiscard]] std::size_t adopted_of(const std::set<std::string>& workers) const;
     [[nodiscard]] bool listed() const { return m_listed_once; }
 
@@ -175,10 +179,15 @@
         std::uint64_t events_call = 0;
         std::uint64_t events_after = 0;
         common::time_point next_events;
+        /// End of the leases that was reported as lapsed, so that each is reported once.
+        std::optional<common::time_point> lapsed_end;
+
+        [[nodiscard]] bool present() const { return !gone && (listing || seen); }
     };
 
     [[nodiscard]] link* answered_link(const std::string& worker, std::uint64_t call);
-    void note_missing(common::time_point now, link& l) const;
+    void note_listed(const membership::instance& instance, link& l);
+    void note_missing(common::time_point now, link& l);
     void send_adopt(common::time_point now, const std::string& worker, link& l);
     void send_sync(common::time_point now, const std::string& worker, link& l);
     void send_events(common::time_point now, const std::string& worker, link& l);
@@ -193,7 +202,12 @@
     void fail(common::time_point now, const std::string& worker, link& l,
               const worker_error& error);
     void return_queued(const std::string& worker, link& l);
-    void check_leases(common::time_point now);
+    /// The next on_time() looks at the link.
+    void touch(const std::string& worker);
+    void touch_all();
+    void check_lease(common::time_point now, const std::string& worker, link& l);
+    [[nodiscard]] std::optional<common::time_point> due_time(const std::string& worker,
+                                                             const link& l) const;
     [[nodiscard]] common::duration backoff(unsigned failures) const;
 
     worker_fleet_settings m_settings;
@@ -202,13 +216,16 @@
     bool m_listed_once = false;
     std::uint64_t m_epoch = 0;
     std::uint64_t m_next_call = 1;
-    std::set<std::string> m_logged;
-    std::set<std::string> m_pending;
+    std::uint64_t m_presence_version = 0;
     lease_table m_leases;
     authority m_authority;
     std::map<std::string, link> m_links;
-    /// Ends of leases that were reported as lapsed, so that each is reported once.
-    std::map<std::string, common::time_point> m_lapsed;
+    /// Times at which links have something to do.
+    common::due_queue<std::string> m_due;
+    /// Links that an event has changed since the last on_time().
+    std::set<std::string> m_touched;
+    /// Whether the owner had authority at the last on_time().
+    bool m_authorised = false;
     std::vector<fleet_event> m_events;
 };
 
--- a/source/programs/buckthornspar-scheduler/quota_sharing.cpp
+++ b/source/programs/buckthornspar-scheduler/quota_sharing.cpp
@@ -28,7 +28,7 @@
 }
 
 void quota_sharing::update_shard(common::time_point now, const std::string& name,
-                                 const scheduling::shard_engine& engine) {
+                                 scheduling::shard_engine& engine) {
     if (!engine.owns()) {
         m_exchange.disown(name);
         return;
--- a/source/programs/buckthornspar-scheduler/quota_sharing.h
+++ b/source/programs/buckthornspar-scheduler/quota_sharing.h
@@ -38,7 +38,7 @@
 
 private:
     void update_shard(common::time_point now, const std::string& name,
-                      const scheduling::shard_engine& engine);
+                      scheduling::shard_engine& engine);
 
     quota_links m_links;
     scheduling::quota_exchange m_exchange;
--- a/tests/unit/scheduling/worker_health_test.cpp
+++ b/tests/unit/scheduling/worker_health_test.cpp
@@ -59,4 +59,21 @@
     }
 }
 
+// Guards against a wake-up that is missed when a pause is prolonged or a quarantine begins.
+BOOST_AUTO_TEST_CASE(next_change_follows_the_newest_exclusions) {
+    worker_health health({});
+    const auto pause = worker_health_settings{}.pause;
+    const auto quarantine = worker_health_settings{}.min_quarantine;
+    BOOST_TEST(!health.next_change(at(0s)));
+    (void)health.record_failure("w1", "a", at(0ms));
+    (void)health.record_failure("w1", "b", at(100ms));
+    BOOST_TEST((health.next_change(at(100ms)) == at(100ms) + pause));
+    BOOST_TEST(!health.next_change(at(100ms) + pause));
+    const auto last = at(2s);
+    BOOST_TEST((health.record_failure("w1", "c", last) == health_verdict::quarantine_worker));
+    BOOST_TEST((health.next_change(last) == last + pause));
+    BOOST_TEST((health.next_change(last + pause) == last + quarantine));
+    BOOST_TEST((health.excluded_until("w1") == last + quarantine));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
