Hold a distant runner only after many refusals

Cause: a distant runner that refused was held for 16 to 62 ms. The refusal is already 20 ms old when it arrives and the next request needs 20 ms, so the hold kept requests from slots that were free.

The benchmark now prints the p99 of the busy entry, of its region and of the other regions.

--- a/source/core/routing/runner_table.cpp
+++ b/source/core/routing/runner_table.cpp
@@ -21,6 +21,7 @@
 constexpr unsigned default_slots = 8;
 // A runner is near when this many round trips pass before one of its slots becomes free.
 constexpr int near_trips = 4;
+constexpr unsigned distant_refusals_without_hold = 16;
 constexpr double round_trip_weight = 0.2;
 
 void apply(runner& r, const membership::instance& i) {
@@ -41,6 +42,10 @@
     r.next_quarantine = std::min(length * 2, max_quarantine);
 }
 
+bool is_near(const runner& r, duration turnover) {
+    return r.round_trip * near_trips < turnover;
+}
+
 // The report was made half a round trip ago; requests take the other half to arrive.
 void take_report(runner& r, std::uint32_t slots_free, time_point now) {
     r.reported_free = slots_free;
@@ -144,7 +149,7 @@
     // The report of a full runner is out of date after about the time in which a slot becomes free.
     // A wrong guess costs a round trip, which is worth it only for a runner that is near.
     const auto turnover = service_time() / std::max(r.slots, 1U);
-    const bool guess = r.round_trip * near_trips < turnover && now - r.reported_at > turnover;
+    const bool guess = is_near(r, turnover) && now - r.reported_at > turnover;
     const std::uint32_t recovered = guess ? 1 : 0;
     return std::min(own_free, std::max(left, recovered));
 }
@@ -214,8 +219,13 @@
     constexpr unsigned max_doublings = 10;
     const auto turnover = service_time() / std::max(r.slots, 1U);
     const duration cap = contradicts ? max_full_hold : std::max(turnover, min_full_hold);
-    const duration base = std::max(turnover / 4, min_full_hold);
-    const duration hold = base * (1U << std::min(r.refusals_in_row - 1, max_doublings));
+    // The refusal of a distant runner is as old as its trip, and the next request needs the trip
+    // again. Only one that refuses many times in a row is held for longer.
+    const bool near = is_near(r, turnover);
+    const duration base = near ? std::max(turnover / 4, min_full_hold) : min_full_hold;
+    const unsigned free_refusals = near ? 1 : distant_refusals_without_hold;
+    const unsigned doublings = r.refusals_in_row - std::min(r.refusals_in_row, free_refusals);
+    const duration hold = base * (1U << std::min(doublings, max_doublings));
     r.refused_until = now + std::min({hold, cap, max_full_hold});
 }
 
--- a/source/programs/buckthornspar-bench/routing_benchmark.cpp
+++ b/source/programs/buckthornspar-bench/routing_benchmark.cpp
@@ -62,6 +62,9 @@
         row.result("excess_p99", policy_p99 - central_p99);
         row.result("p50", quantile(result.waits, p50)).result("p99", policy_p99);
         row.result("p999", quantile(result.waits, p999));
+        row.result("p99_first_entry", quantile(result.waits_first_entry, p99));
+        row.result("p99_its_region", quantile(result.waits_its_region, p99));
+        row.result("p99_other_regions", quantile(result.waits_other_regions, p99));
         row.result("central_p99", central_p99).result("central_p999", quantile(central, p999));
         row.result("refused_per_1000", 1000 * static_cast<double>(result.refused) / requests);
         row.result("failed_per_1000", 1000 * static_cast<double>(result.failed) / requests);
--- a/source/programs/buckthornspar-bench/routing_simulation.cpp
+++ b/source/programs/buckthornspar-bench/routing_simulation.cpp
@@ -238,7 +238,17 @@
         return;
     }
     const std::chrono::duration<double> wait = m_started[number] - submitted.at;
-    m_result.waits.push_back(wait / std::chrono::duration<double>(m_cell.service_time));
+    const double relative = wait / std::chrono::duration<double>(m_cell.service_time);
+    m_result.waits.push_back(relative);
+    waits_of_group(submitted.entry).push_back(relative);
+}
+
+std::vector<double>& routing_simulation::waits_of_group(std::size_t entry) {
+    if (entry == 0) {
+        return m_result.waits_first_entry;
+    }
+    const bool same_region = m_entries[entry]->region == m_entries[0]->region;
+    return same_region ? m_result.waits_its_region : m_result.waits_other_regions;
 }
 
 } // namespace buckthornspar::bench
--- a/source/programs/buckthornspar-bench/routing_simulation.h
+++ b/source/programs/buckthornspar-bench/routing_simulation.h
@@ -16,6 +16,10 @@
 struct simulation_result {
     /// From submission to start at the runner, in mean service times; answered requests only.
     std::vector<double> waits;
+    /// The same waits by group of entries, since the mean hides which entries wait.
+    std::vector<double> waits_first_entry;
+    std::vector<double> waits_its_region;
+    std::vector<double> waits_other_regions;
     std::size_t answered = 0;
     std::size_t refused = 0;
     /// Answered with a failure of the runner.
@@ -65,6 +69,7 @@
     void reply(std::size_t entry, std::size_t runner, routing::run_result result);
     void finish_run(std::size_t entry, std::size_t runner, routing::run_result result);
     void answer(const routing::caller_answer& a);
+    [[nodiscard]] std::vector<double>& waits_of_group(std::size_t entry);
 
     routing_cell m_cell;
     runner_faults m_faults;
--- a/tests/unit/routing/runner_table_test.cpp
+++ b/tests/unit/routing/runner_table_test.cpp
@@ -104,4 +104,22 @@
     BOOST_TEST((table.at(0).refused_until - now >= 500ms));
 }
 
+// Guards against a hold of a distant runner that outlasts its busy moment, since the refusal is
+// already as old as its trip, and against no hold at all for one that refuses everything.
+BOOST_AUTO_TEST_CASE(distant_runner_is_held_only_after_many_refusals) {
+    constexpr int refusals = 32;
+    runner_table table("b");
+    (void)table.update("s", list_of(1), start);
+    table.on_round_trip(0, 40ms);
+    time_point now = start;
+    for (int i = 0; i < refusals; ++i) {
+        table.on_response(0, {4, 4, "", std::nullopt}, now);
+        table.on_full(0, now);
+        const duration hold = table.at(0).refused_until - now;
+        BOOST_TEST((i >= 8 || hold <= 1ms));
+        BOOST_TEST((i < refusals - 1 || hold >= 500ms));
+        now = table.at(0).refused_until;
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
