Test lost, late and cut off messages between entries

The scenario runner lost or delayed no slot_demand or slot_grant; it only doubled them. The action peers loses a share of them, delays them so that they overtake each other, or cuts an entry off. The expectation response_time looks at the time from submission to answer.

--- a/tests/scenario/routing/routing_checks.cpp
+++ b/tests/scenario/routing/routing_checks.cpp
@@ -1,5 +1,7 @@
 #include "scenario/routing/routing_checks.h"
 
+#include <algorithm>
+
 namespace buckthornspar::scenario {
 
 using routing::run_outcome;
@@ -24,7 +26,7 @@
     m_submissions.emplace(key, std::move(s));
 }
 
-void routing_checks::on_answer(const routing::caller_answer& answer) {
+void routing_checks::on_answer(const routing::caller_answer& answer, common::time_point now) {
     const auto position = m_submissions.find(answer.key);
     if (position == m_submissions.end()) {
         throw violation("an answer for an unknown submission");
@@ -34,6 +36,7 @@
         throw violation(s.id + " was answered twice");
     }
     s.answer = answer;
+    s.answered = now;
     request_record& r = m_requests[s.id];
     if (answer.outcome == run_outcome::ran) {
         if (answer.body != "answer:body:" + s.id) {
@@ -51,6 +54,27 @@
     }
 }
 
+common::duration routing_checks::response_time(common::time_point from, common::time_point until,
+                                               std::int64_t percent) const {
+    std::vector<common::duration> times;
+    for (const auto& [key, s] : m_submissions) {
+        if (s.submitted < from || s.submitted >= until) {
+            continue;
+        }
+        if (!s.answer || s.answer->outcome != run_outcome::ran) {
+            throw violation(s.id + " did not run");
+        }
+        times.push_back(s.answered - s.submitted);
+    }
+    if (times.empty()) {
+        throw violation("nothing was submitted in this time");
+    }
+    std::sort(times.begin(), times.end());
+    constexpr std::size_t all_percent = 100;
+    const std::size_t index = times.size() * static_cast<std::size_t>(percent) / all_percent;
+    return times[std::min(index, times.size() - 1)];
+}
+
 void routing_checks::on_entry_killed(const std::string& entry) {
     for (auto& [key, s] : m_submissions) {
         if (s.entry == entry && !s.answer) {
--- a/tests/scenario/routing/routing_checks.h
+++ b/tests/scenario/routing/routing_checks.h
@@ -19,7 +19,9 @@
     std::string entry;
     bool idempotent = false;
     bool repeat = false;
+    common::time_point submitted{};
     common::time_point deadline{};
+    common::time_point answered{};
     std::optional<routing::caller_answer> answer;
     /// The entry was killed; no answer is expected.
     bool abandoned = false;
@@ -29,7 +31,7 @@
 class routing_checks {
 public:
     void on_submitted(std::uint64_t key, submission s);
-    void on_answer(const routing::caller_answer& answer);
+    void on_answer(const routing::caller_answer& answer, common::time_point now);
     void on_entry_killed(const std::string& entry);
     void on_run_sent(const std::string& runner, std::optional<common::time_point> leaving_since,
                      common::time_point now);
@@ -40,6 +42,10 @@
     [[nodiscard]] const std::map<std::uint64_t, submission>& submissions() const {
         return m_submissions;
     }
+    /// Quantile of the response times of what was submitted in this time. Throws violation when
+    /// nothing was, or when a request has no answer or was not run.
+    [[nodiscard]] common::duration response_time(common::time_point from, common::time_point until,
+                                                 std::int64_t percent) const;
     [[nodiscard]] std::size_t executions(const std::string& id) const;
 
 private:
--- a/tests/scenario/routing/routing_network.cpp
+++ b/tests/scenario/routing/routing_network.cpp
@@ -194,6 +194,24 @@
     });
 }
 
+void routing_network::send_peer(const std::pair<std::string, std::string>& entries,
+                                const std::pair<std::string, std::string>& regions,
+                                const std::function<void()>& deliver) {
+    constexpr std::uint64_t percent = 100;
+    const auto late_us = static_cast<std::uint64_t>(m_peer_faults.late_by.count());
+    for (int copies = m_doubled ? 2 : 1; copies > 0; --copies) {
+        const bool cut =
+            m_peer_faults.cut_off == entries.first || m_peer_faults.cut_off == entries.second;
+        if (cut || (m_peer_faults.lost_percent > 0 &&
+                    m_random.below(percent) < m_peer_faults.lost_percent)) {
+            continue;
+        }
+        const common::duration late(
+            static_cast<common::duration::rep>(late_us > 0 ? m_random.below(late_us) : 0));
+        m_schedule.at(m_schedule.now() + trip(regions.first, regions.second) + late, deliver);
+    }
+}
+
 void routing_network::abandon(const std::string& entry, routing::call_token token) {
     for (const auto& [tag, open] : m_runs) {
         if (open.entry == entry && open.token == token) {
--- a/tests/scenario/routing/routing_network.h
+++ b/tests/scenario/routing/routing_network.h
@@ -41,6 +41,15 @@
     std::map<std::string, common::duration> work;
 };
 
+/// What happens to the messages between entries.
+struct peer_faults {
+    std::uint64_t lost_percent = 0;
+    /// Each message is late by a random time up to this, so that messages overtake each other.
+    common::duration late_by{0};
+    /// No message reaches or leaves this entry.
+    std::string cut_off;
+};
+
 /// Carries the calls of the entries to the runners, with delays and connection faults.
 class routing_network {
 public:
@@ -66,8 +75,14 @@
     void half_open(const std::string& entry, const std::string& runner);
     /// The runner's process has ended: open runs are lost.
     void end_connections(const std::string& runner);
-    /// Every result is delivered twice.
+    /// Every result and every message between entries is delivered twice.
     void set_doubled(bool doubled) { m_doubled = doubled; }
+    void set_peer_faults(peer_faults faults) { m_peer_faults = std::move(faults); }
+
+    /// Delivers a message between two entries, in the given regions.
+    void send_peer(const std::pair<std::string, std::string>& entries,
+                   const std::pair<std::string, std::string>& regions,
+                   const std::function<void()>& deliver);
 
     /// Delivers what the runner sends by now; call after each event at a runner.
     void pump(runner_node& r);
@@ -95,6 +110,7 @@
     event_schedule& m_schedule;
     common::rng m_random;
     bool m_doubled = false;
+    peer_faults m_peer_faults;
     std::uint64_t m_next_tag = 1;
     std::map<std::pair<std::string, std::string>, link> m_links;
     std::map<std::uint64_t, open_run> m_runs;
--- a/tests/scenario/routing/routing_scenario_test.cpp
+++ b/tests/scenario/routing/routing_scenario_test.cpp
@@ -28,7 +28,7 @@
 step random_step(common::rng& random, common::duration at, std::uint64_t number) {
     const std::string runner = "r" + std::to_string(1 + random.below(3));
     const std::string entry = "e" + std::to_string(1 + random.below(2));
-    const std::uint64_t kind = random.below(10);
+    const std::uint64_t kind = random.below(11);
     if (kind < 4) {
         return make_step(at, "fault",
                          {{"runner", runner},
@@ -47,6 +47,12 @@
     if (kind == 7) {
         return make_step(at, "restart", {{"runner", runner}});
     }
+    if (kind == 9) {
+        return make_step(at, "peers",
+                         {{"lose", std::to_string(random.below(101))},
+                          {"late", pick(random, {"0ms", "100ms", "3s"})},
+                          {"cut_off", pick(random, {"", "e1", "e2"})}});
+    }
     if (kind == 8) {
         return make_step(at, "wrong_id", {{"runner", runner}});
     }
@@ -144,4 +150,18 @@
     BOOST_TEST(overlap.failure.find("two places") != std::string::npos, overlap.failure);
 }
 
+// Guards against a blind check of the response time.
+BOOST_AUTO_TEST_CASE(slow_responses_are_found) {
+    const script s = parse_script(R"(
+setup: {runners: 2, entries: 2, slots: 2, work: 100ms}
+steps:
+  - {at: 10ms, do: load, rate: 10, for: 2s}
+  - {at: 4s, expect: response_time, from: 0s, until: 2s, at_most: 90ms}
+end: 5s
+)",
+                                  "slow");
+    const run_result result = run_script(s, make_routing_world());
+    BOOST_TEST(result.failure.find("response time") != std::string::npos, result.failure);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/scenario/routing/routing_world.cpp
+++ b/tests/scenario/routing/routing_world.cpp
@@ -110,6 +110,10 @@
         with_engine(s.args.text("entry"), [](auto& engine) { engine.drain(); });
     } else if (s.verb == "silence") {
         m_network.silence(s.args.text("entry"), s.args.text("runner"));
+    } else if (s.verb == "peers") {
+        m_network.set_peer_faults({static_cast<std::uint64_t>(s.args.number("lose", 0)),
+                                   s.args.time("late", common::duration(0)),
+                                   s.args.text("cut_off", "")});
     } else if (s.verb == "half_open") {
         m_network.half_open(s.args.text("entry"), s.args.text("runner"));
     } else {
@@ -172,6 +176,7 @@
     record.idempotent = r.idempotent;
     record.repeat = r.repeat;
     record.deadline = r.deadline;
+    record.submitted = now();
     m_checks.on_submitted(r.key, std::move(record));
     with_engine(to, [&](auto& engine) { engine.submit(r, now()); });
 }
@@ -313,13 +318,10 @@
     }
     routing::peer_message received = message;
     received.entry = e.id;
-    const auto deliver = [this, id = message.entry, received] {
-        with_engine(id, [&](auto& engine) { engine.on_peer(received, now()); });
-    };
-    m_schedule.at(now() + m_network.trip(e.region, to->second->region), deliver);
-    if (m_script.setup.flag("twice", false)) {
-        m_schedule.at(now() + m_network.trip(e.region, to->second->region), deliver);
-    }
+    m_network.send_peer({e.id, message.entry}, {e.region, to->second->region},
+                        [this, id = message.entry, received] {
+                            with_engine(id, [&](auto& engine) { engine.on_peer(received, now()); });
+                        });
 }
 
 void routing_world::deliver_answer(routing::caller_answer answer) {
@@ -335,9 +337,9 @@
     if (m_cheat == "deny_run" && answer.outcome == routing::run_outcome::ran) {
         answer.outcome = routing::run_outcome::not_run;
     }
-    m_checks.on_answer(answer);
+    m_checks.on_answer(answer, now());
     if (m_cheat == "answer_twice") {
-        m_checks.on_answer(answer);
+        m_checks.on_answer(answer, now());
     }
 }
 
@@ -372,6 +374,15 @@
         }
         return;
     }
+    if (s.verb == "response_time") {
+        const auto time =
+            m_checks.response_time(m_start + s.args.time("from"), m_start + s.args.time("until"),
+                                   s.args.number("percent", 99));
+        if (time > s.args.time("at_most")) {
+            throw violation("response time is " + std::to_string(time.count()) + " us");
+        }
+        return;
+    }
     if (s.verb != "outcome") {
         throw script_error("unknown expectation '" + s.verb + "'");
     }
