Bound the guesses at full distant runners

Cause: after an outage every entry sends the end of its queue to distant runners that have reported no free slot. A refusal as full costs nothing from the retry budget, so that the entries sent up to 67 attempts for each request of a second: a storm, most of it across regions.

A guess now takes from an allowance of two per answer and one per tick, 100 at most.

The new unit test failed without the change (1,000 guesses instead of 100).

--- a/source/core/routing/slot_grants.cpp
+++ b/source/core/routing/slot_grants.cpp
@@ -19,6 +19,13 @@
 constexpr duration repeat_period = std::chrono::milliseconds(2500);
 constexpr double demand_fall_weight = 0.2;
 
+// Requests to distant runners without a reported free slot. Tied to the answers, they stay a
+// bounded share of the load when every runner is full, for example after an outage. The part that
+// comes with time finds the first free slot when there are no answers.
+constexpr double guesses_per_answer = 2;
+constexpr double guesses_per_tick = 1;
+constexpr double max_guesses = 100;
+
 struct grant {
     std::uint32_t slots = 0;
     time_point until{};
@@ -61,9 +68,18 @@
             }
             best_score = *s;
         }
+        const bool guess = best && !q.local && best_score <= 0;
+        if (guess && !take_guess()) {
+            return std::nullopt;
+        }
         return best;
     }
 
+    void on_answer(const runner_table& /*table*/, std::size_t /*index*/, duration /*service_time*/,
+                   bool /*failed*/) override {
+        add_guesses(guesses_per_answer);
+    }
+
     void on_runner_added(std::size_t index) override {
         if (m_grants.size() <= index) {
             m_grants.resize(index + 1);
@@ -80,6 +96,7 @@
     }
 
     void on_tick(const policy_tick& t, std::vector<peer_message>& out) override {
+        add_guesses(guesses_per_tick);
         forget_departed(t);
         update_own_demand(t);
         find_owners(t);
@@ -108,6 +125,16 @@
         return free > 0 ? free : -static_cast<double>(q.table.at(index).outstanding);
     }
 
+    void add_guesses(double count) { m_guesses = std::min(m_guesses + count, max_guesses); }
+
+    bool take_guess() {
+        if (m_guesses < 1) {
+            return false;
+        }
+        m_guesses -= 1;
+        return true;
+    }
+
     static constexpr double granted_bonus = 1000;
 
     void apply(const slot_grant& granted, const runner_table& table, time_point now) {
@@ -261,6 +288,7 @@
 
     policy_setup m_setup;
     double m_wanted = 0;
+    double m_guesses = max_guesses;
     std::vector<grant> m_grants;
     std::vector<std::string> m_listed;
     std::map<std::string, known_demand> m_demands;
--- a/tests/unit/routing/routing_policy_test.cpp
+++ b/tests/unit/routing/routing_policy_test.cpp
@@ -19,7 +19,6 @@
 // Entries whose policies exchange their messages without loss.
 struct policy_fixture {
     policy_fixture() {
-        membership::instance_snapshot list;
         for (int i = 0; i < runners; ++i) {
             membership::instance r;
             r.id = "r" + std::to_string(i);
@@ -70,6 +69,7 @@
     }
 
     time_point now = time_point{} + 100s;
+    membership::instance_snapshot list;
     std::vector<peer_entry> peers;
     std::map<std::string, runner_table> tables;
     std::map<std::string, std::unique_ptr<routing_policy>> policies;
@@ -124,4 +124,29 @@
     BOOST_TEST(shares.at("y") == 0.76, boost::test_tools::tolerance(1e-9));
 }
 
+// Guards against a storm of requests to full distant runners, for example after an outage: without
+// answers, only a bounded number is sent on the guess that a slot has become free.
+BOOST_FIXTURE_TEST_CASE(guesses_at_full_distant_runners_are_bounded, policy_fixture) {
+    runner_table distant("b");
+    (void)distant.update("s", list, now);
+    for (std::size_t i = 0; i < distant.size(); ++i) {
+        distant.on_round_trip(i, 40ms);
+        distant.on_response(i, {slots, 0, "", std::nullopt}, now);
+    }
+    common::rng random(1);
+    const std::vector<std::size_t> nothing;
+    const auto count_guesses = [&] {
+        int count = 0;
+        while (count < 1000 && policies["e0"]->choose({distant, nothing, false, now, random})) {
+            ++count;
+        }
+        return count;
+    };
+    BOOST_TEST(count_guesses() == 100);
+    policies["e0"]->on_answer(distant, 0, 1ms, false);
+    BOOST_TEST(count_guesses() == 2);
+    tick({{"e0", 10}});
+    BOOST_TEST(count_guesses() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
