Measure runner outages and quiet hours in the routing benchmark

New scenarios third_dies, all_die and idle. The simulated runners can die: connections are refused, runs and ids are lost, and the incarnation changes.

The benchmark counts only retries that the budget has granted.

--- a/source/programs/buckthornspar-bench/routing_benchmark.cpp
+++ b/source/programs/buckthornspar-bench/routing_benchmark.cpp
@@ -32,7 +32,8 @@
         cell.far_trip = common::duration(run.settings.number("far_us", 20'000));
         cell.length = std::chrono::seconds(run.settings.number("seconds", 120));
         for (const auto& scenario : run.settings.list(
-                 "scenario", "even+skew60+skew95+trickle+rush+waves+slow_runner+fails_fast")) {
+                 "scenario", "even+skew60+skew95+trickle+idle+rush+waves+slow_runner+fails_fast+"
+                             "third_dies+all_die")) {
             for (const auto& policy : run.settings.list(
                      "policy", "slot_grants+two_choices+least_outstanding+learning_automaton")) {
                 run_one(run, cell, scenario, policy);
@@ -44,7 +45,7 @@
     static void run_one(const bench_run& run, const routing_cell& cell, const std::string& scenario,
                         const std::string& policy) {
         const auto arrivals = make_arrivals(scenario, cell, run.seed);
-        const auto faults = faults_of(scenario);
+        const auto faults = faults_of(scenario, cell);
         auto central = central_queue_waits(arrivals, cell, faults);
         routing_simulation simulation(cell, faults, policy, run.seed);
         auto result = simulation.run(arrivals);
@@ -75,8 +76,19 @@
         row.result("crossing_bytes_per_request", result.crossing_bytes / requests);
         row.result("peer_messages_per_s", static_cast<double>(result.peer_messages) /
                                               std::chrono::duration<double>(cell.length).count());
+        row.result("crossing_peer_bytes_per_s",
+                   result.crossing_peer_bytes / std::chrono::duration<double>(cell.length).count());
+        if (faults.outage.runners > 0) {
+            write_outage(figures_of(result.seconds, faults.outage), row);
+        }
         run.write(row);
     }
+
+    static void write_outage(const outage_figures& figures, result_row& row) {
+        row.result("max_retry_share", figures.max_retry_share);
+        row.result("max_attempt_share", figures.max_attempt_share);
+        row.result("retry_share", figures.retry_share).result("recovery_s", figures.recovery_s);
+    }
 };
 
 const benchmark_registration registration("routing",
--- a/source/programs/buckthornspar-bench/routing_simulation.cpp
+++ b/source/programs/buckthornspar-bench/routing_simulation.cpp
@@ -39,7 +39,8 @@
     : m_cell(cell), m_faults(faults) {
     membership::instance_snapshot list;
     for (std::size_t i = 0; i < cell.runners; ++i) {
-        m_runners.push_back({i % cell.regions, 0});
+        m_runners.emplace_back();
+        m_runners.back().region = i % cell.regions;
         list.instances.push_back(make_instance(
             "r" + std::to_string(i), membership::instance_role::runner, i % cell.regions));
         list.instances.back().service = "planner";
@@ -82,6 +83,10 @@
     }
     const auto body = std::make_shared<const std::string>(body_bytes, 'x');
     const auto end = common::time_point{} + m_cell.length + drain_time;
+    if (m_faults.outage.runners > 0) {
+        schedule(m_faults.outage.from, [this] { kill_runners(); });
+        schedule(m_now, [this] { count_retries(); });
+    }
     std::size_t next = 0;
     while (true) {
         const bool arrives =
@@ -89,6 +94,7 @@
         if (arrives) {
             m_now = arrivals[next].at;
             routing::request r;
+            ++second_at(m_now).submitted;
             r.key = next + 1;
             r.id = std::to_string(next);
             r.service = "planner";
@@ -143,46 +149,28 @@
 void routing_simulation::carry_out(std::size_t entry, const routing::action& a) {
     const std::size_t region = m_entries[entry]->region;
     if (const auto* run = std::get_if<routing::run_call>(&a)) {
+        count_run(*run);
         const std::size_t runner = number_of(run->runner);
         schedule(m_now + trip(region, m_runners[runner].region),
                  [this, entry, runner, call = *run] { arrive_at_runner(entry, runner, call); });
     } else if (const auto* query = std::get_if<routing::query_call>(&a)) {
-        // Runners of this simulation never lose a request: one that is asked after still runs.
-        routing::query_result result;
-        result.token = query->token;
-        result.request_id = query->request_id;
-        result.state = routing::run_state::running;
-        const std::size_t runner = number_of(query->runner);
-        schedule(m_now + 2 * trip(region, m_runners[runner].region), [this, entry, result] {
-            m_entries[entry]->engine->on_query_result(result, m_now);
-            after_engine_event(entry);
-        });
+        answer_query(entry, *query);
     } else if (const auto* ping = std::get_if<routing::ping_call>(&a)) {
-        const std::size_t runner = number_of(ping->runner);
-        schedule(m_now + 2 * trip(region, m_runners[runner].region),
-                 [this, entry, runner, token = ping->token] {
-                     const std::uint32_t free = m_cell.slots - m_runners[runner].running;
-                     m_entries[entry]->engine->on_ping_result(
-                         {token, true, {m_cell.slots, free, "", std::nullopt}}, m_now);
-                     after_engine_event(entry);
-                 });
+        answer_ping(entry, *ping);
     } else if (const auto* done = std::get_if<routing::caller_answer>(&a)) {
         answer(*done);
     } else if (const auto* message = std::get_if<routing::peer_message>(&a)) {
-        ++m_result.peer_messages;
-        const std::size_t to = number_of(message->entry);
-        routing::peer_message received = *message;
-        received.entry = "e" + std::to_string(entry);
-        schedule(m_now + trip(region, m_entries[to]->region), [this, to, received] {
-            m_entries[to]->engine->on_peer(received, m_now);
-            after_engine_event(to);
-        });
+        send_peer(entry, *message);
     }
 }
 
 void routing_simulation::arrive_at_runner(std::size_t entry, std::size_t runner,
                                           const routing::run_call& call) {
     runner_node& r = m_runners[runner];
+    if (m_faults.outage.is_down(runner, m_now)) {
+        refuse_connection(entry, runner, call);
+        return;
+    }
     routing::run_result result;
     result.token = call.token;
     result.request_id = call.request_id;
@@ -202,19 +190,27 @@
     const auto service = static_cast<double>((*m_arrivals)[number].service.count());
     const auto busy =
         fails ? fast_failure : common::duration(static_cast<std::int64_t>(service * factor));
-    schedule(m_now + busy, [this, entry, runner, result] { finish_run(entry, runner, result); });
+    const std::uint64_t run_number = m_next_run++;
+    r.runs.insert(run_number);
+    m_open_runs.emplace(run_number, open_run{entry, runner, number, call.token});
+    schedule(m_now + busy, [this, run_number, result] { finish_run(run_number, result); });
 }
 
-void routing_simulation::finish_run(std::size_t entry, std::size_t runner,
-                                    routing::run_result result) {
-    --m_runners[runner].running;
+void routing_simulation::finish_run(std::uint64_t run, routing::run_result result) {
+    const auto position = m_open_runs.find(run);
+    if (position == m_open_runs.end()) {
+        return;
+    }
+    const open_run ended = position->second;
+    m_open_runs.erase(position);
+    m_runners[ended.runner].runs.erase(run);
+    --m_runners[ended.runner].running;
     result.body = std::string(body_bytes, 'y');
-    reply(entry, runner, std::move(result));
+    reply(ended.entry, ended.runner, std::move(result));
 }
 
 void routing_simulation::reply(std::size_t entry, std::size_t runner, routing::run_result result) {
-    result.facts.slots = m_cell.slots;
-    result.facts.slots_free = m_cell.slots - m_runners[runner].running;
+    result.facts = facts_of(runner);
     schedule(m_now + trip(m_entries[entry]->region, m_runners[runner].region),
              [this, entry, result = std::move(result)] {
                  m_entries[entry]->engine->on_run_result(result, m_now);
@@ -225,6 +221,9 @@
 void routing_simulation::answer(const routing::caller_answer& a) {
     const std::size_t number = a.key - 1;
     const arrival& submitted = (*m_arrivals)[number];
+    load_second& second = second_at(submitted.at);
+    second.not_run += a.outcome == routing::run_outcome::not_run ? 1 : 0;
+    second.unknown += a.outcome == routing::run_outcome::unknown ? 1 : 0;
     if (submitted.at < common::time_point{} + m_cell.warm_up) {
         return;
     }
@@ -239,10 +238,21 @@
     }
     const std::chrono::duration<double> wait = m_started[number] - submitted.at;
     const double relative = wait / std::chrono::duration<double>(m_cell.service_time);
+    ++second.waits;
+    second.wait_sum += relative;
     m_result.waits.push_back(relative);
     waits_of_group(submitted.entry).push_back(relative);
 }
 
+load_second& routing_simulation::second_at(common::time_point at) {
+    const auto second = static_cast<std::size_t>(
+        std::chrono::duration_cast<std::chrono::seconds>(at.time_since_epoch()).count());
+    if (m_result.seconds.size() <= second) {
+        m_result.seconds.resize(second + 1);
+    }
+    return m_result.seconds[second];
+}
+
 std::vector<double>& routing_simulation::waits_of_group(std::size_t entry) {
     if (entry == 0) {
         return m_result.waits_first_entry;
--- a/source/programs/buckthornspar-bench/routing_simulation.h
+++ b/source/programs/buckthornspar-bench/routing_simulation.h
@@ -6,8 +6,10 @@
 #include "routing_workload.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <queue>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,7 +30,11 @@
     std::size_t crossings = 0;
     std::size_t crossings_refused = 0;
     std::size_t peer_messages = 0;
+    /// Requests and their answers.
     double crossing_bytes = 0;
+    /// Messages between entries of different regions.
+    double crossing_peer_bytes = 0;
+    std::vector<load_second> seconds;
 };
 
 /// The real engines of all entries and simple runners, on a network with fixed delays.
@@ -49,6 +55,15 @@
     struct runner_node {
         std::size_t region = 0;
         std::uint32_t running = 0;
+        /// Lost when the runner dies: what it runs, and the calls whose connections end.
+        std::set<std::uint64_t> runs;
+        unsigned incarnation = 1;
+    };
+    struct open_run {
+        std::size_t entry;
+        std::size_t runner;
+        std::size_t number;
+        routing::call_token token;
     };
     struct event {
         common::time_point at;
@@ -67,7 +82,19 @@
     void carry_out(std::size_t entry, const routing::action& a);
     void arrive_at_runner(std::size_t entry, std::size_t runner, const routing::run_call& call);
     void reply(std::size_t entry, std::size_t runner, routing::run_result result);
-    void finish_run(std::size_t entry, std::size_t runner, routing::run_result result);
+    void finish_run(std::uint64_t run, routing::run_result result);
+    void lose_run(std::uint64_t run);
+    void kill_runners();
+    void refuse_connection(std::size_t entry, std::size_t runner, const routing::run_call& call);
+    void answer_query(std::size_t entry, const routing::query_call& query);
+    [[nodiscard]] routing::run_state state_of(std::size_t runner,
+                                              const routing::query_call& query) const;
+    void answer_ping(std::size_t entry, const routing::ping_call& ping);
+    void send_peer(std::size_t entry, const routing::peer_message& message);
+    void count_run(const routing::run_call& call);
+    void count_retries();
+    [[nodiscard]] load_second& second_at(common::time_point at);
+    [[nodiscard]] routing::runner_facts facts_of(std::size_t runner) const;
     void answer(const routing::caller_answer& a);
     [[nodiscard]] std::vector<double>& waits_of_group(std::size_t entry);
 
@@ -78,6 +105,9 @@
     std::priority_queue<event, std::vector<event>, later> m_events;
     std::vector<std::unique_ptr<entry_node>> m_entries;
     std::vector<runner_node> m_runners;
+    std::map<std::uint64_t, open_run> m_open_runs;
+    std::uint64_t m_next_run = 0;
+    std::size_t m_retries_counted = 0;
     const std::vector<arrival>* m_arrivals = nullptr;
     std::vector<common::time_point> m_started;
     simulation_result m_result;
--- a/source/programs/buckthornspar-bench/routing_workload.cpp
+++ b/source/programs/buckthornspar-bench/routing_workload.cpp
@@ -16,6 +16,11 @@
 constexpr double low_load = 0.3;
 constexpr double rush_load = 0.97;
 constexpr double trickle_load = 0.005;
+// Two thirds of the runners can carry this load.
+constexpr double outage_load = 0.6;
+constexpr common::time_point outage_start = common::time_point{} + std::chrono::seconds(30);
+constexpr common::duration third_dies_length = std::chrono::seconds(30);
+constexpr common::duration all_die_length = std::chrono::seconds(10);
 constexpr double wave_low = 0.4;
 constexpr double wave_high = 0.97;
 constexpr double wave_s = 30;
@@ -30,6 +35,12 @@
     if (scenario == "trickle") {
         return trickle_load;
     }
+    if (scenario == "idle") {
+        return 0;
+    }
+    if (scenario == "third_dies" || scenario == "all_die") {
+        return outage_load;
+    }
     if (scenario == "rush") {
         // The middle third is the evening burst.
         const double third = seconds(cell.length) / 3;
@@ -53,8 +64,9 @@
 }
 
 void check_name(const std::string& scenario) {
-    const std::vector<std::string> known{"even", "skew60", "skew95",      "trickle",
-                                         "rush", "waves",  "slow_runner", "fails_fast"};
+    const std::vector<std::string> known{"even",       "skew60",     "skew95", "trickle",
+                                         "idle",       "rush",       "waves",  "slow_runner",
+                                         "fails_fast", "third_dies", "all_die"};
     if (std::find(known.begin(), known.end(), scenario) == known.end()) {
         throw bench_settings_error("no scenario '" + scenario + "'");
     }
@@ -92,10 +104,15 @@
     }
 }
 
-runner_faults faults_of(const std::string& scenario) {
+runner_faults faults_of(const std::string& scenario, const routing_cell& cell) {
     runner_faults faults;
     faults.slow_factor = scenario == "slow_runner" ? slow_factor : 1;
     faults.fails_fast = scenario == "fails_fast";
+    if (scenario == "third_dies") {
+        faults.outage = {cell.runners / 3, outage_start, outage_start + third_dies_length};
+    } else if (scenario == "all_die") {
+        faults.outage = {cell.runners, outage_start, outage_start + all_die_length};
+    }
     return faults;
 }
 
--- a/source/programs/buckthornspar-bench/routing_workload.h
+++ b/source/programs/buckthornspar-bench/routing_workload.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/common/clock.h"
+#include "routing_outage.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -36,16 +37,17 @@
     double slow_factor = 1;
     /// Runner 0 fails everything at once.
     bool fails_fast = false;
+    runner_outage outage;
 };
 
-/// Scenarios: even, skew60, skew95, trickle, rush, waves, slow_runner, fails_fast. Throws
-/// bench_settings_error for another name.
+/// Scenarios: even, skew60, skew95, trickle, idle, rush, waves, slow_runner, fails_fast,
+/// third_dies, all_die. Throws bench_settings_error for another name.
 [[nodiscard]] std::vector<arrival> make_arrivals(const std::string& scenario,
                                                  const routing_cell& cell, std::uint64_t seed);
-[[nodiscard]] runner_faults faults_of(const std::string& scenario);
+[[nodiscard]] runner_faults faults_of(const std::string& scenario, const routing_cell& cell);
 
 /// Waiting times of the same arrivals in a single queue over all slots, without any network: a
-/// yardstick, not a design. Runner 0 gets no work when it fails everything.
+/// yardstick, not a design. Runner 0 gets no work when it fails everything; outages are left out.
 [[nodiscard]] std::vector<double> central_queue_waits(const std::vector<arrival>& arrivals,
                                                       const routing_cell& cell,
                                                       const runner_faults& faults);
