Test an entry that is frozen under load

Guards against an entry that is stopped for 5 s with SIGSTOP and disturbs the callers of other entries, and against a false outcome or a second execution when it continues. The load driver can now send all requests to one entry, because a load over all entries would have every caller wait at the frozen one.

--- a/tests/process/request_driver.cpp
+++ b/tests/process/request_driver.cpp
@@ -1,5 +1,7 @@
 #include "process/request_driver.h"
 
+#include <utility>
+
 namespace buckthornspar::process_test {
 
 using namespace std::chrono_literals;
@@ -16,12 +18,14 @@
     return request;
 }
 
-request_load::request_load(cluster& c, std::size_t callers, bool idempotent)
-    : m_cluster(c), m_idempotent(idempotent) {
+request_load::request_load(cluster& c, std::size_t callers, bool idempotent, std::string only_entry)
+    : m_cluster(c), m_idempotent(idempotent), m_only_entry(std::move(only_entry)) {
     for (const member* const entry : c.of_role("entry")) {
         m_ready.push_back(entry->id);
     }
-    m_threads.emplace_back([this] { watch_entries(); });
+    if (m_only_entry.empty()) {
+        m_threads.emplace_back([this] { watch_entries(); });
+    }
     for (std::size_t i = 0; i < callers; ++i) {
         m_threads.emplace_back([this, i] { run_caller(i); });
     }
@@ -58,6 +62,9 @@
 }
 
 std::vector<std::string> request_load::ready_entries() {
+    if (!m_only_entry.empty()) {
+        return {m_only_entry};
+    }
     const std::lock_guard lock(m_mutex);
     return m_ready;
 }
@@ -71,7 +78,7 @@
             continue;
         }
         load_result result;
-        result.id = "load-" + std::to_string(number) + "-" + std::to_string(i);
+        result.id = "load-" + m_only_entry + std::to_string(number) + "-" + std::to_string(i);
         result.body = "work_ms=10 " + result.id;
         result.entry = entries[(number + i) % entries.size()];
         const auto request = to_request({result.id, result.body, 3000, m_idempotent});
--- a/tests/process/request_driver.h
+++ b/tests/process/request_driver.h
@@ -33,7 +33,8 @@
 /// load balancer would send them. A request that certainly was not sent goes to the next entry.
 class request_load {
 public:
-    request_load(cluster& c, std::size_t callers, bool idempotent);
+    /// With an entry, all requests go to this one, whether it is ready or not.
+    request_load(cluster& c, std::size_t callers, bool idempotent, std::string only_entry = "");
     ~request_load();
     request_load(const request_load&) = delete;
     request_load& operator=(const request_load&) = delete;
@@ -48,6 +49,7 @@
 
     cluster& m_cluster;
     bool m_idempotent;
+    std::string m_only_entry;
     std::atomic<bool> m_stopped{false};
     std::mutex m_mutex;
     std::vector<std::string> m_ready;
--- a/tests/process/requests_test.cpp
+++ b/tests/process/requests_test.cpp
@@ -126,6 +126,29 @@
     BOOST_TEST(repeated(request_executions(c)).empty());
 }
 
+// Guards against a frozen entry that holds up the callers of the others or runners' slots, and
+// against a false outcome or a second execution when it resumes with requests past their deadline.
+BOOST_AUTO_TEST_CASE(frozen_entry_disturbs_only_its_own_callers) {
+    request_load frozen(c, 8, false, "entry-1");
+    request_load other(c, 8, false, "entry-2");
+    std::this_thread::sleep_for(500ms);
+    c.at("entry-1").process.send_signal(SIGSTOP);
+    std::this_thread::sleep_for(5s);
+    c.at("entry-1").process.send_signal(SIGCONT);
+    std::this_thread::sleep_for(1s);
+    const auto of_frozen = frozen.stop();
+    const auto of_other = other.stop();
+    BOOST_TEST(of_other.size() > 500U);
+    BOOST_TEST(count_status(of_other, 200) == of_other.size());
+    BOOST_TEST(of_frozen.size() > 8U);
+    for (const auto& r : of_frozen) {
+        BOOST_TEST(!r.answer.fields.get("X-Outcome").empty(), r.id << ": " << r.answer.failure);
+    }
+    check_answers(of_frozen);
+    check_answers(of_other);
+    BOOST_TEST(repeated(request_executions(c)).empty());
+}
+
 // Guards against a lost answer that makes the entry send a non-idempotent request again.
 BOOST_AUTO_TEST_CASE(lost_answers_are_settled_without_a_second_run) {
     request_load load(c, 8, false);
