Share the random runs of the scenario tests

The tests of quotas, configuration and scheduling each read BTS_SEED and BTS_RUNS and searched for a seed that notices a fault; the scenario runner now does both.

--- a/tests/scenario/config/config_scenario_test.cpp
+++ b/tests/scenario/config/config_scenario_test.cpp
@@ -4,8 +4,6 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include <cstdlib>
-
 using namespace buckthornspar::scenario;
 
 namespace {
@@ -17,30 +15,12 @@
     return std::make_unique<config_world>(s);
 }
 
-/// Runs random scripts with a fault in the system until one fails. Returns the violation.
-std::string failure_with(const std::string& mutation, std::size_t runs) {
-    for (std::uint64_t seed = first_seed; seed < first_seed + runs; ++seed) {
-        script s = make_random_config_script(seed);
-        s.setup.set("mutation", mutation);
-        const auto result = run_script(s, make_world);
-        if (!result.passed) {
-            return result.failure;
-        }
-    }
-    return {};
-}
-
 std::string failure_of(const std::string& file, const std::string& mutation) {
     script s = load_script(std::string(CONFIG_SCRIPTS) + "/" + file);
     s.setup.set("mutation", mutation);
     return run_script(s, make_world).failure;
 }
 
-std::uint64_t number_from(const char* variable, std::uint64_t fallback) {
-    const char* const text = std::getenv(variable);
-    return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
-}
-
 bool mentions(const std::string& text, const std::string& part) {
     return text.find(part) != std::string::npos;
 }
@@ -58,9 +38,7 @@
 // Guards against failures in combinations that nobody wrote down. BTS_SEED and BTS_RUNS choose the
 // first seed and the number of runs.
 BOOST_AUTO_TEST_CASE(random_scripts_pass) {
-    const std::uint64_t first = number_from("BTS_SEED", first_seed);
-    const std::uint64_t runs = number_from("BTS_RUNS", random_runs);
-    const std::string failures = run_random(first, runs, make_random_config_script, make_world);
+    const std::string failures = run_random(random_runs, make_random_config_script, make_world);
     BOOST_TEST(failures.empty(), failures);
 }
 
@@ -99,7 +77,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(acceptance_of_an_unwritten_patch_is_noticed) {
-    const auto failure = failure_with("unknown_as_accepted", random_runs);
+    const auto failure =
+        failure_with("unknown_as_accepted", random_runs, make_random_config_script, make_world);
     BOOST_TEST(mentions(failure, "which is not in the store"), failure);
 }
 
@@ -112,7 +91,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(process_that_does_not_pull_is_noticed) {
-    const auto failure = failure_with("no_pull", random_runs);
+    const auto failure =
+        failure_with("no_pull", random_runs, make_random_config_script, make_world);
     BOOST_TEST(mentions(failure, "instead of"), failure);
 }
 
--- a/tests/scenario/quota/quota_scenario_test.cpp
+++ b/tests/scenario/quota/quota_scenario_test.cpp
@@ -4,8 +4,6 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include <cstdlib>
-
 using namespace buckthornspar::scenario;
 
 namespace {
@@ -17,22 +15,9 @@
     return std::make_unique<quota_world>(s);
 }
 
-/// Runs random scripts with a fault in the system until one fails. Returns the violation.
 std::string failure_with(const std::string& mutation) {
-    for (std::uint64_t seed = first_seed; seed < first_seed + random_runs; ++seed) {
-        script s = make_random_quota_script(seed);
-        s.setup.set("mutation", mutation);
-        const auto result = run_script(s, make_world);
-        if (!result.passed) {
-            return result.failure;
-        }
-    }
-    return {};
-}
-
-std::uint64_t number_from(const char* variable, std::uint64_t fallback) {
-    const char* const text = std::getenv(variable);
-    return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
+    return buckthornspar::scenario::failure_with(mutation, random_runs, make_random_quota_script,
+                                                 make_world);
 }
 
 bool mentions(const std::string& text, const std::string& part) {
@@ -52,9 +37,7 @@
 // Guards against failures in combinations that nobody wrote down. BTS_SEED and BTS_RUNS choose the
 // first seed and the number of runs.
 BOOST_AUTO_TEST_CASE(random_scripts_pass) {
-    const std::uint64_t first = number_from("BTS_SEED", first_seed);
-    const std::uint64_t runs = number_from("BTS_RUNS", random_runs);
-    const std::string failures = run_random(first, runs, make_random_quota_script, make_world);
+    const std::string failures = run_random(random_runs, make_random_quota_script, make_world);
     BOOST_TEST(failures.empty(), failures);
 }
 
--- a/tests/scenario/runner.cpp
+++ b/tests/scenario/runner.cpp
@@ -1,12 +1,20 @@
 #include "scenario/runner.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <filesystem>
 
 namespace buckthornspar::scenario {
 
 namespace {
 
+constexpr std::uint64_t default_first_seed = 1;
+
+std::uint64_t number_from_environment(const char* name, std::uint64_t fallback) {
+    const char* const text = std::getenv(name);
+    return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
+}
+
 void run_steps(const script& s, world& w, int& line) {
     for (const auto& item : s.steps) {
         line = item.line;
@@ -102,4 +110,23 @@
     return {};
 }
 
+std::string run_random(std::size_t default_count, const script_generator& generate,
+                       const world_factory& make_world) {
+    return run_random(number_from_environment("BTS_SEED", default_first_seed),
+                      number_from_environment("BTS_RUNS", default_count), generate, make_world);
+}
+
+std::string failure_with(const std::string& mutation, std::size_t count,
+                         const script_generator& generate, const world_factory& make_world) {
+    for (std::uint64_t seed = default_first_seed; seed < default_first_seed + count; ++seed) {
+        script s = generate(seed);
+        s.setup.set("mutation", mutation);
+        const auto result = run_script(s, make_world);
+        if (!result.passed) {
+            return result.failure;
+        }
+    }
+    return {};
+}
+
 } // namespace buckthornspar::scenario
--- a/tests/scenario/runner.h
+++ b/tests/scenario/runner.h
@@ -66,4 +66,14 @@
                                      const script_generator& generate,
                                      const world_factory& make_world);
 
+/// run_random() with the first seed of BTS_SEED (1) and the number of runs of BTS_RUNS.
+[[nodiscard]] std::string run_random(std::size_t default_count, const script_generator& generate,
+                                     const world_factory& make_world);
+
+/// Runs generated scripts from seed 1 on with a fault in the system, which the setup names as
+/// mutation, until one fails. Returns the violation; empty when the fault is not noticed.
+[[nodiscard]] std::string failure_with(const std::string& mutation, std::size_t count,
+                                       const script_generator& generate,
+                                       const world_factory& make_world);
+
 } // namespace buckthornspar::scenario
--- a/tests/scenario/scheduling/scheduling_scenario_test.cpp
+++ b/tests/scenario/scheduling/scheduling_scenario_test.cpp
@@ -12,11 +12,6 @@
 constexpr std::size_t random_runs = 2000;
 constexpr std::size_t switch_runs = 400;
 
-std::uint64_t number_from_environment(const char* name, std::uint64_t fallback) {
-    const char* const text = std::getenv(name);
-    return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
-}
-
 /// BTS_SCRIPTS names another directory of scripts, for example one failing script to trace.
 std::string script_directory() {
     const char* const text = std::getenv("BTS_SCRIPTS");
@@ -49,10 +44,8 @@
 // Guards against combinations of faults that nobody thought of. BTS_SEED and BTS_RUNS choose other
 // runs.
 BOOST_AUTO_TEST_CASE(random_runs_pass) {
-    const auto seed = number_from_environment("BTS_SEED", 1);
-    const auto count = number_from_environment("BTS_RUNS", random_runs);
     const std::string failure =
-        run_random(seed, count, random_scheduling_script, make_scheduling_world);
+        run_random(random_runs, random_scheduling_script, make_scheduling_world);
     BOOST_TEST(failure.empty(), failure);
 }
 
