--- a/tests/unit/routing/early_refusal_test.cpp
+++ b/tests/unit/routing/early_refusal_test.cpp
@@ -1,4 +1,5 @@
 #include "core/routing/request_engine.h"
+#include "unit/routing/builders.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -16,13 +17,7 @@
 
 struct early_refusal_fixture {
     early_refusal_fixture() : engine(settings(), counters, 1) {
-        membership::instance runner;
-        runner.id = "runner-1";
-        runner.role = membership::instance_role::runner;
-        runner.region = "r";
-        runner.service = "s";
-        runner.slots = runner_slots;
-        engine.on_instances({1, {runner}}, now);
+        engine.on_instances({1, {test::make_runner("runner-1", "r", runner_slots)}}, now);
         collect();
     }
 
--- a/tests/unit/routing/operator_limits_test.cpp
+++ b/tests/unit/routing/operator_limits_test.cpp
@@ -1,4 +1,5 @@
 #include "core/routing/request_engine.h"
+#include "unit/routing/builders.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -16,13 +17,7 @@
 
 struct limits_fixture {
     limits_fixture() : engine(settings(), counters, 1) {
-        membership::instance runner;
-        runner.id = "runner-1";
-        runner.role = membership::instance_role::runner;
-        runner.region = "r";
-        runner.service = "s";
-        runner.slots = 8;
-        engine.on_instances({1, {runner}}, start);
+        engine.on_instances({1, {test::make_runner("runner-1", "r", 8)}}, start);
     }
 
     static engine_settings settings() {
--- a/tests/unit/routing/routing_policy_test.cpp
+++ b/tests/unit/routing/routing_policy_test.cpp
@@ -1,5 +1,6 @@
 #include "core/routing/routing_policy.h"
 #include "core/routing/slot_shares.h"
+#include "unit/routing/builders.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -20,13 +21,7 @@
 struct policy_fixture {
     policy_fixture() {
         for (int i = 0; i < runners; ++i) {
-            membership::instance r;
-            r.id = "r" + std::to_string(i);
-            r.role = membership::instance_role::runner;
-            r.service = "s";
-            r.region = "a";
-            r.slots = slots;
-            list.instances.push_back(r);
+            list.instances.push_back(test::make_runner("r" + std::to_string(i), "a", slots));
         }
         for (int i = 0; i < entries; ++i) {
             const std::string id = "e" + std::to_string(i);
--- a/tests/unit/routing/runner_table_test.cpp
+++ b/tests/unit/routing/runner_table_test.cpp
@@ -1,4 +1,5 @@
 #include "core/routing/runner_table.h"
+#include "unit/routing/builders.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -13,13 +14,7 @@
 membership::instance_snapshot list_of(int runners) {
     membership::instance_snapshot list;
     for (int i = 0; i < runners; ++i) {
-        membership::instance r;
-        r.id = "r" + std::to_string(i);
-        r.role = membership::instance_role::runner;
-        r.service = "s";
-        r.region = "a";
-        r.slots = 4;
-        list.instances.push_back(r);
+        list.instances.push_back(test::make_runner("r" + std::to_string(i), "a", 4));
     }
     return list;
 }
