--- a/source/core/placement/scorer_set.cpp
+++ b/source/core/placement/scorer_set.cpp
@@ -9,17 +9,14 @@
 }
 
 void scorer_set::use(workload_kind kind, const std::string& name, const worker_table& workers) {
-    const auto known = m_scorers.find(name);
-    if (known != m_scorers.end()) {
-        m_by_kind[static_cast<std::size_t>(kind)] = known;
-        drop_unused();
-        return;
+    auto chosen = m_scorers.find(name);
+    if (chosen == m_scorers.end()) {
+        chosen = add(name);
+        for (worker_index worker = 0; worker < workers.size(); ++worker) {
+            chosen->second->worker_changed(workers, worker);
+        }
     }
-    const auto added = add(name);
-    for (worker_index worker = 0; worker < workers.size(); ++worker) {
-        added->second->worker_changed(workers, worker);
-    }
-    m_by_kind[static_cast<std::size_t>(kind)] = added;
+    m_by_kind[static_cast<std::size_t>(kind)] = chosen;
     drop_unused();
 }
 
--- a/source/core/scheduling/shard_ownership.cpp
+++ b/source/core/scheduling/shard_ownership.cpp
@@ -26,36 +26,18 @@
 
 struct ownership_definition : front::state_machine_def<ownership_definition> {
     // The order of the rows below numbers the states; the numbers are not used.
-    struct standby : front::state<> {
+    template <ownership_state State>
+    struct state_of : front::state<> {
         template <typename Event, typename Machine>
         void on_entry(const Event&, Machine& machine) {
-            machine.current = ownership_state::standby;
-        }
-    };
-    struct claiming : front::state<> {
-        template <typename Event, typename Machine>
-        void on_entry(const Event&, Machine& machine) {
-            machine.current = ownership_state::claiming;
-        }
-    };
-    struct adopting : front::state<> {
-        template <typename Event, typename Machine>
-        void on_entry(const Event&, Machine& machine) {
-            machine.current = ownership_state::adopting;
-        }
-    };
-    struct active : front::state<> {
-        template <typename Event, typename Machine>
-        void on_entry(const Event&, Machine& machine) {
-            machine.current = ownership_state::active;
-        }
-    };
-    struct stepping_down : front::state<> {
-        template <typename Event, typename Machine>
-        void on_entry(const Event&, Machine& machine) {
-            machine.current = ownership_state::stepping_down;
+            machine.current = State;
         }
     };
+    struct standby : state_of<ownership_state::standby> {};
+    struct claiming : state_of<ownership_state::claiming> {};
+    struct adopting : state_of<ownership_state::adopting> {};
+    struct active : state_of<ownership_state::active> {};
+    struct stepping_down : state_of<ownership_state::stepping_down> {};
 
     using initial_state = standby;
 
