Write repeated steps of three tests once

The same loop over outcomes stood in three cases of process_requests, the same two lines in seven mutations of scenario_quota, and the same set-up in two cases of the instance list's test. Each assertion is kept. membership, scenario_quota and process_requests pass.

--- a/tests/process/requests_test.cpp
+++ b/tests/process/requests_test.cpp
@@ -29,6 +29,13 @@
     }
 
     // What must hold for every answer, whatever the runners do.
+    // Each caller was told an outcome.
+    static void check_outcomes(const std::vector<load_result>& results) {
+        for (const auto& r : results) {
+            BOOST_TEST(!r.answer.fields.get("X-Outcome").empty(), r.id << ": " << r.answer.failure);
+        }
+    }
+
     void check_answers(const std::vector<load_result>& results) {
         const auto executions = request_executions(c);
         std::map<std::string, int> runs;
@@ -100,9 +107,7 @@
     c.at("runner-1").process.kill();
     std::this_thread::sleep_for(4s);
     const auto results = load.stop();
-    for (const auto& r : results) {
-        BOOST_TEST(!r.answer.fields.get("X-Outcome").empty(), r.id << ": " << r.answer.failure);
-    }
+    check_outcomes(results);
     check_answers(results);
     BOOST_TEST(repeated(request_executions(c)).empty());
     const auto after = call({"after", "hello"});
@@ -119,9 +124,7 @@
     c.at("runner-1").process.send_signal(SIGCONT);
     std::this_thread::sleep_for(1s);
     const auto results = load.stop();
-    for (const auto& r : results) {
-        BOOST_TEST(!r.answer.fields.get("X-Outcome").empty(), r.id << ": " << r.answer.failure);
-    }
+    check_outcomes(results);
     check_answers(results);
     BOOST_TEST(repeated(request_executions(c)).empty());
 }
@@ -141,9 +144,7 @@
     BOOST_TEST(of_other.size() > 500U);
     BOOST_TEST(count_status(of_other, 200) == of_other.size());
     BOOST_TEST(of_frozen.size() > 8U);
-    for (const auto& r : of_frozen) {
-        BOOST_TEST(!r.answer.fields.get("X-Outcome").empty(), r.id << ": " << r.answer.failure);
-    }
+    check_outcomes(of_frozen);
     check_answers(of_frozen);
     check_answers(of_other);
     BOOST_TEST(repeated(request_executions(c)).empty());
--- a/tests/scenario/quota/quota_scenario_test.cpp
+++ b/tests/scenario/quota/quota_scenario_test.cpp
@@ -20,8 +20,9 @@
                                                  make_world);
 }
 
-bool mentions(const std::string& text, const std::string& part) {
-    return text.find(part) != std::string::npos;
+void check_noticed(const std::string& mutation, const std::string& violation) {
+    const auto failure = failure_with(mutation);
+    BOOST_TEST((failure.find(violation) != std::string::npos), failure);
 }
 
 } // namespace
@@ -60,38 +61,31 @@
 // The remaining cases show that each check fails when the system has the fault that it is for.
 
 BOOST_AUTO_TEST_CASE(holder_that_sends_before_it_lowers_its_limit_is_noticed) {
-    const auto failure = failure_with("sent_before_lowered");
-    BOOST_TEST(mentions(failure, "the limits and tasks take"), failure);
+    check_noticed("sent_before_lowered", "the limits and tasks take");
 }
 
 BOOST_AUTO_TEST_CASE(messages_that_carry_differences_are_noticed) {
-    const auto failure = failure_with("differences");
-    BOOST_TEST(mentions(failure, "the limits and tasks take"), failure);
+    check_noticed("differences", "the limits and tasks take");
 }
 
 BOOST_AUTO_TEST_CASE(home_owner_that_takes_unknown_parts_for_free_is_noticed) {
-    const auto failure = failure_with("holders_forgotten");
-    BOOST_TEST(mentions(failure, "the limits and tasks take"), failure);
+    check_noticed("holders_forgotten", "the limits and tasks take");
 }
 
 BOOST_AUTO_TEST_CASE(owner_that_does_not_know_the_running_tasks_is_noticed) {
-    const auto failure = failure_with("tasks_not_found");
-    BOOST_TEST(mentions(failure, "the limits and tasks take"), failure);
+    check_noticed("tasks_not_found", "the limits and tasks take");
 }
 
 BOOST_AUTO_TEST_CASE(former_owner_that_still_starts_tasks_is_noticed) {
-    const auto failure = failure_with("owners_overlap");
-    BOOST_TEST(mentions(failure, "the limits and tasks take"), failure);
+    check_noticed("owners_overlap", "the limits and tasks take");
 }
 
 BOOST_AUTO_TEST_CASE(unused_parts_that_are_kept_are_noticed) {
-    const auto failure = failure_with("nothing_returned");
-    BOOST_TEST(mentions(failure, "tasks wait in"), failure);
+    check_noticed("nothing_returned", "tasks wait in");
 }
 
 BOOST_AUTO_TEST_CASE(links_that_stay_down_are_noticed) {
-    const auto failure = failure_with("lost_for_good");
-    BOOST_TEST(mentions(failure, "tasks wait in"), failure);
+    check_noticed("lost_for_good", "tasks wait in");
 }
 
 BOOST_AUTO_TEST_CASE(lowering_without_effect_is_noticed) {
--- a/tests/unit/membership/http_instance_list_test.cpp
+++ b/tests/unit/membership/http_instance_list_test.cpp
@@ -36,6 +36,23 @@
     std::string target;
 };
 
+struct list_fixture {
+    list_fixture() { loop.start(); }
+
+    std::optional<instance_snapshot> fetch() {
+        std::promise<std::optional<instance_snapshot>> promise;
+        list->fetch([&](std::optional<instance_snapshot> s) { promise.set_value(std::move(s)); });
+        return promise.get_future().get();
+    }
+
+    net::event_loop loop;
+    common::counters counts;
+    list_handler handler;
+    net::http_server server{loop, {"127.0.0.1", 0}, {}, handler};
+    std::unique_ptr<instance_list> list = instance_list_registry::instance().make(
+        "http", {loop, counts, {"127.0.0.1", server.port()}, 1s});
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(http_instance_list_suite)
@@ -66,25 +83,16 @@
 }
 
 // Guards against failures of the list that are not reported as such.
-BOOST_AUTO_TEST_CASE(adapter_reports_failures) {
-    net::event_loop loop;
-    common::counters counts;
-    list_handler handler;
-    net::http_server server(loop, {"127.0.0.1", 0}, {}, handler);
-    const auto list = instance_list_registry::instance().make(
-        "http", {loop, counts, {"127.0.0.1", server.port()}, 1s});
-    loop.start();
-    const auto fetch = [&](unsigned status, const std::string& body) {
+BOOST_FIXTURE_TEST_CASE(adapter_reports_failures, list_fixture) {
+    const auto fetch_answer = [&](unsigned status, const std::string& body) {
         handler.answer.status = status;
         handler.answer.body = body;
-        std::promise<std::optional<instance_snapshot>> promise;
-        list->fetch([&](const auto& snapshot) { promise.set_value(snapshot); });
-        return promise.get_future().get();
+        return fetch();
     };
-    BOOST_TEST(fetch(200, good_list).has_value());
+    BOOST_TEST(fetch_answer(200, good_list).has_value());
     BOOST_TEST(handler.target == "/v1/instances");
-    BOOST_TEST(!fetch(503, "").has_value());
-    BOOST_TEST(!fetch(200, "{}").has_value());
+    BOOST_TEST(!fetch_answer(503, "").has_value());
+    BOOST_TEST(!fetch_answer(200, "{}").has_value());
     loop.stop();
     BOOST_TEST(counts.get("instance_list_errors_total", "kind", "status_503").value() == 1);
     BOOST_TEST(counts.get("instance_list_errors_total", "kind", "bad_answer").value() == 1);
@@ -93,19 +101,7 @@
 
 // Guards against every poll transferring the whole list, and against an unchanged list that is
 // taken for an empty one.
-BOOST_AUTO_TEST_CASE(unchanged_list_is_not_read_again) {
-    net::event_loop loop;
-    common::counters counts;
-    list_handler handler;
-    net::http_server server(loop, {"127.0.0.1", 0}, {}, handler);
-    const auto list = instance_list_registry::instance().make(
-        "http", {loop, counts, {"127.0.0.1", server.port()}, 1s});
-    loop.start();
-    const auto fetch = [&] {
-        std::promise<std::optional<instance_snapshot>> promise;
-        list->fetch([&](std::optional<instance_snapshot> s) { promise.set_value(std::move(s)); });
-        return promise.get_future().get();
-    };
+BOOST_FIXTURE_TEST_CASE(unchanged_list_is_not_read_again, list_fixture) {
     handler.answer = net::json_response(200, good_list);
     BOOST_REQUIRE(fetch().has_value());
     handler.answer = {};
