Pass on the refusal of a repeated submission

Cause: a submission marked as a repeat counted as possibly executed also after the search had found the job, so that a repeat with other content was answered with outcome_unknown instead of id_conflict, and its caller would have repeated it for good. After the search the fate of the earlier submission is known, whether a shard knows the job or none does.

same_id_with_other_content_is_refused got the repeated case and failed first (504 outcome_unknown instead of 409).

--- a/source/programs/buckthornspar-entry/job_gateway.cpp
+++ b/source/programs/buckthornspar-entry/job_gateway.cpp
@@ -303,13 +303,11 @@
     if (index < shards.size() && shards[index].id == home) {
         index = e->shards_searched++;
     }
-    if (index >= shards.size() && e->repeated) {
-        const std::string chosen = e->repeated->home;
-        e->may_have_been_executed = false;
-        submit_repeated(e, chosen);
-        return;
-    }
     if (index >= shards.size()) {
+        if (e->repeated) {
+            submit_repeated(e, e->repeated->home);
+            return;
+        }
         finish(e, net::error_response(404, "unknown_job", "no shard knows a job with this id"));
         return;
     }
@@ -320,9 +318,11 @@
 
 // The shard that knows the job compares the contents and answers with the first result.
 void job_gateway::submit_repeated(const exchange_ptr& e, const std::string& shard) {
+    e->shard = shard;
     e->call = std::move(e->repeated->call);
     e->repeated.reset();
-    e->shard = shard;
+    // What became of the earlier submission is known now, so that a refusal can be passed on.
+    e->may_have_been_executed = false;
     e->owner_hint.clear();
     attempt(e);
 }
--- a/tests/process/jobs_test.cpp
+++ b/tests/process/jobs_test.cpp
@@ -70,6 +70,8 @@
     const auto second = jobs.submit({.id = "key", .tasks = 2});
     BOOST_TEST(second.status == 409U);
     BOOST_TEST(second.text("error.type") == "id_conflict");
+    const auto repeated = jobs.submit_repeated({.id = "key", .tasks = 2});
+    BOOST_TEST(repeated.status == 409U, repeated.body);
 }
 
 // Guards against a job that waits for good because nothing can ever run it.
