--- a/source/core/dispatch/dispatch_actions.h
+++ b/source/core/dispatch/dispatch_actions.h
@@ -22,6 +22,8 @@
 struct poll_call {
     std::uint64_t id = 0;
     poll_order order;
+    /// Another node sends the poll, because the worker did not answer this one.
+    bool through_peer = false;
 };
 
 /// The new state of a job, which may be shown to callers from now on. A final state has been stored
@@ -30,6 +32,8 @@
     std::string job;
     std::string queue;
     job_state state = job_state::queued;
+    /// See job_spec.
+    std::string accepted_by;
 };
 
 /// A worker has accepted a higher fence: another owner has taken over.
--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -88,7 +88,7 @@
     const auto state = job.state;
     m_queued_by_queue[spec.queue] += state == job_state::queued ? 1 : 0;
     m_jobs.emplace(spec.id, std::move(job));
-    m_actions.emplace_back(state_change{spec.id, spec.queue, state});
+    m_actions.emplace_back(state_change{spec.id, spec.queue, state, spec.accepted_by});
     m_replan_needed = true;
     if (m_cancels_before_job.erase(spec.id) > 0) {
         on_cancel(now, spec.id);
@@ -142,7 +142,8 @@
     if (job.state == job_state::queued) {
         --m_queued_by_queue[job.spec.queue];
         job.state = job_state::running;
-        m_actions.emplace_back(state_change{job.spec.id, job.spec.queue, job.state});
+        m_actions.emplace_back(
+            state_change{job.spec.id, job.spec.queue, job.state, job.spec.accepted_by});
     }
 }
 
@@ -203,7 +204,8 @@
         rows += row_count(record);
         record.progress = write_progress(job.progress());
         if (final) {
-            m_batch_changes.push_back({record.job, job.spec.queue, job.state});
+            m_batch_changes.push_back(
+                {record.job, job.spec.queue, job.state, job.spec.accepted_by});
         }
         batch.jobs.push_back(std::move(record));
         position = m_save_round.erase(position);
@@ -243,10 +245,22 @@
     m_authority.set_quorums(ids, ids);
 }
 
+// Silence towards this owner alone does not show that a worker is dead: the owner's link may be
+// slow, and runs of the worker may have succeeded. Their tasks wait for a sign from another source.
+bool dispatcher::is_dead(const worker_entry& worker, common::time_point now) const {
+    if (worker.reachable) {
+        return false;
+    }
+    const bool removed = !worker.listed && now > worker.unlisted_since + m_settings.unlisted_grace;
+    const bool reports_stopped =
+        m_list_known_until > worker.reported_at + m_settings.report_silence;
+    return worker.silence_confirmed || removed || reports_stopped;
+}
+
 void dispatcher::check_workers(common::time_point now) {
     std::vector<std::string> removable;
     for (auto& [id, worker] : m_workers.all()) {
-        const bool lease_over = now > worker.lease_end && !worker.reachable;
+        const bool lease_over = now > worker.lease_end && is_dead(worker, now);
         if (lease_over && !worker.runs.empty()) {
             log_event(severity::warning, "worker_lost",
                       {{"worker", id}, {"runs", worker.runs.size()}});
@@ -292,9 +306,12 @@
         call.order.worker = worker->report.id;
         call.order.fence = m_fence;
         call.order.ends_saved = worker->ends_saved;
-        // An unanswered poll may still take effect. It must not renew the lease of an unreachable
-        // worker, or it would never be certain that the worker's runs have ended.
-        call.order.valid_until_ms = worker->reachable ? m_workers.grant_lease(*worker, now) : 0;
+        // Every second poll of an unreachable worker tries another way to it.
+        call.through_peer = !worker->reachable && worker->poll_failures % 2 == 1;
+        // An unanswered poll may still take effect. It must not renew the lease of a silent worker,
+        // or it would never be certain that the worker's runs have ended.
+        const bool renew = worker->reachable || (call.through_peer && worker->answers_through_peer);
+        call.order.valid_until_ms = renew ? m_workers.grant_lease(*worker, now) : 0;
         const bool wait = worker->adopted && worker->poll_failures == 0 && !worker->runs.empty() &&
                           worker->ends_received == worker->ends_saved &&
                           !worker->has_uncertain_runs();
@@ -318,6 +335,8 @@
             return;
         }
         ++worker->poll_failures;
+        worker->silence_confirmed |= result.silence_confirmed;
+        worker->answers_through_peer &= !call.through_peer;
         if (worker->poll_failures < m_settings.unreachable_after_polls) {
             schedule_poll(*worker, now);
             return;
@@ -350,9 +369,16 @@
     }
     m_workers.update_clock(*worker, now, result.clock_ms);
     worker->last_contact = now;
-    m_workers_dirty |= !worker->reachable || m_unresponsive_workers.contains(call.order.worker);
-    worker->reachable = true;
-    worker->poll_failures = 0;
+    worker->silence_confirmed = false;
+    worker->answers_through_peer = call.through_peer;
+    if (call.through_peer) {
+        // The lists are as good as from a direct poll, but orders would not arrive.
+        ++worker->poll_failures;
+    } else {
+        m_workers_dirty |= !worker->reachable || m_unresponsive_workers.contains(call.order.worker);
+        worker->reachable = true;
+        worker->poll_failures = 0;
+    }
     worker->adopted = true;
     worker->known = true;
     m_unadopted.erase(call.order.worker);
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -33,6 +33,9 @@
     /// After an outage of the store, an entry missing from the instance list may take this long to
     /// reappear.
     common::duration unlisted_grace = std::chrono::milliseconds(2500);
+    /// A listed worker whose reports have stopped for this time is taken for dead. Workers report
+    /// every 1.5 s.
+    common::duration report_silence = std::chrono::milliseconds(3500);
     /// A stop is sent again when the run has not ended within this time.
     common::duration stop_retry_interval = std::chrono::milliseconds(700);
     /// Consecutive failed runs of different tasks after which a worker is excluded from placement.
@@ -41,6 +44,9 @@
     /// A worker that refuses a start receives no further starts for this time.
     common::duration refused_start_pause = std::chrono::milliseconds(400);
     placement_order order = placement_order::deadline;
+    /// Maximum number of starts without a response; 0 for no limit. More would queue up at the
+    /// owner's network link until their workers refuse them as late.
+    std::size_t max_pending_starts = 0;
 };
 
 /// The scheduling logic of the owner of a service: which task runs where, which runs are stopped,
@@ -61,6 +67,8 @@
     void on_queues(const std::vector<queue_settings>& queues);
     void on_worker(common::time_point now, const worker_report& report);
     void on_worker_unlisted(common::time_point now, const std::string& worker);
+    /// All reports that workers wrote to the instance list before this time are known.
+    void on_list_known(common::time_point until) { m_list_known_until = until; }
     /// An accepted job. Throws common::format_error when it cannot be executed.
     void on_job(common::time_point now, const job_spec& spec, const job_progress& progress,
                 std::uint64_t revision);
@@ -108,6 +116,7 @@
 private:
     // dispatcher.cpp
     void check_workers(common::time_point now);
+    [[nodiscard]] bool is_dead(const worker_entry& worker, common::time_point now) const;
     void update_quorum();
     void end_job(common::time_point now, job_entry& job, job_state state, std::string_view reason);
     void mark_dirty(const job_entry& job) { m_dirty_jobs.insert(job.spec.id); }
@@ -158,6 +167,7 @@
     void execute_plan(common::time_point now, const plan_result& plan);
     void start_task(common::time_point now, const planned_start& planned);
     void send_ticket_request(common::time_point now, const ticket_request& planned_request);
+    void send_start(start_order order);
     [[nodiscard]] const queue_settings* queue_of(const job_spec& spec) const;
     /// Target time from acceptance to completion of the job; 0 when its queue is unknown.
     [[nodiscard]] std::int64_t objective_ms(const job_entry& job) const;
@@ -210,6 +220,8 @@
     std::map<std::string, std::size_t> m_queued_by_queue;
 
     std::uint64_t m_next_call = 1;
+    std::size_t m_pending_starts = 0;
+    common::time_point m_list_known_until;
     bool m_replan_needed = false;
     bool m_draining = false;
     /// Unix time at the origin of the monotonic clock, in milliseconds.
--- a/source/core/dispatch/dispatcher_plan.cpp
+++ b/source/core/dispatch/dispatcher_plan.cpp
@@ -125,7 +125,12 @@
         return;
     }
     sort_steps(waiting, m_settings.order);
-    execute_plan(now, plan_steps(waiting, collect_free_capacities(now), now));
+    start_limit limit;
+    limit.pending = m_pending_starts;
+    if (m_settings.max_pending_starts > 0) {
+        limit.max_pending = m_settings.max_pending_starts;
+    }
+    execute_plan(now, plan_steps(waiting, collect_free_capacities(now), limit, now));
 }
 
 void dispatcher::execute_plan(common::time_point now, const plan_result& plan) {
@@ -172,10 +177,15 @@
                {"free_cpu_milli", worker.free().cpu_milli},
                {"clock_age_ms", common::to_milliseconds(now - worker.clock_at)},
                {"fence", m_fence}});
-    m_actions.emplace_back(std::move(order));
+    send_start(std::move(order));
     schedule_poll(worker, now);
 }
 
+void dispatcher::send_start(start_order order) {
+    ++m_pending_starts;
+    m_actions.emplace_back(std::move(order));
+}
+
 void dispatcher::send_ticket_request(common::time_point now,
                                      const ticket_request& planned_request) {
     auto& tickets = m_jobs.at(planned_request.step.job).find_step(planned_request.step)->tickets;
--- a/source/core/dispatch/dispatcher_runs.cpp
+++ b/source/core/dispatch/dispatcher_runs.cpp
@@ -25,6 +25,7 @@
 
 void dispatcher::on_start_result(common::time_point now, const start_order& order,
                                  const order_result& result) {
+    m_replan_needed |= m_pending_starts-- == m_settings.max_pending_starts;
     auto* const worker = m_workers.find(order.worker);
     if (worker == nullptr) {
         return;
@@ -66,7 +67,7 @@
             placed.start_valid_until_ms =
                 std::max(placed.start_valid_until_ms, repeated.valid_until_ms);
             m_counters.get("start_repeats_total").add();
-            m_actions.emplace_back(std::move(repeated));
+            send_start(std::move(repeated));
         }
         return;
     }
--- a/source/core/dispatch/job.h
+++ b/source/core/dispatch/job.h
@@ -69,8 +69,10 @@
     schedule_spec schedule;
     /// Unix time of the acceptance in milliseconds; only for ordering, because clocks may jump.
     std::int64_t accepted_ms = 0;
+    /// Node that accepted the job and shows its state to the customer; empty when unknown.
+    std::string accepted_by;
 
-    /// True for the same submission, whenever it was accepted.
+    /// True for the same submission, whenever and by whichever node it was accepted.
     [[nodiscard]] bool same_content(const job_spec& other) const;
 };
 
--- a/source/core/dispatch/job_entry.cpp
+++ b/source/core/dispatch/job_entry.cpp
@@ -130,6 +130,7 @@
     job_progress result;
     result.state = state;
     if (is_final(state)) {
+        result.accepted_by = spec.accepted_by;
         return result;
     }
     for (const auto& occurrence : occurrences) {
--- a/source/core/dispatch/progress.cpp
+++ b/source/core/dispatch/progress.cpp
@@ -131,6 +131,7 @@
     object["queue"] = job.queue;
     object["payload"] = job.payload;
     put(object, "accepted_ms", job.accepted_ms);
+    put(object, "accepted_by", job.accepted_by);
     put(object, "repeats", std::int64_t{job.schedule.repeats});
     put(object, "first_ms", job.schedule.first_ms);
     put(object, "interval_ms", job.schedule.interval_ms);
@@ -150,6 +151,7 @@
         job.queue = text_of(object, "queue");
         job.payload = text_of(object, "payload");
         job.accepted_ms = number_of(object, "accepted_ms");
+        job.accepted_by = text_of(object, "accepted_by");
         job.schedule.repeats = static_cast<std::uint32_t>(number_of(object, "repeats"));
         job.schedule.first_ms = number_of(object, "first_ms");
         job.schedule.interval_ms = number_of(object, "interval_ms");
@@ -171,6 +173,8 @@
                             task.checkpoint});
         }
         object["tasks"] = std::move(rows);
+    } else {
+        put(object, "accepted_by", progress.accepted_by);
     }
     return json::serialize(object);
 }
@@ -180,6 +184,7 @@
         const auto object = parse_object(text);
         job_progress progress;
         progress.state = job_state_names.value(text_of(object, "state"));
+        progress.accepted_by = text_of(object, "accepted_by");
         if (const auto* const rows = object.if_contains("tasks")) {
             for (const auto& value : rows->as_array()) {
                 const auto& row = value.as_array();
--- a/source/core/dispatch/progress.h
+++ b/source/core/dispatch/progress.h
@@ -31,6 +31,8 @@
 struct job_progress {
     job_state state = job_state::queued;
     std::map<task_key, task_progress> tasks;
+    /// See job_spec; only set for a final state, because the job record is removed then.
+    std::string accepted_by;
 };
 
 /// Serialization of the records in the store. The readers throw common::format_error.
--- a/source/core/dispatch/step_planner.cpp
+++ b/source/core/dispatch/step_planner.cpp
@@ -56,9 +56,11 @@
 
 class planner {
 public:
-    planner(std::vector<worker_free_capacity> free_capacities, common::time_point now)
+    planner(std::vector<worker_free_capacity> free_capacities, start_limit limit,
+            common::time_point now)
         : m_capacities(std::move(free_capacities)),
           m_reservations(m_capacities.size()),
+          m_limit(limit),
           m_now(now) {}
 
     void plan(const waiting_step& step) {
@@ -145,6 +147,12 @@
         return std::max<std::int64_t>(0, std::int64_t{step.spec->max_per_worker} - present);
     }
 
+    // Whether this many further starts may be sent together.
+    [[nodiscard]] bool may_start(std::size_t count) const {
+        const auto pending = m_limit.pending + m_result.starts.size();
+        return pending == 0 || pending + count <= m_limit.max_pending;
+    }
+
     void start(const waiting_step& step, std::uint32_t index, worker_slot w, std::uint32_t run) {
         planned_start planned;
         planned.task = step.step;
@@ -164,6 +172,13 @@
     void plan_tasks(const waiting_step& step) {
         std::size_t placed = 0;
         for (const auto index : step.tasks) {
+            if (!may_start(1)) {
+                // Tickets for starts that cannot be sent would expire unused.
+                if (step.state->tickets.asked.empty()) {
+                    request_tickets_for_tasks(step);
+                }
+                return;
+            }
             const auto& task = step.state->tasks[index];
             const auto worker = best_worker(step, task);
             if (!worker) {
@@ -348,7 +363,11 @@
         const auto available_now = [&](worker_slot w) { return available_capacity(step, w); };
         const auto ready = place_gang(step, true, available_now);
         if (!ready.empty()) {
-            start_gang(step, ready);
+            if (may_start(step.spec->count)) {
+                start_gang(step, ready);
+            } else {
+                reserve_now(ready);
+            }
             return;
         }
         const auto fitting = place_gang(step, false, available_now);
@@ -389,13 +408,20 @@
         }
     }
 
-    // Reserves the free capacity while missing or expired tickets are requested.
-    void renew_for_gang(const waiting_step& step, const tasks_by_worker& workers) {
+    // Reserves free capacity for a gang that starts as soon as its tickets or the limit of pending
+    // starts permit; returns the workers.
+    std::vector<worker_slot> reserve_now(const tasks_by_worker& workers) {
         std::vector<worker_slot> named;
         for (const auto& [w, task_count] : workers) {
             m_reservations[w].push_back({m_demand * task_count, m_now});
             named.push_back(w);
         }
+        return named;
+    }
+
+    // Reserves the free capacity while missing or expired tickets are requested.
+    void renew_for_gang(const waiting_step& step, const tasks_by_worker& workers) {
+        auto named = reserve_now(workers);
         if (!may_request_tickets(step)) {
             return;
         }
@@ -491,6 +517,7 @@
     resources m_demand;
     std::map<std::pair<task_key, worker_slot>, std::int64_t> m_planned_tasks;
     std::size_t m_reserved_gangs = 0;
+    start_limit m_limit;
     common::time_point m_now;
     plan_result m_result;
 };
@@ -498,8 +525,9 @@
 } // namespace
 
 plan_result plan_steps(const std::vector<waiting_step>& steps,
-                       std::vector<worker_free_capacity> free_capacities, common::time_point now) {
-    planner plan(std::move(free_capacities), now);
+                       std::vector<worker_free_capacity> free_capacities, start_limit limit,
+                       common::time_point now) {
+    planner plan(std::move(free_capacities), limit, now);
     for (const auto& step : steps) {
         plan.plan(step);
     }
--- a/source/core/dispatch/worker_link.h
+++ b/source/core/dispatch/worker_link.h
@@ -117,21 +117,25 @@
 
 struct poll_result {
     order_status status = order_status::no_answer;
+    /// Another node has polled the worker as well and got no response either.
+    bool silence_confirmed = false;
     std::int64_t clock_ms = 0;
     std::int64_t start_time_ms = 0;
     std::vector<running_run> running;
     std::vector<ended_run> ended;
 };
 
-/// Sends orders to workers. Each call is sent at most once and completes exactly once.
+/// Sends orders to workers. Each call is sent at most once and completes exactly once, after the
+/// timeout at the latest.
 class worker_link {
 public:
     virtual ~worker_link() = default;
-    virtual void start(const net::endpoint& to, const start_order& order,
+    virtual void start(const net::endpoint& to, const start_order& order, common::duration timeout,
                        std::function<void(order_result)> complete) = 0;
-    virtual void stop(const net::endpoint& to, const stop_order& order,
+    virtual void stop(const net::endpoint& to, const stop_order& order, common::duration timeout,
                       std::function<void(order_result)> complete) = 0;
-    virtual void poll(const net::endpoint& to, const poll_order& order,
+    /// The timeout does not include poll_order::wait.
+    virtual void poll(const net::endpoint& to, const poll_order& order, common::duration timeout,
                       std::function<void(poll_result)> complete) = 0;
 
 protected:
--- a/source/core/dispatch/worker_registry.cpp
+++ b/source/core/dispatch/worker_registry.cpp
@@ -64,6 +64,9 @@
             placed.start_valid_until_ms = std::numeric_limits<std::int64_t>::max();
         }
     }
+    if (added || result.restarted || report.clock_ms != worker.report.clock_ms) {
+        worker.reported_at = now;
+    }
     worker.report = report;
     worker.listed = true;
     if ((added || result.restarted) && report.clock_ms != 0) {
--- a/source/core/dispatch/worker_registry.h
+++ b/source/core/dispatch/worker_registry.h
@@ -79,6 +79,12 @@
     bool poll_pending = false;
     std::uint64_t poll_call = 0;
     unsigned poll_failures = 0;
+    /// Another node could not reach the worker either since its last response.
+    bool silence_confirmed = false;
+    /// The last poll through another node was answered, while direct polls were not.
+    bool answers_through_peer = false;
+    /// When the worker's last report in the instance list became known.
+    common::time_point reported_at;
 
     std::map<run_key, placed_run> runs;
     placement::resources allocated;
--- a/source/core/emulation/emulated_owner.cpp
+++ b/source/core/emulation/emulated_owner.cpp
@@ -37,6 +37,7 @@
     if (m_ended || m_platform.now() < m_frozen_until) {
         return;
     }
+    m_engine.on_list_known(m_platform.m_list_known_until);
     m_engine.on_time(m_platform.now());
     for (const auto& action : m_engine.take_actions()) {
         execute_action(action);
@@ -59,7 +60,7 @@
         });
     } else if (const auto* const poll = std::get_if<dispatch::poll_call>(&action)) {
         const auto sent = m_platform.now();
-        m_platform.poll(poll->order, [this, call = *poll, sent](poll_result result) {
+        m_platform.poll(*poll, [this, call = *poll, sent](poll_result result) {
             post({}, [this, call, sent, result = std::move(result)] {
                 m_engine.on_poll_result(m_platform.now(), call, sent, result);
             });
--- a/source/core/emulation/emulated_platform.cpp
+++ b/source/core/emulation/emulated_platform.cpp
@@ -28,6 +28,7 @@
       m_rng(seed),
       m_fleet(m_settings.fleet, observer, seed) {
     m_events.after(tick_interval, [this] { tick(); });
+    m_events.after(m_settings.report_interval, [this] { report_workers(); });
 }
 
 emulated_platform::~emulated_platform() = default;
@@ -48,6 +49,9 @@
 void emulated_platform::tick() {
     m_fleet.advance(now());
     answer_polls();
+    if (store_up()) {
+        m_list_known_until = now() - m_settings.watch_delay;
+    }
     for (auto& former : m_replaced_owners) {
         former->pump();
     }
@@ -60,6 +64,15 @@
     m_events.after(tick_interval, [this] { tick(); });
 }
 
+void emulated_platform::report_workers() {
+    for (const auto& [id, link] : m_links) {
+        if (store_up() && link.listed && m_fleet.find(id)->up && now() >= link.store_cut_until) {
+            publish(id);
+        }
+    }
+    m_events.after(m_settings.report_interval, [this] { report_workers(); });
+}
+
 common::duration emulated_platform::delay() {
     const auto span = (m_settings.max_delay - m_settings.min_delay).count();
     return m_settings.min_delay +
@@ -251,6 +264,7 @@
     if (!store) {
         return;
     }
+    link.store_cut_until = link.cut_until;
     if (length > m_settings.list_timeout) {
         m_events.after(m_settings.list_timeout, [this, id] { withdraw(id); });
         m_events.after(length, [this, id] { publish(id); });
@@ -282,7 +296,8 @@
 
 template <typename Result, typename Execute>
 void emulated_platform::call_worker(const std::string& id, common::duration timeout,
-                                    Execute execute, std::function<void(Result)> complete) {
+                                    Execute execute, std::function<void(Result)> complete,
+                                    bool through_peer) {
     auto pending = std::make_shared<std::function<void(Result)>>(std::move(complete));
     const auto finish = [pending](Result result) {
         if (*pending) {
@@ -291,26 +306,30 @@
     };
     m_events.after(timeout, [finish] { finish(Result{}); });
     const auto& link = m_links[id];
-    if (now() < link.cut_until) {
+    const auto is_cut = [this, id, through_peer] {
+        const auto& state = m_links[id];
+        return now() < (through_peer ? state.store_cut_until : state.cut_until);
+    };
+    if (is_cut()) {
         return;
     }
     const bool late = now() < link.delayed_until;
-    const bool answered = !late && now() >= link.answers_lost_until;
+    const bool answered = !late && (through_peer || now() >= link.answers_lost_until);
     const auto extra_delay = late ? link.extra_delay : common::duration(0);
-    m_events.after(delay(), [this, id, execute, answered, finish, extra_delay] {
+    m_events.after(delay(), [this, id, execute, answered, finish, extra_delay, is_cut] {
         const auto* const worker = m_fleet.find(id);
         if (worker == nullptr || !worker->up) {
             return;
         }
         const auto incarnation = worker->report.start_time_ms;
-        const auto deliver = [this, id, execute, answered, finish, incarnation] {
+        const auto deliver = [this, id, execute, answered, finish, incarnation, is_cut] {
             const auto& receiver = *m_fleet.find(id);
             if (!receiver.up || receiver.report.start_time_ms != incarnation) {
                 // A pending call is lost when the worker crashes or restarts.
                 return;
             }
             const auto result = execute(now());
-            if (answered && now() >= m_links[id].cut_until) {
+            if (answered && !is_cut()) {
                 m_events.after(delay(), [finish, result] { finish(result); });
             }
         };
@@ -338,8 +357,25 @@
         std::move(complete));
 }
 
-void emulated_platform::poll(const dispatch::poll_order& order,
+void emulated_platform::poll_through_peer(const dispatch::poll_order& order,
+                                          std::function<void(dispatch::poll_result)> complete) {
+    call_worker<dispatch::poll_result>(
+        order.worker, poll_slack,
+        [this, order](common::time_point time) { return m_fleet.poll(time, order); },
+        [complete = std::move(complete)](dispatch::poll_result result) {
+            result.silence_confirmed = result.status == dispatch::order_status::no_answer;
+            complete(std::move(result));
+        },
+        true);
+}
+
+void emulated_platform::poll(const dispatch::poll_call& call,
                              std::function<void(dispatch::poll_result)> complete) {
+    const auto& order = call.order;
+    if (call.through_peer) {
+        poll_through_peer(order, std::move(complete));
+        return;
+    }
     if (order.wait.count() == 0) {
         call_worker<dispatch::poll_result>(
             order.worker, poll_slack,
--- a/source/core/emulation/emulated_platform.h
+++ b/source/core/emulation/emulated_platform.h
@@ -31,6 +31,8 @@
     common::duration load_delay = std::chrono::milliseconds(150);
     /// A worker that does not reach the store is removed from the instance list after this time.
     common::duration list_timeout = std::chrono::milliseconds(4500);
+    /// Interval at which a worker renews its entry in the instance list.
+    common::duration report_interval = std::chrono::milliseconds(1500);
     /// The advice service grants one in this many workers to a step.
     unsigned granted_one_in = 4;
 };
@@ -77,7 +79,7 @@
     void crash_worker(const std::string& worker, common::duration length);
     void drain_worker(const std::string& worker);
     /// Cuts the connection between the owner and the worker, and with `store` also the worker's
-    /// connection to the store.
+    /// connections to the other nodes and the store.
     void cut_worker(const std::string& worker, common::duration length, bool store);
     /// Orders to the worker are executed after the delay and get no response.
     void delay_orders(const std::string& worker, common::duration length, common::duration delay);
@@ -117,15 +119,17 @@
     [[nodiscard]] bool store_up() const { return now() >= m_store_down_until; }
     /// Delivers the call to the worker and returns its response; completes with an empty result
     /// when there is no response within the timeout.
+    /// A call through another node is only affected by a cut from all nodes.
     template <typename Result, typename Execute>
     void call_worker(const std::string& worker, common::duration timeout, Execute execute,
-                     std::function<void(Result)> complete);
+                     std::function<void(Result)> complete, bool through_peer = false);
     void start(const dispatch::start_order& order,
                std::function<void(dispatch::order_result)> complete);
     void stop(const dispatch::stop_order& order,
               std::function<void(dispatch::order_result)> complete);
-    void poll(const dispatch::poll_order& order,
-              std::function<void(dispatch::poll_result)> complete);
+    void poll(const dispatch::poll_call& call, std::function<void(dispatch::poll_result)> complete);
+    void poll_through_peer(const dispatch::poll_order& order,
+                           std::function<void(dispatch::poll_result)> complete);
     /// False when the owner has been replaced.
     [[nodiscard]] bool save(std::uint64_t fence, const dispatch::save_batch& batch);
     void begin_term();
@@ -133,6 +137,7 @@
     void publish(const std::string& worker);
     void withdraw(const std::string& worker);
     void tick();
+    void report_workers();
     void answer_polls();
 
     platform_settings m_settings;
@@ -142,6 +147,7 @@
     emulated_fleet m_fleet;
     std::vector<dispatch::queue_settings> m_queues;
     std::map<std::string, worker_link_state> m_links;
+    common::time_point m_list_known_until;
     std::vector<pending_poll> m_pending_polls;
 
     std::unique_ptr<emulated_owner> m_owner;
--- a/source/core/service/caller_api.cpp
+++ b/source/core/service/caller_api.cpp
@@ -95,13 +95,14 @@
         return;
     }
     const auto path = request.path();
-    current.route = configuration->find_route(request.fields.get("Host"), path);
-    if (current.route == nullptr) {
+    const auto* const route = configuration->find_route(request.fields.get("Host"), path);
+    if (route == nullptr) {
         answer(current, net::error_response(404, "no_such_queue", "no such queue"), "refused",
                "no_such_queue");
         return;
     }
-    current.id = std::string(path.substr(current.route->prefix.size()));
+    current.queue = route->queue.name;
+    current.id = std::string(path.substr(route->prefix.size()));
     if (current.id.empty() && request.method == net::http_method::get) {
         count(current);
         return;
@@ -133,8 +134,9 @@
     try {
         job = m_env.format.read_submission(body);
         job.id = request.id;
-        job.queue = request.route->queue.name;
+        job.queue = request.queue;
         job.accepted_ms = common::wall_clock_ms();
+        job.accepted_by = m_env.node;
         static_cast<void>(make_job(job, {}, 0, request.received));
     } catch (const common::error& e) {
         answer(request, net::error_response(400, e.type(), e.what()), "refused", "invalid_job");
@@ -144,7 +146,12 @@
     m_env.intake.submit(job, deadline, [this, request, job](const intake_result& result) {
         switch (result.outcome) {
         case intake_outcome::accepted:
-            m_env.directory.apply_change(m_env.clock.now(), {job.id, job.queue, job_state::queued});
+            // The owner reports changes to the node that stored the job first; on other nodes
+            // queries read the store.
+            if (result.accepted_by == m_env.node) {
+                m_env.directory.apply_change(
+                    m_env.clock.now(), {job.id, job.queue, job_state::queued, job.accepted_by});
+            }
             answer(request, net::json_response(200, m_env.format.state_body(job_state::queued)),
                    "accepted", "stored");
             return;
@@ -172,9 +179,27 @@
                "directory");
         return;
     }
+    m_env.ask_state(request.id, [this, request](std::optional<job_state> state) {
+        if (!state) {
+            query_store(request);
+            return;
+        }
+        remember_final(request, *state);
+        answer(request, net::json_response(200, m_env.format.state_body(*state)), "known", "owner");
+    });
+}
+
+void caller_api::remember_final(const call& request, job_state state) const {
+    if (is_final(state)) {
+        m_env.directory.apply_change(m_env.clock.now(), {request.id, request.queue, state, ""});
+    }
+}
+
+void caller_api::query_store(const call& request) {
     const auto deadline = store_deadline(request);
     m_env.intake.query(request.id, deadline, [this, request](const intake_result& result) {
         if (result.outcome == intake_outcome::found) {
+            remember_final(request, result.state);
             answer(request, net::json_response(200, m_env.format.state_body(result.state)), "known",
                    "store");
             return;
@@ -220,7 +245,7 @@
 }
 
 void caller_api::count(const call& request) {
-    const auto& queue = request.route->queue.name;
+    const auto& queue = request.queue;
     std::optional<std::size_t> pending;
     if (const auto owner_counts = m_env.owner_pending()) {
         const auto position = owner_counts->find(queue);
--- a/source/core/service/caller_api.h
+++ b/source/core/service/caller_api.h
@@ -5,6 +5,7 @@
 #include "core/net/http_server.h"
 #include "core/service/job_directory.h"
 #include "core/service/job_intake.h"
+#include "core/service/peer_messages.h"
 #include "core/service/platform_adapter.h"
 
 #include <functional>
@@ -26,7 +27,12 @@
         /// Null until the first configuration has been read.
         std::function<const service_configuration*()> configuration;
         /// Owner only: number of jobs per queue that have not begun; empty on other nodes.
-        std::function<std::optional<std::map<std::string, std::size_t>>()> owner_pending;
+        std::function<std::optional<pending_counts>()> owner_pending;
+        std::string node;
+        /// Asks the owner for the state of a job that another node accepted; empty when unknown.
+        std::function<void(const std::string& job,
+                           std::function<void(std::optional<dispatch::job_state>)> complete)>
+            ask_state;
     };
 
     explicit caller_api(environment env) : m_env(std::move(env)) {}
@@ -37,7 +43,8 @@
     struct call {
         net::http_method method = net::http_method::get;
         std::string id;
-        const queue_route* route = nullptr;
+        /// A copy, because the configuration may be replaced before the call is answered.
+        std::string queue;
         common::time_point received;
         common::duration deadline{0};
         net::http_reply reply;
@@ -45,6 +52,9 @@
 
     void submit(const call& request, const std::string& body);
     void query(const call& request);
+    void query_store(const call& request);
+    /// Later queries of an ended job need no other node.
+    void remember_final(const call& request, dispatch::job_state state) const;
     void cancel(const call& request);
     void count(const call& request);
     void answer(const call& request, net::http_response response, std::string_view outcome,
--- a/source/core/service/job_intake.cpp
+++ b/source/core/service/job_intake.cpp
@@ -35,6 +35,7 @@
     /// A commit was not answered; it may have been applied, or may still be.
     bool in_doubt = false;
     job_state state = job_state::queued;
+    std::string accepted_by;
 };
 
 void job_intake::submit(const job_spec& job, common::time_point deadline,
@@ -101,7 +102,7 @@
 
 void job_intake::finish(const std::shared_ptr<call>& work, intake_outcome outcome) {
     --m_in_progress;
-    work->complete({outcome, work->state, work->attempts});
+    work->complete({outcome, work->state, work->attempts, work->accepted_by});
 }
 
 void job_intake::retry(const std::shared_ptr<call>& work, store_status status,
@@ -151,6 +152,7 @@
     commit(*work, change, [this, work](const store_result& result) {
         switch (result.status) {
         case store_status::ok:
+            work->accepted_by = work->job.accepted_by;
             finish(work, intake_outcome::accepted);
             return;
         case store_status::conflict:
@@ -170,7 +172,9 @@
             continue;
         }
         try {
-            const bool same = read_job(item.value).same_content(work->job);
+            const auto stored = read_job(item.value);
+            const bool same = stored.same_content(work->job);
+            work->accepted_by = stored.accepted_by;
             finish(work, same ? intake_outcome::accepted : intake_outcome::conflict);
         } catch (const common::error& e) {
             log_event(severity::error, "job_unreadable",
--- a/source/core/service/job_intake.h
+++ b/source/core/service/job_intake.h
@@ -35,6 +35,8 @@
     dispatch::job_state state = dispatch::job_state::queued;
     /// Number of attempts at the store.
     unsigned store_calls = 0;
+    /// For an accepted submission the node that accepted it first; empty when unknown.
+    std::string accepted_by;
 };
 
 using intake_completion = std::function<void(intake_result)>;
--- a/source/core/service/node_application.cpp
+++ b/source/core/service/node_application.cpp
@@ -4,6 +4,7 @@
 #include "core/common/logging.h"
 #include "core/service/store_keys.h"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -32,6 +33,21 @@
 constexpr auto configuration_wait = std::chrono::milliseconds(1300);
 constexpr std::size_t max_body_bytes = std::size_t{1} << 20U;
 
+// Starts without a response: as many as the link carries within this time, and at least one for
+// each of a few workers.
+constexpr double max_start_queue_s = 0.15;
+constexpr double start_bytes = 900.0;
+constexpr std::size_t min_pending_starts = 16;
+
+std::size_t max_pending_starts(double link_mbps) {
+    constexpr double bytes_per_megabit = 125'000.0;
+    if (link_mbps <= 0.0) {
+        return 0;
+    }
+    return std::max(min_pending_starts, static_cast<std::size_t>(link_mbps * bytes_per_megabit *
+                                                                 max_start_queue_s / start_bytes));
+}
+
 std::uint64_t random_process_number() {
     std::random_device source;
     // 53 bits: JSON readers that use double represent the number exactly.
@@ -94,6 +110,7 @@
             m_counters,
             m_directory,
             m_platform->advice(),
+            m_platform->workers(),
             m_relay,
             m_settings.id,
             m_settings.peers,
@@ -107,10 +124,7 @@
                     m_controller->on_peer_lost(node);
                 }
             },
-            [this] {
-                return m_controller ? m_controller->pending()
-                                    : std::map<std::string, std::size_t>{};
-            },
+            [this] { return owner_pending(); },
             [this](const owner_record& owner, bool ended) {
                 m_election->on_owner_suspected(owner, ended);
             }};
@@ -123,18 +137,23 @@
             m_directory,
             m_intake,
             [this] { return m_configuration ? &*m_configuration : nullptr; },
-            [this]() -> std::optional<std::map<std::string, std::size_t>> {
-                if (!m_controller || !m_controller->loaded()) {
-                    return std::nullopt;
-                }
-                return m_controller->pending();
+            [this] { return owner_pending(); },
+            m_settings.id,
+            [this](const std::string& job,
+                   std::function<void(std::optional<dispatch::job_state>)> complete) {
+                m_peers.ask_state(job, std::move(complete));
             }};
 }
 
+std::optional<pending_counts> node_application::owner_pending() const {
+    return m_controller ? m_controller->pending() : std::nullopt;
+}
+
 owner_environment node_application::make_owner_environment() {
     dispatch::dispatcher_settings dispatcher;
     dispatcher.leases.lease = std::min<common::duration>(m_settings.lease, preferred_lease);
     dispatcher.order = dispatch::placement_order_names.value(m_settings.order);
+    dispatcher.max_pending_starts = max_pending_starts(m_settings.link_mbps);
     return {m_loop,
             m_clock,
             m_counters,
@@ -148,6 +167,10 @@
                    std::function<void(dispatch::advice_result)> complete) {
                 m_peers.ask_advice(node, call.request, call.expected, std::move(complete));
             },
+            [this](const net::endpoint& worker, const dispatch::poll_order& order,
+                   std::function<void(dispatch::poll_result)> complete) {
+                m_peers.poll_worker(worker, order, std::move(complete));
+            },
             [this](std::string_view reason) {
                 if (m_election) {
                     m_election->mark_lost(reason);
@@ -269,6 +292,7 @@
     m_peers.set_owned_fence(std::nullopt);
     if (m_controller) {
         m_controller->end();
+        m_directory.remove_unfollowed(m_settings.id);
         // on_ownership_lost may be called from within the controller; it is released after that
         // call has returned.
         m_loop.post([ended = std::exchange(m_controller, nullptr)] {});
--- a/source/core/service/node_settings.h
+++ b/source/core/service/node_settings.h
@@ -36,6 +36,8 @@
     std::string order;
     /// Processor time available to the process, in cores.
     double cpu_share = 1.0;
+    /// Capacity of the instance's network link in megabits per second; 0 when unknown.
+    double link_mbps = 0.0;
 };
 
 /// Throws common::settings_error.
--- a/source/core/service/owner_controller.cpp
+++ b/source/core/service/owner_controller.cpp
@@ -18,11 +18,17 @@
 // Minimum time between two commits, so that runs that end at about the same time share a commit.
 constexpr auto min_commit_interval = std::chrono::milliseconds(20);
 constexpr auto commit_retry_delay = std::chrono::milliseconds(80);
+// The counts of pending jobs are not reported while the watch of new jobs is further behind.
+constexpr auto max_pending_jobs_age = std::chrono::milliseconds(2500);
 // Maximum number of expired job records that one commit removes, and the time for which they are
 // kept beyond their retention.
 constexpr std::size_t max_removals_per_commit = 24;
 constexpr auto retention_slack = std::chrono::seconds(30);
 
+bool is_answered(order_status status) {
+    return status != order_status::no_answer && status != order_status::not_sent;
+}
+
 } // namespace
 
 owner_controller::owner_controller(owner_environment environment, std::uint64_t fence)
@@ -73,6 +79,13 @@
     m_advice_balancer.remove_node(node);
 }
 
+std::optional<pending_counts> owner_controller::pending() const {
+    if (!m_loaded || m_active_watcher->age() > max_pending_jobs_age) {
+        return std::nullopt;
+    }
+    return m_dispatcher.pending_by_queue();
+}
+
 void owner_controller::drain(std::function<void()> complete) {
     m_on_drained = std::move(complete);
     m_dispatcher.drain();
@@ -92,6 +105,7 @@
         m_process_again = false;
         const auto now = m_env.clock.now();
         m_dispatcher.on_wall_clock(now, common::wall_clock_ms());
+        m_dispatcher.on_list_known(now - m_worker_watcher->age());
         m_dispatcher.on_time(now);
         auto actions = m_dispatcher.take_actions();
         for (auto& action : actions) {
@@ -132,49 +146,41 @@
     std::visit(
         common::overloaded{
             [&](start_order& order) {
+                const auto sent_at = m_env.clock.now();
                 const auto* const worker = m_dispatcher.workers().find(order.worker);
                 if (worker == nullptr) {
+                    m_dispatcher.on_start_result(sent_at, order, {order_status::not_sent, 0});
                     return;
                 }
-                m_env.platform.workers().start(worker->report.address, order,
-                                               [self, order](const order_result& result) {
-                                                   if (self->m_active) {
-                                                       self->m_dispatcher.on_start_result(
-                                                           self->m_env.clock.now(), order, result);
-                                                       self->process_actions();
-                                                   }
-                                               });
+                m_env.platform.workers().start(
+                    worker->report.address, order, m_worker_timeout.value(),
+                    [self, order, sent_at](const order_result& result) {
+                        if (self->m_active) {
+                            self->record_response_time(sent_at, is_answered(result.status), false);
+                            self->m_dispatcher.on_start_result(self->m_env.clock.now(), order,
+                                                               result);
+                            self->process_actions();
+                        }
+                    });
             },
             [&](stop_order& order) {
                 const auto* const worker = m_dispatcher.workers().find(order.worker);
                 if (worker == nullptr) {
                     return;
                 }
-                m_env.platform.workers().stop(worker->report.address, order,
-                                              [self, order](const order_result& result) {
-                                                  if (self->m_active) {
-                                                      self->m_dispatcher.on_stop_result(
-                                                          self->m_env.clock.now(), order, result);
-                                                      self->process_actions();
-                                                  }
-                                              });
-            },
-            [&](poll_call& call) {
-                const auto* const worker = m_dispatcher.workers().find(call.order.worker);
-                if (worker == nullptr) {
-                    return;
-                }
                 const auto sent_at = m_env.clock.now();
-                m_env.platform.workers().poll(worker->report.address, call.order,
-                                              [self, call, sent_at](const poll_result& result) {
-                                                  if (self->m_active) {
-                                                      self->m_dispatcher.on_poll_result(
-                                                          self->m_env.clock.now(), call, sent_at,
-                                                          result);
-                                                      self->process_actions();
-                                                  }
-                                              });
+                m_env.platform.workers().stop(
+                    worker->report.address, order, m_worker_timeout.value(),
+                    [self, order, sent_at](const order_result& result) {
+                        if (self->m_active) {
+                            self->record_response_time(sent_at, is_answered(result.status), false);
+                            self->m_dispatcher.on_stop_result(self->m_env.clock.now(), order,
+                                                              result);
+                            self->process_actions();
+                        }
+                    });
             },
+            [&](poll_call& call) { send_poll(call); },
             [&](advice_call& call) {
                 m_advice_balancer.submit(std::move(call));
                 send_advice_calls();
@@ -196,6 +202,42 @@
         action);
 }
 
+void owner_controller::send_poll(const poll_call& call) {
+    const auto* const worker = m_dispatcher.workers().find(call.order.worker);
+    if (worker == nullptr) {
+        return;
+    }
+    const auto sent_at = m_env.clock.now();
+    const auto complete = [self = shared_from_this(), call, sent_at](const poll_result& result) {
+        if (!self->m_active) {
+            return;
+        }
+        if (!call.through_peer) {
+            self->record_response_time(sent_at, is_answered(result.status),
+                                       call.order.wait > common::duration(0));
+        }
+        self->m_dispatcher.on_poll_result(self->m_env.clock.now(), call, sent_at, result);
+        self->process_actions();
+    };
+    if (call.through_peer) {
+        m_env.counters.get("relayed_polls_total").add();
+        m_env.poll_through_peer(worker->report.address, call.order, complete);
+        return;
+    }
+    m_env.platform.workers().poll(worker->report.address, call.order, m_worker_timeout.value(),
+                                  complete);
+}
+
+void owner_controller::record_response_time(common::time_point sent_at, bool answered,
+                                            bool waited) {
+    const auto now = m_env.clock.now();
+    if (!answered) {
+        m_worker_timeout.record_timeout(now);
+    } else if (!waited) {
+        m_worker_timeout.record_response(now, now - sent_at);
+    }
+}
+
 void owner_controller::send_advice_calls() {
     const auto self = shared_from_this();
     for (const auto& assigned : m_advice_balancer.take_ready(m_env.clock.now())) {
--- a/source/core/service/owner_controller.h
+++ b/source/core/service/owner_controller.h
@@ -5,8 +5,10 @@
 #include "core/net/event_loop.h"
 #include "core/service/advice_balancer.h"
 #include "core/service/job_directory.h"
+#include "core/service/peer_messages.h"
 #include "core/service/platform_adapter.h"
 #include "core/service/prefix_watcher.h"
+#include "core/service/response_timeout.h"
 
 #include <deque>
 #include <functional>
@@ -31,6 +33,10 @@
     std::function<void(const std::string& node, const dispatch::advice_call& call,
                        std::function<void(dispatch::advice_result)> complete)>
         ask_advice;
+    /// Polls a worker through another node; completes exactly once.
+    std::function<void(const net::endpoint& worker, const dispatch::poll_order& order,
+                       std::function<void(dispatch::poll_result)> complete)>
+        poll_through_peer;
     /// The ownership is lost: the owner key has changed, or a worker has accepted a higher fence.
     std::function<void(std::string_view reason)> report_lost;
     /// The job directory has new entries.
@@ -54,9 +60,9 @@
 
     [[nodiscard]] bool loaded() const { return m_loaded; }
     [[nodiscard]] std::uint64_t fence() const { return m_fence; }
-    [[nodiscard]] const std::map<std::string, std::size_t>& pending() const {
-        return m_dispatcher.pending_by_queue();
-    }
+    /// Number of jobs by queue of which no task has started; empty until all jobs are loaded and
+    /// while the watch of new jobs is too far behind.
+    [[nodiscard]] std::optional<pending_counts> pending() const;
 
 private:
     // owner_controller_loading.cpp
@@ -78,6 +84,8 @@
     void process_actions();
     void schedule_wakeup(common::time_point due);
     void execute_action(dispatch::dispatch_action& action);
+    void send_poll(const dispatch::poll_call& call);
+    void record_response_time(common::time_point sent_at, bool answered, bool waited);
     void send_advice_calls();
     void on_advice(const advice_balancer::assignment& assigned,
                    const dispatch::advice_result& result);
@@ -91,6 +99,7 @@
     owner_environment m_env;
     dispatch::dispatcher m_dispatcher;
     advice_balancer m_advice_balancer;
+    response_timeout m_worker_timeout;
     std::uint64_t m_fence = 0;
     bool m_active = true;
     bool m_loaded = false;
--- a/source/core/service/owner_controller_loading.cpp
+++ b/source/core/service/owner_controller_loading.cpp
@@ -20,7 +20,9 @@
 constexpr auto min_worker_watch_interval = std::chrono::milliseconds(300);
 // Accepted jobs should be seen at once; the interval limits the watch calls under load.
 constexpr auto min_active_watch_interval = std::chrono::milliseconds(15);
-constexpr auto watch_wait = std::chrono::seconds(5);
+constexpr auto worker_watch_wait = std::chrono::milliseconds(1500);
+// Short, so that an answered call shows that all jobs are known.
+constexpr auto active_watch_wait = std::chrono::milliseconds(1500);
 constexpr auto load_retry_delay = std::chrono::milliseconds(100);
 
 std::string without_prefix(const std::string& key, std::string_view prefix) {
@@ -109,7 +111,7 @@
         try {
             auto record = read_progress(id, item.value);
             if (is_final(record.state)) {
-                m_env.directory.apply_change(now, {id, "", record.state});
+                m_env.directory.apply_change(now, {id, "", record.state, record.accepted_by});
                 m_ended_jobs.emplace_back(now, id);
             }
             progress.emplace(id, std::move(record));
@@ -156,7 +158,7 @@
     };
     m_active_watcher = std::make_shared<prefix_watcher>(
         m_env.store, m_env.loop,
-        watch_settings{std::string(active_prefix), watch_wait, min_active_watch_interval},
+        watch_settings{std::string(active_prefix), active_watch_wait, min_active_watch_interval},
         std::move(receiver));
     m_active_watcher->start_after(revision);
 }
@@ -178,11 +180,11 @@
         }
         process_actions();
     };
-    m_worker_watcher =
-        std::make_shared<prefix_watcher>(m_env.store, m_env.loop,
-                                         watch_settings{m_env.platform.format().worker_prefix(),
-                                                        watch_wait, min_worker_watch_interval},
-                                         std::move(receiver));
+    m_worker_watcher = std::make_shared<prefix_watcher>(
+        m_env.store, m_env.loop,
+        watch_settings{m_env.platform.format().worker_prefix(), worker_watch_wait,
+                       min_worker_watch_interval},
+        std::move(receiver));
     m_worker_watcher->start_after(revision);
 }
 
--- a/source/core/service/peer_exchange.cpp
+++ b/source/core/service/peer_exchange.cpp
@@ -20,16 +20,21 @@
 constexpr auto poll_wait = std::chrono::milliseconds(900);
 constexpr auto poll_timeout = std::chrono::milliseconds(1600);
 constexpr auto poll_retry = std::chrono::milliseconds(150);
-// Changes are batched for this time before polls are answered. The delay grows with the number of
-// nodes, so that the load on the owner stays bounded.
-constexpr auto min_notify_delay = std::chrono::milliseconds(25);
-constexpr auto notify_delay_per_node = std::chrono::microseconds(1500);
+// Changes are batched for this time before polls are answered.
+constexpr auto notify_delay = std::chrono::milliseconds(25);
+constexpr std::size_t max_followed_jobs = 4096;
+// Limits of questions for states; queries read the store when the owner does not respond.
+constexpr auto state_timeout = std::chrono::milliseconds(300);
+constexpr auto max_owner_silence = std::chrono::milliseconds(1200);
 // A node that has not polled for this time gets no advice calls.
 constexpr auto peer_timeout = std::chrono::milliseconds(2500);
 // A closed port refuses a connection within the round-trip time between regions.
 constexpr auto max_refusal_time = std::chrono::milliseconds(150);
 // Only a node with contact within this time is used to relay store calls.
 constexpr auto relay_peer_max_age = std::chrono::milliseconds(1500);
+// Time limit of a poll of a worker for the owner, and the additional time for the peer's response.
+constexpr auto relayed_poll_timeout = std::chrono::milliseconds(400);
+constexpr auto relay_slack = std::chrono::milliseconds(600);
 // A ticket request may have to wait for other requests of the same node.
 constexpr double advice_timeout_factor = 3.0;
 constexpr auto advice_timeout_slack = std::chrono::milliseconds(900);
@@ -87,6 +92,10 @@
             serve_changes(request, std::move(reply));
         } else if (path == "/peer/advice") {
             serve_advice(request, std::move(reply));
+        } else if (path == "/peer/state") {
+            serve_state(request, std::move(reply));
+        } else if (path == "/peer/worker-poll") {
+            serve_worker_poll(request, std::move(reply));
         } else if (path == "/peer/store") {
             m_env.relay.serve(request, std::move(reply));
         } else {
@@ -99,47 +108,39 @@
 }
 
 void peer_exchange::serve_changes(const net::http_request& request, net::http_reply reply) {
-    const auto value = json::parse(request.body);
-    const auto& object = value.as_object();
-    if (!m_owned_fence || object.at("fence").to_number<std::uint64_t>() != *m_owned_fence) {
+    const auto poll = read_changes_request(request.body);
+    if (!m_owned_fence || poll.fence != *m_owned_fence) {
         reply(net::error_response(409, "not_owner", "this node does not own the service"));
         return;
     }
     const auto now = m_env.clock.now();
-    const auto node = json::value_to<std::string>(object.at("node"));
-    m_peers[node] = {net::parse_endpoint(json::value_to<std::string>(object.at("address"))), now};
-    m_env.on_peer_seen(node);
-    const auto after = object.at("after").to_number<std::uint64_t>();
-    m_polls.push_back({after, std::move(reply), now + poll_wait});
-    if (after != m_env.directory.position()) {
+    m_peers[poll.node] = {poll.address, now};
+    m_env.on_peer_seen(poll.node);
+    for (const auto& job : poll.follow) {
+        m_env.directory.follow(job, poll.node);
+    }
+    m_polls.push_back({poll.node, poll.after, std::move(reply), now + poll_wait});
+    if (m_env.directory.has_changes_after(poll.after, poll.node)) {
         notify_peers();
     }
     m_env.loop.post_after(poll_wait, [this] { answer_polls(false); });
 }
 
-net::http_response peer_exchange::changes_response(std::uint64_t after) const {
-    const auto page = m_env.directory.changes_after(after);
-    json::array rows;
-    for (const auto& change : page.changes) {
-        rows.push_back(json::array{change.job, change.queue, job_state_names.name(change.state)});
-    }
-    json::object pending;
-    for (const auto& [queue, jobs] : m_env.pending()) {
-        pending[queue] = jobs;
-    }
-    return net::json_response(200, json::serialize(json::object{{"next", page.next},
-                                                                {"changes", std::move(rows)},
-                                                                {"pending", std::move(pending)}}));
+net::http_response peer_exchange::make_response(const pending_poll& poll) const {
+    auto page = m_env.directory.changes_after(poll.after, poll.node);
+    return net::json_response(
+        200, write_changes_response({page.next, std::move(page.changes), m_env.pending()}));
 }
 
-void peer_exchange::answer_polls(bool all) {
+void peer_exchange::answer_polls(bool with_changes) {
     const auto now = m_env.clock.now();
     std::vector<pending_poll> remaining;
     for (auto& poll : std::exchange(m_polls, {})) {
         if (!m_owned_fence) {
             poll.reply(net::error_response(409, "not_owner", "the ownership has ended"));
-        } else if (all || now >= poll.expires) {
-            poll.reply(changes_response(poll.after));
+        } else if (now >= poll.expires ||
+                   (with_changes && m_env.directory.has_changes_after(poll.after, poll.node))) {
+            poll.reply(make_response(poll));
         } else {
             remaining.push_back(std::move(poll));
         }
@@ -152,9 +153,7 @@
         return;
     }
     m_notify_pending = true;
-    const auto delay = std::max<common::duration>(
-        min_notify_delay, notify_delay_per_node * static_cast<int>(m_peers.size()));
-    m_env.loop.post_after(delay, [this] {
+    m_env.loop.post_after(notify_delay, [this] {
         m_notify_pending = false;
         answer_polls(true);
     });
@@ -186,32 +185,77 @@
     m_owner = owner;
     if (changed) {
         m_position = 0;
+        m_follow_requests = m_followed_jobs;
     }
     if (m_owner && !m_polling) {
         poll();
     }
 }
 
+void peer_exchange::ask_state(const std::string& job,
+                              std::function<void(std::optional<job_state>)> complete) {
+    const auto now = m_env.clock.now();
+    if (!m_owner || now - m_last_owner_answer > max_owner_silence ||
+        m_followed_jobs.size() >= max_followed_jobs) {
+        complete(std::nullopt);
+        return;
+    }
+    m_env.client.send(
+        m_owner->address,
+        net::json_post("/peer/state", write_state_request({m_env.node, m_owner->fence, job})),
+        state_timeout,
+        [this, job, fence = m_owner->fence,
+         complete = std::move(complete)](const net::http_result& answer) {
+            const auto* const response = std::get_if<net::http_response>(&answer);
+            std::optional<job_state> state;
+            if (response != nullptr && response->status == 200) {
+                try {
+                    state = read_state_response(response->body);
+                } catch (const std::exception& e) {
+                    log_event(severity::warning, "peer_answer_unreadable", {{"reason", e.what()}});
+                }
+            }
+            if (state && !is_final(*state) && m_owner && m_owner->fence == fence) {
+                m_followed_jobs.insert(job);
+            }
+            complete(state);
+        });
+}
+
+void peer_exchange::serve_state(const net::http_request& request, net::http_reply reply) {
+    const auto query = read_state_request(request.body);
+    const auto state =
+        m_owned_fence == query.fence ? m_env.directory.state_of(query.job) : std::nullopt;
+    if (!state) {
+        reply(net::error_response(404, "unknown_here", "the job is not known to this node"));
+        return;
+    }
+    if (!is_final(*state)) {
+        m_env.directory.follow(query.job, query.node);
+    }
+    reply(net::json_response(200, write_state_response(*state)));
+}
+
 void peer_exchange::poll() {
     if (!m_owner) {
         return;
     }
     m_polling = true;
     const auto fence = m_owner->fence;
-    m_env.client.send(m_owner->address,
-                      post("/peer/changes", {{"node", m_env.node},
-                                             {"address", net::to_string(m_env.address)},
-                                             {"fence", fence},
-                                             {"after", m_position}}),
-                      poll_timeout,
-                      [this, fence, sent_at = m_env.clock.now(),
-                       to = m_owner->address](const net::http_result& answer) {
-                          m_polling = false;
-                          if (std::holds_alternative<net::http_failure>(answer)) {
-                              m_env.client.close_idle(to);
-                          }
-                          on_changes(fence, sent_at, answer);
-                      });
+    const std::vector<std::string> follow(m_follow_requests.begin(), m_follow_requests.end());
+    m_env.client.send(
+        m_owner->address,
+        net::json_post("/peer/changes", write_changes_request({m_env.node, m_env.address, fence,
+                                                               m_position, follow})),
+        poll_timeout,
+        [this, fence, follow, sent_at = m_env.clock.now(),
+         to = m_owner->address](const net::http_result& answer) {
+            m_polling = false;
+            if (std::holds_alternative<net::http_failure>(answer)) {
+                m_env.client.close_idle(to);
+            }
+            on_changes(fence, follow, sent_at, answer);
+        });
 }
 
 void peer_exchange::report_suspected_owner(common::time_point sent_at,
@@ -241,8 +285,8 @@
     return std::nullopt;
 }
 
-void peer_exchange::on_changes(std::uint64_t fence, common::time_point sent_at,
-                               const net::http_result& answer) {
+void peer_exchange::on_changes(std::uint64_t fence, const std::vector<std::string>& follow,
+                               common::time_point sent_at, const net::http_result& answer) {
     const auto* const response = std::get_if<net::http_response>(&answer);
     if (!m_owner || m_owner->fence != fence || response == nullptr || response->status != 200) {
         if (m_owner && m_owner->fence == fence) {
@@ -257,21 +301,22 @@
     }
     const auto now = m_env.clock.now();
     try {
-        const auto value = json::parse(response->body);
-        const auto& object = value.as_object();
-        for (const auto& row : object.at("changes").as_array()) {
-            const auto& fields = row.as_array();
-            m_env.directory.apply_change(
-                now, {json::value_to<std::string>(fields.at(0)),
-                      json::value_to<std::string>(fields.at(1)),
-                      job_state_names.value(json::value_to<std::string>(fields.at(2)))});
+        auto page = read_changes_response(response->body);
+        for (const auto& job : follow) {
+            m_follow_requests.erase(job);
         }
-        std::map<std::string, std::size_t> pending;
-        for (const auto& entry : object.at("pending").as_object()) {
-            pending[std::string(entry.key())] = entry.value().to_number<std::size_t>();
+        for (auto& change : page.changes) {
+            if (!m_followed_jobs.contains(change.job)) {
+                change.accepted_by = m_env.node;
+            } else if (is_final(change.state)) {
+                m_followed_jobs.erase(change.job);
+            }
+            m_env.directory.apply_change(now, change);
+        }
+        if (page.pending) {
+            m_env.directory.set_pending(now, std::move(*page.pending));
         }
-        m_env.directory.set_pending(now, std::move(pending));
-        m_position = object.at("next").to_number<std::uint64_t>();
+        m_position = page.next;
         m_last_owner_answer = now;
     } catch (const std::exception& e) {
         log_event(severity::warning, "peer_answer_unreadable", {{"reason", e.what()}});
@@ -324,4 +369,46 @@
                       });
 }
 
+void peer_exchange::serve_worker_poll(const net::http_request& request, net::http_reply reply) {
+    const auto poll = read_worker_poll_request(request.body);
+    m_env.workers.poll(poll.worker_address, poll.order, relayed_poll_timeout,
+                       [reply = std::move(reply)](const poll_result& result) {
+                           reply(net::json_response(200, write_poll_result(result)));
+                       });
+}
+
+void peer_exchange::poll_worker(const net::endpoint& worker, const poll_order& order,
+                                std::function<void(poll_result)> complete) {
+    auto position = m_peers.upper_bound(m_last_polling_peer);
+    if (position == m_peers.end()) {
+        position = m_peers.begin();
+    }
+    if (position == m_peers.end()) {
+        m_env.loop.post([complete = std::move(complete)] { complete({}); });
+        return;
+    }
+    m_last_polling_peer = position->first;
+    const auto to = position->second.address;
+    m_env.client.send(
+        to, net::json_post("/peer/worker-poll", write_worker_poll_request({worker, order})),
+        relayed_poll_timeout + relay_slack,
+        [this, to, complete = std::move(complete)](const net::http_result& answer) {
+            poll_result result;
+            const auto* const response = std::get_if<net::http_response>(&answer);
+            if (response == nullptr) {
+                m_env.client.close_idle(to);
+            } else if (response->status == 200) {
+                try {
+                    result = read_poll_result(response->body);
+                    result.silence_confirmed = result.status == order_status::no_answer ||
+                                               result.status == order_status::not_sent;
+                } catch (const std::exception& e) {
+                    log_event(severity::warning, "peer_answer_unreadable", {{"reason", e.what()}});
+                    result = {};
+                }
+            }
+            complete(std::move(result));
+        });
+}
+
 } // namespace buckthornspar::service
--- /dev/null
+++ b/source/core/service/peer_messages.cpp
@@ -0,0 +1,186 @@
+#include "core/service/peer_messages.h"
+
+#include "core/common/error.h"
+
+#include <boost/json.hpp>
+
+namespace buckthornspar::service {
+
+using namespace dispatch;
+namespace json = boost::json;
+
+namespace {
+
+json::value parse(std::string_view text) {
+    return json::parse(json::string_view(text.data(), text.size()));
+}
+
+json::array write_run(const run_key& run) {
+    return {run.task.job, run.task.occurrence, run.task.step, run.task.index, run.run};
+}
+
+run_key read_run(const json::array& row) {
+    run_key run;
+    run.task.job = json::value_to<std::string>(row.at(0));
+    run.task.occurrence = row.at(1).to_number<std::uint32_t>();
+    run.task.step = row.at(2).to_number<std::uint32_t>();
+    run.task.index = row.at(3).to_number<std::uint32_t>();
+    run.run = row.at(4).to_number<std::uint32_t>();
+    return run;
+}
+
+} // namespace
+
+std::string write_changes_request(const changes_request& request) {
+    json::object object{{"node", request.node},
+                        {"address", net::to_string(request.address)},
+                        {"fence", request.fence},
+                        {"after", request.after}};
+    if (!request.follow.empty()) {
+        object["follow"] = json::value_from(request.follow);
+    }
+    return json::serialize(object);
+}
+
+changes_request read_changes_request(std::string_view text) {
+    return common::read_document("request for changes", [&] {
+        const auto value = parse(text);
+        const auto& object = value.as_object();
+        changes_request request;
+        request.node = json::value_to<std::string>(object.at("node"));
+        request.address = net::parse_endpoint(json::value_to<std::string>(object.at("address")));
+        request.fence = object.at("fence").to_number<std::uint64_t>();
+        request.after = object.at("after").to_number<std::uint64_t>();
+        if (const auto* const follow = object.if_contains("follow")) {
+            request.follow = json::value_to<std::vector<std::string>>(*follow);
+        }
+        return request;
+    });
+}
+
+std::string write_changes_response(const changes_response& response) {
+    json::array rows;
+    for (const auto& change : response.changes) {
+        rows.push_back(json::array{change.job, change.queue, job_state_names.name(change.state)});
+    }
+    json::object object{{"next", response.next}, {"changes", std::move(rows)}};
+    if (response.pending) {
+        object["pending"] = json::value_from(*response.pending);
+    }
+    return json::serialize(object);
+}
+
+changes_response read_changes_response(std::string_view text) {
+    return common::read_document("response with changes", [&] {
+        const auto value = parse(text);
+        const auto& object = value.as_object();
+        changes_response response;
+        response.next = object.at("next").to_number<std::uint64_t>();
+        for (const auto& row : object.at("changes").as_array()) {
+            const auto& fields = row.as_array();
+            response.changes.push_back(
+                {json::value_to<std::string>(fields.at(0)),
+                 json::value_to<std::string>(fields.at(1)),
+                 job_state_names.value(json::value_to<std::string>(fields.at(2))), ""});
+        }
+        if (const auto* const pending = object.if_contains("pending")) {
+            response.pending = json::value_to<pending_counts>(*pending);
+        }
+        return response;
+    });
+}
+
+std::string write_state_request(const state_request& request) {
+    return json::serialize(
+        json::object{{"node", request.node}, {"fence", request.fence}, {"job", request.job}});
+}
+
+state_request read_state_request(std::string_view text) {
+    return common::read_document("request for a state", [&] {
+        const auto value = parse(text);
+        const auto& object = value.as_object();
+        state_request request;
+        request.node = json::value_to<std::string>(object.at("node"));
+        request.fence = object.at("fence").to_number<std::uint64_t>();
+        request.job = json::value_to<std::string>(object.at("job"));
+        return request;
+    });
+}
+
+std::string write_state_response(job_state state) {
+    return json::serialize(json::object{{"state", job_state_names.name(state)}});
+}
+
+job_state read_state_response(std::string_view text) {
+    return common::read_document("response with a state", [&] {
+        return job_state_names.value(
+            json::value_to<std::string>(parse(text).as_object().at("state")));
+    });
+}
+
+std::string write_worker_poll_request(const worker_poll_request& request) {
+    return json::serialize(json::object{{"worker", request.order.worker},
+                                        {"address", net::to_string(request.worker_address)},
+                                        {"fence", request.order.fence},
+                                        {"ends_saved", request.order.ends_saved},
+                                        {"valid_until_ms", request.order.valid_until_ms}});
+}
+
+worker_poll_request read_worker_poll_request(std::string_view text) {
+    return common::read_document("request to poll a worker", [&] {
+        const auto value = parse(text);
+        const auto& object = value.as_object();
+        worker_poll_request request;
+        request.worker_address =
+            net::parse_endpoint(json::value_to<std::string>(object.at("address")));
+        request.order.worker = json::value_to<std::string>(object.at("worker"));
+        request.order.fence = object.at("fence").to_number<std::uint64_t>();
+        request.order.ends_saved = object.at("ends_saved").to_number<std::uint64_t>();
+        request.order.valid_until_ms = object.at("valid_until_ms").to_number<std::int64_t>();
+        return request;
+    });
+}
+
+std::string write_poll_result(const poll_result& result) {
+    json::array running;
+    for (const auto& entry : result.running) {
+        running.push_back(json::array{write_run(entry.run), entry.checkpoint, entry.percent});
+    }
+    json::array ended;
+    for (const auto& entry : result.ended) {
+        ended.push_back(json::array{write_run(entry.run), entry.number,
+                                    run_end_names.name(entry.how), entry.checkpoint});
+    }
+    return json::serialize(json::object{{"status", order_status_names.name(result.status)},
+                                        {"clock_ms", result.clock_ms},
+                                        {"start_time_ms", result.start_time_ms},
+                                        {"running", std::move(running)},
+                                        {"ended", std::move(ended)}});
+}
+
+poll_result read_poll_result(std::string_view text) {
+    return common::read_document("result of a poll", [&] {
+        const auto value = parse(text);
+        const auto& object = value.as_object();
+        poll_result result;
+        result.status = order_status_names.value(json::value_to<std::string>(object.at("status")));
+        result.clock_ms = object.at("clock_ms").to_number<std::int64_t>();
+        result.start_time_ms = object.at("start_time_ms").to_number<std::int64_t>();
+        for (const auto& entry : object.at("running").as_array()) {
+            const auto& row = entry.as_array();
+            result.running.push_back({read_run(row.at(0).as_array()),
+                                      json::value_to<std::string>(row.at(1)),
+                                      row.at(2).to_number<int>()});
+        }
+        for (const auto& entry : object.at("ended").as_array()) {
+            const auto& row = entry.as_array();
+            result.ended.push_back({row.at(1).to_number<std::uint64_t>(),
+                                    read_run(row.at(0).as_array()),
+                                    run_end_names.value(json::value_to<std::string>(row.at(2))),
+                                    json::value_to<std::string>(row.at(3))});
+        }
+        return result;
+    });
+}
+
+} // namespace buckthornspar::service
--- /dev/null
+++ b/source/core/service/peer_messages.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "core/dispatch/dispatch_actions.h"
+#include "core/net/endpoint.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace buckthornspar::service {
+
+/// Number of jobs by queue of which no task has started.
+using pending_counts = std::map<std::string, std::size_t>;
+
+/// Request of a node for changes of its jobs; also its heartbeat to the owner.
+struct changes_request {
+    std::string node;
+    net::endpoint address;
+    /// Fence of the owner that the node follows.
+    std::uint64_t fence = 0;
+    /// Position in the owner's change log up to which the node has all changes.
+    std::uint64_t after = 0;
+    /// Jobs that other nodes accepted and the node was asked about.
+    std::vector<std::string> follow;
+};
+
+struct changes_response {
+    std::uint64_t next = 0;
+    std::vector<dispatch::state_change> changes;
+    /// Empty while the owner does not know the counts, for example before it has read all jobs.
+    std::optional<pending_counts> pending;
+};
+
+/// Request for the state of a job that another node accepted. The node follows the job from then
+/// on.
+struct state_request {
+    std::string node;
+    std::uint64_t fence = 0;
+    std::string job;
+};
+
+/// Request to poll a worker for the owner. The worker answers at once: poll_order::wait is 0.
+struct worker_poll_request {
+    net::endpoint worker_address;
+    dispatch::poll_order order;
+};
+
+/// JSON formats. The readers throw common::error.
+[[nodiscard]] std::string write_changes_request(const changes_request& request);
+[[nodiscard]] changes_request read_changes_request(std::string_view text);
+[[nodiscard]] std::string write_changes_response(const changes_response& response);
+[[nodiscard]] changes_response read_changes_response(std::string_view text);
+[[nodiscard]] std::string write_state_request(const state_request& request);
+[[nodiscard]] state_request read_state_request(std::string_view text);
+[[nodiscard]] std::string write_state_response(dispatch::job_state state);
+[[nodiscard]] dispatch::job_state read_state_response(std::string_view text);
+[[nodiscard]] std::string write_worker_poll_request(const worker_poll_request& request);
+[[nodiscard]] worker_poll_request read_worker_poll_request(std::string_view text);
+[[nodiscard]] std::string write_poll_result(const dispatch::poll_result& result);
+[[nodiscard]] dispatch::poll_result read_poll_result(std::string_view text);
+
+} // namespace buckthornspar::service
--- a/source/core/service/prefix_watcher.cpp
+++ b/source/core/service/prefix_watcher.cpp
@@ -138,8 +138,11 @@
 
 void prefix_watcher::watch() {
     m_store.watch(m_settings.prefix, m_revision, m_settings.watch_timeout,
-                  [self = shared_from_this()](const store_result& result) {
+                  [self = shared_from_this(), sent_at = m_clock.now()](const store_result& result) {
                       if (!self->m_stopped) {
+                          if (result.status == store_status::ok) {
+                              self->m_current_at = sent_at;
+                          }
                           self->on_watch(result);
                       }
                   });
--- a/source/core/service/prefix_watcher.h
+++ b/source/core/service/prefix_watcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/common/clock.h"
 #include "core/dispatch/shared_store.h"
 #include "core/net/event_loop.h"
 
@@ -35,6 +36,8 @@
     /// Starts without the first read: the items at this revision are already known.
     void start_after(std::uint64_t revision);
     void stop() { m_stopped = true; }
+    /// Time since the last answered call was sent: later changes may be unknown.
+    [[nodiscard]] common::duration age() const { return m_clock.now() - m_current_at; }
     /// Reads the items now, because a watch call may deliver a change late.
     void refresh();
 
@@ -52,6 +55,8 @@
     listener m_listener;
     std::vector<dispatch::store_item> m_items;
     std::uint64_t m_revision = 0;
+    common::system_clock m_clock;
+    common::time_point m_current_at = m_clock.now();
     bool m_stopped = false;
 };
 
--- a/tests/unit/dispatch/dispatch_fixture.h
+++ b/tests/unit/dispatch/dispatch_fixture.h
@@ -76,6 +76,7 @@
     /// Responds to polls with the lists in `running` and `ended` until no more actions are due.
     void run_until_idle() {
         for (int round = 0; round < 20; ++round) {
+            engine.on_list_known(now);
             engine.on_time(now);
             const auto actions = engine.take_actions();
             if (actions.empty()) {
@@ -96,6 +97,13 @@
         }
     }
 
+    /// The worker renews its entry in the instance list.
+    void report_from(const std::string& worker) {
+        auto current = report(worker);
+        current.clock_ms = clock_ms();
+        engine.on_worker(now, current);
+    }
+
     void save() {
         while (const auto batch = engine.next_save()) {
             saves.push_back(*batch);
@@ -133,6 +141,9 @@
     std::map<std::string, std::vector<ended_run>> ended;
     std::map<std::string, std::uint64_t> end_numbers;
     std::map<std::string, bool> unreachable;
+    /// What polls of an unreachable worker through another node yield.
+    enum class peer_view { no_peer, silent, answers };
+    std::map<std::string, peer_view> through_peer;
     std::vector<start_order> starts;
     std::vector<stop_order> stops;
     std::vector<advice_call> advice;
@@ -175,7 +186,9 @@
     void respond(const poll_call& call) {
         polls.push_back(call.order);
         poll_result result;
-        if (!unreachable[call.order.worker]) {
+        const auto view = call.through_peer ? through_peer[call.order.worker] : peer_view::no_peer;
+        result.silence_confirmed = view == peer_view::silent;
+        if (!unreachable[call.order.worker] || view == peer_view::answers) {
             result.status = order_status::accepted;
             result.clock_ms = clock_ms();
             result.start_time_ms = start_time_ms;
--- /dev/null
+++ b/tests/unit/dispatch/pending_starts_test.cpp
@@ -0,0 +1,62 @@
+#include "unit/dispatch/dispatch_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace buckthornspar;
+using namespace buckthornspar::dispatch;
+using namespace buckthornspar::dispatch::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+dispatcher_settings narrow_link() {
+    dispatcher_settings settings;
+    settings.max_pending_starts = 4;
+    return settings;
+}
+
+struct narrow_fixture : dispatch_fixture {
+    narrow_fixture() : dispatch_fixture(narrow_link()) {
+        accept_starts = false;
+        engine.on_queues({plain_queue()});
+        become_owner({"w1", "w2", "w3"});
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(pending_starts_suite, narrow_fixture)
+
+// Pattern: burst over a narrow link. Guards against starts that queue up at the link until their
+// workers refuse them as late.
+BOOST_AUTO_TEST_CASE(starts_wait_while_others_have_no_response) {
+    engine.on_job(now, job("a", 10, 1000), {}, 11);
+    advance(300ms);
+    const auto first = take_starts();
+    BOOST_TEST(first.size() == 4U);
+    accept_start(first[0]);
+    engine.on_start_result(now, first[1], {order_status::no_room, clock_ms()});
+    advance(60ms);
+    BOOST_TEST(take_starts().size() == 2U);
+}
+
+// Guards against a gang that never starts because it is wider than the limit, and against one that
+// is only started in part.
+BOOST_AUTO_TEST_CASE(a_gang_wider_than_the_limit_starts_alone) {
+    engine.on_job(now, job("a", 2, 1000), {}, 11);
+    advance(100ms);
+    const auto first = take_starts();
+    BOOST_REQUIRE(first.size() == 2U);
+    auto gang = job("g", 6, 1000);
+    gang.steps[0].gang = true;
+    engine.on_job(now, gang, {}, 12);
+    advance(200ms);
+    BOOST_TEST(take_starts().empty());
+    for (const auto& start : first) {
+        accept_start(start);
+    }
+    advance(100ms);
+    BOOST_TEST(take_starts().size() == 6U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/dispatch/worker_loss_test.cpp
+++ b/tests/unit/dispatch/worker_loss_test.cpp
@@ -146,4 +146,83 @@
                            [](const auto& start) { return start.run.task.job == "b"; }));
 }
 
+// Pattern: full link of the owner. Guards against a task that runs twice because the end of its run
+// has not reached the owner: the worker's reports show that it is alive.
+BOOST_AUTO_TEST_CASE(a_run_on_a_worker_that_still_reports_is_not_repeated) {
+    dispatch_fixture f;
+    f.engine.on_queues({dispatch_fixture::plain_queue()});
+    f.become_owner({"w1", "w2", "w3"});
+    f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 11);
+    f.run_until_idle();
+    const auto started = f.take_starts();
+    BOOST_REQUIRE(started.size() == 1U);
+    const auto worker = started[0].worker;
+    f.unreachable[worker] = true;
+    f.end_run(worker, started[0].run, run_end::succeeded);
+    for (int second = 0; second < 20; ++second) {
+        f.advance(1s);
+        f.report_from(worker);
+    }
+    BOOST_TEST(f.take_starts().empty());
+    f.unreachable[worker] = false;
+    f.advance(2s);
+    f.save();
+    f.advance(1s);
+    BOOST_TEST(f.take_starts().empty());
+    BOOST_TEST(f.engine.jobs().empty());
+}
+
+// Pattern: cut between the owner and a worker that other nodes reach. Guards against runs that are
+// given up: their ends are read and their lease is renewed through another node.
+BOOST_AUTO_TEST_CASE(a_worker_that_only_others_reach_is_polled_through_them) {
+    dispatch_fixture f;
+    f.engine.on_queues({dispatch_fixture::plain_queue()});
+    f.become_owner({"w1", "w2", "w3"});
+    f.engine.on_job(f.now, dispatch_fixture::job("a", 2, 1000), {}, 11);
+    f.run_until_idle();
+    const auto started = f.take_starts();
+    BOOST_REQUIRE(started.size() == 2U);
+    const auto worker = started[0].worker;
+    f.unreachable[worker] = true;
+    f.through_peer[worker] = dispatch_fixture::peer_view::answers;
+    f.advance(2s);
+    f.polls.clear();
+    f.advance(10s);
+    BOOST_TEST(std::any_of(f.polls.begin(), f.polls.end(), [&](const poll_order& poll) {
+        return poll.worker == worker && poll.valid_until_ms > f.clock_ms();
+    }));
+    BOOST_TEST(f.take_starts().empty());
+    f.end_run(worker, started[0].run, run_end::succeeded);
+    f.advance(3s);
+    BOOST_TEST(f.engine.jobs().at("a").occurrences[0].steps[0].succeeded == 1U);
+    // No new work goes there, because starts would not arrive.
+    f.engine.on_job(f.now, dispatch_fixture::job("b", 3, 60000), {}, 12);
+    f.advance(1s);
+    for (const auto& start : f.take_starts()) {
+        BOOST_TEST(start.worker != worker);
+    }
+}
+
+// Pattern: workers cut off from all nodes. Guards against tasks that wait for a worker although
+// another node confirms that it is silent, and against a restart before the lease is over.
+BOOST_AUTO_TEST_CASE(a_silence_that_another_node_confirms_ends_with_the_lease) {
+    dispatch_fixture f;
+    f.engine.on_queues({dispatch_fixture::plain_queue()});
+    f.become_owner({"w1", "w2", "w3"});
+    f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 11);
+    f.run_until_idle();
+    const auto worker = f.take_starts().at(0).worker;
+    f.unreachable[worker] = true;
+    f.through_peer[worker] = dispatch_fixture::peer_view::silent;
+    for (int i = 0; i < 5; ++i) {
+        f.advance(1s);
+        f.report_from(worker);
+    }
+    BOOST_TEST(f.take_starts().empty());
+    f.advance(2500ms);
+    const auto starts = f.take_starts();
+    BOOST_REQUIRE(starts.size() == 1U);
+    BOOST_TEST(starts[0].worker != worker);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/platform/clients_test.cpp
+++ b/tests/unit/platform/clients_test.cpp
@@ -57,7 +57,7 @@
         order.valid_until_ms = 486000;
         order.wait = 450ms;
         return wait<dispatch::poll_result>(
-            [&](auto done) { workers.poll(address(), order, std::move(done)); });
+            [&](auto done) { workers.poll(address(), order, 240ms, std::move(done)); });
     }
 
     dispatch::order_result start(unsigned status, const std::string& body) {
@@ -70,7 +70,7 @@
         order.fence = 7;
         order.valid_until_ms = 486000;
         return wait<dispatch::order_result>(
-            [&](auto done) { workers.start(address(), order, std::move(done)); });
+            [&](auto done) { workers.start(address(), order, 250ms, std::move(done)); });
     }
 
     common::counters counters;
--- /dev/null
+++ b/tests/unit/service/caller_api_test.cpp
@@ -0,0 +1,145 @@
+#include "unit/service/service_fixture.h"
+
+#include "core/common/counters.h"
+#include "core/dispatch/progress.h"
+#include "core/service/caller_api.h"
+#include "core/service/store_keys.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace buckthornspar;
+using namespace buckthornspar::service;
+using namespace buckthornspar::service::test;
+using namespace std::chrono_literals;
+using dispatch::job_state;
+
+namespace {
+
+/// The body of a submission is its payload, and a state is shown by its name.
+class plain_format final : public platform_format {
+public:
+    [[nodiscard]] std::string worker_prefix() const override { return "workers/"; }
+    [[nodiscard]] std::string configuration_key() const override { return "configuration"; }
+    [[nodiscard]] dispatch::worker_report read_worker(const std::string&,
+                                                      const std::string&) const override {
+        return {};
+    }
+    [[nodiscard]] service_configuration read_configuration(const std::string&) const override {
+        return {};
+    }
+    [[nodiscard]] dispatch::job_spec read_submission(const std::string& body) const override {
+        dispatch::job_spec job;
+        job.payload = body;
+        job.steps.emplace_back();
+        return job;
+    }
+    [[nodiscard]] bool is_job_id(std::string_view text) const override { return text.size() == 1; }
+    [[nodiscard]] std::string state_body(job_state state) const override {
+        return std::string(dispatch::job_state_names.name(state));
+    }
+    [[nodiscard]] std::string pending_body(std::size_t jobs) const override {
+        return std::to_string(jobs);
+    }
+    [[nodiscard]] std::string deadline_header() const override { return "Deadline"; }
+    [[nodiscard]] std::string readiness_path() const override { return "/ready"; }
+};
+
+service_configuration configuration_of(const std::string& queue) {
+    service_configuration configuration;
+    queue_route route;
+    route.queue.name = queue;
+    route.host = "h";
+    route.prefix = "/jobs/";
+    configuration.routes.push_back(route);
+    return configuration;
+}
+
+struct caller_fixture : service_fixture {
+    net::http_response call(net::http_method method, const std::string& target,
+                            const std::function<void()>& meanwhile = {}) {
+        net::http_request request;
+        request.method = method;
+        request.target = target;
+        request.body = "p";
+        request.fields.set("Host", "h");
+        std::optional<net::http_response> response;
+        callers.handle(std::move(request), [&](net::http_response r) { response = std::move(r); });
+        if (meanwhile) {
+            meanwhile();
+        }
+        BOOST_REQUIRE(run_until([&] { return response.has_value(); }));
+        return *response;
+    }
+
+    common::counters counters;
+    plain_format format;
+    job_directory directory{120s};
+    store_health health{clock};
+    monitored_store observed{store, health};
+    net::http_client client{loop, {}};
+    store_relay relay{client, observed, health, [] { return std::optional<net::endpoint>(); }};
+    job_intake intake{observed, relay, health, loop, clock, counters};
+    std::optional<service_configuration> configuration = configuration_of("q");
+    std::optional<pending_counts> owner_counts;
+    std::optional<job_state> owner_view;
+    std::vector<std::string> asked;
+    caller_api callers{{clock, counters, format, directory, intake,
+                        [this] { return configuration ? &*configuration : nullptr; },
+                        [this] { return owner_counts; }, "n1",
+                        [this](const std::string& job,
+                               const std::function<void(std::optional<job_state>)>& complete) {
+                            asked.push_back(job);
+                            complete(owner_view);
+                        }}};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(caller_api_suite, caller_fixture)
+
+// Guards against a process that ends because the configuration is replaced while a call waits for
+// the store.
+BOOST_AUTO_TEST_CASE(a_new_configuration_does_not_disturb_calls_in_progress) {
+    dispatch::job_progress ended;
+    ended.state = job_state::completed;
+    store.apply({{}, {{progress_key("a"), dispatch::write_progress(ended), 0}}, {}});
+    store.delay = 20ms;
+    const auto response = call(net::http_method::get, "/jobs/a",
+                               [this] { configuration = configuration_of("other"); });
+    BOOST_TEST(response.status == 200U);
+    BOOST_TEST(response.body == "completed");
+}
+
+// Guards against a state that is never updated: the node that repeats another node's acceptance is
+// not told of changes, so it asks the owner or reads the store.
+BOOST_AUTO_TEST_CASE(the_state_of_another_nodes_job_is_not_taken_from_its_submission) {
+    dispatch::job_spec job;
+    job.id = "a";
+    job.queue = "q";
+    job.payload = "p";
+    job.steps.emplace_back();
+    job.accepted_by = "n2";
+    store.apply({{}, {{job_key("a"), dispatch::write_job(job), 0}}, {}});
+    BOOST_TEST(call(net::http_method::post, "/jobs/a").status == 200U);
+    BOOST_TEST(call(net::http_method::get, "/jobs/a").body == "queued");
+    BOOST_TEST(asked == std::vector<std::string>{"a"});
+    owner_view = job_state::running;
+    BOOST_TEST(call(net::http_method::get, "/jobs/a").body == "running");
+    owner_view.reset();
+    dispatch::job_progress ended;
+    ended.state = job_state::completed;
+    store.remove(job_key("a"));
+    store.apply({{}, {{progress_key("a"), dispatch::write_progress(ended), 0}}, {}});
+    BOOST_TEST(call(net::http_method::get, "/jobs/a").body == "completed");
+}
+
+// Guards against a count of 0 while the owner has not read the jobs or is not known.
+BOOST_AUTO_TEST_CASE(an_unknown_count_is_not_reported) {
+    BOOST_TEST(call(net::http_method::get, "/jobs/").status == 503U);
+    directory.set_pending(clock.now(), {{"q", 3}});
+    BOOST_TEST(call(net::http_method::get, "/jobs/").body == "3");
+    owner_counts = pending_counts{{"q", 5}};
+    BOOST_TEST(call(net::http_method::get, "/jobs/").body == "5");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/service/job_intake_test.cpp
+++ b/tests/unit/service/job_intake_test.cpp
@@ -17,8 +17,10 @@
 namespace {
 
 struct intake_fixture : service_fixture {
-    intake_result submit(const std::string& id, const std::string& payload = "p") {
+    intake_result submit(const std::string& id, const std::string& payload = "p",
+                         const std::string& node = "n1") {
         dispatch::job_spec job;
+        job.accepted_by = node;
         job.id = id;
         job.queue = "q";
         job.payload = payload;
@@ -69,6 +71,14 @@
     BOOST_TEST((submit("a", "other").outcome == intake_outcome::conflict));
 }
 
+// Guards against a node that shows the state of another node's job, of which it is not told.
+BOOST_AUTO_TEST_CASE(a_repeated_submission_names_the_node_that_accepted_it_first) {
+    BOOST_TEST(submit("a", "p", "n1").accepted_by == "n1");
+    const auto repeated = submit("a", "p", "n2");
+    BOOST_TEST((repeated.outcome == intake_outcome::accepted));
+    BOOST_TEST(repeated.accepted_by == "n1");
+}
+
 // Guards against a job that runs again because its submission is repeated after its end.
 BOOST_AUTO_TEST_CASE(a_submission_after_the_end_of_its_job_starts_nothing) {
     dispatch::job_progress ended;
