Contain unexpected errors to the task in which they happen

The loop logs it and goes on. A node that owns the service gives up its term, because the state may be inconsistent, and the next term reads it from the store. The HTTP server answers 500 when a handler throws.

--- a/source/core/net/event_loop.cpp
+++ b/source/core/net/event_loop.cpp
@@ -1,5 +1,7 @@
 #include "core/net/event_loop.h"
 
+#include "core/common/logging.h"
+
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -16,6 +18,21 @@
     asio::io_context context{1};
     asio::executor_work_guard<asio::io_context::executor_type> work{context.get_executor()};
     std::thread thread;
+    std::function<void()> on_failure;
+
+    void run() {
+        while (true) {
+            try {
+                context.run();
+                return;
+            } catch (const std::exception& e) {
+                common::log_event(common::severity::error, "task_failed", {{"reason", e.what()}});
+            }
+            if (on_failure) {
+                on_failure();
+            }
+        }
+    }
 };
 
 event_loop::event_loop() : m_state(std::make_unique<state>()) {}
@@ -25,7 +42,11 @@
 }
 
 void event_loop::start() {
-    m_state->thread = std::thread([this] { m_state->context.run(); });
+    m_state->thread = std::thread([this] { m_state->run(); });
+}
+
+void event_loop::set_failure_handler(std::function<void()> handler) {
+    m_state->on_failure = std::move(handler);
 }
 
 void event_loop::stop() {
--- a/source/core/net/event_loop.h
+++ b/source/core/net/event_loop.h
@@ -12,7 +12,8 @@
 
 namespace buckthornspar::net {
 
-/// An Asio event loop that runs on its own thread from start() to stop().
+/// An Asio event loop that runs on its own thread from start() to stop(). An exception that leaves
+/// a task is logged and ends only this task.
 class event_loop {
 public:
     event_loop();
@@ -22,6 +23,10 @@
 
     void start();
 
+    /// Called on the loop's thread after a task has ended by an exception, for owners of state that
+    /// the task may have left inconsistent. Must be set before start().
+    void set_failure_handler(std::function<void()> handler);
+
     /// Stops the loop and joins its thread. Pending tasks are not run.
     void stop();
 
--- a/source/core/net/http_server.cpp
+++ b/source/core/net/http_server.cpp
@@ -1,5 +1,6 @@
 #include "core/net/http_server.h"
 
+#include "core/common/logging.h"
 #include "core/net/event_loop.h"
 #include "core/net/net_error.h"
 
@@ -179,7 +180,12 @@
                        });
         };
         m_partial_request_guard.reset();
-        m_server->handler.handle(std::move(request), std::move(reply));
+        try {
+            m_server->handler.handle(std::move(request), reply);
+        } catch (const std::exception& e) {
+            common::log_event(common::severity::error, "request_failed", {{"reason", e.what()}});
+            reply(error_response(500, "internal_error", "the request could not be processed"));
+        }
     }
 
     void write(http_response response, in_progress_guard guard = {}) {
--- a/source/core/service/node_application.cpp
+++ b/source/core/service/node_application.cpp
@@ -99,7 +99,9 @@
       m_intake(m_store, m_relay, m_health, loop, clock, counters),
       m_peers(make_peer_environment()),
       m_callers(make_caller_environment()),
-      m_readiness(*this) {}
+      m_readiness(*this) {
+    m_loop.set_failure_handler([this] { on_task_failed(); });
+}
 
 node_application::~node_application() = default;
 
@@ -288,6 +290,15 @@
     });
 }
 
+// The state of the ownership may be inconsistent after a failure in the middle of a change; another
+// node, or this one with a new term, builds it from the store.
+void node_application::on_task_failed() {
+    m_counters.get("task_failures_total").add();
+    if (m_election) {
+        m_election->mark_lost("internal_error");
+    }
+}
+
 void node_application::on_ownership_lost() {
     m_peers.set_owned_fence(std::nullopt);
     if (m_controller) {
--- a/source/core/service/node_application.h
+++ b/source/core/service/node_application.h
@@ -55,6 +55,7 @@
     void on_configuration(const dispatch::store_item& item);
     void start_election();
     void on_elected(const owner_record& owner);
+    void on_task_failed();
     void on_ownership_lost();
     void on_owner_changed(const std::optional<owner_record>& owner);
     /// Gives up the ownership by removing the owner key through another node that reaches the
--- a/tests/unit/net/http_test.cpp
+++ b/tests/unit/net/http_test.cpp
@@ -22,6 +22,9 @@
 class echo_handler final : public http_handler {
 public:
     void handle(http_request request, http_reply reply) override {
+        if (request.path() == "/throws") {
+            throw std::length_error("unexpected");
+        }
         if (request.path() == "/silent") {
             m_unanswered_reply = std::move(reply);
             return;
@@ -168,4 +171,13 @@
     BOOST_TEST(std::get<http_response>(result).fields.get("connection") == "close");
 }
 
+// Guards against a process that ends, or a caller without an answer, because of an unexpected error
+// in a handler.
+BOOST_AUTO_TEST_CASE(an_unexpected_error_of_a_handler_is_answered) {
+    const auto result = call({http_method::get, "/throws", {}, ""});
+    BOOST_REQUIRE(std::holds_alternative<http_response>(result));
+    BOOST_TEST(std::get<http_response>(result).status == 500U);
+    BOOST_TEST(std::get<http_response>(call({http_method::get, "/", {}, ""})).status == 200U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
