Start gangs sooner: preemption, tickets kept valid, workers with room

A gang asked about 60 to 180 of 540 workers, of which a quarter is granted, and stopped asking when these could hold it three times over, even if all were busy.

Change. - A blocked gang keeps the tickets of its granted workers valid, and then asks about further workers that have room now.

Tests: preemption_test, and four cases in tickets_test, each named by its pattern.

--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -97,6 +97,10 @@
     [[nodiscard]] common::time_point next_wakeup(common::time_point now) const;
     [[nodiscard]] std::vector<dispatch_action> take_actions();
 
+    /// Number of nodes that send ticket requests; the advice service processes one request of each
+    /// at a time.
+    void set_requesting_nodes(std::size_t count) { m_requesting_nodes = count; }
+
     /// Planned shutdown of the owner: no new starts.
     void drain() { m_draining = true; }
 
@@ -159,8 +163,7 @@
     // dispatcher_plan.cpp
     void plan(common::time_point now);
     [[nodiscard]] std::vector<waiting_step> collect_waiting(common::time_point now);
-    [[nodiscard]] std::vector<worker_free_capacity>
-    collect_free_capacities(common::time_point now) const;
+    [[nodiscard]] std::vector<worker_free_capacity> collect_free_capacities(common::time_point now);
     [[nodiscard]] bool is_usable(const worker_entry& worker, common::time_point now) const;
     void mark_ready(common::time_point now, const job_entry& job, std::uint32_t step,
                     step_state& state);
@@ -168,9 +171,13 @@
     void start_task(common::time_point now, const planned_start& planned);
     void send_ticket_request(common::time_point now, const ticket_request& planned_request);
     void send_start(start_order order);
+    void renew_tickets_of_broken_gang(common::time_point now, job_entry& job, const task_key& task);
     [[nodiscard]] const queue_settings* queue_of(const job_spec& spec) const;
     /// Target time from acceptance to completion of the job; 0 when its queue is unknown.
     [[nodiscard]] std::int64_t objective_ms(const job_entry& job) const;
+    /// Sets the properties of the run that come from its job.
+    void describe_run(common::time_point now, placed_run& placed, job_entry& job,
+                      const task_key& task);
     [[nodiscard]] bool is_due(common::time_point now, const job_spec& spec,
                               std::uint32_t occurrence) const;
 
@@ -221,12 +228,14 @@
 
     std::uint64_t m_next_call = 1;
     std::size_t m_pending_starts = 0;
+    std::size_t m_requesting_nodes = 0;
     common::time_point m_list_known_until;
     bool m_replan_needed = false;
     bool m_draining = false;
     /// Unix time at the origin of the monotonic clock, in milliseconds.
     std::int64_t m_unix_offset_ms = 0;
     common::time_point m_next_plan;
+    common::time_point m_next_preemption;
     common::time_point m_next_check;
 };
 
--- a/source/core/dispatch/dispatcher_plan.cpp
+++ b/source/core/dispatch/dispatcher_plan.cpp
@@ -14,6 +14,11 @@
 constexpr auto advice_retry = std::chrono::milliseconds(150);
 // The validity of a ticket starts when the service responds; this allows for the transit time.
 constexpr auto ticket_transit = std::chrono::milliseconds(60);
+// Share of the nodes that may be occupied by ticket requests when an optional one is added, so that
+// the others do not wait.
+constexpr std::size_t optional_request_percent = 60;
+// Shortest time between two plans that may preempt runs; the search costs processor time.
+constexpr auto preemption_interval = std::chrono::milliseconds(40);
 
 common::duration duration_from_ms(double ms) {
     return std::chrono::duration_cast<common::duration>(
@@ -33,12 +38,19 @@
            now >= worker.excluded_until && m_recorded_workers.contains(worker.report.id);
 }
 
-std::vector<worker_free_capacity>
-dispatcher::collect_free_capacities(common::time_point now) const {
+std::vector<worker_free_capacity> dispatcher::collect_free_capacities(common::time_point now) {
     std::vector<worker_free_capacity> free_capacities(m_workers.slots().size());
     for (const auto* const worker : m_workers.slots()) {
         if (worker != nullptr && is_usable(*worker, now)) {
-            free_capacities[worker->slot] = {worker, worker->free()};
+            free_capacities[worker->slot] = {worker, worker->free(), {}};
+        }
+    }
+    for (const auto& [id, run] : m_pending_stops) {
+        const auto* const worker = m_workers.find(id);
+        if (worker != nullptr && free_capacities[worker->slot].worker != nullptr) {
+            if (const auto placed = worker->runs.find(run); placed != worker->runs.end()) {
+                free_capacities[worker->slot].stopping += placed->second.demand;
+            }
         }
     }
     return free_capacities;
@@ -125,12 +137,21 @@
         return;
     }
     sort_steps(waiting, m_settings.order);
-    start_limit limit;
-    limit.pending = m_pending_starts;
+    plan_limits limits;
+    limits.pending_starts = m_pending_starts;
     if (m_settings.max_pending_starts > 0) {
-        limit.max_pending = m_settings.max_pending_starts;
+        limits.max_pending_starts = m_settings.max_pending_starts;
+    }
+    if (m_requesting_nodes > 0) {
+        const auto most =
+            std::max<std::size_t>(1, m_requesting_nodes * optional_request_percent / 100);
+        limits.optional_requests = most - std::min(most, m_advice_calls.size());
+    }
+    limits.preemption = now >= m_next_preemption;
+    if (limits.preemption) {
+        m_next_preemption = now + preemption_interval;
     }
-    execute_plan(now, plan_steps(waiting, collect_free_capacities(now), limit, now));
+    execute_plan(now, plan_steps(waiting, collect_free_capacities(now), limits, now));
 }
 
 void dispatcher::execute_plan(common::time_point now, const plan_result& plan) {
@@ -140,6 +161,24 @@
     for (const auto& planned_request : plan.ticket_requests) {
         send_ticket_request(now, planned_request);
     }
+    for (const auto& [slot, run] : plan.preemptions) {
+        const auto& worker = m_workers.at(slot)->report.id;
+        m_counters.get("preemptions_total").add();
+        log_event(severity::info, "preempted",
+                  {{"task", to_string(run.task)}, {"run", run.run}, {"worker", worker}});
+        request_stop(now, worker, run);
+    }
+}
+
+void dispatcher::describe_run(common::time_point now, placed_run& placed, job_entry& job,
+                              const task_key& task) {
+    const auto& spec = job.spec_of(task);
+    auto& step = *job.find_step(task);
+    mark_ready(now, job, task.step, step);
+    const auto* const queue = queue_of(job.spec);
+    placed.priority = queue == nullptr ? 0 : queue->priority;
+    placed.preemptible = spec.checkpointing && !spec.gang && !spec.long_running;
+    placed.latest_end = step.latest_start + std::chrono::milliseconds(spec.estimate_ms);
 }
 
 void dispatcher::start_task(common::time_point now, const planned_start& planned) {
@@ -162,6 +201,7 @@
     auto& placed = m_workers.place(worker, run, spec.allocation(), now);
     placed.start_valid_until_ms = order.valid_until_ms;
     placed.expected_end = now + std::chrono::milliseconds(spec.estimate_ms);
+    describe_run(now, placed, job, planned.task);
     step.set_current(task, {worker.report.id, planned.run});
     task.progress.last_run = planned.run;
     if (spec.gang) {
@@ -211,6 +251,46 @@
     m_actions.emplace_back(std::move(call));
 }
 
+// The other members end within a fraction of a second. The tickets for the capacity that they free
+// are requested meanwhile, so that the gang can start again before others take it.
+void dispatcher::renew_tickets_of_broken_gang(common::time_point now, job_entry& job,
+                                              const task_key& task) {
+    const auto* const queue = queue_of(job.spec);
+    auto& step = *job.find_step(task);
+    if (queue == nullptr || !queue->needs_tickets || !step.tickets.calls.empty()) {
+        return;
+    }
+    ticket_request request;
+    request.step = task;
+    request.step.index = 0;
+    request.queue = queue;
+    request.reason = "broken";
+    std::set<worker_slot> named;
+    for (const auto& member : step.tasks) {
+        const auto* const worker =
+            member.current ? m_workers.find(member.current->worker) : nullptr;
+        if (worker != nullptr && is_usable(*worker, now) && named.insert(worker->slot).second) {
+            request.workers.push_back(worker->slot);
+        }
+    }
+    // The capacity of the failed member, and what others take meanwhile, is made up for elsewhere.
+    const auto demand = job.spec_of(task).allocation();
+    const auto wanted = request.workers.size() + request.workers.size() / 3 + 1;
+    for (const auto& grant : step.tickets.granted) {
+        const auto* const worker = m_workers.at(grant.worker);
+        if (request.workers.size() >= wanted) {
+            break;
+        }
+        if (worker != nullptr && is_usable(*worker, now) && demand.fits(worker->free()) &&
+            named.insert(grant.worker).second) {
+            request.workers.push_back(grant.worker);
+        }
+    }
+    if (!request.workers.empty()) {
+        send_ticket_request(now, request);
+    }
+}
+
 void dispatcher::on_advice_result(common::time_point now, std::uint64_t call,
                                   const advice_result& result) {
     const auto asked = m_advice_calls.find(call);
--- a/source/core/dispatch/dispatcher_runs.cpp
+++ b/source/core/dispatch/dispatcher_runs.cpp
@@ -249,6 +249,7 @@
     placed.checkpoint = reported.checkpoint;
     placed.expected_end =
         now + std::chrono::milliseconds(spec.estimate_ms * (100 - reported.percent) / 100);
+    describe_run(now, placed, job->second, reported.run.task);
     auto& step = *job->second.find_step(reported.run.task);
     const bool current_gang = !spec.gang || step.gang_run == 0 ||
                               step.gang_run == reported.run.run || !step.any_current();
@@ -391,6 +392,10 @@
         job.spec_of(task).gang ? job.find_step(task)->failures() : state.progress.failures;
     if (queue != nullptr && failures >= queue->max_attempts) {
         end_job(now, job, job_state::failed, "attempts_exhausted");
+        return;
+    }
+    if (job.spec_of(task).gang) {
+        renew_tickets_of_broken_gang(now, job, task);
     }
 }
 
--- a/source/core/dispatch/step_planner.cpp
+++ b/source/core/dispatch/step_planner.cpp
@@ -1,6 +1,7 @@
 #include "core/dispatch/step_planner.h"
 
 #include "core/dispatch/capacity_fit.h"
+#include "core/dispatch/preemption.h"
 
 #include <algorithm>
 #include <map>
@@ -30,7 +31,10 @@
 constexpr std::size_t max_advice_workers = 100;
 constexpr std::size_t max_slow_advice_workers = 60;
 constexpr double slow_advice_ms = 4.0;
-constexpr std::size_t max_spare_renewals = 3;
+// Other granted workers with free capacity that a renewal names besides those that a gang is
+// planned on, as a share of these: some of the capacity is taken before the tickets arrive.
+constexpr std::size_t min_spare_renewals = 3;
+constexpr std::size_t spare_renewals_divisor = 3;
 // A gang requests further workers until the total capacity of its granted workers is this multiple
 // of its demand.
 constexpr std::int64_t gang_capacity_factor = 3;
@@ -41,6 +45,8 @@
 // Maximum number of concurrent ticket requests for one step; each occupies one node's connection to
 // the service.
 constexpr std::size_t max_parallel_calls = 3;
+// Time within which a worker ends a stopped run.
+constexpr common::duration stop_time = std::chrono::milliseconds(900);
 
 // Capacity reserved on a worker for a gang with a planned start.
 struct capacity_reservation {
@@ -56,11 +62,11 @@
 
 class planner {
 public:
-    planner(std::vector<worker_free_capacity> free_capacities, start_limit limit,
+    planner(std::vector<worker_free_capacity> free_capacities, const plan_limits& limits,
             common::time_point now)
         : m_capacities(std::move(free_capacities)),
           m_reservations(m_capacities.size()),
-          m_limit(limit),
+          m_limits(limits),
           m_now(now) {}
 
     void plan(const waiting_step& step) {
@@ -149,8 +155,8 @@
 
     // Whether this many further starts may be sent together.
     [[nodiscard]] bool may_start(std::size_t count) const {
-        const auto pending = m_limit.pending + m_result.starts.size();
-        return pending == 0 || pending + count <= m_limit.max_pending;
+        const auto pending = m_limits.pending_starts + m_result.starts.size();
+        return pending == 0 || pending + count <= m_limits.max_pending_starts;
     }
 
     void start(const waiting_step& step, std::uint32_t index, worker_slot w, std::uint32_t run) {
@@ -276,6 +282,14 @@
         }
     }
 
+    void add_optional_requests(const waiting_step& step, std::vector<worker_slot> workers,
+                               std::string_view reason, std::size_t calls) {
+        const auto before = m_result.ticket_requests.size();
+        add_ticket_requests(step, std::move(workers), reason,
+                            std::min(calls, m_limits.optional_requests));
+        m_limits.optional_requests -= m_result.ticket_requests.size() - before;
+    }
+
     // Requests tickets for workers that have not been named yet. A gang needs many granted workers
     // at the same time, so they are named in concurrent calls by several nodes.
     void request_tickets_from_unasked(const waiting_step& step, std::string_view reason) {
@@ -300,6 +314,53 @@
         add_ticket_requests(step, workers, reason, calls);
     }
 
+    [[nodiscard]] static common::duration call_time(const waiting_step& step, std::size_t workers) {
+        return std::chrono::duration_cast<common::duration>(
+            std::chrono::duration<double, std::milli>(step.queue->ticket_base_ms +
+                                                      step.queue->ticket_per_worker_ms *
+                                                          static_cast<double>(workers)));
+    }
+
+    // Keeps the tickets of a blocked gang valid, so that it starts as soon as it fits. Otherwise
+    // the capacity would be reserved, and idle, while the tickets are requested.
+    bool renew_expiring_tickets(const waiting_step& step) {
+        const auto named_most = std::min(m_candidates.size(), max_workers_per_call(step));
+        const auto expiry = m_now + call_time(step, named_most) + early_request_margin;
+        std::vector<worker_slot> expiring;
+        for (const auto& c : m_candidates) {
+            if (c.ticket != nullptr && c.ticket->expires < expiry) {
+                expiring.push_back(c.worker);
+            }
+        }
+        if (expiring.empty()) {
+            return false;
+        }
+        add_optional_requests(step, std::move(expiring), "fresh", 1);
+        return true;
+    }
+
+    // A gang whose granted workers are busy asks about others that have room now.
+    void request_tickets_from_free(const waiting_step& step) {
+        if (m_limits.optional_requests == 0) {
+            return;
+        }
+        std::int64_t missing = step.spec->count;
+        for (const auto& c : m_candidates) {
+            missing -= count_fitting_tasks(m_demand, available_capacity(step, c.worker));
+        }
+        std::vector<worker_slot> free;
+        for (const auto w : unasked(step)) {
+            if (m_demand.fits(available_capacity(step, w))) {
+                free.push_back(w);
+            }
+        }
+        const auto named =
+            static_cast<std::size_t>(std::max<std::int64_t>(1, missing) * workers_named_per_grant);
+        const auto calls =
+            std::clamp<std::size_t>(1 + named / max_workers_per_call(step), 1, max_parallel_calls);
+        add_optional_requests(step, std::move(free), "free", calls);
+    }
+
     [[nodiscard]] static std::size_t max_workers_per_call(const waiting_step& step) {
         return step.queue->ticket_per_worker_ms > slow_advice_ms ? max_slow_advice_workers
                                                                  : max_advice_workers;
@@ -375,12 +436,68 @@
             renew_for_gang(step, fitting);
             return;
         }
-        if (may_request_tickets(step) && !has_sufficient_capacity(step)) {
-            request_tickets_from_unasked(step, "more");
+        const auto available_soon = [&](worker_slot w) {
+            return available_capacity(step, w) + m_capacities[w].stopping;
+        };
+        auto soon = place_gang(step, false, available_soon);
+        if (soon.empty() && m_limits.preemption && m_result.preemptions.empty() &&
+            preempt_for_gang(step)) {
+            soon = place_gang(step, false, available_soon);
+        }
+        if (!soon.empty()) {
+            if (has_valid_tickets(step, soon, stop_time)) {
+                reserve_now(soon);
+            } else {
+                renew_for_gang(step, soon);
+            }
+            return;
+        }
+        if (may_request_tickets(step)) {
+            const auto before = m_result.ticket_requests.size();
+            if (!has_sufficient_capacity(step)) {
+                request_tickets_from_unasked(step, "more");
+            }
+            if (m_result.ticket_requests.size() == before && !renew_expiring_tickets(step)) {
+                request_tickets_from_free(step);
+            }
         }
         reserve_capacity_for_gang(step);
     }
 
+    [[nodiscard]] bool has_valid_tickets(const waiting_step& step, const tasks_by_worker& workers,
+                                         common::duration margin) const {
+        return std::all_of(workers.begin(), workers.end(), [&](const auto& entry) {
+            const auto* const ticket = step.state->tickets.find(entry.first);
+            return !step.queue->needs_tickets ||
+                   (ticket != nullptr && ticket->expires > m_now + margin);
+        });
+    }
+
+    // Stops less urgent runs on the granted workers until the gang fits; false, without any effect,
+    // when that is not possible.
+    bool preempt_for_gang(const waiting_step& step) {
+        std::int64_t missing = step.spec->count;
+        std::vector<preemption_option> options;
+        for (const auto& c : m_candidates) {
+            const auto w = c.worker;
+            const auto available = available_capacity(step, w) + m_capacities[w].stopping;
+            const auto most = remaining_tasks_on(step, w);
+            const auto fitting = std::min(count_fitting_tasks(m_demand, available), most);
+            missing -= fitting;
+            options.push_back(find_preemption(*m_capacities[w].worker, m_demand, available,
+                                              most - fitting, step.queue->priority, m_now));
+        }
+        const auto chosen = choose_preemptions(std::move(options), missing);
+        for (const auto& option : chosen) {
+            for (const auto& run : option.runs) {
+                m_capacities[option.worker].stopping +=
+                    m_capacities[option.worker].worker->runs.at(run).demand;
+                m_result.preemptions.push_back({option.worker, run});
+            }
+        }
+        return !chosen.empty();
+    }
+
     // A gang that needs most of its granted workers to be empty at the same time may never start.
     [[nodiscard]] bool has_sufficient_capacity(const waiting_step& step) const {
         return total_task_capacity(step) >=
@@ -425,9 +542,10 @@
         if (!may_request_tickets(step)) {
             return;
         }
+        const auto max_spare = std::max(min_spare_renewals, named.size() / spare_renewals_divisor);
         std::size_t spare = 0;
         for (const auto& c : m_candidates) {
-            if (spare == max_spare_renewals) {
+            if (spare == max_spare) {
                 break;
             }
             if (std::find(named.begin(), named.end(), c.worker) == named.end() &&
@@ -502,12 +620,9 @@
                    (ticket != nullptr && ticket->expires > m_now + ticket_margin);
         });
         // Requests the tickets so that they arrive when the capacity becomes free.
-        const auto call =
-            std::chrono::duration_cast<common::duration>(std::chrono::duration<double, std::milli>(
-                step.queue->ticket_base_ms +
-                step.queue->ticket_per_worker_ms * static_cast<double>(named.size())));
+        const auto call = call_time(step, named.size());
         if (!valid && may_request_tickets(step) && at < m_now + call + early_request_margin) {
-            add_ticket_requests(step, std::move(named), "ahead");
+            add_optional_requests(step, std::move(named), "ahead", 1);
         }
     }
 
@@ -517,7 +632,7 @@
     resources m_demand;
     std::map<std::pair<task_key, worker_slot>, std::int64_t> m_planned_tasks;
     std::size_t m_reserved_gangs = 0;
-    start_limit m_limit;
+    plan_limits m_limits;
     common::time_point m_now;
     plan_result m_result;
 };
@@ -525,9 +640,9 @@
 } // namespace
 
 plan_result plan_steps(const std::vector<waiting_step>& steps,
-                       std::vector<worker_free_capacity> free_capacities, start_limit limit,
+                       std::vector<worker_free_capacity> free_capacities, const plan_limits& limits,
                        common::time_point now) {
-    planner plan(std::move(free_capacities), limit, now);
+    planner plan(std::move(free_capacities), limits, now);
     for (const auto& step : steps) {
         plan.plan(step);
     }
--- a/source/core/dispatch/step_planner.h
+++ b/source/core/dispatch/step_planner.h
@@ -16,6 +16,8 @@
 struct worker_free_capacity {
     const worker_entry* worker = nullptr;
     placement::resources free;
+    /// Capacity of runs that are being stopped.
+    placement::resources stopping;
 };
 
 struct planned_start {
@@ -33,22 +35,34 @@
     std::string_view reason;
 };
 
-/// Limit of the starts that await a response.
-struct start_limit {
-    std::size_t pending = 0;
-    std::size_t max_pending = std::numeric_limits<std::size_t>::max();
+struct plan_limits {
+    /// Starts that await a response.
+    std::size_t pending_starts = 0;
+    std::size_t max_pending_starts = std::numeric_limits<std::size_t>::max();
+    /// Ticket requests that may be sent in advance or to widen a choice. Others are not limited.
+    std::size_t optional_requests = std::numeric_limits<std::size_t>::max();
+    /// Whether runs may be preempted.
+    bool preemption = false;
+};
+
+/// A run to be stopped for more urgent work.
+struct preempted_run {
+    worker_slot worker = 0;
+    run_key run;
 };
 
 struct plan_result {
     std::vector<planned_start> starts;
     std::vector<ticket_request> ticket_requests;
+    std::vector<preempted_run> preemptions;
 };
 
 /// Places the waiting steps on the workers in the given order. Tasks that wait for free capacity,
 /// tickets or other members of their gang are not part of the result, nor those beyond the limit. A
-/// gang that exceeds the limit by itself starts when nothing else is pending. Has no side effects.
+/// gang that exceeds the limit by itself starts when nothing else is pending. Runs are preempted
+/// for at most one gang. Has no side effects.
 [[nodiscard]] plan_result plan_steps(const std::vector<waiting_step>& steps,
                                      std::vector<worker_free_capacity> free_capacities,
-                                     start_limit limit, common::time_point now);
+                                     const plan_limits& limits, common::time_point now);
 
 } // namespace buckthornspar::dispatch
--- a/source/core/dispatch/worker_registry.h
+++ b/source/core/dispatch/worker_registry.h
@@ -42,6 +42,13 @@
     int first_percent = -1;
     common::time_point first_percent_at;
     std::string checkpoint;
+    /// Priority of the queue (0 is the most urgent).
+    int priority = 0;
+    /// The run may be stopped for more urgent work: it continues from a checkpoint and is not part
+    /// of a gang.
+    bool preemptible = false;
+    /// Latest end of the task that meets the objective of its job.
+    common::time_point latest_end;
 
     void update_progress(common::time_point now, int reported);
 };
--- a/source/core/service/advice_balancer.h
+++ b/source/core/service/advice_balancer.h
@@ -24,6 +24,8 @@
     void remove_node(const std::string& node);
     [[nodiscard]] bool has_node(const std::string& node) const { return m_nodes.contains(node); }
 
+    [[nodiscard]] std::size_t node_count() const { return m_nodes.size(); }
+
     void submit(dispatch::advice_call call);
     /// The call on this node has been answered.
     void complete(const std::string& node, std::uint64_t call, common::time_point now);
--- a/source/core/service/owner_controller.cpp
+++ b/source/core/service/owner_controller.cpp
@@ -70,6 +70,7 @@
     if (!m_advice_balancer.has_node(node)) {
         log_event(severity::info, "peer_joined", {{"peer", node}});
         m_advice_balancer.add_node(node);
+        m_dispatcher.set_requesting_nodes(m_advice_balancer.node_count());
         send_advice_calls();
     }
 }
@@ -77,6 +78,7 @@
 void owner_controller::on_peer_lost(const std::string& node) {
     log_event(severity::info, "peer_left", {{"peer", node}});
     m_advice_balancer.remove_node(node);
+    m_dispatcher.set_requesting_nodes(m_advice_balancer.node_count());
 }
 
 std::optional<pending_counts> owner_controller::pending() const {
--- a/tests/unit/dispatch/tickets_test.cpp
+++ b/tests/unit/dispatch/tickets_test.cpp
@@ -185,4 +185,96 @@
     BOOST_TEST(starts[0].run.task.job == "g");
 }
 
+// Pattern: gangs over a busy fleet. Guards against capacity that is reserved, and idle, while the
+// tickets for it are requested: those of a blocked gang stay valid, so that it starts at once.
+BOOST_AUTO_TEST_CASE(a_blocked_gang_keeps_its_tickets_valid) {
+    submit(job("busy", 8, 30000));
+    grant({"w1", "w2", "w3", "w4"});
+    const auto busy = take_starts();
+    BOOST_REQUIRE(busy.size() == 8U);
+    auto spec = job("g", 2, 60000);
+    spec.steps[0].gang = true;
+    submit(spec);
+    grant({"w1", "w2", "w3", "w4"});
+    for (int i = 0; i < 5; ++i) {
+        const auto asked = advice.size();
+        advance(1600ms);
+        BOOST_REQUIRE(advice.size() > asked);
+        BOOST_TEST(advice.back().request.step.job == "g");
+        grant({"w1", "w2", "w3", "w4"}, "new");
+    }
+    for (const auto& order : busy) {
+        end_run(order.worker, order.run, run_end::succeeded);
+    }
+    advance(40ms, 10ms);
+    BOOST_TEST(take_starts().size() == 2U);
+}
+
+// Pattern: gangs over a busy fleet of which a quarter is granted. Guards against a gang that waits
+// for its busy workers while others have room.
+BOOST_AUTO_TEST_CASE(a_gang_with_busy_workers_asks_about_free_ones) {
+    use_slow_advice_with_more_workers(70);
+    auto spec = job("g", 2, 60000);
+    spec.steps[0].gang = true;
+    submit(job("busy", 8, 60000));
+    const auto named = advice.back().request.workers;
+    grant({named.begin(), named.begin() + 8});
+    BOOST_REQUIRE(take_starts().size() == 8U);
+    submit(spec);
+    const auto first = advice.back().request.workers;
+    grant({named.begin(), named.begin() + 8});
+    const std::size_t asked = advice.size();
+    advance(200ms);
+    BOOST_REQUIRE(advice.size() >= asked);
+    const auto& further = advice.back().request.workers;
+    BOOST_TEST(advice.back().request.step.job == "g");
+    for (const auto& id : further) {
+        BOOST_TEST((std::find(first.begin(), first.end(), id) == first.end()));
+    }
+}
+
+// Pattern: many blocked gangs. Guards against requests that widen a choice and keep the nodes from
+// asking for those that have no tickets at all.
+BOOST_AUTO_TEST_CASE(optional_requests_leave_nodes_free) {
+    engine.set_requesting_nodes(2);
+    submit(job("busy", 8, 30000));
+    grant({"w1", "w2", "w3", "w4"});
+    BOOST_REQUIRE(take_starts().size() == 8U);
+    for (const auto* id : {"g1", "g2", "g3"}) {
+        auto spec = job(id, 2, 60000);
+        spec.steps[0].gang = true;
+        submit(spec);
+        grant({"w1", "w2", "w3", "w4"});
+    }
+    const auto asked = advice.size();
+    advance(5s);
+    // One node may be occupied by them, and its call is not answered here.
+    BOOST_TEST(advice.size() == asked + 1);
+}
+
+// Pattern: gangs that break. Guards against a gang that waits for tickets after its members have
+// ended: they are requested when the first of them fails.
+BOOST_AUTO_TEST_CASE(a_gang_that_breaks_requests_its_tickets_at_once) {
+    auto spec = job("g", 3, 60000);
+    spec.steps[0].gang = true;
+    submit(spec);
+    grant({"w1", "w2", "w3", "w4"});
+    const auto members = take_starts();
+    BOOST_REQUIRE(members.size() == 3U);
+    advance(2s);
+    const auto asked = advice.size();
+    end_run(members[0].worker, members[0].run, run_end::failed);
+    advance(60ms, 10ms);
+    BOOST_REQUIRE(advice.size() == asked + 1);
+    const auto& named = advice.back().request.workers;
+    for (const auto& member : {members[1], members[2]}) {
+        BOOST_TEST((std::find(named.begin(), named.end(), member.worker) != named.end()));
+        end_run(member.worker, member.run, run_end::broken);
+    }
+    advance(60ms, 10ms);
+    BOOST_TEST(take_starts().empty());
+    grant(named, "new");
+    BOOST_TEST(take_starts().size() == 3U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
