--- a/source/core/service/peer_messages.cpp
+++ b/source/core/service/peer_messages.cpp
@@ -152,7 +152,7 @@
                                     run_end_names.name(entry.how), entry.checkpoint});
     }
     return json::serialize(json::object{{"status", order_status_names.name(result.status)},
-                                        {"clock_ms", result.clock_ms},
+                                        {"clock", result.clock_ms},
                                         {"start_time_ms", result.start_time_ms},
                                         {"running", std::move(running)},
                                         {"ended", std::move(ended)}});
@@ -164,7 +164,7 @@
         const auto& object = value.as_object();
         poll_result result;
         result.status = order_status_names.value(json::value_to<std::string>(object.at("status")));
-        result.clock_ms = object.at("clock_ms").to_number<std::int64_t>();
+        result.clock_ms = object.at("clock").to_number<std::int64_t>();
         result.start_time_ms = object.at("start_time_ms").to_number<std::int64_t>();
         for (const auto& entry : object.at("running").as_array()) {
             const auto& row = entry.as_array();
