Take over thousands of workers in linear time

Each worker that an owner read from the instance list rebuilt the quorum of its authority, two sets of all workers: 2.7 s of processor time for 3,000 workers and 30 s for 10,000 (unit test). Each save also looked at every worker for unsaved ends.

The quorum is rebuilt once, when the authority is next asked for; saves look at the workers with ended runs only.

Test: a_take_over_of_a_large_fleet_ends_within_the_lease, 30,021 ms before, under 100 ms after, for 10,000 workers.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -69,7 +69,7 @@
     }
     if (change.added) {
         m_workers_dirty = true;
-        update_quorum();
+        m_quorum_outdated = true;
     }
     m_replan_needed = true;
 }
@@ -154,11 +154,13 @@
     if (m_save_round.empty() && m_save_round_ends.empty()) {
         // The ended runs processed so far are saved once all jobs that are dirty now are written.
         m_save_round.swap(m_dirty_jobs);
-        for (const auto& [id, worker] : m_workers.all()) {
-            if (worker.ends_received > worker.ends_saved) {
-                m_save_round_ends[id] = worker.ends_received;
+        for (const auto& id : m_unsaved_workers) {
+            const auto* const worker = m_workers.find(id);
+            if (worker != nullptr && worker->ends_received > worker->ends_saved) {
+                m_save_round_ends[id] = worker->ends_received;
             }
         }
+        m_unsaved_workers.clear();
     }
     if (m_save_round.empty() && m_save_round_ends.empty() && !m_workers_dirty) {
         return std::nullopt;
@@ -237,7 +239,15 @@
     m_save_round_ends.clear();
 }
 
+bool dispatcher::has_authority(common::time_point now) {
+    if (m_quorum_outdated) {
+        update_quorum();
+    }
+    return m_authority.is_held(now);
+}
+
 void dispatcher::update_quorum() {
+    m_quorum_outdated = false;
     std::set<std::string> ids;
     for (const auto& entry : m_workers.all()) {
         ids.insert(entry.first);
@@ -285,7 +295,7 @@
         m_workers_dirty = true;
     }
     if (!removable.empty()) {
-        update_quorum();
+        m_quorum_outdated = true;
     }
 }
 
@@ -411,7 +421,7 @@
     check_recovery(now);
     if ((m_replan_needed && now >= m_next_plan) || now >= m_next_plan + max_plan_interval) {
         m_replan_needed = false;
-        if (!m_draining && m_authority.is_held(now)) {
+        if (!m_draining && has_authority(now)) {
             plan(now);
         }
         m_next_plan = now + min_plan_interval;
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -108,7 +108,7 @@
     [[nodiscard]] const std::map<std::string, job_entry>& jobs() const { return m_jobs; }
     [[nodiscard]] const worker_registry& workers() const { return m_workers; }
     [[nodiscard]] std::uint64_t fence() const { return m_fence; }
-    [[nodiscard]] bool has_authority(common::time_point now) { return m_authority.is_held(now); }
+    [[nodiscard]] bool has_authority(common::time_point now);
     /// False until every worker that may hold runs of a former owner has answered a poll, or those
     /// runs have certainly ended.
     [[nodiscard]] bool recovered() const { return m_recovered; }
@@ -185,6 +185,8 @@
     common::counters& m_counters;
     worker_registry m_workers;
     scheduling::authority m_authority;
+    /// Workers have been added or removed since the quorum was set.
+    bool m_quorum_outdated = true;
     std::map<std::string, queue_settings> m_queues;
     std::map<std::string, job_entry> m_jobs;
     /// Jobs whose cancel request was read before the job itself.
@@ -214,6 +216,8 @@
     /// ended runs are saved once the round is complete.
     std::set<std::string> m_save_round;
     std::map<std::string, std::uint64_t> m_save_round_ends;
+    /// Workers with ended runs that may be unsaved.
+    std::set<std::string> m_unsaved_workers;
     std::vector<state_change> m_batch_changes;
     /// Workers that may receive starts once the pending batch is stored; absent when the batch
     /// contains no worker record.
--- a/source/core/dispatch/dispatcher_recovery.cpp
+++ b/source/core/dispatch/dispatcher_recovery.cpp
@@ -61,7 +61,7 @@
     m_jobs_on_unresponsive_workers = record.jobs_on_unresponsive_workers;
     m_recovered = false;
     m_workers_dirty = true;
-    update_quorum();
+    m_quorum_outdated = true;
     log_event(severity::info, "owner_begins",
               {{"fence", fence},
                {"jobs", m_jobs.size()},
@@ -126,7 +126,7 @@
     if (m_recovered && m_jobs_on_unresponsive_workers.empty()) {
         return;
     }
-    if (!m_majority_at && m_authority.is_held(now)) {
+    if (!m_majority_at && has_authority(now)) {
         m_majority_at = now;
     }
     // A former owner that has lost its majority sends no orders after its authority has expired.
--- a/source/core/dispatch/dispatcher_runs.cpp
+++ b/source/core/dispatch/dispatcher_runs.cpp
@@ -59,7 +59,7 @@
             return;
         }
         placed.phase = run_phase::unanswered;
-        if (placed.unanswered_orders <= max_start_repeats && m_authority.is_held(now) &&
+        if (placed.unanswered_orders <= max_start_repeats && has_authority(now) &&
             m_jobs.contains(order.run.task.job)) {
             // Repeats the same run; the worker executes it at most once.
             auto repeated = order;
@@ -281,6 +281,7 @@
         return;
     }
     worker.ends_received = reported.number;
+    m_unsaved_workers.insert(worker.report.id);
     const auto position = worker.runs.find(reported.run);
     const auto started = position == worker.runs.end() ? now : position->second.ordered_at;
     m_workers.release(worker, reported.run);
