--- a/source/core/service/peer_exchange.cpp
+++ b/source/core/service/peer_exchange.cpp
@@ -93,7 +93,7 @@
         } else if (path == "/peer/advice") {
             serve_advice(request, std::move(reply));
         } else if (path == "/peer/state") {
-            serve_state(request, std::move(reply));
+            serve_state(request, reply);
         } else if (path == "/peer/worker-poll") {
             serve_worker_poll(request, std::move(reply));
         } else if (path == "/peer/store") {
@@ -222,7 +222,7 @@
         });
 }
 
-void peer_exchange::serve_state(const net::http_request& request, net::http_reply reply) {
+void peer_exchange::serve_state(const net::http_request& request, const net::http_reply& reply) {
     const auto query = read_state_request(request.body);
     const auto state =
         m_owned_fence == query.fence ? m_env.directory.state_of(query.job) : std::nullopt;
--- a/source/core/service/peer_exchange.h
+++ b/source/core/service/peer_exchange.h
@@ -87,7 +87,7 @@
 
     void serve_changes(const net::http_request& request, net::http_reply reply);
     void serve_advice(const net::http_request& request, net::http_reply reply);
-    void serve_state(const net::http_request& request, net::http_reply reply);
+    void serve_state(const net::http_request& request, const net::http_reply& reply);
     void serve_worker_poll(const net::http_request& request, net::http_reply reply);
     [[nodiscard]] net::http_response make_response(const pending_poll& poll) const;
     /// Answers the polls that have expired and, if with_changes is set, those with new changes.
