Let wide gangs start beside other work on a narrow link

Cause (found when reading the change): a gang that exceeds the limit of pending starts by itself had to wait until nothing is pending, which may never be the case beside a stream of small jobs.

It may start while the others use at most a quarter of the limit.

Test: a_gang_wider_than_the_limit_starts_beside_a_few_others failed first.

--- a/source/core/dispatch/dispatcher_plan.cpp
+++ b/source/core/dispatch/dispatcher_plan.cpp
@@ -14,6 +14,8 @@
 constexpr auto advice_retry = std::chrono::milliseconds(150);
 // The validity of a ticket starts when the service responds; this allows for the transit time.
 constexpr auto ticket_transit = std::chrono::milliseconds(60);
+// One spare worker is named for this many that held members of a broken gang, and one more.
+constexpr std::size_t broken_spare_divisor = 3;
 // Share of the nodes that may be occupied by ticket requests when an optional one is added, so that
 // the others do not wait.
 constexpr std::size_t optional_request_percent = 60;
@@ -275,7 +277,7 @@
     }
     // The capacity of the failed member, and what others take meanwhile, is made up for elsewhere.
     const auto demand = job.spec_of(task).allocation();
-    const auto wanted = request.workers.size() + request.workers.size() / 3 + 1;
+    const auto wanted = request.workers.size() + request.workers.size() / broken_spare_divisor + 1;
     for (const auto& grant : step.tickets.granted) {
         const auto* const worker = m_workers.at(grant.worker);
         if (request.workers.size() >= wanted) {
--- a/source/core/dispatch/step_planner.cpp
+++ b/source/core/dispatch/step_planner.cpp
@@ -153,10 +153,12 @@
         return std::max<std::int64_t>(0, std::int64_t{step.spec->max_per_worker} - present);
     }
 
-    // Whether this many further starts may be sent together.
+    // Whether this many further starts may be sent together. A gang that exceeds the limit by
+    // itself need not wait until nothing is pending, which may never be the case beside other work.
     [[nodiscard]] bool may_start(std::size_t count) const {
         const auto pending = m_limits.pending_starts + m_result.starts.size();
-        return pending == 0 || pending + count <= m_limits.max_pending_starts;
+        const auto most = m_limits.max_pending_starts;
+        return pending + count <= most || (count > most && pending <= most / 4);
     }
 
     void start(const waiting_step& step, std::uint32_t index, worker_slot w, std::uint32_t run) {
--- a/source/core/dispatch/step_planner.h
+++ b/source/core/dispatch/step_planner.h
@@ -59,7 +59,7 @@
 
 /// Places the waiting steps on the workers in the given order. Tasks that wait for free capacity,
 /// tickets or other members of their gang are not part of the result, nor those beyond the limit. A
-/// gang that exceeds the limit by itself starts when nothing else is pending. Runs are preempted
+/// gang that exceeds the limit by itself starts when little else is pending. Runs are preempted
 /// for at most one gang. Has no side effects.
 [[nodiscard]] plan_result plan_steps(const std::vector<waiting_step>& steps,
                                      std::vector<worker_free_capacity> free_capacities,
--- a/tests/unit/dispatch/pending_starts_test.cpp
+++ b/tests/unit/dispatch/pending_starts_test.cpp
@@ -59,4 +59,17 @@
     BOOST_TEST(take_starts().size() == 6U);
 }
 
+// Guards against a wide gang that never starts beside a stream of small jobs, which always leaves a
+// few starts without a response.
+BOOST_AUTO_TEST_CASE(a_gang_wider_than_the_limit_starts_beside_a_few_others) {
+    engine.on_job(now, job("a", 1, 1000), {}, 11);
+    advance(100ms);
+    BOOST_REQUIRE(take_starts().size() == 1U);
+    auto gang = job("g", 6, 1000);
+    gang.steps[0].gang = true;
+    engine.on_job(now, gang, {}, 12);
+    advance(100ms);
+    BOOST_TEST(take_starts().size() == 6U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
