Ignore information about the owner's key that is older than what is known

The owner took the former owner's key for its successor's, ended its term and began it a second time under the same fence 8 ms later; another node held an older fence for a moment. Two terms with one fence also use the same values for the sequence of their commits, so that one may take the other's commit for its own.

A watcher discards a read that is older than its own state, the election ignores older information, and a term that has ended is not begun again.

Test: a_read_answered_late_does_not_bring_back_an_older_state failed first.

--- a/source/core/service/owner_election.cpp
+++ b/source/core/service/owner_election.cpp
@@ -62,12 +62,12 @@
 
 void owner_election::start() {
     prefix_watcher::listener receiver;
-    receiver.on_snapshot = [this](const std::vector<store_item>& items, std::uint64_t) {
-        on_item(items.empty() ? std::nullopt : std::optional(items.front()));
+    receiver.on_snapshot = [this](const std::vector<store_item>& items, std::uint64_t revision) {
+        on_item(items.empty() ? std::nullopt : std::optional(items.front()), revision);
     };
     receiver.on_events = [this](const std::vector<dispatch::store_event>& events) {
         const auto& last = events.back();
-        on_item(last.removed ? std::nullopt : std::optional(last.item));
+        on_item(last.removed ? std::nullopt : std::optional(last.item), last.item.revision);
     };
     m_watcher = std::make_shared<prefix_watcher>(
         m_store, m_loop, watch_settings{std::string(owner_key), watch_wait, {}},
@@ -80,7 +80,12 @@
     schedule_claim_if_vacant();
 }
 
-void owner_election::on_item(const std::optional<store_item>& item) {
+void owner_election::on_item(const std::optional<store_item>& item, std::uint64_t at) {
+    // The answer to a claim may arrive before the watch has delivered the events that preceded it.
+    if (at < m_known_at) {
+        return;
+    }
+    m_known_at = at;
     m_owner_key_read = true;
     m_revision = item ? item->revision : 0;
     m_owner.reset();
@@ -95,6 +100,7 @@
         m_owner && m_owner->node == m_settings.node && m_owner->process == m_settings.process;
     if (m_is_owner && !own) {
         m_is_owner = false;
+        m_lost_fence = std::max(m_lost_fence, m_won_fence);
         const std::string_view reason = m_owner ? "replaced" : "key_removed";
         log_event(severity::warning, "owner_lost", {{"reason", reason}});
         m_listener.on_ownership_lost(reason);
@@ -102,6 +108,7 @@
     m_listener.on_owner_changed(m_owner);
     if (own && !m_is_owner && !m_stopping && m_lease != 0 && m_owner->fence > m_lost_fence) {
         m_is_owner = true;
+        m_won_fence = m_owner->fence;
         log_event(severity::info, "owner_won", {{"fence", m_owner->fence}});
         m_listener.on_elected(*m_owner);
         renew();
@@ -185,7 +192,7 @@
                 item.key = std::string(owner_key);
                 item.value = write_owner(self->m_settings);
                 item.revision = result.revision;
-                self->on_item(item);
+                self->on_item(item, result.revision);
             }
             return;
         }
--- a/source/core/service/owner_election.h
+++ b/source/core/service/owner_election.h
@@ -70,7 +70,8 @@
     [[nodiscard]] bool is_owner() const { return m_is_owner; }
 
 private:
-    void on_item(const std::optional<dispatch::store_item>& item);
+    /// The owner key at the store's given revision; older information is ignored.
+    void on_item(const std::optional<dispatch::store_item>& item, std::uint64_t at);
     [[nodiscard]] bool owned_by_other_node() const;
     void schedule_claim_if_vacant();
     void claim();
@@ -86,10 +87,14 @@
     std::optional<owner_record> m_owner;
     /// Revision of the owner key; 0 when there is none.
     std::uint64_t m_revision = 0;
+    /// Store revision of the newest information about the key.
+    std::uint64_t m_known_at = 0;
     std::uint64_t m_lease = 0;
     /// Fence of the last ownership that was lost; its key can remain in the store until the lease
     /// expires.
     std::uint64_t m_lost_fence = 0;
+    /// Fence of the last term. A term that has ended is not taken up again.
+    std::uint64_t m_won_fence = 0;
     /// Fence of another owner whose process has certainly ended.
     std::uint64_t m_ended_fence = 0;
     unsigned m_failed_renewals = 0;
--- a/source/core/service/prefix_watcher.cpp
+++ b/source/core/service/prefix_watcher.cpp
@@ -85,8 +85,10 @@
 
 void prefix_watcher::refresh() {
     m_store.range(m_settings.prefix, "", [self = shared_from_this()](store_result result) {
-        // The running watch continues from its own revision.
-        if (!self->m_stopped && result.status == store_status::ok) {
+        // The running watch continues from its own revision, and may have delivered later changes
+        // than those of a read that was answered late.
+        if (!self->m_stopped && result.status == store_status::ok &&
+            result.revision >= self->m_revision) {
             self->m_listener.on_snapshot(std::move(result.items), result.revision);
         }
     });
--- a/tests/unit/service/prefix_watcher_test.cpp
+++ b/tests/unit/service/prefix_watcher_test.cpp
@@ -80,4 +80,20 @@
     late.watcher->stop();
 }
 
+// Pattern: slow store. Guards against two owners at a time: a read that was answered late brought
+// back a former owner's key, so that the owner ended its term and began it a second time.
+BOOST_AUTO_TEST_CASE(a_read_answered_late_does_not_bring_back_an_older_state) {
+    put("p/a", "1");
+    watcher->start();
+    BOOST_REQUIRE(run_until([&] { return known["p/a"] == "1"; }));
+    run_for(20ms);
+    store.delay = 60ms;
+    watcher->refresh();
+    store.delay = 0ms;
+    put("p/a", "2");
+    BOOST_REQUIRE(run_until([&] { return known["p/a"] == "2"; }));
+    run_for(100ms);
+    BOOST_TEST(known["p/a"] == "2");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
