Keep following a job when the owner's answer about it is lost

Cause (found when reading the change): the owner tells of changes from its answer on, but the node noted the job only when the answer arrived. With a lost answer it took the job for its own and did not ask a later owner for changes, so that its state could have stayed as it was.

The job is noted before the question is sent, and dropped when the owner does not know it or it has ended. No test of its own: peer_exchange needs a network, and a fake client for it is not there yet.

--- a/source/core/service/peer_exchange.cpp
+++ b/source/core/service/peer_exchange.cpp
@@ -200,12 +200,13 @@
         complete(std::nullopt);
         return;
     }
+    // Noted before the response: the owner may tell of changes although the response is lost, and a
+    // later owner has to be asked for them again.
+    m_followed_jobs.insert(job);
     m_env.client.send(
         m_owner->address,
         net::json_post("/peer/state", write_state_request({m_env.node, m_owner->fence, job})),
-        state_timeout,
-        [this, job, fence = m_owner->fence,
-         complete = std::move(complete)](const net::http_result& answer) {
+        state_timeout, [this, job, complete = std::move(complete)](const net::http_result& answer) {
             const auto* const response = std::get_if<net::http_response>(&answer);
             std::optional<job_state> state;
             if (response != nullptr && response->status == 200) {
@@ -215,8 +216,9 @@
                     log_event(severity::warning, "peer_answer_unreadable", {{"reason", e.what()}});
                 }
             }
-            if (state && !is_final(*state) && m_owner && m_owner->fence == fence) {
-                m_followed_jobs.insert(job);
+            const bool followed = state ? !is_final(*state) : response == nullptr;
+            if (!followed) {
+                m_followed_jobs.erase(job);
             }
             complete(state);
         });
