--- a/tests/unit/dispatch/recovery_test.cpp
+++ b/tests/unit/dispatch/recovery_test.cpp
@@ -2,9 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include <ctime>
-
 #include <algorithm>
+#include <ctime>
 #include <set>
 
 using namespace buckthornspar;
