Log the age of the owner's job information and the delay of its event loop

Cause: the logs could not tell a saturated owner from a late watch: a start did not say how old the owner's knowledge of cancellations was, and nothing reported how long ready input waited. Change: start lines carry jobs_age_ms; the owner writes one owner_load line a second (delay of timers, events, plans and their time, ages of both watches) and sets two gauges.

--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -69,6 +69,8 @@
     void on_worker_unlisted(common::time_point now, const std::string& worker);
     /// All reports that workers wrote to the instance list before this time are known.
     void on_list_known(common::time_point until) { m_list_known_until = until; }
+    /// All jobs and cancel requests that were stored before this time are known.
+    void on_jobs_known(common::time_point until) { m_jobs_known_until = until; }
     /// An accepted job. Throws common::format_error when it cannot be executed.
     void on_job(common::time_point now, const job_spec& spec, const job_progress& progress,
                 std::uint64_t revision);
@@ -112,6 +114,10 @@
     /// False until every worker that may hold runs of a former owner has answered a poll, or those
     /// runs have certainly ended.
     [[nodiscard]] bool recovered() const { return m_recovered; }
+    /// Number of plans made in this term.
+    [[nodiscard]] std::size_t plans() const { return m_plans; }
+    /// Starts without a response.
+    [[nodiscard]] std::size_t pending_starts() const { return m_pending_starts; }
     /// Number of jobs by queue of which no task has started.
     [[nodiscard]] const std::map<std::string, std::size_t>& pending_by_queue() const {
         return m_queued_by_queue;
@@ -234,6 +240,8 @@
     std::size_t m_pending_starts = 0;
     std::size_t m_requesting_nodes = 0;
     common::time_point m_list_known_until;
+    common::time_point m_jobs_known_until;
+    std::size_t m_plans = 0;
     bool m_replan_needed = false;
     bool m_draining = false;
     /// Unix time at the origin of the monotonic clock, in milliseconds.
--- a/source/core/dispatch/dispatcher_plan.cpp
+++ b/source/core/dispatch/dispatcher_plan.cpp
@@ -138,6 +138,7 @@
     if (waiting.empty()) {
         return;
     }
+    ++m_plans;
     sort_steps(waiting, m_settings.order);
     plan_limits limits;
     limits.pending_starts = m_pending_starts;
@@ -218,6 +219,7 @@
                {"waited_ms", common::to_milliseconds(now - *step.ready_since)},
                {"free_cpu_milli", worker.free().cpu_milli},
                {"clock_age_ms", common::to_milliseconds(now - worker.clock_at)},
+               {"jobs_age_ms", common::to_milliseconds(now - m_jobs_known_until)},
                {"fence", m_fence}});
     send_start(std::move(order));
     schedule_poll(worker, now);
--- a/source/core/service/owner_controller.cpp
+++ b/source/core/service/owner_controller.cpp
@@ -108,7 +108,13 @@
         const auto now = m_env.clock.now();
         m_dispatcher.on_wall_clock(now, common::wall_clock_ms());
         m_dispatcher.on_list_known(now - m_worker_watcher->age());
+        m_dispatcher.on_jobs_known(now - m_active_watcher->age());
+        const auto plans = m_dispatcher.plans();
         m_dispatcher.on_time(now);
+        m_load.record_event();
+        if (m_dispatcher.plans() != plans) {
+            m_load.record_plan(m_env.clock.now() - now);
+        }
         auto actions = m_dispatcher.take_actions();
         for (auto& action : actions) {
             if (m_active) {
@@ -119,13 +125,35 @@
     } while (m_process_again && m_active);
     m_processing = false;
     if (m_active) {
-        schedule_wakeup(m_dispatcher.next_wakeup(m_env.clock.now()));
+        const auto now = m_env.clock.now();
+        schedule_wakeup(m_dispatcher.next_wakeup(now));
+        if (m_load.is_due(now)) {
+            report_load(now);
+        }
     }
     if (m_on_drained && !m_commit && m_loaded) {
         std::exchange(m_on_drained, nullptr)();
     }
 }
 
+// One line a second, from the owner only: it shows whether a late decision was made with late input
+// (ages of the watches), behind a busy event loop (delay), or because planning took long.
+void owner_controller::report_load(common::time_point now) {
+    const auto load = m_load.take(now);
+    m_env.counters.get("owner_loop_delay_ms").set(common::to_milliseconds(load.max_delay));
+    m_env.counters.get("owner_jobs_age_ms").set(common::to_milliseconds(m_active_watcher->age()));
+    log_event(severity::info, "owner_load",
+              {{"delay_ms", common::to_milliseconds(load.max_delay)},
+               {"events", load.events},
+               {"plans", load.plans},
+               {"plan_ms", common::to_milliseconds(load.plan_time)},
+               {"longest_plan_ms", common::to_milliseconds(load.max_plan_time)},
+               {"jobs_age_ms", common::to_milliseconds(m_active_watcher->age())},
+               {"list_age_ms", common::to_milliseconds(m_worker_watcher->age())},
+               {"jobs", m_dispatcher.jobs().size()},
+               {"pending_starts", m_dispatcher.pending_starts()}});
+}
+
 void owner_controller::schedule_wakeup(common::time_point due) {
     const auto now = m_env.clock.now();
     // Timers may fire slightly late. A pending timer that is due earlier is sufficient, because it
@@ -138,6 +166,7 @@
                           [self = shared_from_this(), due] {
                               if (self->m_wakeup == due) {
                                   self->m_wakeup.reset();
+                                  self->m_load.record_wakeup(self->m_env.clock.now() - due);
                                   self->process_actions();
                               }
                           });
--- a/source/core/service/owner_controller.h
+++ b/source/core/service/owner_controller.h
@@ -5,6 +5,7 @@
 #include "core/net/event_loop.h"
 #include "core/service/advice_balancer.h"
 #include "core/service/job_directory.h"
+#include "core/service/owner_load.h"
 #include "core/service/peer_messages.h"
 #include "core/service/platform_adapter.h"
 #include "core/service/prefix_watcher.h"
@@ -82,6 +83,7 @@
 
     // owner_controller.cpp
     void process_actions();
+    void report_load(common::time_point now);
     void schedule_wakeup(common::time_point due);
     void execute_action(dispatch::dispatch_action& action);
     void send_poll(const dispatch::poll_call& call);
@@ -100,6 +102,7 @@
     dispatch::dispatcher m_dispatcher;
     advice_balancer m_advice_balancer;
     response_timeout m_worker_timeout;
+    owner_load m_load;
     std::uint64_t m_fence = 0;
     bool m_active = true;
     bool m_loaded = false;
