Plan once for all events that are ready, and leave half of the time to events

Cause: the owner planned after each single event once a plan took longer than the 6 ms between two plans. With 2,400 events a second planning took 40 to 70 % of the owner's processor, the events that would have shortened the plans waited, and the number of waiting jobs grew to thousands: overload fed itself. Change: events ask for one processing that runs after all events that are ready; a plan is followed by a pause as long as itself.

--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -9,6 +9,7 @@
 #include "core/dispatch/worker_registry.h"
 #include "core/scheduling/authority.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -96,6 +97,11 @@
 
     /// Performs due checks and polls, and places waiting tasks.
     void on_time(common::time_point now);
+    /// A plan of on_time() ended now and took this long. The next one waits for at least as long,
+    /// so that planning leaves half of the processor to the events.
+    void on_planned(common::time_point now, common::duration took) {
+        m_next_plan = std::max(m_next_plan, now + took);
+    }
     [[nodiscard]] common::time_point next_wakeup(common::time_point now) const;
     [[nodiscard]] std::vector<dispatch_action> take_actions();
 
@@ -114,8 +120,6 @@
     /// False until every worker that may hold runs of a former owner has answered a poll, or those
     /// runs have certainly ended.
     [[nodiscard]] bool recovered() const { return m_recovered; }
-    /// Number of plans made in this term.
-    [[nodiscard]] std::size_t plans() const { return m_plans; }
     /// Starts without a response.
     [[nodiscard]] std::size_t pending_starts() const { return m_pending_starts; }
     /// Number of jobs by queue of which no task has started.
@@ -241,7 +245,6 @@
     std::size_t m_requesting_nodes = 0;
     common::time_point m_list_known_until;
     common::time_point m_jobs_known_until;
-    std::size_t m_plans = 0;
     bool m_replan_needed = false;
     bool m_draining = false;
     /// Unix time at the origin of the monotonic clock, in milliseconds.
--- a/source/core/dispatch/dispatcher_plan.cpp
+++ b/source/core/dispatch/dispatcher_plan.cpp
@@ -138,7 +138,7 @@
     if (waiting.empty()) {
         return;
     }
-    ++m_plans;
+    m_counters.get("plans_total").add();
     sort_steps(waiting, m_settings.order);
     plan_limits limits;
     limits.pending_starts = m_pending_starts;
--- a/source/core/service/owner_controller.cpp
+++ b/source/core/service/owner_controller.cpp
@@ -62,7 +62,7 @@
     m_queues = queues;
     if (m_loaded) {
         m_dispatcher.on_queues(queues);
-        process_actions();
+        process_soon();
     }
 }
 
@@ -94,6 +94,19 @@
     process_actions();
 }
 
+// Processing after each event would let events wait while a plan is made for every single one: with
+// plans that take longer than the pause between two of them, the owner falls behind by seconds.
+void owner_controller::process_soon() {
+    if (m_process_posted) {
+        return;
+    }
+    m_process_posted = true;
+    m_env.loop.post([self = shared_from_this()] {
+        self->m_process_posted = false;
+        self->process_actions();
+    });
+}
+
 void owner_controller::process_actions() {
     if (!m_active || !m_loaded) {
         return;
@@ -109,11 +122,14 @@
         m_dispatcher.on_wall_clock(now, common::wall_clock_ms());
         m_dispatcher.on_list_known(now - m_worker_watcher->age());
         m_dispatcher.on_jobs_known(now - m_active_watcher->age());
-        const auto plans = m_dispatcher.plans();
+        const auto& plans = m_env.counters.get("plans_total");
+        const auto plans_before = plans.value();
         m_dispatcher.on_time(now);
         m_load.record_event();
-        if (m_dispatcher.plans() != plans) {
-            m_load.record_plan(m_env.clock.now() - now);
+        if (plans.value() != plans_before) {
+            const auto planned_at = m_env.clock.now();
+            m_dispatcher.on_planned(planned_at, planned_at - now);
+            m_load.record_plan(planned_at - now);
         }
         auto actions = m_dispatcher.take_actions();
         for (auto& action : actions) {
@@ -190,7 +206,7 @@
                             self->record_response_time(sent_at, is_answered(result.status), false);
                             self->m_dispatcher.on_start_result(self->m_env.clock.now(), order,
                                                                result);
-                            self->process_actions();
+                            self->process_soon();
                         }
                     });
             },
@@ -207,7 +223,7 @@
                             self->record_response_time(sent_at, is_answered(result.status), false);
                             self->m_dispatcher.on_stop_result(self->m_env.clock.now(), order,
                                                               result);
-                            self->process_actions();
+                            self->process_soon();
                         }
                     });
             },
@@ -248,7 +264,7 @@
                                        call.order.wait > common::duration(0));
         }
         self->m_dispatcher.on_poll_result(self->m_env.clock.now(), call, sent_at, result);
-        self->process_actions();
+        self->process_soon();
     };
     if (call.through_peer) {
         m_env.counters.get("relayed_polls_total").add();
@@ -292,7 +308,7 @@
         m_dispatcher.on_advice_result(m_env.clock.now(), assigned.call.id, result);
     }
     send_advice_calls();
-    process_actions();
+    process_soon();
 }
 
 void owner_controller::save_progress() {
@@ -410,7 +426,7 @@
         m_dispatcher.on_saved(now);
     }
     m_next_commit = m_dispatcher.save_backlog() ? now : now + min_commit_interval;
-    process_actions();
+    process_soon();
 }
 
 } // namespace buckthornspar::service
--- a/source/core/service/owner_controller.h
+++ b/source/core/service/owner_controller.h
@@ -82,6 +82,8 @@
     void on_worker_item(const dispatch::store_item& item);
 
     // owner_controller.cpp
+    /// Processes once after all events that are ready now.
+    void process_soon();
     void process_actions();
     void report_load(common::time_point now);
     void schedule_wakeup(common::time_point due);
@@ -108,6 +110,7 @@
     bool m_loaded = false;
     bool m_processing = false;
     bool m_process_again = false;
+    bool m_process_posted = false;
     std::optional<common::time_point> m_wakeup;
 
     // State that was loaded from the store.
--- a/source/core/service/owner_controller_loading.cpp
+++ b/source/core/service/owner_controller_loading.cpp
@@ -154,7 +154,7 @@
                 on_active_item(event.item);
             }
         }
-        process_actions();
+        process_soon();
     };
     m_active_watcher = std::make_shared<prefix_watcher>(
         m_env.store, m_env.loop,
@@ -178,7 +178,7 @@
                 on_worker_item(event.item);
             }
         }
-        process_actions();
+        process_soon();
     };
     m_worker_watcher = std::make_shared<prefix_watcher>(
         m_env.store, m_env.loop,
@@ -202,7 +202,7 @@
             on_active_item(item);
         }
     }
-    process_actions();
+    process_soon();
 }
 
 void owner_controller::on_active_item(const store_item& item) {
@@ -256,7 +256,7 @@
     for (const auto& id : unlisted) {
         m_dispatcher.on_worker_unlisted(now, id);
     }
-    process_actions();
+    process_soon();
 }
 
 void owner_controller::on_worker_item(const store_item& item) {
