Bind starts to the age of the owner's information about cancellations and draining workers

Callers saw tasks of cancelled jobs started 4.0 to 4.8 s after the cancellation was acknowledged, where 4.0 s are allowed (UNASKED), and starts on workers that had reported that they drain (DRAIN). Cause: the owner acted on a permission that had run out: it started whatever its own list of jobs held, however old that list was. Its watch may be behind because the processor is busy, because the store is slow, or because a connection is silent; after a take-over the age even began at the end of the loading. Change: a start is valid on its worker's clock until the owner's information plus the bound of the platform (cancel_bound_ms, drain_bound_ms), so that the worker refuses an order that is sent or delivered late. With less than 500 ms left, nothing is planned. The age counts from the time at which the read or watch was sent. While no call to the store is answered no cancellation can be accepted and placement goes on; a late event loop does not count as such an outage. The watch of jobs waits 500 ms instead of 1,500. Ruled out: a start that waits at the owner's link (refused by its worker after 1.5 s as before).

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -422,7 +422,11 @@
     if ((m_replan_needed && now >= m_next_plan) || now >= m_next_plan + max_plan_interval) {
         m_replan_needed = false;
         if (!m_draining && has_authority(now)) {
-            plan(now);
+            if (may_start(now)) {
+                plan(now);
+            } else {
+                m_counters.get("plans_skipped_total", "reason", "outdated_information").add();
+            }
         }
         m_next_plan = now + min_plan_interval;
     }
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -45,6 +45,10 @@
     /// A worker that refuses a start receives no further starts for this time.
     common::duration refused_start_pause = std::chrono::milliseconds(400);
     placement_order order = placement_order::deadline;
+    /// Longest time after the acknowledgement of a cancellation, or of a worker's report that it is
+    /// draining, at which a worker may still begin a start of that job or on that worker.
+    common::duration cancel_bound = std::chrono::milliseconds(3000);
+    common::duration drain_bound = std::chrono::milliseconds(2500);
     /// Maximum number of starts without a response; 0 for no limit. More would queue up at the
     /// owner's network link until their workers refuse them as late.
     std::size_t max_pending_starts = 0;
@@ -70,8 +74,12 @@
     void on_worker_unlisted(common::time_point now, const std::string& worker);
     /// All reports that workers wrote to the instance list before this time are known.
     void on_list_known(common::time_point until) { m_list_known_until = until; }
-    /// All jobs and cancel requests that were stored before this time are known.
-    void on_jobs_known(common::time_point until) { m_jobs_known_until = until; }
+    /// All cancellations that were acknowledged before the first time, and all reports of draining
+    /// before the second, are known. Workers may begin starts for a limited time after these.
+    void on_changes_known(common::time_point cancellations, common::time_point drains) {
+        m_cancels_known_until = cancellations;
+        m_drains_known_until = drains;
+    }
     /// An accepted job. Throws common::format_error when it cannot be executed.
     void on_job(common::time_point now, const job_spec& spec, const job_progress& progress,
                 std::uint64_t revision);
@@ -178,6 +186,11 @@
     void mark_ready(common::time_point now, const job_entry& job, std::uint32_t step,
                     step_state& state);
     void execute_plan(common::time_point now, const plan_result& plan);
+    /// End of the time within which workers may begin starts that are decided with the present
+    /// information.
+    [[nodiscard]] common::time_point starts_permitted_until() const;
+    [[nodiscard]] bool may_start(common::time_point now) const;
+    [[nodiscard]] std::int64_t grant_start_validity(worker_entry& worker, common::time_point now);
     void start_task(common::time_point now, const planned_start& planned);
     void send_ticket_request(common::time_point now, const ticket_request& planned_request);
     void send_start(start_order order);
@@ -244,7 +257,8 @@
     std::size_t m_pending_starts = 0;
     std::size_t m_requesting_nodes = 0;
     common::time_point m_list_known_until;
-    common::time_point m_jobs_known_until;
+    common::time_point m_cancels_known_until;
+    common::time_point m_drains_known_until;
     bool m_replan_needed = false;
     bool m_draining = false;
     /// Unix time at the origin of the monotonic clock, in milliseconds.
--- a/source/core/dispatch/dispatcher_plan.cpp
+++ b/source/core/dispatch/dispatcher_plan.cpp
@@ -19,6 +19,10 @@
 // Share of the nodes that may be occupied by ticket requests when an optional one is added, so that
 // the others do not wait.
 constexpr std::size_t optional_request_percent = 60;
+// Part of the bounds on late starts that is left for timers and for the rounding of worker clocks.
+constexpr auto start_bound_margin = std::chrono::milliseconds(100);
+// Starts with less validity than this would often reach their workers too late.
+constexpr auto min_start_validity = std::chrono::milliseconds(500);
 // Shortest time between two plans that may preempt runs; the search costs processor time.
 constexpr auto preemption_interval = std::chrono::milliseconds(40);
 
@@ -184,6 +188,25 @@
     placed.latest_end = step.latest_start + std::chrono::milliseconds(spec.estimate_ms);
 }
 
+common::time_point dispatcher::starts_permitted_until() const {
+    return std::min(m_cancels_known_until + m_settings.cancel_bound,
+                    m_drains_known_until + m_settings.drain_bound) -
+           start_bound_margin;
+}
+
+bool dispatcher::may_start(common::time_point now) const {
+    return now + min_start_validity <= starts_permitted_until();
+}
+
+// The worker enforces the end of the permission, so that it also holds for an order that is sent or
+// delivered late.
+std::int64_t dispatcher::grant_start_validity(worker_entry& worker, common::time_point now) {
+    return m_workers.grant_start_validity(
+        worker, now,
+        std::min<common::duration>(m_settings.leases.start_validity,
+                                   starts_permitted_until() - now));
+}
+
 void dispatcher::start_task(common::time_point now, const planned_start& planned) {
     auto& job = m_jobs.at(planned.task.job);
     auto& step = *job.find_step(planned.task);
@@ -199,7 +222,7 @@
     order.checkpoint = spec.gang ? step.gang_checkpoint : task.progress.checkpoint;
     order.ticket = planned.ticket;
     order.fence = m_fence;
-    order.valid_until_ms = m_workers.grant_start_validity(worker, now);
+    order.valid_until_ms = grant_start_validity(worker, now);
 
     auto& placed = m_workers.place(worker, run, spec.allocation(), now);
     placed.start_valid_until_ms = order.valid_until_ms;
@@ -219,7 +242,7 @@
                {"waited_ms", common::to_milliseconds(now - *step.ready_since)},
                {"free_cpu_milli", worker.free().cpu_milli},
                {"clock_age_ms", common::to_milliseconds(now - worker.clock_at)},
-               {"jobs_age_ms", common::to_milliseconds(now - m_jobs_known_until)},
+               {"jobs_age_ms", common::to_milliseconds(now - m_cancels_known_until)},
                {"fence", m_fence}});
     send_start(std::move(order));
     schedule_poll(worker, now);
--- a/source/core/dispatch/dispatcher_runs.cpp
+++ b/source/core/dispatch/dispatcher_runs.cpp
@@ -59,11 +59,11 @@
             return;
         }
         placed.phase = run_phase::unanswered;
-        if (placed.unanswered_orders <= max_start_repeats && has_authority(now) &&
+        if (placed.unanswered_orders <= max_start_repeats && has_authority(now) && may_start(now) &&
             m_jobs.contains(order.run.task.job)) {
             // Repeats the same run; the worker executes it at most once.
             auto repeated = order;
-            repeated.valid_until_ms = m_workers.grant_start_validity(*worker, now);
+            repeated.valid_until_ms = grant_start_validity(*worker, now);
             placed.start_valid_until_ms =
                 std::max(placed.start_valid_until_ms, repeated.valid_until_ms);
             m_counters.get("start_repeats_total").add();
--- a/source/core/dispatch/worker_registry.cpp
+++ b/source/core/dispatch/worker_registry.cpp
@@ -130,10 +130,10 @@
     return estimate_clock_ms(worker, now) + common::to_milliseconds(m_settings.lease);
 }
 
-std::int64_t worker_registry::grant_start_validity(worker_entry& worker,
-                                                   common::time_point now) const {
-    extend_lease_end(worker, now, m_settings.start_validity);
-    return estimate_clock_ms(worker, now) + common::to_milliseconds(m_settings.start_validity);
+std::int64_t worker_registry::grant_start_validity(worker_entry& worker, common::time_point now,
+                                                   common::duration validity) const {
+    extend_lease_end(worker, now, validity);
+    return estimate_clock_ms(worker, now) + common::to_milliseconds(validity);
 }
 
 placed_run& worker_registry::place(worker_entry& worker, const run_key& run,
--- a/source/core/dispatch/worker_registry.h
+++ b/source/core/dispatch/worker_registry.h
@@ -159,10 +159,10 @@
     void assume_lease(worker_entry& worker, common::time_point now) const {
         extend_lease_end(worker, now, m_settings.lease);
     }
-    /// Time on the worker's clock after which it refuses a start ordered now. Raises lease_end
-    /// accordingly.
-    [[nodiscard]] std::int64_t grant_start_validity(worker_entry& worker,
-                                                    common::time_point now) const;
+    /// Time on the worker's clock after which it refuses a start ordered now with this validity.
+    /// Raises lease_end accordingly.
+    [[nodiscard]] std::int64_t grant_start_validity(worker_entry& worker, common::time_point now,
+                                                    common::duration validity) const;
 
     placed_run& place(worker_entry& worker, const run_key& run, const placement::resources& demand,
                       common::time_point now);
--- a/source/core/emulation/emulated_owner.cpp
+++ b/source/core/emulation/emulated_owner.cpp
@@ -38,6 +38,8 @@
         return;
     }
     m_engine.on_list_known(m_platform.m_list_known_until);
+    const auto known = m_platform.changes_known_until();
+    m_engine.on_changes_known(known, known);
     m_engine.on_time(m_platform.now());
     for (const auto& action : m_engine.take_actions()) {
         execute_action(action);
--- a/source/core/emulation/emulated_platform.h
+++ b/source/core/emulation/emulated_platform.h
@@ -117,6 +117,10 @@
 
     [[nodiscard]] common::duration delay();
     [[nodiscard]] bool store_up() const { return now() >= m_store_down_until; }
+    /// Time before which the owner knows all changes: none are accepted while the store is down.
+    [[nodiscard]] common::time_point changes_known_until() const {
+        return store_up() ? now() - m_settings.watch_delay : now();
+    }
     /// Delivers the call to the worker and returns its response; completes with an empty result
     /// when there is no response within the timeout.
     /// A call through another node is only affected by a cut from all nodes.
--- a/source/core/service/node_application.cpp
+++ b/source/core/service/node_application.cpp
@@ -154,12 +154,15 @@
 owner_environment node_application::make_owner_environment() {
     dispatch::dispatcher_settings dispatcher;
     dispatcher.leases.lease = std::min<common::duration>(m_settings.lease, preferred_lease);
+    dispatcher.cancel_bound = m_settings.cancel_bound;
+    dispatcher.drain_bound = m_settings.drain_bound;
     dispatcher.order = dispatch::placement_order_names.value(m_settings.order);
     dispatcher.max_pending_starts = max_pending_starts(m_settings.link_mbps);
     return {m_loop,
             m_clock,
             m_counters,
             m_store,
+            m_health,
             *m_platform,
             m_directory,
             dispatcher,
--- a/source/core/service/node_settings.h
+++ b/source/core/service/node_settings.h
@@ -31,6 +31,10 @@
     common::duration stop_grace{};
     /// Time for which the state of an ended job is kept.
     common::duration state_retention{};
+    /// Longest time after the acknowledgement of a cancellation, or of a worker's report that it is
+    /// draining, at which a worker may still begin a start of that job or on that worker.
+    common::duration cancel_bound{};
+    common::duration drain_bound{};
     /// Shortest lease that the store grants.
     common::duration min_store_lease{};
     std::string order;
--- a/source/core/service/owner_controller.cpp
+++ b/source/core/service/owner_controller.cpp
@@ -20,6 +20,8 @@
 constexpr auto commit_retry_delay = std::chrono::milliseconds(80);
 // The counts of pending jobs are not reported while the watch of new jobs is further behind.
 constexpr auto max_pending_jobs_age = std::chrono::milliseconds(2500);
+// With a longer delay of the event loop a call that fails does not show an outage of the store.
+constexpr auto max_delay_of_outage = std::chrono::milliseconds(250);
 // Maximum number of expired job records that one commit removes, and the time for which they are
 // kept beyond their retention.
 constexpr std::size_t max_removals_per_commit = 24;
@@ -121,7 +123,8 @@
         const auto now = m_env.clock.now();
         m_dispatcher.on_wall_clock(now, common::wall_clock_ms());
         m_dispatcher.on_list_known(now - m_worker_watcher->age());
-        m_dispatcher.on_jobs_known(now - m_active_watcher->age());
+        m_dispatcher.on_changes_known(changes_known_until(now, *m_active_watcher),
+                                      changes_known_until(now, *m_worker_watcher));
         const auto& plans = m_env.counters.get("plans_total");
         const auto plans_before = plans.value();
         m_dispatcher.on_time(now);
@@ -152,6 +155,16 @@
     }
 }
 
+// While no call to the store is answered, it accepts no changes either, and placement goes on. An
+// answer that waits behind a busy event loop looks the same, so that the loop must not be late. A
+// store that serves the other nodes takes the ownership from this one.
+common::time_point owner_controller::changes_known_until(common::time_point now,
+                                                         const prefix_watcher& watcher) const {
+    const bool outage = watcher.failing() && m_env.health.last_call_failed() &&
+                        m_load.recent_delay() < max_delay_of_outage;
+    return outage ? now : now - watcher.age();
+}
+
 // One line a second, from the owner only: it shows whether a late decision was made with late input
 // (ages of the watches), behind a busy event loop (delay), or because planning took long.
 void owner_controller::report_load(common::time_point now) {
--- a/source/core/service/owner_controller.h
+++ b/source/core/service/owner_controller.h
@@ -10,6 +10,7 @@
 #include "core/service/platform_adapter.h"
 #include "core/service/prefix_watcher.h"
 #include "core/service/response_timeout.h"
+#include "core/service/store_health.h"
 
 #include <deque>
 #include <functional>
@@ -25,6 +26,7 @@
     common::clock& clock;
     common::counters& counters;
     dispatch::shared_store& store;
+    const store_health& health;
     platform_adapter& platform;
     job_directory& directory;
     dispatch::dispatcher_settings dispatcher;
@@ -73,8 +75,8 @@
     void on_loaded();
     void load_workers(const std::vector<dispatch::store_item>& items);
     void load_jobs();
-    void watch_active_keys(std::uint64_t revision);
-    void watch_worker_entries(std::uint64_t revision);
+    void watch_active_keys(const prefix_contents& known);
+    void watch_worker_entries(const prefix_contents& known);
     void on_active_snapshot(const std::vector<dispatch::store_item>& items);
     void on_active_item(const dispatch::store_item& item);
     void on_active_removed(const std::string& key);
@@ -85,6 +87,9 @@
     /// Processes once after all events that are ready now.
     void process_soon();
     void process_actions();
+    /// Time before which all changes under the watched prefix are known.
+    [[nodiscard]] common::time_point changes_known_until(common::time_point now,
+                                                         const prefix_watcher& watcher) const;
     void report_load(common::time_point now);
     void schedule_wakeup(common::time_point due);
     void execute_action(dispatch::dispatch_action& action);
@@ -116,11 +121,9 @@
     // State that was loaded from the store.
     unsigned m_pending_loads = 0;
     std::vector<dispatch::queue_settings> m_queues;
-    std::vector<dispatch::store_item> m_active_items;
+    prefix_contents m_active_contents;
     std::vector<dispatch::store_item> m_progress_items;
-    std::vector<dispatch::store_item> m_worker_items;
-    std::uint64_t m_active_revision = 0;
-    std::uint64_t m_worker_revision = 0;
+    prefix_contents m_worker_contents;
     std::optional<dispatch::store_item> m_workers_record;
     std::optional<dispatch::store_item> m_sequence;
     std::shared_ptr<prefix_watcher> m_active_watcher;
--- a/source/core/service/owner_controller_loading.cpp
+++ b/source/core/service/owner_controller_loading.cpp
@@ -21,8 +21,8 @@
 // Accepted jobs should be seen at once; the interval limits the watch calls under load.
 constexpr auto min_active_watch_interval = std::chrono::milliseconds(15);
 constexpr auto worker_watch_wait = std::chrono::milliseconds(1500);
-// Short, so that an answered call shows that all jobs are known.
-constexpr auto active_watch_wait = std::chrono::milliseconds(1500);
+// Short, because starts are permitted only for a limited time after an answered call was sent.
+constexpr auto active_watch_wait = std::chrono::milliseconds(500);
 constexpr auto load_retry_delay = std::chrono::milliseconds(100);
 
 std::string without_prefix(const std::string& key, std::string_view prefix) {
@@ -38,20 +38,18 @@
     load_key(workers_key, &owner_controller::m_workers_record);
     load_key(sequence_key, &owner_controller::m_sequence);
     read_all(store, m_env.loop, std::string(active_prefix), make_active_check(),
-             [self](std::vector<store_item> items, std::uint64_t revision) {
-                 self->m_active_items = std::move(items);
-                 self->m_active_revision = revision;
+             [self](prefix_contents contents) {
+                 self->m_active_contents = std::move(contents);
                  self->on_loaded();
              });
     read_all(store, m_env.loop, std::string(progress_prefix), make_active_check(),
-             [self](std::vector<store_item> items, std::uint64_t) {
-                 self->m_progress_items = std::move(items);
+             [self](prefix_contents contents) {
+                 self->m_progress_items = std::move(contents.items);
                  self->on_loaded();
              });
     read_all(store, m_env.loop, m_env.platform.format().worker_prefix(), make_active_check(),
-             [self](std::vector<store_item> items, std::uint64_t revision) {
-                 self->m_worker_items = std::move(items);
-                 self->m_worker_revision = revision;
+             [self](prefix_contents contents) {
+                 self->m_worker_contents = std::move(contents);
                  self->on_loaded();
              });
 }
@@ -84,15 +82,15 @@
     }
     m_sequence_revision = m_sequence ? m_sequence->revision : 0;
     m_dispatcher.on_queues(m_queues);
-    load_workers(m_worker_items);
+    load_workers(m_worker_contents.items);
     m_dispatcher.take_over(m_env.clock.now(), m_fence,
                            m_workers_record ? m_workers_record->value : "");
     load_jobs();
-    watch_active_keys(m_active_revision);
-    watch_worker_entries(m_worker_revision);
-    m_active_items.clear();
+    watch_active_keys(m_active_contents);
+    watch_worker_entries(m_worker_contents);
+    m_active_contents = {};
     m_progress_items.clear();
-    m_worker_items.clear();
+    m_worker_contents = {};
     m_loaded = true;
     process_actions();
 }
@@ -119,7 +117,7 @@
             log_event(severity::error, "progress_unreadable", {{"job", id}, {"reason", e.what()}});
         }
     }
-    for (const auto& item : m_active_items) {
+    for (const auto& item : m_active_contents.items) {
         if (item.key.starts_with(cancel_prefix)) {
             m_dispatcher.on_cancel(now, without_prefix(item.key, cancel_prefix));
         }
@@ -138,7 +136,7 @@
     }
 }
 
-void owner_controller::watch_active_keys(std::uint64_t revision) {
+void owner_controller::watch_active_keys(const prefix_contents& known) {
     prefix_watcher::listener receiver;
     receiver.on_snapshot = [this](const std::vector<store_item>& items, std::uint64_t) {
         on_active_snapshot(items);
@@ -160,10 +158,10 @@
         m_env.store, m_env.loop,
         watch_settings{std::string(active_prefix), active_watch_wait, min_active_watch_interval},
         std::move(receiver));
-    m_active_watcher->start_after(revision);
+    m_active_watcher->start_after(known.revision, known.read_at);
 }
 
-void owner_controller::watch_worker_entries(std::uint64_t revision) {
+void owner_controller::watch_worker_entries(const prefix_contents& known) {
     prefix_watcher::listener receiver;
     receiver.on_snapshot = [this](const std::vector<store_item>& items, std::uint64_t) {
         on_worker_snapshot(items);
@@ -185,7 +183,7 @@
         watch_settings{m_env.platform.format().worker_prefix(), worker_watch_wait,
                        min_worker_watch_interval},
         std::move(receiver));
-    m_worker_watcher->start_after(revision);
+    m_worker_watcher->start_after(known.revision, known.read_at);
 }
 
 void owner_controller::on_active_snapshot(const std::vector<store_item>& items) {
--- a/source/core/service/owner_load.cpp
+++ b/source/core/service/owner_load.cpp
@@ -17,6 +17,7 @@
 
 owner_load::summary owner_load::take(common::time_point now) {
     m_window_end = now + window;
+    m_previous_delay = m_current.max_delay;
     return std::exchange(m_current, {});
 }
 
--- a/source/core/service/owner_load.h
+++ b/source/core/service/owner_load.h
@@ -2,6 +2,7 @@
 
 #include "core/common/clock.h"
 
+#include <algorithm>
 #include <cstddef>
 
 namespace buckthornspar::service {
@@ -24,6 +25,10 @@
     void record_event() { ++m_current.events; }
     void record_plan(common::duration took);
 
+    /// Longest delay of a timer in the last one to two seconds.
+    [[nodiscard]] common::duration recent_delay() const {
+        return std::max(m_current.max_delay, m_previous_delay);
+    }
     /// Whether the window has ended, so that take() may be called.
     [[nodiscard]] bool is_due(common::time_point now) const { return now >= m_window_end; }
     /// Returns the measurements since the last call and begins the next window.
@@ -31,6 +36,7 @@
 
 private:
     summary m_current;
+    common::duration m_previous_delay{0};
     common::time_point m_window_end;
 };
 
--- a/source/core/service/prefix_watcher.cpp
+++ b/source/core/service/prefix_watcher.cpp
@@ -20,29 +20,32 @@
         if (!keep_reading()) {
             return;
         }
+        auto& items = contents.items;
         const auto after = items.empty() ? std::string() : items.back().key;
-        store.range(prefix, after, [self = shared_from_this()](store_result result) {
-            self->on_page(std::move(result));
+        const auto sent_at = clock.now();
+        store.range(prefix, after, [self = shared_from_this(), sent_at](store_result result) {
+            self->on_page(std::move(result), sent_at);
         });
     }
 
-    void on_page(store_result result) {
+    void on_page(store_result result, common::time_point sent_at) {
         if (result.status != store_status::ok) {
             loop.post_after(retry_delay, [self = shared_from_this()] { self->next(); });
             return;
         }
-        if (revision == 0) {
-            revision = result.revision;
+        if (contents.revision == 0) {
+            contents.revision = result.revision;
+            contents.read_at = sent_at;
         }
         for (auto& item : result.items) {
-            items.push_back(std::move(item));
+            contents.items.push_back(std::move(item));
         }
         if (result.more && !result.items.empty()) {
             next();
             return;
         }
         if (keep_reading()) {
-            complete(std::move(items), revision);
+            complete(std::move(contents));
         }
     }
 
@@ -50,16 +53,15 @@
     net::event_loop& loop;
     std::string prefix;
     std::function<bool()> keep_reading;
-    std::function<void(std::vector<dispatch::store_item>, std::uint64_t)> complete;
-    std::vector<dispatch::store_item> items;
-    std::uint64_t revision = 0;
+    std::function<void(prefix_contents)> complete;
+    prefix_contents contents;
+    common::system_clock clock;
 };
 
 } // namespace
 
 void read_all(dispatch::shared_store& store, net::event_loop& loop, const std::string& prefix,
-              std::function<bool()> keep_reading,
-              std::function<void(std::vector<dispatch::store_item>, std::uint64_t)> complete) {
+              std::function<bool()> keep_reading, std::function<void(prefix_contents)> complete) {
     const auto read = std::make_shared<prefix_reader>(store, loop);
     read->prefix = prefix;
     read->keep_reading = std::move(keep_reading);
@@ -78,8 +80,9 @@
     read();
 }
 
-void prefix_watcher::start_after(std::uint64_t revision) {
+void prefix_watcher::start_after(std::uint64_t revision, common::time_point read_at) {
     m_revision = revision;
+    m_current_at = read_at;
     watch();
 }
 
@@ -153,6 +156,7 @@
 void prefix_watcher::on_watch(const store_result& result) {
     const bool answered =
         result.status == store_status::ok || result.status == store_status::history_gone;
+    m_failing = !answered;
     if (result.status == store_status::history_gone) {
         read();
         return;
--- a/source/core/service/prefix_watcher.h
+++ b/source/core/service/prefix_watcher.h
@@ -19,6 +19,15 @@
     common::duration min_watch_interval{0};
 };
 
+/// All items with a prefix.
+struct prefix_contents {
+    std::vector<dispatch::store_item> items;
+    /// Revision of the first page, so that a watch from it misses no change, and when the call that
+    /// read this page was sent.
+    std::uint64_t revision = 0;
+    common::time_point read_at;
+};
+
 /// Watches the keys with a prefix: reads them, then watches for events, and reads them again when
 /// the store has dropped the history. All callbacks run on the event loop; none runs after stop().
 class prefix_watcher : public std::enable_shared_from_this<prefix_watcher> {
@@ -33,11 +42,14 @@
                    listener receiver);
 
     void start();
-    /// Starts without the first read: the items at this revision are already known.
-    void start_after(std::uint64_t revision);
+    /// Starts without the first read: the items at this revision, which were read by a call sent at
+    /// the given time, are already known.
+    void start_after(std::uint64_t revision, common::time_point read_at);
     void stop() { m_stopped = true; }
     /// Time since the last answered call was sent: later changes may be unknown.
     [[nodiscard]] common::duration age() const { return m_clock.now() - m_current_at; }
+    /// The last call has not been answered.
+    [[nodiscard]] bool failing() const { return m_failing; }
     /// Reads the items now, because a watch call may deliver a change late.
     void refresh();
 
@@ -57,14 +69,13 @@
     std::uint64_t m_revision = 0;
     common::system_clock m_clock;
     common::time_point m_current_at = m_clock.now();
+    bool m_failing = false;
     bool m_stopped = false;
 };
 
 /// Reads all items with a prefix, page by page. Failed pages are retried; stops without calling
-/// complete once keep_reading() returns false. The revision passed to complete is that of the first
-/// page, so that a watch from it misses no change.
+/// complete once keep_reading() returns false.
 void read_all(dispatch::shared_store& store, net::event_loop& loop, const std::string& prefix,
-              std::function<bool()> keep_reading,
-              std::function<void(std::vector<dispatch::store_item>, std::uint64_t)> complete);
+              std::function<bool()> keep_reading, std::function<void(prefix_contents)> complete);
 
 } // namespace buckthornspar::service
--- a/tests/fakes/fake_shared_store.h
+++ b/tests/fakes/fake_shared_store.h
@@ -26,6 +26,10 @@
     unsigned commits = 0;
     bool reads_fail = false;
     bool renewals_fail = false;
+    /// No call is answered: watches, commits and renewals complete as unknown.
+    bool fail_calls = false;
+    /// Answers to watch calls wait until this is false and release_watches() is called.
+    bool hold_watches = false;
 
     void read(const std::string& key, dispatch::store_completion complete) override {
         dispatch::store_result result;
@@ -59,6 +63,10 @@
 
     void watch(const std::string& prefix, std::uint64_t after, common::duration wait,
                dispatch::store_completion complete) override {
+        if (fail_calls) {
+            answer_after(wait, std::move(complete), {});
+            return;
+        }
         if (after < m_history_start) {
             answer(std::move(complete),
                    {dispatch::store_status::history_gone, {}, {}, false, 0, 0});
@@ -74,6 +82,10 @@
     void commit(const dispatch::store_commit& change,
                 dispatch::store_completion complete) override {
         ++commits;
+        if (fail_calls) {
+            answer(std::move(complete), {});
+            return;
+        }
         const auto commit_status = on_commit ? on_commit(change) : dispatch::store_status::ok;
         if (commit_status != dispatch::store_status::ok) {
             answer(std::move(complete), {commit_status, {}, {}, false, 0, 0});
@@ -90,6 +102,10 @@
     }
 
     void keep_lease(std::uint64_t /*lease*/, dispatch::store_completion complete) override {
+        if (fail_calls) {
+            answer(std::move(complete), {});
+            return;
+        }
         if (renewals_fail) {
             answer(std::move(complete), {dispatch::store_status::unavailable, {}, {}, false, 0, 0});
             return;
@@ -155,6 +171,13 @@
         notify_watches();
     }
 
+    void release_watches() {
+        hold_watches = false;
+        for (auto& held : std::exchange(m_held, {})) {
+            answer(std::move(held.first), std::move(held.second));
+        }
+    }
+
     void drop_history() {
         m_history.clear();
         m_history_start = m_revision;
@@ -186,7 +209,12 @@
     }
 
     void answer(dispatch::store_completion complete, dispatch::store_result result) {
-        m_loop.post_after(delay, [complete = std::move(complete), result = std::move(result)] {
+        answer_after(delay, std::move(complete), std::move(result));
+    }
+
+    void answer_after(common::duration time, dispatch::store_completion complete,
+                      dispatch::store_result result) {
+        m_loop.post_after(time, [complete = std::move(complete), result = std::move(result)] {
             complete(result);
         });
     }
@@ -205,7 +233,7 @@
             if (result.events.empty()) {
                 left.push_back(std::move(watch));
             } else {
-                answer(std::move(watch.complete), std::move(result));
+                answer_watch(std::move(watch.complete), std::move(result));
             }
         }
         m_watches = std::move(left);
@@ -220,13 +248,27 @@
         }
         auto complete = std::move(position->complete);
         m_watches.erase(position);
-        answer(std::move(complete), {dispatch::store_status::ok, {}, {}, false, m_revision, 0});
+        if (fail_calls) {
+            answer(std::move(complete), {});
+            return;
+        }
+        answer_watch(std::move(complete),
+                     {dispatch::store_status::ok, {}, {}, false, m_revision, 0});
+    }
+
+    void answer_watch(dispatch::store_completion complete, dispatch::store_result result) {
+        if (hold_watches) {
+            m_held.emplace_back(std::move(complete), std::move(result));
+            return;
+        }
+        answer(std::move(complete), std::move(result));
     }
 
     net::event_loop& m_loop;
     std::map<std::string, stored_item> m_items;
     std::vector<dispatch::store_event> m_history;
     std::vector<waiting_watch> m_watches;
+    std::vector<std::pair<dispatch::store_completion, dispatch::store_result>> m_held;
     std::uint64_t m_last_watch_id = 0;
     std::uint64_t m_revision = 1;
     std::uint64_t m_history_start = 0;
--- a/tests/unit/dispatch/dispatch_fixture.h
+++ b/tests/unit/dispatch/dispatch_fixture.h
@@ -77,6 +77,7 @@
     void run_until_idle() {
         for (int round = 0; round < 20; ++round) {
             engine.on_list_known(now);
+            engine.on_changes_known(now - cancels_age, now - drains_age);
             engine.on_time(now);
             const auto actions = engine.take_actions();
             if (actions.empty()) {
@@ -156,6 +157,9 @@
     bool accept_starts = true;
     /// Incarnation (start time) that all workers report in polls.
     std::int64_t start_time_ms = 1000;
+    /// How long ago the last known cancellation or report of draining can have been accepted.
+    common::duration cancels_age{0};
+    common::duration drains_age{0};
     /// When true, the test itself ends stopped runs; otherwise they end at once.
     bool stops_take_time = false;
 
--- a/tests/unit/service/owner_controller_test.cpp
+++ b/tests/unit/service/owner_controller_test.cpp
@@ -31,6 +31,11 @@
 };
 
 struct controller_fixture : service_fixture {
+    controller_fixture() {
+        dispatcher.cancel_bound = 1000ms;
+        dispatcher.drain_bound = 5000ms;
+    }
+
     ~controller_fixture() {
         if (controller) {
             controller->end();
@@ -46,7 +51,8 @@
             loop,
             slow,
             counters,
-            store,
+            monitored,
+            health,
             platform,
             directory,
             dispatcher,
@@ -87,6 +93,8 @@
 
     slow_clock slow;
     common::counters counters;
+    store_health health{clock};
+    monitored_store monitored{store, health};
     fakes::fake_platform platform{loop, store};
     job_directory directory{120s};
     dispatch::dispatcher_settings dispatcher;
@@ -119,4 +127,38 @@
     BOOST_TEST(plans.value() - before <= 3);
 }
 
+// Pattern: saturated owner, silent watch. Guards against a stopped task of a cancelled job that is
+// started again because the owner's watch of the cancellations is behind (UNASKED).
+BOOST_AUTO_TEST_CASE(a_cancelled_job_is_not_restarted_while_the_watch_is_behind) {
+    become_owner(3);
+    submit("a", 1000);
+    BOOST_REQUIRE(run_until([&] { return starts_of("a") == 1; }));
+    run_for(100ms);
+    store.hold_watches = true;
+    store.apply({{}, {{cancel_key("a"), "", 0}}, {}});
+    run_for(700ms);
+    const auto& first = platform.link.starts.back();
+    platform.link.end_run(first.worker, first.run, dispatch::run_end::stopped);
+    run_for(900ms);
+    BOOST_TEST(starts_of("a") == 1U);
+    store.release_watches();
+    run_for(300ms);
+    BOOST_TEST(starts_of("a") == 1U);
+    BOOST_TEST(lost.empty());
+}
+
+// Guards against an owner that stops placing during an outage of the store, in which no
+// cancellation can be accepted.
+BOOST_AUTO_TEST_CASE(placement_goes_on_while_the_store_is_down) {
+    become_owner(3);
+    submit("a", 1000);
+    BOOST_REQUIRE(run_until([&] { return starts_of("a") == 1; }));
+    run_for(100ms);
+    store.fail_calls = true;
+    run_for(1500ms);
+    const auto first = platform.link.starts.back();
+    platform.link.end_run(first.worker, first.run, dispatch::run_end::stopped);
+    BOOST_TEST(run_until([&] { return starts_of("a") == 2; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/service/prefix_watcher_test.cpp
+++ b/tests/unit/service/prefix_watcher_test.cpp
@@ -74,7 +74,7 @@
     late.put("p/a", "1");
     late.put("p/a", "2");
     late.store.drop_history();
-    late.watcher->start_after(1);
+    late.watcher->start_after(1, clock.now());
     BOOST_TEST(late.run_until([&] { return late.known["p/a"] == "2"; }));
     BOOST_TEST(late.snapshots == 1);
     late.watcher->stop();
