Do not repeat a start on a worker that drains meanwhile

Callers could see a task started on a worker later than allowed after its report of draining (DRAIN). Cause: a start without a response was repeated up to three times without looking at the worker again. Change: it is not repeated on a worker that is known to drain. Found by review. Measured: a_start_is_not_repeated_on_a_draining_worker failed before and passes now.

--- a/source/core/dispatch/dispatcher_runs.cpp
+++ b/source/core/dispatch/dispatcher_runs.cpp
@@ -60,7 +60,7 @@
         }
         placed.phase = run_phase::unanswered;
         if (placed.unanswered_orders <= max_start_repeats && has_authority(now) && may_start(now) &&
-            m_jobs.contains(order.run.task.job)) {
+            !worker->report.draining && m_jobs.contains(order.run.task.job)) {
             // Repeats the same run; the worker executes it at most once.
             auto repeated = order;
             repeated.valid_until_ms = grant_start_validity(*worker, now);
--- a/tests/unit/dispatch/start_permission_test.cpp
+++ b/tests/unit/dispatch/start_permission_test.cpp
@@ -84,6 +84,22 @@
     BOOST_TEST(take_starts().empty());
 }
 
+// Guards against a start without a response that is repeated on a worker that drains meanwhile
+// (DRAIN).
+BOOST_AUTO_TEST_CASE(a_start_is_not_repeated_on_a_draining_worker) {
+    accept_starts = false;
+    engine.on_job(now, job("a", 1, 1000), {}, 11);
+    advance(50ms);
+    const auto first = take_starts();
+    BOOST_REQUIRE(first.size() == 1U);
+    auto draining = report(first[0].worker);
+    draining.draining = true;
+    engine.on_worker(now, draining);
+    engine.on_start_result(now, first[0], {order_status::no_answer, 0});
+    run_until_idle();
+    BOOST_TEST(take_starts().empty());
+}
+
 // Guards against starts on a worker whose report that it is draining is not known yet (DRAIN).
 BOOST_AUTO_TEST_CASE(nothing_starts_while_recent_drains_may_be_unknown) {
     drains_age = 2300ms;
