Limit the pause after a plan

Cause: the pause was as long as the plan in elapsed time, so that a process that was paused during a plan waited for as long again before the next one. Found by review. Change: the pause is at most 200 ms.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -28,6 +28,8 @@
 constexpr auto max_plan_interval = std::chrono::milliseconds(50);
 // Shortest time between two plans, so that events arriving together are handled in one plan.
 constexpr auto min_plan_interval = std::chrono::milliseconds(6);
+// A process that was paused during a plan does not pause planning for as long.
+constexpr auto max_plan_pause = std::chrono::milliseconds(200);
 // Interval at which leases, lost workers and unanswered stops are checked.
 constexpr auto check_interval = std::chrono::milliseconds(40);
 
@@ -433,6 +435,10 @@
     send_polls(now);
 }
 
+void dispatcher::on_planned(common::time_point now, common::duration took) {
+    m_next_plan = std::max(m_next_plan, now + std::min<common::duration>(took, max_plan_pause));
+}
+
 common::time_point dispatcher::next_wakeup(common::time_point now) const {
     auto next =
         m_next_plan + (m_replan_needed ? common::duration(0) : common::duration(max_plan_interval));
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -9,7 +9,6 @@
 #include "core/dispatch/worker_registry.h"
 #include "core/scheduling/authority.h"
 
-#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -105,11 +104,9 @@
 
     /// Performs due checks and polls, and places waiting tasks.
     void on_time(common::time_point now);
-    /// A plan of on_time() ended now and took this long. The next one waits for at least as long,
-    /// so that planning leaves half of the processor to the events.
-    void on_planned(common::time_point now, common::duration took) {
-        m_next_plan = std::max(m_next_plan, now + took);
-    }
+    /// A plan of on_time() ended now and took this long. The next one waits for as long, up to a
+    /// limit, so that planning leaves half of the time to the events.
+    void on_planned(common::time_point now, common::duration took);
     [[nodiscard]] common::time_point next_wakeup(common::time_point now) const;
     [[nodiscard]] std::vector<dispatch_action> take_actions();
 
