Take only the silence of all calls for an outage of the store

Callers could see a task of a cancelled job started (UNASKED): the exception for outages of the store, in which nothing can be cancelled, also held when only a watch failed, for example because it was refused for the rate of reads, or its answer came behind a busy loop. Cause: one failed watch and a last call that failed counted as an outage. Change: for 1.1 s no call of any kind must have been answered, the watch must fail and the event loop must not be late. When the outage ends, watch calls that may hang are sent again at once. Reads after a dropped history count with the time of their first page. Found by review.

--- a/source/core/service/owner_controller.cpp
+++ b/source/core/service/owner_controller.cpp
@@ -20,6 +20,9 @@
 constexpr auto commit_retry_delay = std::chrono::milliseconds(80);
 // The counts of pending jobs are not reported while the watch of new jobs is further behind.
 constexpr auto max_pending_jobs_age = std::chrono::milliseconds(2500);
+// Renewals and commits are sent more often than this; with a time limit of 700 ms a working store
+// has answered at least one of them.
+constexpr auto min_silence_of_outage = std::chrono::milliseconds(1100);
 // With a longer delay of the event loop a call that fails does not show an outage of the store.
 constexpr auto max_delay_of_outage = std::chrono::milliseconds(250);
 // Maximum number of expired job records that one commit removes, and the time for which they are
@@ -123,6 +126,7 @@
         const auto now = m_env.clock.now();
         m_dispatcher.on_wall_clock(now, common::wall_clock_ms());
         m_dispatcher.on_list_known(now - m_worker_watcher->age());
+        check_store();
         m_dispatcher.on_changes_known(changes_known_until(now, *m_active_watcher),
                                       changes_known_until(now, *m_worker_watcher));
         const auto& plans = m_env.counters.get("plans_total");
@@ -155,14 +159,28 @@
     }
 }
 
-// While no call to the store is answered, it accepts no changes either, and placement goes on. An
-// answer that waits behind a busy event loop looks the same, so that the loop must not be late. A
-// store that serves the other nodes takes the ownership from this one.
+// A store that answers no call of any kind accepts no changes either, and placement goes on. An
+// answer that waits behind a busy event loop looks the same, so that the loop must not be late. If
+// the store serves the other nodes, this one hands the ownership over or loses its key.
+bool owner_controller::is_store_down() const {
+    return m_env.health.last_call_failed() &&
+           m_env.health.time_since_answer() > min_silence_of_outage &&
+           m_load.recent_delay() < max_delay_of_outage;
+}
+
 common::time_point owner_controller::changes_known_until(common::time_point now,
                                                          const prefix_watcher& watcher) const {
-    const bool outage = watcher.failing() && m_env.health.last_call_failed() &&
-                        m_load.recent_delay() < max_delay_of_outage;
-    return outage ? now : now - watcher.age();
+    return m_store_down && watcher.failing() ? now : now - watcher.age();
+}
+
+void owner_controller::check_store() {
+    const bool down = is_store_down();
+    if (m_store_down && !down) {
+        // Watch calls sent during the outage may hang until their time limit.
+        m_active_watcher->restart();
+        m_worker_watcher->restart();
+    }
+    m_store_down = down;
 }
 
 // One line a second, from the owner only: it shows whether a late decision was made with late input
@@ -179,6 +197,7 @@
                {"longest_plan_ms", common::to_milliseconds(load.max_plan_time)},
                {"jobs_age_ms", common::to_milliseconds(m_active_watcher->age())},
                {"list_age_ms", common::to_milliseconds(m_worker_watcher->age())},
+               {"store_down", m_store_down ? 1 : 0},
                {"jobs", m_dispatcher.jobs().size()},
                {"pending_starts", m_dispatcher.pending_starts()}});
 }
--- a/source/core/service/owner_controller.h
+++ b/source/core/service/owner_controller.h
@@ -90,6 +90,9 @@
     /// Time before which all changes under the watched prefix are known.
     [[nodiscard]] common::time_point changes_known_until(common::time_point now,
                                                          const prefix_watcher& watcher) const;
+    /// No call to the store is answered, so that it accepts no changes.
+    [[nodiscard]] bool is_store_down() const;
+    void check_store();
     void report_load(common::time_point now);
     void schedule_wakeup(common::time_point due);
     void execute_action(dispatch::dispatch_action& action);
@@ -116,6 +119,7 @@
     bool m_processing = false;
     bool m_process_again = false;
     bool m_process_posted = false;
+    bool m_store_down = false;
     std::optional<common::time_point> m_wakeup;
 
     // State that was loaded from the store.
--- a/source/core/service/owner_controller_loading.cpp
+++ b/source/core/service/owner_controller_loading.cpp
@@ -20,9 +20,8 @@
 constexpr auto min_worker_watch_interval = std::chrono::milliseconds(300);
 // Accepted jobs should be seen at once; the interval limits the watch calls under load.
 constexpr auto min_active_watch_interval = std::chrono::milliseconds(15);
-constexpr auto worker_watch_wait = std::chrono::milliseconds(1500);
 // Short, because starts are permitted only for a limited time after an answered call was sent.
-constexpr auto active_watch_wait = std::chrono::milliseconds(500);
+constexpr auto watch_wait = std::chrono::milliseconds(500);
 constexpr auto load_retry_delay = std::chrono::milliseconds(100);
 
 std::string without_prefix(const std::string& key, std::string_view prefix) {
@@ -156,7 +155,7 @@
     };
     m_active_watcher = std::make_shared<prefix_watcher>(
         m_env.store, m_env.loop,
-        watch_settings{std::string(active_prefix), active_watch_wait, min_active_watch_interval},
+        watch_settings{std::string(active_prefix), watch_wait, min_active_watch_interval},
         std::move(receiver));
     m_active_watcher->start_after(known.revision, known.read_at);
 }
@@ -178,11 +177,11 @@
         }
         process_soon();
     };
-    m_worker_watcher = std::make_shared<prefix_watcher>(
-        m_env.store, m_env.loop,
-        watch_settings{m_env.platform.format().worker_prefix(), worker_watch_wait,
-                       min_worker_watch_interval},
-        std::move(receiver));
+    m_worker_watcher =
+        std::make_shared<prefix_watcher>(m_env.store, m_env.loop,
+                                         watch_settings{m_env.platform.format().worker_prefix(),
+                                                        watch_wait, min_worker_watch_interval},
+                                         std::move(receiver));
     m_worker_watcher->start_after(known.revision, known.read_at);
 }
 
--- a/source/core/service/prefix_watcher.cpp
+++ b/source/core/service/prefix_watcher.cpp
@@ -97,9 +97,17 @@
     });
 }
 
+void prefix_watcher::restart() {
+    if (m_revision == 0) {
+        read();
+    } else {
+        watch();
+    }
+}
+
 void prefix_watcher::call_after(common::duration delay, void (prefix_watcher::*step)()) {
-    m_loop.post_after(delay, [self = shared_from_this(), step] {
-        if (!self->m_stopped) {
+    m_loop.post_after(delay, [self = shared_from_this(), step, call = m_call] {
+        if (self->is_current(call)) {
             ((*self).*step)();
         }
     });
@@ -112,20 +120,25 @@
 }
 
 void prefix_watcher::read_after(const std::string& after) {
-    m_store.range(m_settings.prefix, after, [self = shared_from_this()](store_result result) {
-        if (!self->m_stopped) {
-            self->on_page(std::move(result));
-        }
-    });
+    m_store.range(
+        m_settings.prefix, after,
+        [self = shared_from_this(), call = ++m_call, sent_at = m_clock.now()](store_result result) {
+            if (self->is_current(call)) {
+                self->on_page(std::move(result), sent_at);
+            }
+        });
 }
 
-void prefix_watcher::on_page(store_result result) {
-    if (result.status != store_status::ok) {
+void prefix_watcher::on_page(store_result result, common::time_point sent_at) {
+    m_failing = result.status != store_status::ok;
+    if (m_failing) {
+        m_revision = 0;
         call_after(retry_delay, &prefix_watcher::read);
         return;
     }
     if (m_revision == 0) {
         m_revision = result.revision;
+        m_current_at = sent_at;
     }
     const bool more = result.more && !result.items.empty();
     for (auto& item : result.items) {
@@ -143,29 +156,26 @@
 
 void prefix_watcher::watch() {
     m_store.watch(m_settings.prefix, m_revision, m_settings.watch_timeout,
-                  [self = shared_from_this(), sent_at = m_clock.now()](const store_result& result) {
-                      if (!self->m_stopped) {
-                          if (result.status == store_status::ok) {
-                              self->m_current_at = sent_at;
-                          }
-                          self->on_watch(result);
+                  [self = shared_from_this(), call = ++m_call,
+                   sent_at = m_clock.now()](const store_result& result) {
+                      if (self->is_current(call)) {
+                          self->on_watch(result, sent_at);
                       }
                   });
 }
 
-void prefix_watcher::on_watch(const store_result& result) {
-    const bool answered =
-        result.status == store_status::ok || result.status == store_status::history_gone;
-    m_failing = !answered;
+void prefix_watcher::on_watch(const store_result& result, common::time_point sent_at) {
+    m_failing = result.status != store_status::ok && result.status != store_status::history_gone;
     if (result.status == store_status::history_gone) {
         read();
         return;
     }
-    if (!answered) {
+    if (m_failing) {
         call_after(retry_delay, &prefix_watcher::watch);
         return;
     }
     m_revision = std::max(m_revision, result.revision);
+    m_current_at = sent_at;
     if (!result.events.empty()) {
         m_listener.on_events(result.events);
     }
--- a/source/core/service/prefix_watcher.h
+++ b/source/core/service/prefix_watcher.h
@@ -46,10 +46,13 @@
     /// the given time, are already known.
     void start_after(std::uint64_t revision, common::time_point read_at);
     void stop() { m_stopped = true; }
-    /// Time since the last answered call was sent: later changes may be unknown.
+    /// Time since the last call was sent whose answer brought all changes: later ones may be
+    /// unknown.
     [[nodiscard]] common::duration age() const { return m_clock.now() - m_current_at; }
-    /// The last call has not been answered.
+    /// The last completed call failed.
     [[nodiscard]] bool failing() const { return m_failing; }
+    /// Abandons the pending call, which may hang, and sends a new one.
+    void restart();
     /// Reads the items now, because a watch call may deliver a change late.
     void refresh();
 
@@ -57,8 +60,9 @@
     void read();
     void read_after(const std::string& after);
     void watch();
-    void on_page(dispatch::store_result result);
-    void on_watch(const dispatch::store_result& result);
+    void on_page(dispatch::store_result result, common::time_point sent_at);
+    void on_watch(const dispatch::store_result& result, common::time_point sent_at);
+    [[nodiscard]] bool is_current(std::uint64_t call) const { return !m_stopped && call == m_call; }
     void call_after(common::duration delay, void (prefix_watcher::*step)());
 
     dispatch::shared_store& m_store;
@@ -69,6 +73,8 @@
     std::uint64_t m_revision = 0;
     common::system_clock m_clock;
     common::time_point m_current_at = m_clock.now();
+    /// Number of the last call; answers to earlier ones are ignored.
+    std::uint64_t m_call = 0;
     bool m_failing = false;
     bool m_stopped = false;
 };
