Do not take one page of a watch for all changes

Callers saw tasks of cancelled jobs started again (UNASKED) by an owner whose information seemed to be half a second old. Change: an answer with 100 events or more may be a page and does not make the information current; the next call is sent without a pause. Measured: a_page_of_changes_is_not_taken_for_all_of_them failed before and passes now.

--- a/source/core/service/prefix_watcher.cpp
+++ b/source/core/service/prefix_watcher.cpp
@@ -12,6 +12,9 @@
 
 // Delay before a failed store call is retried.
 constexpr auto retry_delay = std::chrono::milliseconds(150);
+// The store answers a watch that is far behind in pages, of about 500 items or 1 MB, without saying
+// so. An answer with at least this many events may be such a page and does not bring all changes.
+constexpr std::size_t possible_page_events = 100;
 
 struct prefix_reader : std::enable_shared_from_this<prefix_reader> {
     prefix_reader(dispatch::shared_store& s, net::event_loop& l) : store(s), loop(l) {}
@@ -175,14 +178,17 @@
         return;
     }
     m_revision = std::max(m_revision, result.revision);
-    m_current_at = sent_at;
+    const bool complete = result.events.size() < possible_page_events;
+    if (complete) {
+        m_current_at = sent_at;
+    }
     if (!result.events.empty()) {
         m_listener.on_events(result.events);
     }
     if (m_stopped) {
         return;
     }
-    if (m_settings.min_watch_interval > common::duration(0)) {
+    if (complete && m_settings.min_watch_interval > common::duration(0)) {
         call_after(m_settings.min_watch_interval, &prefix_watcher::watch);
         return;
     }
--- a/tests/unit/service/owner_controller_test.cpp
+++ b/tests/unit/service/owner_controller_test.cpp
@@ -205,4 +205,31 @@
     BOOST_TEST(starts_of("a") == 1U);
 }
 
+// Pattern: saturated owner. Guards against an answer of a watch that holds only the first page of
+// the changes and is taken for all of them (UNASKED).
+BOOST_AUTO_TEST_CASE(a_page_of_changes_is_not_taken_for_all_of_them) {
+    become_owner(3);
+    submit("a", 1000);
+    BOOST_REQUIRE(run_until([&] { return starts_of("a") == 1; }));
+    run_for(100ms);
+    store.page_events = 200;
+    store.limit_watch_answers(std::string(active_prefix), 0);
+    for (int i = 0; i < 300; ++i) {
+        submit("b" + std::to_string(i), 100'000);
+    }
+    store.apply({{}, {{cancel_key("a"), "", 0}}, {}});
+    run_for(2100ms);
+    // The second answer belongs to a call that is sent now and ends before the cancellation.
+    store.limit_watch_answers(std::string(active_prefix), 2);
+    run_for(100ms);
+    const auto first = platform.link.starts.back();
+    platform.link.end_run(first.worker, first.run, dispatch::run_end::stopped);
+    run_for(700ms);
+    BOOST_TEST(starts_of("a") == 1U);
+    store.release_watches();
+    run_for(200ms);
+    BOOST_TEST(starts_of("a") == 1U);
+    BOOST_TEST(lost.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
