--- a/source/core/dispatch/dispatcher_plan.cpp
+++ b/source/core/dispatch/dispatcher_plan.cpp
@@ -64,6 +64,7 @@
 
 std::vector<waiting_step> dispatcher::collect_waiting(common::time_point now) {
     std::vector<waiting_step> waiting;
+    std::size_t examined = 0;
     for (auto& [id, job] : m_jobs) {
         if (is_final(job.state) || may_have_unreported_runs(job)) {
             continue;
@@ -76,6 +77,7 @@
             if (!is_due(now, job.spec, occurrence.number)) {
                 break;
             }
+            examined += occurrence.steps.size();
             for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
                 auto& state = occurrence.steps[s];
                 const auto& spec = job.spec.steps[s];
@@ -102,6 +104,7 @@
             }
         }
     }
+    m_counters.get("plan_steps_examined_total").add(static_cast<std::int64_t>(examined));
     return waiting;
 }
 
@@ -158,7 +161,10 @@
     if (limits.preemption) {
         m_next_preemption = now + preemption_interval;
     }
-    execute_plan(now, plan_steps(waiting, collect_free_capacities(now), limits, now));
+    const auto result = plan_steps(waiting, collect_free_capacities(now), limits, now);
+    m_counters.get("plan_candidates_examined_total")
+        .add(static_cast<std::int64_t>(result.candidates_examined));
+    execute_plan(now, result);
 }
 
 void dispatcher::execute_plan(common::time_point now, const plan_result& plan) {
--- a/source/core/dispatch/step_planner.cpp
+++ b/source/core/dispatch/step_planner.cpp
@@ -98,6 +98,8 @@
     void collect_candidates(const waiting_step& step) {
         m_demand = step.spec->allocation();
         m_candidates.clear();
+        m_result.candidates_examined +=
+            step.queue->needs_tickets ? step.state->tickets.granted.size() : m_capacities.size();
         if (!step.queue->needs_tickets) {
             for (worker_slot w = 0; w < m_capacities.size(); ++w) {
                 if (eligible(step, m_capacities[w])) {
--- a/source/core/dispatch/step_planner.h
+++ b/source/core/dispatch/step_planner.h
@@ -55,6 +55,8 @@
     std::vector<planned_start> starts;
     std::vector<ticket_request> ticket_requests;
     std::vector<preempted_run> preemptions;
+    /// Workers that were examined for steps.
+    std::size_t candidates_examined = 0;
 };
 
 /// Places the waiting steps on the workers in the given order. Tasks that wait for free capacity,
