Split the planner into the state of a plan, ticket requests and placement

step_planner.cpp had 657 lines and two duties. plan_state holds what is left of the workers and the result so far, ticket_planner decides about ticket requests, and step_planner places tasks and gangs.

--- a/source/core/dispatch/dispatcher_plan.cpp
+++ b/source/core/dispatch/dispatcher_plan.cpp
@@ -161,7 +161,11 @@
     if (limits.preemption) {
         m_next_preemption = now + preemption_interval;
     }
-    const auto result = plan_steps(waiting, collect_free_capacities(now), limits, now);
+    step_planner planner(collect_free_capacities(now), limits, now);
+    for (const auto& step : waiting) {
+        planner.plan(step);
+    }
+    const auto result = planner.take();
     m_counters.get("plan_candidates_examined_total")
         .add(static_cast<std::int64_t>(result.candidates_examined));
     execute_plan(now, result);
--- /dev/null
+++ b/source/core/dispatch/plan_state.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "core/common/clock.h"
+#include "core/dispatch/step_order.h"
+#include "core/dispatch/worker_registry.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <limits>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace buckthornspar::dispatch {
+
+/// Free capacity of a worker, by slot. The pointer is null for a worker that may get no work.
+struct worker_free_capacity {
+    const worker_entry* worker = nullptr;
+    placement::resources free;
+    /// Capacity of runs that are being stopped.
+    placement::resources stopping;
+};
+
+struct planned_start {
+    task_key task;
+    worker_slot worker = 0;
+    std::string ticket;
+    std::uint32_t run = 0;
+};
+
+/// A request for tickets of a step on the named workers.
+struct ticket_request {
+    task_key step;
+    const queue_settings* queue = nullptr;
+    std::vector<worker_slot> workers;
+    std::string_view reason;
+};
+
+struct plan_limits {
+    /// Starts that await a response.
+    std::size_t pending_starts = 0;
+    std::size_t max_pending_starts = std::numeric_limits<std::size_t>::max();
+    /// Ticket requests that may be sent in advance or to widen a choice. Others are not limited.
+    std::size_t optional_requests = std::numeric_limits<std::size_t>::max();
+    /// Whether runs may be preempted.
+    bool preemption = false;
+};
+
+/// A run to be stopped for more urgent work.
+struct preempted_run {
+    worker_slot worker = 0;
+    run_key run;
+};
+
+struct plan_result {
+    std::vector<planned_start> starts;
+    std::vector<ticket_request> ticket_requests;
+    std::vector<preempted_run> preemptions;
+    /// Workers that were examined for steps.
+    std::size_t candidates_examined = 0;
+};
+
+/// Capacity reserved on a worker for a gang with a planned start.
+struct capacity_reservation {
+    placement::resources amount;
+    common::time_point until;
+};
+
+/// A worker on which a step may run, with its ticket if the queue requires one.
+struct worker_candidate {
+    worker_slot worker = 0;
+    const ticket_state* ticket = nullptr;
+};
+
+/// Minimum remaining validity of a ticket that is used, so that the start arrives before it
+/// expires.
+inline constexpr common::duration ticket_margin = std::chrono::milliseconds(60);
+
+/// A plan in the making: what is left of the workers' capacity, the workers on which the selected
+/// step may run, and the result so far.
+class plan_state {
+public:
+    plan_state(std::vector<worker_free_capacity> free_capacities, const plan_limits& plan_limits,
+               common::time_point time);
+
+    /// Selects the step and collects its candidates.
+    void select(const waiting_step& step);
+    [[nodiscard]] bool is_eligible(const waiting_step& step,
+                                   const worker_free_capacity& capacity) const;
+    [[nodiscard]] bool is_valid(const worker_candidate& c) const {
+        return c.ticket == nullptr || c.ticket->expires > now + ticket_margin;
+    }
+    /// Free capacity that the step may use on the worker. Reservations of gangs are not available
+    /// to a step that does not end before the gang's start, unless the step has the most urgent
+    /// priority.
+    [[nodiscard]] placement::resources available_capacity(const waiting_step& step,
+                                                          worker_slot w) const;
+    /// Number of tasks of the step that the worker may still receive.
+    [[nodiscard]] std::int64_t remaining_tasks_on(const waiting_step& step, worker_slot w) const;
+    /// Whether this many further starts may be sent together. A gang that exceeds the limit by
+    /// itself need not wait until nothing is pending, which may never be the case beside other
+    /// work.
+    [[nodiscard]] bool may_start(std::size_t count) const;
+    void start(const waiting_step& step, std::uint32_t index, worker_slot w, std::uint32_t run);
+
+    std::vector<worker_free_capacity> capacities;
+    std::vector<std::vector<capacity_reservation>> reservations;
+    plan_limits limits;
+    common::time_point now;
+    plan_result result;
+
+    // The selected step.
+    placement::resources demand;
+    std::vector<worker_candidate> candidates;
+
+private:
+    std::map<std::pair<task_key, worker_slot>, std::int64_t> m_planned_tasks;
+};
+
+} // namespace buckthornspar::dispatch
--- a/source/core/dispatch/step_planner.h
+++ b/source/core/dispatch/step_planner.h
@@ -1,70 +1,55 @@
 #pragma once
 
-#include "core/common/clock.h"
-#include "core/dispatch/step_order.h"
-#include "core/dispatch/worker_registry.h"
+#include "core/dispatch/capacity_fit.h"
+#include "core/dispatch/plan_state.h"
+#include "core/dispatch/ticket_planner.h"
 
 #include <cstddef>
-#include <limits>
+#include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace buckthornspar::dispatch {
 
-/// Free capacity of a worker, by slot. The pointer is null for a worker that may get no work.
-struct worker_free_capacity {
-    const worker_entry* worker = nullptr;
-    placement::resources free;
-    /// Capacity of runs that are being stopped.
-    placement::resources stopping;
+/// Places waiting steps on the workers in the order in which they are given. Tasks that wait for
+/// free capacity, tickets or other members of their gang are not part of the result, nor those
+/// beyond the limit. A gang that exceeds the limit by itself starts when little else is pending.
+/// Runs are preempted for at most one gang. Has no side effects.
+class step_planner {
+public:
+    step_planner(std::vector<worker_free_capacity> free_capacities, const plan_limits& limits,
+                 common::time_point now)
+        : m_plan(std::move(free_capacities), limits, now) {}
+    step_planner(const step_planner&) = delete;
+    step_planner& operator=(const step_planner&) = delete;
+
+    /// Returns whether tasks of the step were placed.
+    bool plan(const waiting_step& step);
+    [[nodiscard]] plan_result take() { return std::move(m_plan.result); }
+
+private:
+    void plan_tasks(const waiting_step& step);
+    [[nodiscard]] std::optional<worker_slot> best_worker(const waiting_step& step,
+                                                         const task_state& task) const;
+    void plan_gang(const waiting_step& step);
+    template <typename CapacityOf>
+    [[nodiscard]] tasks_by_worker fit_gang(const waiting_step& step, bool with_valid_ticket,
+                                           const std::string* rack, CapacityOf capacity_at) const;
+    template <typename CapacityOf>
+    [[nodiscard]] tasks_by_worker place_gang(const waiting_step& step, bool with_valid_ticket,
+                                             CapacityOf capacity_at) const;
+    [[nodiscard]] bool has_valid_tickets(const waiting_step& step, const tasks_by_worker& workers,
+                                         common::duration margin) const;
+    bool preempt_for_gang(const waiting_step& step);
+    void start_gang(const waiting_step& step, const tasks_by_worker& workers);
+    std::vector<worker_slot> reserve_now(const tasks_by_worker& workers);
+    void reserve_capacity_for_gang(const waiting_step& step);
+    void reserve_capacity(const waiting_step& step, const tasks_by_worker& workers,
+                          common::time_point at);
+
+    plan_state m_plan;
+    ticket_planner m_tickets{m_plan};
+    std::size_t m_reserved_gangs = 0;
 };
 
-struct planned_start {
-    task_key task;
-    worker_slot worker = 0;
-    std::string ticket;
-    std::uint32_t run = 0;
-};
-
-/// A request for tickets of a step on the named workers.
-struct ticket_request {
-    task_key step;
-    const queue_settings* queue = nullptr;
-    std::vector<worker_slot> workers;
-    std::string_view reason;
-};
-
-struct plan_limits {
-    /// Starts that await a response.
-    std::size_t pending_starts = 0;
-    std::size_t max_pending_starts = std::numeric_limits<std::size_t>::max();
-    /// Ticket requests that may be sent in advance or to widen a choice. Others are not limited.
-    std::size_t optional_requests = std::numeric_limits<std::size_t>::max();
-    /// Whether runs may be preempted.
-    bool preemption = false;
-};
-
-/// A run to be stopped for more urgent work.
-struct preempted_run {
-    worker_slot worker = 0;
-    run_key run;
-};
-
-struct plan_result {
-    std::vector<planned_start> starts;
-    std::vector<ticket_request> ticket_requests;
-    std::vector<preempted_run> preemptions;
-    /// Workers that were examined for steps.
-    std::size_t candidates_examined = 0;
-};
-
-/// Places the waiting steps on the workers in the given order. Tasks that wait for free capacity,
-/// tickets or other members of their gang are not part of the result, nor those beyond the limit. A
-/// gang that exceeds the limit by itself starts when little else is pending. Runs are preempted
-/// for at most one gang. Has no side effects.
-[[nodiscard]] plan_result plan_steps(const std::vector<waiting_step>& steps,
-                                     std::vector<worker_free_capacity> free_capacities,
-                                     const plan_limits& limits, common::time_point now);
-
 } // namespace buckthornspar::dispatch
--- /dev/null
+++ b/source/core/dispatch/ticket_planner.cpp
@@ -0,0 +1,235 @@
+#include "core/dispatch/ticket_planner.h"
+
+#include "core/dispatch/capacity_fit.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace buckthornspar::dispatch {
+
+namespace {
+
+// Maximum number of workers named in one ticket request. Fewer are named to a service that takes
+// long for each worker, because the wait would cost more than the larger choice gains.
+constexpr std::size_t max_advice_workers = 100;
+constexpr std::size_t max_slow_advice_workers = 60;
+constexpr double slow_advice_ms = 4.0;
+// Other granted workers with free capacity that a renewal names besides those that a gang is
+// planned on, as a share of these: some of the capacity is taken before the tickets arrive.
+constexpr std::size_t min_spare_renewals = 3;
+constexpr std::size_t spare_renewals_divisor = 3;
+// A gang requests further workers until the total capacity of its granted workers is this multiple
+// of its demand.
+constexpr std::int64_t gang_capacity_factor = 3;
+// Tickets for a planned start are requested this much earlier than the expected call time requires.
+constexpr auto early_request_margin = std::chrono::milliseconds(250);
+// Workers to name for each expected grant under a strict policy.
+constexpr std::int64_t workers_named_per_grant = 4;
+// Maximum number of concurrent ticket requests for one step; each occupies one node's connection to
+// the service.
+constexpr std::size_t max_parallel_calls = 3;
+
+common::duration call_time(const waiting_step& step, std::size_t workers) {
+    return std::chrono::duration_cast<common::duration>(std::chrono::duration<double, std::milli>(
+        step.queue->ticket_base_ms +
+        step.queue->ticket_per_worker_ms * static_cast<double>(workers)));
+}
+
+std::size_t max_workers_per_call(const waiting_step& step) {
+    return step.queue->ticket_per_worker_ms > slow_advice_ms ? max_slow_advice_workers
+                                                             : max_advice_workers;
+}
+
+} // namespace
+
+bool ticket_planner::may_request(const waiting_step& step) const {
+    const auto& tickets = step.state->tickets;
+    return step.queue->needs_tickets && tickets.calls.empty() && m_plan.now >= tickets.not_before;
+}
+
+void ticket_planner::request_for_tasks(const waiting_step& step) {
+    if (!may_request(step)) {
+        return;
+    }
+    if (step.state->tickets.asked.empty()) {
+        request_from_unasked(step, "first");
+        return;
+    }
+    std::vector<worker_slot> renew;
+    for (const auto& c : m_plan.candidates) {
+        if (!m_plan.is_valid(c) && m_plan.demand.fits(m_plan.available_capacity(step, c.worker)) &&
+            m_plan.remaining_tasks_on(step, c.worker) > 0) {
+            renew.push_back(c.worker);
+        }
+    }
+    if (!renew.empty()) {
+        add_requests(step, renew, "renew");
+    } else if (m_plan.candidates.empty()) {
+        request_from_unasked(step, "more");
+    }
+}
+
+std::vector<worker_slot> ticket_planner::unasked(const waiting_step& step) const {
+    std::vector<worker_slot> result;
+    for (worker_slot w = 0; w < m_plan.capacities.size(); ++w) {
+        if (!step.state->tickets.was_asked(w) && m_plan.is_eligible(step, m_plan.capacities[w])) {
+            result.push_back(w);
+        }
+    }
+    return result;
+}
+
+// Requests tickets for the workers with the most free processor capacity.
+void ticket_planner::add_requests(const waiting_step& step, std::vector<worker_slot> workers,
+                                  std::string_view reason, std::size_t calls) {
+    if (workers.empty()) {
+        return;
+    }
+    const auto& capacities = m_plan.capacities;
+    const auto count = std::min(workers.size(), max_workers_per_call(step) * calls);
+    std::partial_sort(workers.begin(), workers.begin() + static_cast<std::ptrdiff_t>(count),
+                      workers.end(), [&capacities](worker_slot a, worker_slot b) {
+                          return std::tuple(-capacities[a].free.cpu_milli, a) <
+                                 std::tuple(-capacities[b].free.cpu_milli, b);
+                      });
+    // Distributes the workers over the calls so that each call names some of the best.
+    for (std::size_t call = 0; call < calls && call < count; ++call) {
+        std::vector<worker_slot> named;
+        for (std::size_t i = call; i < count; i += calls) {
+            named.push_back(workers[i]);
+        }
+        m_plan.result.ticket_requests.push_back({step.step, step.queue, std::move(named), reason});
+    }
+}
+
+void ticket_planner::add_optional_requests(const waiting_step& step,
+                                           std::vector<worker_slot> workers,
+                                           std::string_view reason, std::size_t calls) {
+    const auto before = m_plan.result.ticket_requests.size();
+    add_requests(step, std::move(workers), reason,
+                 std::min(calls, m_plan.limits.optional_requests));
+    m_plan.limits.optional_requests -= m_plan.result.ticket_requests.size() - before;
+}
+
+// A gang needs many granted workers at the same time, so they are named in concurrent calls by
+// several nodes.
+void ticket_planner::request_from_unasked(const waiting_step& step, std::string_view reason) {
+    const auto workers = unasked(step);
+    std::int64_t tasks_per_worker = 1;
+    for (const auto w : workers) {
+        tasks_per_worker = std::max(
+            tasks_per_worker,
+            count_fitting_tasks(m_plan.demand, m_plan.capacities[w].worker->report.capacity));
+    }
+    std::size_t calls = 1;
+    if (step.spec->gang) {
+        const auto missing = gang_capacity_factor * static_cast<std::int64_t>(step.spec->count) -
+                             total_task_capacity(step);
+        const auto named =
+            std::max<std::int64_t>(1, missing) * workers_named_per_grant / tasks_per_worker;
+        calls = std::clamp<std::size_t>(1 + static_cast<std::size_t>(named) /
+                                                max_workers_per_call(step),
+                                        1, max_parallel_calls);
+    }
+    add_requests(step, workers, reason, calls);
+}
+
+// Keeps the tickets of a blocked gang valid, so that it starts as soon as it fits. Otherwise the
+// capacity would be reserved, and idle, while the tickets are requested.
+bool ticket_planner::renew_expiring(const waiting_step& step) {
+    const auto named_most = std::min(m_plan.candidates.size(), max_workers_per_call(step));
+    const auto expiry = m_plan.now + call_time(step, named_most) + early_request_margin;
+    std::vector<worker_slot> expiring;
+    for (const auto& c : m_plan.candidates) {
+        if (c.ticket != nullptr && c.ticket->expires < expiry) {
+            expiring.push_back(c.worker);
+        }
+    }
+    if (expiring.empty()) {
+        return false;
+    }
+    add_optional_requests(step, std::move(expiring), "fresh", 1);
+    return true;
+}
+
+// A gang whose granted workers are busy asks about others that have room now.
+void ticket_planner::request_from_free(const waiting_step& step) {
+    if (m_plan.limits.optional_requests == 0) {
+        return;
+    }
+    std::int64_t missing = step.spec->count;
+    for (const auto& c : m_plan.candidates) {
+        missing -= count_fitting_tasks(m_plan.demand, m_plan.available_capacity(step, c.worker));
+    }
+    std::vector<worker_slot> free;
+    for (const auto w : unasked(step)) {
+        if (m_plan.demand.fits(m_plan.available_capacity(step, w))) {
+            free.push_back(w);
+        }
+    }
+    const auto named =
+        static_cast<std::size_t>(std::max<std::int64_t>(1, missing) * workers_named_per_grant);
+    const auto calls =
+        std::clamp<std::size_t>(1 + named / max_workers_per_call(step), 1, max_parallel_calls);
+    add_optional_requests(step, std::move(free), "free", calls);
+}
+
+void ticket_planner::request_for_blocked_gang(const waiting_step& step) {
+    if (!may_request(step)) {
+        return;
+    }
+    const auto before = m_plan.result.ticket_requests.size();
+    if (!has_sufficient_capacity(step)) {
+        request_from_unasked(step, "more");
+    }
+    if (m_plan.result.ticket_requests.size() == before && !renew_expiring(step)) {
+        request_from_free(step);
+    }
+}
+
+// A gang that needs most of its granted workers to be empty at the same time may never start.
+bool ticket_planner::has_sufficient_capacity(const waiting_step& step) const {
+    return total_task_capacity(step) >=
+           gang_capacity_factor * static_cast<std::int64_t>(step.spec->count);
+}
+
+// Number of gang members that fit on the granted workers when these are empty.
+std::int64_t ticket_planner::total_task_capacity(const waiting_step& step) const {
+    std::int64_t tasks = 0;
+    for (const auto& c : m_plan.candidates) {
+        tasks += std::min(
+            count_fitting_tasks(m_plan.demand, m_plan.capacities[c.worker].worker->report.capacity),
+            m_plan.remaining_tasks_on(step, c.worker));
+    }
+    return tasks;
+}
+
+void ticket_planner::renew_for_gang(const waiting_step& step, std::vector<worker_slot> workers) {
+    if (!may_request(step)) {
+        return;
+    }
+    const auto max_spare = std::max(min_spare_renewals, workers.size() / spare_renewals_divisor);
+    std::size_t spare = 0;
+    for (const auto& c : m_plan.candidates) {
+        if (spare == max_spare) {
+            break;
+        }
+        if (std::find(workers.begin(), workers.end(), c.worker) == workers.end() &&
+            m_plan.demand.fits(m_plan.available_capacity(step, c.worker))) {
+            workers.push_back(c.worker);
+            ++spare;
+        }
+    }
+    add_requests(step, std::move(workers), "renew");
+}
+
+void ticket_planner::request_ahead(const waiting_step& step, std::vector<worker_slot> workers,
+                                   common::time_point start) {
+    const auto call = call_time(step, workers.size());
+    if (may_request(step) && start < m_plan.now + call + early_request_margin) {
+        add_optional_requests(step, std::move(workers), "ahead", 1);
+    }
+}
+
+} // namespace buckthornspar::dispatch
--- /dev/null
+++ b/source/core/dispatch/ticket_planner.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "core/dispatch/plan_state.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace buckthornspar::dispatch {
+
+/// Decides which ticket requests a plan sends for the selected step of a plan_state.
+class ticket_planner {
+public:
+    explicit ticket_planner(plan_state& plan) : m_plan(plan) {}
+
+    [[nodiscard]] bool may_request(const waiting_step& step) const;
+    /// Requests the first tickets of a step whose tasks are placed one by one, renews them where
+    /// there is room, or widens the choice when no worker was granted.
+    void request_for_tasks(const waiting_step& step);
+    /// Requests tickets for workers that have not been named yet.
+    void request_from_unasked(const waiting_step& step, std::string_view reason);
+    /// Requests what a blocked gang needs to start as soon as it fits.
+    void request_for_blocked_gang(const waiting_step& step);
+    /// Requests new tickets on the workers on which a gang is planned, and on some others.
+    void renew_for_gang(const waiting_step& step, std::vector<worker_slot> workers);
+    /// Requests the tickets for a planned start so that they arrive when the capacity is free.
+    void request_ahead(const waiting_step& step, std::vector<worker_slot> workers,
+                       common::time_point start);
+
+private:
+    [[nodiscard]] std::vector<worker_slot> unasked(const waiting_step& step) const;
+    void add_requests(const waiting_step& step, std::vector<worker_slot> workers,
+                      std::string_view reason, std::size_t calls = 1);
+    void add_optional_requests(const waiting_step& step, std::vector<worker_slot> workers,
+                               std::string_view reason, std::size_t calls);
+    bool renew_expiring(const waiting_step& step);
+    void request_from_free(const waiting_step& step);
+    [[nodiscard]] bool has_sufficient_capacity(const waiting_step& step) const;
+    [[nodiscard]] std::int64_t total_task_capacity(const waiting_step& step) const;
+
+    plan_state& m_plan;
+};
+
+} // namespace buckthornspar::dispatch
