Keep the order of waiting steps between plans and limit what a plan examines

Cause: each plan walked all jobs, steps and tasks, sorted the waiting steps, and examined every one of them against its granted workers, also when nothing could start. Change: the steps that may wait are kept in placement order for each queue; a job is ordered again when it arrives, when a run of it ends or is refused, when it becomes due, and when configuration or recovery change. A plan visits the steps of all queues in this order.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -44,6 +44,7 @@
         // Removed queues are kept, because their accepted jobs are still executed.
         m_queues[queue.name] = queue;
     }
+    note_all_waiting();
     m_replan_needed = true;
 }
 
@@ -88,6 +89,7 @@
     const auto state = job.state;
     m_queued_by_queue[spec.queue] += state == job_state::queued ? 1 : 0;
     m_jobs.emplace(spec.id, std::move(job));
+    note_waiting(spec.id);
     m_actions.emplace_back(state_change{spec.id, spec.queue, state, spec.accepted_by});
     m_replan_needed = true;
     if (m_cancels_before_job.erase(spec.id) > 0) {
@@ -114,6 +116,7 @@
                          std::string_view reason) {
     m_queued_by_queue[job.spec.queue] -= job.state == job_state::queued ? 1 : 0;
     job.state = state;
+    m_waiting.erase_job(job.spec.id);
     mark_dirty(job);
     log_event(severity::info, "job_ended",
               {{"job", job.spec.id},
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -5,6 +5,7 @@
 #include "core/dispatch/dispatch_actions.h"
 #include "core/dispatch/job_entry.h"
 #include "core/dispatch/step_planner.h"
+#include "core/dispatch/waiting_steps.h"
 #include "core/dispatch/worker_record.h"
 #include "core/dispatch/worker_registry.h"
 #include "core/scheduling/authority.h"
@@ -180,7 +181,17 @@
 
     // dispatcher_plan.cpp
     void plan(common::time_point now);
-    [[nodiscard]] std::vector<waiting_step> collect_waiting(common::time_point now);
+    [[nodiscard]] plan_limits limits_of_plan(common::time_point now) const;
+    /// Tasks of the job may have begun to wait: its steps are placed in order before the next plan.
+    void note_waiting(const std::string& job) { m_jobs_to_order.insert(job); }
+    void note_all_waiting();
+    void order_waiting_steps(common::time_point now);
+    void order_steps_of(common::time_point now, job_entry& job);
+    /// Absent when no task of the step is waiting.
+    [[nodiscard]] std::optional<waiting_step> find_waiting(common::time_point now,
+                                                           const task_key& step);
+    [[nodiscard]] static std::int64_t due_ms(const job_spec& spec, std::uint32_t occurrence);
+    [[nodiscard]] std::int64_t unix_ms(common::time_point now) const;
     [[nodiscard]] std::vector<worker_free_capacity> collect_free_capacities(common::time_point now);
     [[nodiscard]] bool is_usable(const worker_entry& worker, common::time_point now) const;
     void mark_ready(common::time_point now, const job_entry& job, std::uint32_t step,
@@ -212,6 +223,12 @@
     bool m_quorum_outdated = true;
     std::map<std::string, queue_settings> m_queues;
     std::map<std::string, job_entry> m_jobs;
+    /// Steps that may have waiting tasks. Jobs that may have runs that no worker reported are left
+    /// out, and those in m_jobs_to_order may be missing.
+    waiting_steps m_waiting;
+    std::set<std::string> m_jobs_to_order;
+    /// Jobs with later occurrences, by the Unix time in milliseconds at which the next one is due.
+    std::set<std::pair<std::int64_t, std::string>> m_scheduled_jobs;
     /// Jobs whose cancel request was read before the job itself.
     std::set<std::string> m_cancels_before_job;
     std::map<std::uint64_t, task_key> m_advice_calls;
--- a/source/core/dispatch/dispatcher_plan.cpp
+++ b/source/core/dispatch/dispatcher_plan.cpp
@@ -62,49 +62,79 @@
     return free_capacities;
 }
 
-std::vector<waiting_step> dispatcher::collect_waiting(common::time_point now) {
-    std::vector<waiting_step> waiting;
-    std::size_t examined = 0;
-    for (auto& [id, job] : m_jobs) {
-        if (is_final(job.state) || may_have_unreported_runs(job)) {
-            continue;
+void dispatcher::note_all_waiting() {
+    m_waiting.clear();
+    m_scheduled_jobs.clear();
+    for (const auto& entry : m_jobs) {
+        m_jobs_to_order.insert(m_jobs_to_order.end(), entry.first);
+    }
+}
+
+// The order is kept between plans, because thousands of jobs may wait after an outage.
+void dispatcher::order_waiting_steps(common::time_point now) {
+    const auto now_ms = unix_ms(now);
+    while (!m_scheduled_jobs.empty() && m_scheduled_jobs.begin()->first <= now_ms) {
+        m_jobs_to_order.insert(m_scheduled_jobs.begin()->second);
+        m_scheduled_jobs.erase(m_scheduled_jobs.begin());
+    }
+    for (const auto& id : m_jobs_to_order) {
+        m_waiting.erase_job(id);
+        if (const auto job = m_jobs.find(id); job != m_jobs.end()) {
+            order_steps_of(now, job->second);
         }
-        const auto* const queue = queue_of(job.spec);
-        if (queue == nullptr) {
-            continue;
+    }
+    m_jobs_to_order.clear();
+}
+
+void dispatcher::order_steps_of(common::time_point now, job_entry& job) {
+    const auto* const queue = queue_of(job.spec);
+    if (queue == nullptr || is_final(job.state) || may_have_unreported_runs(job)) {
+        return;
+    }
+    std::size_t examined = 0;
+    for (auto& occurrence : job.occurrences) {
+        if (!is_due(now, job.spec, occurrence.number)) {
+            m_scheduled_jobs.emplace(due_ms(job.spec, occurrence.number), job.spec.id);
+            break;
         }
-        for (auto& occurrence : job.occurrences) {
-            if (!is_due(now, job.spec, occurrence.number)) {
-                break;
-            }
-            examined += occurrence.steps.size();
-            for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
-                auto& state = occurrence.steps[s];
-                const auto& spec = job.spec.steps[s];
-                if (!state.any_waiting() || !occurrence.ready(job.spec, s) ||
-                    (spec.gang && state.any_current())) {
-                    continue;
-                }
-                mark_ready(now, job, s, state);
-                waiting_step step;
-                step.step = {id, occurrence.number, s, 0};
-                step.spec = &spec;
-                step.queue = queue;
-                step.state = &state;
-                step.since = job.first_seen_at;
-                for (std::uint32_t i = 0; i < state.tasks.size(); ++i) {
-                    const auto& task = state.tasks[i];
-                    if (!task.progress.succeeded && !task.current && now >= task.not_before) {
-                        step.tasks.push_back(i);
-                    }
-                }
-                if (!step.tasks.empty()) {
-                    waiting.push_back(std::move(step));
-                }
+        examined += occurrence.steps.size();
+        for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+            auto& state = occurrence.steps[s];
+            if (!state.any_waiting() || !occurrence.ready(job.spec, s) ||
+                (job.spec.steps[s].gang && state.any_current())) {
+                continue;
             }
+            mark_ready(now, job, s, state);
+            const task_key step{job.spec.id, occurrence.number, s, 0};
+            m_waiting.insert(queue->name, position_of(job, step, state, *queue, m_settings.order));
         }
     }
     m_counters.get("plan_steps_examined_total").add(static_cast<std::int64_t>(examined));
+}
+
+std::optional<waiting_step> dispatcher::find_waiting(common::time_point now, const task_key& step) {
+    auto& job = m_jobs.at(step.job);
+    if (!is_due(now, job.spec, step.occurrence)) {
+        // The wall clock has been set back.
+        m_scheduled_jobs.emplace(due_ms(job.spec, step.occurrence), step.job);
+        return std::nullopt;
+    }
+    auto& state = *job.find_step(step);
+    const auto& spec = job.spec_of(step);
+    if (!state.any_waiting() || (spec.gang && state.any_current())) {
+        return std::nullopt;
+    }
+    waiting_step waiting;
+    waiting.step = step;
+    waiting.spec = &spec;
+    waiting.queue = queue_of(job.spec);
+    waiting.state = &state;
+    for (std::uint32_t i = 0; i < state.tasks.size(); ++i) {
+        const auto& task = state.tasks[i];
+        if (!task.progress.succeeded && !task.current && now >= task.not_before) {
+            waiting.tasks.push_back(i);
+        }
+    }
     return waiting;
 }
 
@@ -112,13 +142,17 @@
     m_unix_offset_ms = unix_ms - common::to_milliseconds(now);
 }
 
+std::int64_t dispatcher::due_ms(const job_spec& spec, std::uint32_t occurrence) {
+    return spec.schedule.first_ms + occurrence * spec.schedule.interval_ms;
+}
+
+std::int64_t dispatcher::unix_ms(common::time_point now) const {
+    return common::to_milliseconds(now) + m_unix_offset_ms;
+}
+
 bool dispatcher::is_due(common::time_point now, const job_spec& spec,
                         std::uint32_t occurrence) const {
-    if (spec.schedule.repeats == 0) {
-        return true;
-    }
-    const auto due = spec.schedule.first_ms + occurrence * spec.schedule.interval_ms;
-    return common::to_milliseconds(now) + m_unix_offset_ms >= due;
+    return spec.schedule.repeats == 0 || unix_ms(now) >= due_ms(spec, occurrence);
 }
 
 std::int64_t dispatcher::objective_ms(const job_entry& job) const {
@@ -140,13 +174,7 @@
                          std::chrono::milliseconds(critical_path_ms(job.spec, step));
 }
 
-void dispatcher::plan(common::time_point now) {
-    auto waiting = collect_waiting(now);
-    if (waiting.empty()) {
-        return;
-    }
-    m_counters.get("plans_total").add();
-    sort_steps(waiting, m_settings.order);
+plan_limits dispatcher::limits_of_plan(common::time_point now) const {
     plan_limits limits;
     limits.pending_starts = m_pending_starts;
     if (m_settings.max_pending_starts > 0) {
@@ -158,12 +186,37 @@
         limits.optional_requests = most - std::min(most, m_advice_calls.size());
     }
     limits.preemption = now >= m_next_preemption;
-    if (limits.preemption) {
-        m_next_preemption = now + preemption_interval;
+    return limits;
+}
+
+void dispatcher::plan(common::time_point now) {
+    order_waiting_steps(now);
+    if (m_waiting.empty()) {
+        return;
     }
+    const auto limits = limits_of_plan(now);
     step_planner planner(collect_free_capacities(now), limits, now);
-    for (const auto& step : waiting) {
-        planner.plan(step);
+    waiting_scan scan(m_waiting);
+    std::size_t examined = 0;
+    std::size_t planned = 0;
+    for (const auto* position = scan.next(); position != nullptr; position = scan.next()) {
+        ++examined;
+        const auto step = find_waiting(now, position->step);
+        if (!step) {
+            scan.report(waiting_scan::outcome::gone);
+            continue;
+        }
+        planned += step->tasks.empty() ? 0U : 1U;
+        const bool placed = !step->tasks.empty() && planner.plan(*step);
+        scan.report(placed ? waiting_scan::outcome::placed : waiting_scan::outcome::blocked);
+    }
+    m_counters.get("plan_steps_examined_total").add(static_cast<std::int64_t>(examined));
+    if (planned == 0) {
+        return;
+    }
+    m_counters.get("plans_total").add();
+    if (limits.preemption) {
+        m_next_preemption = now + preemption_interval;
     }
     const auto result = planner.take();
     m_counters.get("plan_candidates_examined_total")
@@ -240,6 +293,10 @@
     describe_run(now, placed, job, planned.task);
     step.set_current(task, {worker.report.id, planned.run});
     task.progress.last_run = planned.run;
+    if (m_settings.order == placement_order::smallest) {
+        // The position depends on the number of waiting tasks.
+        note_waiting(planned.task.job);
+    }
     if (spec.gang) {
         step.gang_run = planned.run;
         step.gang_since = now;
--- a/source/core/dispatch/dispatcher_recovery.cpp
+++ b/source/core/dispatch/dispatcher_recovery.cpp
@@ -60,6 +60,7 @@
     }
     m_jobs_on_unresponsive_workers = record.jobs_on_unresponsive_workers;
     m_recovered = false;
+    note_all_waiting();
     m_workers_dirty = true;
     m_quorum_outdated = true;
     log_event(severity::info, "owner_begins",
@@ -137,6 +138,7 @@
     if (!m_recovered && m_term_recorded && (m_unadopted.empty() || lapsed)) {
         m_recovered = true;
         m_replan_needed = true;
+        note_all_waiting();
         m_unreported_runs_possible |= !m_unadopted.empty();
         for (auto& entry : m_jobs) {
             if (entry.second.revision < m_fence && m_unreported_runs_possible) {
@@ -162,6 +164,7 @@
                    {"jobs", m_jobs_on_unresponsive_workers.size()}});
         m_unresponsive_workers.clear();
         m_jobs_on_unresponsive_workers.clear();
+        note_all_waiting();
         m_workers_dirty = true;
         m_replan_needed = true;
     }
--- a/source/core/dispatch/dispatcher_runs.cpp
+++ b/source/core/dispatch/dispatcher_runs.cpp
@@ -103,6 +103,7 @@
         return;
     }
     job->second.find_step(run.task)->clear_current(*task);
+    note_waiting(run.task.job);
     task->not_before = now + refused_start_delay;
     m_replan_needed = true;
     if (job->second.spec_of(run.task).gang) {
@@ -328,6 +329,7 @@
         return;
     }
     auto& step = *job.find_step(run.task);
+    note_waiting(run.task.job);
     if (task->current == run_location{worker, run.run}) {
         step.clear_current(*task);
     }
--- a/source/core/dispatch/step_order.h
+++ b/source/core/dispatch/step_order.h
@@ -4,6 +4,7 @@
 #include "core/common/name_table.h"
 #include "core/dispatch/job_entry.h"
 
+#include <compare>
 #include <cstdint>
 #include <vector>
 
@@ -26,10 +27,22 @@
     step_state* state = nullptr;
     /// Tasks that may start now.
     std::vector<std::uint32_t> tasks;
-    common::time_point since;
 };
 
-/// Sorts the steps into placement order.
-void sort_steps(std::vector<waiting_step>& steps, placement_order order);
+/// Place of a step in the placement order; the smallest comes first.
+struct step_position {
+    int rank = 0;
+    common::time_point at;
+    /// The index of the task is 0.
+    task_key step;
+
+    auto operator<=>(const step_position&) const = default;
+};
+
+/// Position of the job's step, which must be ready. It changes only with the queue and, in the
+/// order by size, with the number of waiting tasks.
+[[nodiscard]] step_position position_of(const job_entry& job, const task_key& step,
+                                        const step_state& state, const queue_settings& queue,
+                                        placement_order order);
 
 } // namespace buckthornspar::dispatch
