Reject blocked steps and gangs with one pass over their workers

Cause: in a plan with a backlog, most steps find no room. Each of them compared the service name of every candidate, and a gang made three passes with up to three divisions a worker, searched preemptions among all runs of its workers and sorted their ends, only to find that it does not fit. Change: the workers of a service are found once a plan; candidates without room are dropped at once for steps other than gangs; a step of a queue without tickets is rejected when a smaller one found no room before; a gang is rejected when an upper bound of the members that fit (with stopped and with preemptible runs) is too small; the tasks of a step with a limit for each worker are counted once.

--- a/source/core/dispatch/plan_state.cpp
+++ b/source/core/dispatch/plan_state.cpp
@@ -3,6 +3,7 @@
 #include "core/dispatch/capacity_fit.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace buckthornspar::dispatch {
 
@@ -21,15 +22,36 @@
       limits(plan_limits),
       now(time) {}
 
-bool plan_state::is_eligible(const waiting_step& step, const worker_free_capacity& capacity) const {
-    if (capacity.worker == nullptr) {
+const std::vector<bool>& plan_state::workers_of(const std::string& service) {
+    const auto [position, added] = m_services.try_emplace(service);
+    if (added) {
+        for (const auto& capacity : capacities) {
+            position->second.push_back(capacity.worker != nullptr &&
+                                       capacity.worker->report.service == service);
+        }
+    }
+    return position->second;
+}
+
+bool plan_state::is_eligible(const waiting_step& step, worker_slot w) const {
+    if (!(*m_selected_service)[w]) {
         return false;
     }
-    const auto& report = capacity.worker->report;
-    return report.service == step.queue->service &&
-           (step.spec->required_label.empty() ||
-            report.labels.contains(step.spec->required_label)) &&
-           demand.fits(report.capacity);
+    const auto& report = capacities[w].worker->report;
+    return demand.fits(report.capacity) &&
+           (step.spec->required_label.empty() || report.labels.contains(step.spec->required_label));
+}
+
+void plan_state::add_candidate(const waiting_step& step, worker_slot w,
+                               const ticket_state* ticket) {
+    ++result.candidates_examined;
+    const bool room = demand.fits(capacities[w].free);
+    if ((room || step.spec->gang || !has_eligible_workers) && is_eligible(step, w)) {
+        has_eligible_workers = true;
+        if (room || step.spec->gang) {
+            candidates.push_back({w, ticket});
+        }
+    }
 }
 
 // Collects the workers that are known to be allowed by the queue's policy. Only these are examined,
@@ -37,21 +59,43 @@
 void plan_state::select(const waiting_step& step) {
     demand = step.spec->allocation();
     candidates.clear();
-    result.candidates_examined +=
-        step.queue->needs_tickets ? step.state->tickets.granted.size() : capacities.size();
-    if (!step.queue->needs_tickets) {
-        for (worker_slot w = 0; w < capacities.size(); ++w) {
-            if (is_eligible(step, capacities[w])) {
-                candidates.push_back({w, nullptr});
+    has_eligible_workers = false;
+    m_selected_service = &workers_of(step.queue->service);
+    m_present_tasks.clear();
+    if (step.spec->max_per_worker != 0) {
+        for (const auto& task : step.state->tasks) {
+            if (task.current) {
+                ++m_present_tasks[task.current->worker];
             }
         }
-        return;
     }
-    for (const auto& ticket : step.state->tickets.granted) {
-        if (ticket.worker < capacities.size() && is_eligible(step, capacities[ticket.worker])) {
-            candidates.push_back({ticket.worker, &ticket});
+    if (step.queue->needs_tickets) {
+        for (const auto& ticket : step.state->tickets.granted) {
+            if (ticket.worker < capacities.size()) {
+                add_candidate(step, ticket.worker, &ticket);
+            }
         }
+        return;
     }
+    if (is_rejected(step)) {
+        return;
+    }
+    for (worker_slot w = 0; w < capacities.size(); ++w) {
+        add_candidate(step, w, nullptr);
+    }
+    if (!step.spec->gang && candidates.empty()) {
+        m_rejected.push_back({m_selected_service, step.spec->required_label, demand});
+    }
+}
+
+// The free capacity only falls while a plan is made, so a demand that does not fit now is rejected
+// for the rest of the plan.
+bool plan_state::is_rejected(const waiting_step& step) const {
+    return !step.spec->gang &&
+           std::any_of(m_rejected.begin(), m_rejected.end(), [&](const rejected_demand& known) {
+               return known.service == m_selected_service && known.demand.fits(demand) &&
+                      known.label == step.spec->required_label;
+           });
 }
 
 placement::resources plan_state::available_capacity(const waiting_step& step, worker_slot w) const {
@@ -73,19 +117,20 @@
     if (step.spec->max_per_worker == 0) {
         return unlimited_tasks;
     }
-    std::int64_t present = 0;
-    for (const auto& task : step.state->tasks) {
-        if (task.current && task.current->worker == capacities[w].worker->report.id) {
-            ++present;
-        }
-    }
-    const auto added = m_planned_tasks.find({step.step, w});
-    if (added != m_planned_tasks.end()) {
-        present += added->second;
-    }
+    const auto found = m_present_tasks.find(capacities[w].worker->report.id);
+    const auto present = found == m_present_tasks.end() ? 0 : found->second;
     return std::max<std::int64_t>(0, std::int64_t{step.spec->max_per_worker} - present);
 }
 
+std::int64_t plan_state::total_task_capacity(const waiting_step& step) const {
+    std::int64_t tasks = 0;
+    for (const auto& c : candidates) {
+        tasks += std::min(count_fitting_tasks(demand, capacities[c.worker].worker->report.capacity),
+                          remaining_tasks_on(step, c.worker));
+    }
+    return tasks;
+}
+
 bool plan_state::may_start(std::size_t count) const {
     const auto pending = limits.pending_starts + result.starts.size();
     const auto most = limits.max_pending_starts;
@@ -104,7 +149,7 @@
     }
     capacities[w].free -= demand;
     if (step.spec->max_per_worker != 0) {
-        ++m_planned_tasks[{step.step, w}];
+        ++m_present_tasks[capacities[w].worker->report.id];
     }
     result.starts.push_back(std::move(planned));
 }
--- a/source/core/dispatch/plan_state.h
+++ b/source/core/dispatch/plan_state.h
@@ -10,7 +10,7 @@
 #include <map>
 #include <string>
 #include <string_view>
-#include <utility>
+#include <unordered_map>
 #include <vector>
 
 namespace buckthornspar::dispatch {
@@ -85,10 +85,11 @@
     plan_state(std::vector<worker_free_capacity> free_capacities, const plan_limits& plan_limits,
                common::time_point time);
 
-    /// Selects the step and collects its candidates.
+    /// Selects the step and collects its candidates. Workers without room are left out unless the
+    /// step is a gang, which may reserve capacity that becomes free later.
     void select(const waiting_step& step);
-    [[nodiscard]] bool is_eligible(const waiting_step& step,
-                                   const worker_free_capacity& capacity) const;
+    /// Whether the selected step may ever run on the worker, tickets aside.
+    [[nodiscard]] bool is_eligible(const waiting_step& step, worker_slot w) const;
     [[nodiscard]] bool is_valid(const worker_candidate& c) const {
         return c.ticket == nullptr || c.ticket->expires > now + ticket_margin;
     }
@@ -99,6 +100,8 @@
                                                           worker_slot w) const;
     /// Number of tasks of the step that the worker may still receive.
     [[nodiscard]] std::int64_t remaining_tasks_on(const waiting_step& step, worker_slot w) const;
+    /// Number of tasks of the step that fit on the candidates when these are empty.
+    [[nodiscard]] std::int64_t total_task_capacity(const waiting_step& step) const;
     /// Whether this many further starts may be sent together. A gang that exceeds the limit by
     /// itself need not wait until nothing is pending, which may never be the case beside other
     /// work.
@@ -114,9 +117,27 @@
     // The selected step.
     placement::resources demand;
     std::vector<worker_candidate> candidates;
+    /// The step may run on some worker, with or without room.
+    bool has_eligible_workers = false;
 
 private:
-    std::map<std::pair<task_key, worker_slot>, std::int64_t> m_planned_tasks;
+    /// Steps with this demand or a larger one have no room on any worker that they may use.
+    struct rejected_demand {
+        const std::vector<bool>* service = nullptr;
+        std::string label;
+        placement::resources demand;
+    };
+
+    [[nodiscard]] const std::vector<bool>& workers_of(const std::string& service);
+    [[nodiscard]] bool is_rejected(const waiting_step& step) const;
+    void add_candidate(const waiting_step& step, worker_slot w, const ticket_state* ticket);
+
+    /// Usable workers of each service, by slot.
+    std::map<std::string, std::vector<bool>> m_services;
+    const std::vector<bool>* m_selected_service = nullptr;
+    std::vector<rejected_demand> m_rejected;
+    /// Tasks of the selected step by worker, if their number is limited.
+    std::unordered_map<std::string_view, std::int64_t> m_present_tasks;
 };
 
 } // namespace buckthornspar::dispatch
--- a/source/core/dispatch/step_planner.cpp
+++ b/source/core/dispatch/step_planner.cpp
@@ -140,6 +140,23 @@
         }
         return;
     }
+    // Most gangs of a backlog do not fit, which one pass over the candidates shows.
+    const auto count = static_cast<std::int64_t>(step.spec->count);
+    if (most_fitting_tasks(step, false) >= count && plan_fitting_gang(step)) {
+        return;
+    }
+    if (m_plan.limits.preemption && m_plan.result.preemptions.empty() &&
+        most_fitting_tasks(step, true) >= count && preempt_for_gang(step) &&
+        reserve_after_stops(step)) {
+        return;
+    }
+    m_tickets.request_for_blocked_gang(step);
+    reserve_capacity_for_gang(step);
+}
+
+// Starts the gang, or reserves the capacity on which it fits now or once the stopped runs have
+// ended; false when it does not fit.
+bool step_planner::plan_fitting_gang(const waiting_step& step) {
     const auto available_now = [&](worker_slot w) { return m_plan.available_capacity(step, w); };
     const auto ready = place_gang(step, true, available_now);
     if (!ready.empty()) {
@@ -148,31 +165,60 @@
         } else {
             reserve_now(ready);
         }
-        return;
+        return true;
     }
     // The free capacity is reserved while missing or expired tickets are requested.
     const auto fitting = place_gang(step, false, available_now);
     if (!fitting.empty()) {
         m_tickets.renew_for_gang(step, reserve_now(fitting));
-        return;
+        return true;
     }
-    const auto available_soon = [&](worker_slot w) {
+    return reserve_after_stops(step);
+}
+
+bool step_planner::reserve_after_stops(const waiting_step& step) {
+    const auto soon = place_gang(step, false, [&](worker_slot w) {
         return m_plan.available_capacity(step, w) + m_plan.capacities[w].stopping;
-    };
-    auto soon = place_gang(step, false, available_soon);
-    if (soon.empty() && m_plan.limits.preemption && m_plan.result.preemptions.empty() &&
-        preempt_for_gang(step)) {
-        soon = place_gang(step, false, available_soon);
+    });
+    if (soon.empty()) {
+        return false;
     }
-    if (!soon.empty()) {
-        auto named = reserve_now(soon);
-        if (!has_valid_tickets(step, soon, stop_time)) {
-            m_tickets.renew_for_gang(step, std::move(named));
+    auto named = reserve_now(soon);
+    if (!has_valid_tickets(step, soon, stop_time)) {
+        m_tickets.renew_for_gang(step, std::move(named));
+    }
+    return true;
+}
+
+std::int64_t step_planner::most_fitting_tasks(const waiting_step& step, bool preempting) {
+    std::int64_t tasks = 0;
+    for (const auto& c : m_plan.candidates) {
+        const auto& capacity = m_plan.capacities[c.worker];
+        auto most = capacity.free + capacity.stopping;
+        if (preempting) {
+            most += preemptible_capacity(c.worker, step.queue->priority);
+        }
+        if (m_plan.demand.fits(most)) {
+            tasks += std::min(count_fitting_tasks(m_plan.demand, most),
+                              m_plan.remaining_tasks_on(step, c.worker));
         }
-        return;
     }
-    m_tickets.request_for_blocked_gang(step);
-    reserve_capacity_for_gang(step);
+    return tasks;
+}
+
+const resources& step_planner::preemptible_capacity(worker_slot w, int priority) {
+    auto& by_slot = m_preemptible[priority];
+    by_slot.resize(m_plan.capacities.size());
+    auto& known = by_slot[w];
+    if (!known) {
+        known.emplace();
+        for (const auto& [run, placed] : m_plan.capacities[w].worker->runs) {
+            if (may_preempt(run, placed, priority, m_plan.now)) {
+                *known += placed.demand;
+            }
+        }
+    }
+    return *known;
 }
 
 bool step_planner::has_valid_tickets(const waiting_step& step, const tasks_by_worker& workers,
@@ -234,7 +280,8 @@
 // Reserves capacity for a planned start at the earliest time at which the runs that are expected to
 // have ended leave enough of it.
 void step_planner::reserve_capacity_for_gang(const waiting_step& step) {
-    if (m_reserved_gangs >= max_reserved_gangs) {
+    if (m_reserved_gangs >= max_reserved_gangs ||
+        m_plan.total_task_capacity(step) < static_cast<std::int64_t>(step.spec->count)) {
         return;
     }
     struct release {
--- a/source/core/dispatch/step_planner.h
+++ b/source/core/dispatch/step_planner.h
@@ -5,8 +5,11 @@
 #include "core/dispatch/ticket_planner.h"
 
 #include <cstddef>
+#include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace buckthornspar::dispatch {
@@ -32,6 +35,10 @@
     [[nodiscard]] std::optional<worker_slot> best_worker(const waiting_step& step,
                                                          const task_state& task) const;
     void plan_gang(const waiting_step& step);
+    bool plan_fitting_gang(const waiting_step& step);
+    /// Reserves the capacity on which the gang fits once the stopped runs have ended; false when it
+    /// does not fit.
+    bool reserve_after_stops(const waiting_step& step);
     template <typename CapacityOf>
     [[nodiscard]] tasks_by_worker fit_gang(const waiting_step& step, bool with_valid_ticket,
                                            const std::string* rack, CapacityOf capacity_at) const;
@@ -40,6 +47,10 @@
                                              CapacityOf capacity_at) const;
     [[nodiscard]] bool has_valid_tickets(const waiting_step& step, const tasks_by_worker& workers,
                                          common::duration margin) const;
+    /// Upper bound of the number of tasks that fit once all stopped runs have ended, and those
+    /// that the step may preempt as well.
+    [[nodiscard]] std::int64_t most_fitting_tasks(const waiting_step& step, bool preempting);
+    [[nodiscard]] const placement::resources& preemptible_capacity(worker_slot w, int priority);
     bool preempt_for_gang(const waiting_step& step);
     void start_gang(const waiting_step& step, const tasks_by_worker& workers);
     std::vector<worker_slot> reserve_now(const tasks_by_worker& workers);
@@ -50,6 +61,8 @@
     plan_state m_plan;
     ticket_planner m_tickets{m_plan};
     std::size_t m_reserved_gangs = 0;
+    /// Sum of the runs on each worker that work of a priority may preempt, by slot.
+    std::map<int, std::vector<std::optional<placement::resources>>> m_preemptible;
 };
 
 } // namespace buckthornspar::dispatch
--- a/source/core/dispatch/ticket_planner.cpp
+++ b/source/core/dispatch/ticket_planner.cpp
@@ -65,7 +65,7 @@
     }
     if (!renew.empty()) {
         add_requests(step, renew, "renew");
-    } else if (m_plan.candidates.empty()) {
+    } else if (!m_plan.has_eligible_workers) {
         request_from_unasked(step, "more");
     }
 }
@@ -73,7 +73,7 @@
 std::vector<worker_slot> ticket_planner::unasked(const waiting_step& step) const {
     std::vector<worker_slot> result;
     for (worker_slot w = 0; w < m_plan.capacities.size(); ++w) {
-        if (!step.state->tickets.was_asked(w) && m_plan.is_eligible(step, m_plan.capacities[w])) {
+        if (!step.state->tickets.was_asked(w) && m_plan.is_eligible(step, w)) {
             result.push_back(w);
         }
     }
@@ -125,7 +125,7 @@
     std::size_t calls = 1;
     if (step.spec->gang) {
         const auto missing = gang_capacity_factor * static_cast<std::int64_t>(step.spec->count) -
-                             total_task_capacity(step);
+                             m_plan.total_task_capacity(step);
         const auto named =
             std::max<std::int64_t>(1, missing) * workers_named_per_grant / tasks_per_worker;
         calls = std::clamp<std::size_t>(1 + static_cast<std::size_t>(named) /
@@ -190,21 +190,10 @@
 
 // A gang that needs most of its granted workers to be empty at the same time may never start.
 bool ticket_planner::has_sufficient_capacity(const waiting_step& step) const {
-    return total_task_capacity(step) >=
+    return m_plan.total_task_capacity(step) >=
            gang_capacity_factor * static_cast<std::int64_t>(step.spec->count);
 }
 
-// Number of gang members that fit on the granted workers when these are empty.
-std::int64_t ticket_planner::total_task_capacity(const waiting_step& step) const {
-    std::int64_t tasks = 0;
-    for (const auto& c : m_plan.candidates) {
-        tasks += std::min(
-            count_fitting_tasks(m_plan.demand, m_plan.capacities[c.worker].worker->report.capacity),
-            m_plan.remaining_tasks_on(step, c.worker));
-    }
-    return tasks;
-}
-
 void ticket_planner::renew_for_gang(const waiting_step& step, std::vector<worker_slot> workers) {
     if (!may_request(step)) {
         return;
--- a/source/core/dispatch/ticket_planner.h
+++ b/source/core/dispatch/ticket_planner.h
@@ -37,7 +37,6 @@
     bool renew_expiring(const waiting_step& step);
     void request_from_free(const waiting_step& step);
     [[nodiscard]] bool has_sufficient_capacity(const waiting_step& step) const;
-    [[nodiscard]] std::int64_t total_task_capacity(const waiting_step& step) const;
 
     plan_state& m_plan;
 };
