Find the tasks of a step only when one of them may start

Cause: a plan listed all waiting tasks of each step that it examined, although most steps of a backlog find no room for the first one; a gang that asks about workers with room looked at all others too. Change: a step carries its first task that may start, and the planner finds the others while it places them; workers without room are dropped first. Evidence: the digests of decisions_with_a_small_backlog_are_unchanged are unchanged.

--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -187,9 +187,11 @@
     void note_all_waiting();
     void order_waiting_steps(common::time_point now);
     void order_steps_of(common::time_point now, job_entry& job);
-    /// Absent when no task of the step is waiting.
-    [[nodiscard]] std::optional<waiting_step> find_waiting(common::time_point now,
-                                                           const task_key& step);
+    /// Whether tasks of the step wait, now or after a delay.
+    [[nodiscard]] bool is_waiting(common::time_point now, const task_key& step);
+    /// Absent when all waiting tasks of the step are delayed.
+    [[nodiscard]] std::optional<waiting_step> find_startable(common::time_point now,
+                                                             const task_key& step);
     [[nodiscard]] static std::int64_t due_ms(const job_spec& spec, std::uint32_t occurrence);
     [[nodiscard]] std::int64_t unix_ms(common::time_point now) const;
     [[nodiscard]] std::vector<worker_free_capacity> collect_free_capacities(common::time_point now);
--- a/source/core/dispatch/dispatcher_plan.cpp
+++ b/source/core/dispatch/dispatcher_plan.cpp
@@ -112,30 +112,28 @@
     m_counters.get("plan_steps_examined_total").add(static_cast<std::int64_t>(examined));
 }
 
-std::optional<waiting_step> dispatcher::find_waiting(common::time_point now, const task_key& step) {
+bool dispatcher::is_waiting(common::time_point now, const task_key& step) {
     auto& job = m_jobs.at(step.job);
     if (!is_due(now, job.spec, step.occurrence)) {
         // The wall clock has been set back.
         m_scheduled_jobs.emplace(due_ms(job.spec, step.occurrence), step.job);
-        return std::nullopt;
+        return false;
     }
+    const auto& state = *job.find_step(step);
+    return state.any_waiting() && !(job.spec_of(step).gang && state.any_current());
+}
+
+std::optional<waiting_step> dispatcher::find_startable(common::time_point now,
+                                                       const task_key& step) {
+    auto& job = m_jobs.at(step.job);
     auto& state = *job.find_step(step);
-    const auto& spec = job.spec_of(step);
-    if (!state.any_waiting() || (spec.gang && state.any_current())) {
+    const auto first = std::find_if(state.tasks.begin(), state.tasks.end(),
+                                    [now](const task_state& task) { return task.may_start(now); });
+    if (first == state.tasks.end()) {
         return std::nullopt;
     }
-    waiting_step waiting;
-    waiting.step = step;
-    waiting.spec = &spec;
-    waiting.queue = queue_of(job.spec);
-    waiting.state = &state;
-    for (std::uint32_t i = 0; i < state.tasks.size(); ++i) {
-        const auto& task = state.tasks[i];
-        if (!task.progress.succeeded && !task.current && now >= task.not_before) {
-            waiting.tasks.push_back(i);
-        }
-    }
-    return waiting;
+    return waiting_step{step, &job.spec_of(step), queue_of(job.spec), &state,
+                        static_cast<std::uint32_t>(first - state.tasks.begin())};
 }
 
 void dispatcher::on_wall_clock(common::time_point now, std::int64_t unix_ms) {
@@ -201,13 +199,13 @@
     std::size_t planned = 0;
     for (const auto* position = scan.next(); position != nullptr; position = scan.next()) {
         ++examined;
-        const auto step = find_waiting(now, position->step);
-        if (!step) {
+        if (!is_waiting(now, position->step)) {
             scan.report(waiting_scan::outcome::gone);
             continue;
         }
-        planned += step->tasks.empty() ? 0U : 1U;
-        const bool placed = !step->tasks.empty() && planner.plan(*step);
+        const auto step = find_startable(now, position->step);
+        planned += step ? 1U : 0U;
+        const bool placed = step && planner.plan(*step);
         scan.report(placed ? waiting_scan::outcome::placed : waiting_scan::outcome::blocked);
     }
     m_counters.get("plan_steps_examined_total").add(static_cast<std::int64_t>(examined));
--- a/source/core/dispatch/job_entry.h
+++ b/source/core/dispatch/job_entry.h
@@ -26,6 +26,10 @@
     common::time_point not_before;
     /// Workers on which the task has failed; others are preferred.
     std::set<std::string> failed_on;
+
+    [[nodiscard]] bool may_start(common::time_point now) const {
+        return !progress.succeeded && !current && now >= not_before;
+    }
 };
 
 struct ticket_state {
--- a/source/core/dispatch/step_order.h
+++ b/source/core/dispatch/step_order.h
@@ -6,7 +6,6 @@
 
 #include <compare>
 #include <cstdint>
-#include <vector>
 
 namespace buckthornspar::dispatch {
 
@@ -19,14 +18,14 @@
 inline constexpr common::name_table<placement_order, 3> placement_order_names{
     "placement order", {"arrival", "deadline", "smallest"}};
 
-/// A step with waiting tasks.
+/// A step with a task that may start now.
 struct waiting_step {
     task_key step;
     const step_spec* spec = nullptr;
     const queue_settings* queue = nullptr;
     step_state* state = nullptr;
-    /// Tasks that may start now.
-    std::vector<std::uint32_t> tasks;
+    /// The first of the tasks that may start now.
+    std::uint32_t first_task = 0;
 };
 
 /// Place of a step in the placement order; the smallest comes first.
--- a/source/core/dispatch/step_planner.cpp
+++ b/source/core/dispatch/step_planner.cpp
@@ -35,8 +35,12 @@
 }
 
 void step_planner::plan_tasks(const waiting_step& step) {
-    std::size_t placed = 0;
-    for (const auto index : step.tasks) {
+    const auto& tasks = step.state->tasks;
+    for (auto index = step.first_task; index < tasks.size(); ++index) {
+        const auto& task = tasks[index];
+        if (!task.may_start(m_plan.now)) {
+            continue;
+        }
         if (!m_plan.may_start(1)) {
             // Tickets for starts that cannot be sent would expire unused.
             if (step.state->tickets.asked.empty()) {
@@ -44,17 +48,13 @@
             }
             return;
         }
-        const auto& task = step.state->tasks[index];
         const auto worker = best_worker(step, task);
         if (!worker) {
             // All tasks of a step have the same demand, so no further one fits either.
-            break;
+            m_tickets.request_for_tasks(step);
+            return;
         }
         m_plan.start(step, index, *worker, task.progress.last_run + 1);
-        ++placed;
-    }
-    if (placed < step.tasks.size()) {
-        m_tickets.request_for_tasks(step);
     }
 }
 
@@ -131,7 +131,9 @@
 }
 
 void step_planner::plan_gang(const waiting_step& step) {
-    if (step.tasks.size() < step.spec->count) {
+    const auto& tasks = step.state->tasks;
+    if (!std::all_of(tasks.begin(), tasks.end(),
+                     [this](const task_state& task) { return task.may_start(m_plan.now); })) {
         return;
     }
     if (step.queue->needs_tickets && step.state->tickets.asked.empty()) {
--- a/source/core/dispatch/ticket_planner.cpp
+++ b/source/core/dispatch/ticket_planner.cpp
@@ -70,10 +70,14 @@
     }
 }
 
+bool ticket_planner::is_unasked(const waiting_step& step, worker_slot w) const {
+    return !step.state->tickets.was_asked(w) && m_plan.is_eligible(step, w);
+}
+
 std::vector<worker_slot> ticket_planner::unasked(const waiting_step& step) const {
     std::vector<worker_slot> result;
     for (worker_slot w = 0; w < m_plan.capacities.size(); ++w) {
-        if (!step.state->tickets.was_asked(w) && m_plan.is_eligible(step, w)) {
+        if (is_unasked(step, w)) {
             result.push_back(w);
         }
     }
@@ -163,8 +167,9 @@
         missing -= count_fitting_tasks(m_plan.demand, m_plan.available_capacity(step, c.worker));
     }
     std::vector<worker_slot> free;
-    for (const auto w : unasked(step)) {
-        if (m_plan.demand.fits(m_plan.available_capacity(step, w))) {
+    for (worker_slot w = 0; w < m_plan.capacities.size(); ++w) {
+        if (m_plan.demand.fits(m_plan.capacities[w].free) && is_unasked(step, w) &&
+            m_plan.demand.fits(m_plan.available_capacity(step, w))) {
             free.push_back(w);
         }
     }
--- a/source/core/dispatch/ticket_planner.h
+++ b/source/core/dispatch/ticket_planner.h
@@ -29,6 +29,7 @@
                        common::time_point start);
 
 private:
+    [[nodiscard]] bool is_unasked(const waiting_step& step, worker_slot w) const;
     [[nodiscard]] std::vector<worker_slot> unasked(const waiting_step& step) const;
     void add_requests(const waiting_step& step, std::vector<worker_slot> workers,
                       std::string_view reason, std::size_t calls = 1);
