--- a/source/programs/buckthornspar-bench/plan_backlog.cpp
+++ b/source/programs/buckthornspar-bench/plan_backlog.cpp
@@ -81,7 +81,7 @@
         report.id = id;
         report.service = "service";
         report.address = {"10.0.0.1", 1};
-        report.capacity = {worker_cores * cores, 128 * 1024, 0};
+        report.capacity = {worker_cores * cores, std::int64_t{128} * 1024, 0};
         report.start_time_ms = 1000;
         report.clock_ms = 5000;
         return report;
