--- a/tests/unit/dispatch/backlog_test.cpp
+++ b/tests/unit/dispatch/backlog_test.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-// A decision may take 1 ms (design, 1.7). With an assumed 1 us for a step and 5 ns for a worker that
-// is examined for it, this is the most that a plan may examine. The time itself is measured by
+// A decision may take 1 ms (design, 1.7). With an assumed 1 us for a step and 5 ns for a worker
+// that is examined for it, this is the most that a plan may examine. The time itself is measured by
 // buckthornspar-bench plan-backlog.
 constexpr std::int64_t max_steps_per_plan = 1000;
 constexpr std::int64_t max_candidates_per_plan = 200'000;
