Send requests and responses at once on the event loop's thread

Callers saw: owners that lose their key one after the other beside load (RECOVER). Cause of this part: http_client::send() and the reply of http_server posted a task that did the writing, so that each message waited twice behind everything that was ready: once as a timer or received message, once as the posted task. That includes the renewal of the owner's lease. Change: both dispatch, which runs at once on the loop's thread and posts from other threads as before. A call that fails before anything is sent (full pool, unusable address) still completes after send() has returned. Evidence: a_request_is_sent_before_what_is_ready_in_the_event_loop failed with post in place of dispatch (nothing arrived within 2 s); a_call_completes_after_send_has_returned guards the second part. Measured: unit tests of net and service pass.

--- a/source/core/net/http_client.cpp
+++ b/source/core/net/http_client.cpp
@@ -4,6 +4,7 @@
 #include "core/net/event_loop.h"
 #include "core/net/read_message.h"
 
+#include <boost/asio/dispatch.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -98,7 +99,7 @@
         connection_pool& pool = m_client->pools[m_to];
         if (pool.busy >= m_client->limits.max_connections_per_endpoint) {
             m_finished = true;
-            finish(http_failure{http_failure_kind::pool_exhausted, false});
+            finish_later(http_failure{http_failure_kind::pool_exhausted, false});
             return;
         }
         ++pool.busy;
@@ -142,7 +143,9 @@
         beast::error_code bad_address;
         const auto address = asio::ip::make_address(m_to.address, bad_address);
         if (bad_address) {
-            fail(http_failure_kind::connect_failed);
+            m_finished = true;
+            --m_client->pools[m_to].busy;
+            finish_later(http_failure{http_failure_kind::connect_failed, false});
             return;
         }
         m_stream->expires_after(m_client->limits.connect_timeout);
@@ -216,6 +219,12 @@
         finish(std::move(response));
     }
 
+    // A call must not complete before send() has returned.
+    void finish_later(http_failure failure) {
+        asio::post(m_client->context,
+                   [self = shared_from_this(), failure] { self->finish(failure); });
+    }
+
     void finish(http_result result) {
         m_deadline.cancel();
         const auto self = shared_from_this();
@@ -273,8 +282,10 @@
 std::uint64_t http_client::send(const endpoint& to, http_request request, common::duration timeout,
                                 http_completion complete) {
     const std::uint64_t id = m_state->next_id.fetch_add(1);
-    asio::post(m_state->context, [s = m_state, id, to, request = std::move(request), timeout,
-                                  complete = std::move(complete)]() mutable {
+    // On the loop's thread the request is sent at once, and not behind all that is ready: a busy
+    // loop would delay it twice, as a timer or response and as a request.
+    asio::dispatch(m_state->context, [s = m_state, id, to, request = std::move(request), timeout,
+                                      complete = std::move(complete)]() mutable {
         const auto e = std::make_shared<exchange>(s, id, to, std::move(complete));
         s->exchanges.emplace(id, e);
         e->start(request, timeout);
--- a/source/core/net/http_server.cpp
+++ b/source/core/net/http_server.cpp
@@ -5,6 +5,7 @@
 #include "core/net/net_error.h"
 #include "core/net/read_message.h"
 
+#include <boost/asio/dispatch.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -174,10 +175,12 @@
             if (reply_called->exchange(true)) {
                 return;
             }
-            asio::post(self->m_server->context,
-                       [self, guard, response = std::move(response)]() mutable {
-                           self->write(std::move(response), std::move(guard));
-                       });
+            // On the loop's thread the response is written at once, and not behind all that is
+            // ready.
+            asio::dispatch(self->m_server->context,
+                           [self, guard, response = std::move(response)]() mutable {
+                               self->write(std::move(response), std::move(guard));
+                           });
         };
         m_partial_request_guard.reset();
         try {
--- a/tests/unit/net/http_test.cpp
+++ b/tests/unit/net/http_test.cpp
@@ -8,6 +8,8 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <atomic>
+#include <chrono>
 #include <future>
 #include <string>
 #include <thread>
@@ -25,7 +27,10 @@
 
 class echo_handler final : public http_handler {
 public:
+    std::atomic<unsigned> requests{0};
+
     void handle(http_request request, http_reply reply) override {
+        ++requests;
         if (request.path() == "/throws") {
             throw std::length_error("unexpected");
         }
@@ -187,6 +192,56 @@
     BOOST_TEST(handlers <= 20U);
 }
 
+// Pattern: saturated owner. Guards against a renewal of the lease that is sent late, because each
+// request waits once more behind all that is ready in a busy event loop.
+BOOST_AUTO_TEST_CASE(a_request_is_sent_before_what_is_ready_in_the_event_loop) {
+    event_loop client_loop;
+    http_client separate_client(client_loop, {});
+    unsigned answers = 0;
+    const auto send = [&] {
+        http_request request;
+        request.target = "/a";
+        separate_client.send({"127.0.0.1", server.port()}, request, 10s,
+                             [&](const http_result&) { ++answers; });
+    };
+    send();
+    while (answers == 0 && client_loop.context().run_one_for(5s) > 0) {
+    }
+    // The connection is idle now, so that the request needs no further step.
+    const unsigned before = handler.requests;
+    unsigned arrived = 0;
+    client_loop.post(send);
+    client_loop.post([&] {
+        const auto end = std::chrono::steady_clock::now() + 2s;
+        while (arrived == 0 && std::chrono::steady_clock::now() < end) {
+            std::this_thread::sleep_for(5ms);
+            arrived = handler.requests - before;
+        }
+    });
+    while (answers == 1 && client_loop.context().run_one_for(5s) > 0) {
+    }
+    BOOST_TEST(arrived == 1U);
+    BOOST_TEST(answers == 2U);
+}
+
+// Guards against a failure that is reported while the request is still being sent: its caller would
+// be called from within its own call.
+BOOST_AUTO_TEST_CASE(a_call_completes_after_send_has_returned) {
+    bool returned = false;
+    bool completed_early = false;
+    std::promise<void> done;
+    loop.post([&] {
+        client.send({"not an address", 1}, {}, 1s, [&](const http_result& result) {
+            completed_early = !returned;
+            BOOST_TEST(std::holds_alternative<http_failure>(result));
+            done.set_value();
+        });
+        returned = true;
+    });
+    done.get_future().wait();
+    BOOST_TEST(!completed_early);
+}
+
 // Guards against a stop that closes a persistent connection on which a request is arriving.
 BOOST_AUTO_TEST_CASE(request_right_after_stop_gets_response_with_connection_close) {
     BOOST_REQUIRE(std::holds_alternative<http_response>(call({})));
