Keep the ownership behind a busy event loop, and decide nothing after the lease without reading the key

Cause: the owner sent a renewal 350 ms after the answer to the last one, by a timer of the event loop that also plans. A slow answer, a lost one or a late timer left too little of the lease of 1.2 s. On the other side, nothing compared the time with the end of the lease: after a pause the owner went on with its orders until the watch told it of its successor. Change: renewals are sent every 350 ms whether answers have come or not, and also before each round of decisions when one is due. An owner whose lease has run out by its own clock (sending of the last successful renewal plus the lease) first reads its key; it goes on at once only while calls to the store have just failed within their time limit, because no key can be read then. A planned stop ends when the ownership is lost while the last changes are recorded. Safety does not rest on this clock, which may not count a suspension: workers refuse the lower fence and starts that are no longer valid on their own clocks, as before. Evidence: with renewals after answers, without the renewal and the check in may_act(), and without the gate in the controller, slow_answers_do_not_delay_renewals, a_busy_event_loop_does_not_delay_renewals, an_owner_whose_lease_has_run_out_reads_its_key_first, an_owner_that_still_has_its_key_goes_on_after_a_pause and an_unconfirmed_owner_starts_nothing failed; a_planned_stop_ends_when_the_ownership_is_lost failed without the line in end().

--- a/source/core/service/node_application.cpp
+++ b/source/core/service/node_application.cpp
@@ -176,6 +176,7 @@
                    std::function<void(dispatch::poll_result)> complete) {
                 m_peers.poll_worker(worker, order, std::move(complete));
             },
+            [this] { return m_election->may_act(); },
             [this](std::string_view reason) {
                 if (m_election) {
                     m_election->mark_lost(reason);
--- a/source/core/service/owner_controller.cpp
+++ b/source/core/service/owner_controller.cpp
@@ -20,6 +20,8 @@
 constexpr auto commit_retry_delay = std::chrono::milliseconds(80);
 // The counts of pending jobs are not reported while the watch of new jobs is further behind.
 constexpr auto max_pending_jobs_age = std::chrono::milliseconds(2500);
+// Time between two checks whether an ownership whose lease may have run out has been confirmed.
+constexpr auto confirmation_check_interval = std::chrono::milliseconds(10);
 // With a longer delay of the event loop a call that fails does not show an outage of the store.
 constexpr auto max_delay_of_outage = std::chrono::milliseconds(250);
 // Maximum number of expired job records that one commit removes, and the time for which they are
@@ -58,6 +60,10 @@
     if (m_worker_watcher) {
         m_worker_watcher->stop();
     }
+    if (m_on_drained) {
+        // A planned stop that waits for the last commits: the next owner makes them.
+        m_env.loop.post(std::exchange(m_on_drained, nullptr));
+    }
 }
 
 void owner_controller::on_queues(const std::vector<queue_settings>& queues) {
@@ -117,6 +123,10 @@
         m_process_again = true;
         return;
     }
+    if (!m_env.may_act()) {
+        schedule_wakeup(m_env.clock.now() + confirmation_check_interval);
+        return;
+    }
     m_processing = true;
     do {
         m_process_again = false;
--- a/source/core/service/owner_controller.h
+++ b/source/core/service/owner_controller.h
@@ -40,6 +40,8 @@
     std::function<void(const net::endpoint& worker, const dispatch::poll_order& order,
                        std::function<void(dispatch::poll_result)> complete)>
         poll_through_peer;
+    /// See owner_election::may_act().
+    std::function<bool()> may_act;
     /// The ownership is lost: the owner key has changed, or a worker has accepted a higher fence.
     std::function<void(std::string_view reason)> report_lost;
     /// The job directory has new entries.
--- a/source/core/service/owner_election.cpp
+++ b/source/core/service/owner_election.cpp
@@ -26,6 +26,9 @@
 // answer; two in a row are reported.
 constexpr common::duration failed_renewal_retry_delay = std::chrono::milliseconds(100);
 constexpr unsigned failed_renewals_to_report = 2;
+// Calls to the store that fail do so within 0.7 s. A failure that is handled later than this shows
+// a pause of the process or a busy event loop, and not a store that does not respond.
+constexpr auto max_failure_time = std::chrono::milliseconds(1000);
 constexpr auto claim_retry_delay = std::chrono::milliseconds(200);
 // The watch may wait this long because most ends of an ownership are detected earlier: the owner
 // reports that it has resigned, or its port refuses connections.
@@ -110,8 +113,8 @@
         m_is_owner = true;
         m_won_fence = m_owner->fence;
         log_event(severity::info, "owner_won", {{"fence", m_owner->fence}});
+        begin_renewals();
         m_listener.on_elected(*m_owner);
-        renew();
         return;
     }
     schedule_claim_if_vacant();
@@ -139,7 +142,8 @@
         m_claim_pending = false;
         return;
     }
-    m_store.open_lease(m_settings.lease, [self = shared_from_this()](const store_result& result) {
+    m_store.open_lease(m_settings.lease, [self = shared_from_this(),
+                                          sent_at = m_clock.now()](const store_result& result) {
         if (result.status != store_status::ok) {
             self->m_loop.post_after(claim_retry_delay, [self] {
                 self->m_claim_pending = false;
@@ -147,7 +151,7 @@
             });
             return;
         }
-        self->commit_claim(result.lease);
+        self->commit_claim(result.lease, sent_at);
     });
 }
 
@@ -171,7 +175,7 @@
     schedule_claim_if_vacant();
 }
 
-void owner_election::commit_claim(std::uint64_t lease) {
+void owner_election::commit_claim(std::uint64_t lease, common::time_point opened_at) {
     if (owned_by_other_node() || m_stopping) {
         // Another node has claimed the ownership while the lease was being opened.
         m_claim_pending = false;
@@ -179,6 +183,7 @@
         return;
     }
     m_lease = lease;
+    m_lease_opened_at = opened_at;
     dispatch::store_commit change;
     change.expect.push_back({std::string(owner_key), m_revision});
     change.put.push_back({std::string(owner_key), write_owner(m_settings), lease});
@@ -204,28 +209,114 @@
     });
 }
 
-void owner_election::renew() {
-    if (!m_is_owner) {
+void owner_election::begin_renewals() {
+    m_failed_renewals = 0;
+    m_failed_at.reset();
+    m_renewed_at = m_lease_opened_at;
+    m_confirmed_until = m_lease_opened_at + m_settings.lease;
+    m_next_renewal = m_clock.now();
+    renew_if_due();
+}
+
+// Renewals follow each other at a fixed interval and do not wait for the answer of the last one: a
+// lost answer alone would use up more than half of the lease.
+void owner_election::renew_if_due() {
+    const auto now = m_clock.now();
+    if (!m_is_owner || now < m_next_renewal) {
         return;
     }
-    m_store.keep_lease(
-        m_lease, [self = shared_from_this(), lease = m_lease](const store_result& result) {
-            if (!self->m_is_owner || lease != self->m_lease) {
-                return;
-            }
-            if (result.status == store_status::not_found) {
-                self->mark_lost("lease_ended");
-                self->schedule_claim_if_vacant();
-                return;
-            }
-            const bool renewed = result.status == store_status::ok;
-            self->m_failed_renewals = renewed ? 0 : self->m_failed_renewals + 1;
-            if (self->m_failed_renewals >= failed_renewals_to_report && self->m_owner) {
-                self->m_listener.on_renewals_failing(*self->m_owner);
-            }
-            const auto pause = renewed ? self->m_settings.renewal : failed_renewal_retry_delay;
-            self->m_loop.post_after(pause, [self] { self->renew(); });
-        });
+    m_next_renewal = now + m_settings.renewal;
+    schedule_renewal(m_next_renewal);
+    m_store.keep_lease(m_lease, [self = shared_from_this(), lease = m_lease,
+                                 sent_at = now](const store_result& result) {
+        self->on_renewal(lease, sent_at, result);
+    });
+}
+
+void owner_election::schedule_renewal(common::time_point due) {
+    m_loop.post_after(due - m_clock.now(), [self = shared_from_this()] { self->renew_if_due(); });
+}
+
+void owner_election::on_renewal(std::uint64_t lease, common::time_point sent_at,
+                                const store_result& result) {
+    if (!m_is_owner || lease != m_lease) {
+        return;
+    }
+    if (result.status == store_status::not_found) {
+        mark_lost("lease_ended");
+        schedule_claim_if_vacant();
+        return;
+    }
+    if (result.status == store_status::ok) {
+        m_failed_renewals = 0;
+        m_failed_at.reset();
+        m_renewed_at = std::max(m_renewed_at, sent_at);
+        m_confirmed_until = std::max(m_confirmed_until, sent_at + m_settings.lease);
+        return;
+    }
+    if (sent_at < m_renewed_at) {
+        // A later renewal has succeeded.
+        return;
+    }
+    record_failure(sent_at);
+    ++m_failed_renewals;
+    if (m_failed_renewals >= failed_renewals_to_report && m_owner) {
+        m_listener.on_renewals_failing(*m_owner);
+    }
+    const auto retry_at = m_clock.now() + failed_renewal_retry_delay;
+    if (retry_at < m_next_renewal) {
+        m_next_renewal = retry_at;
+        schedule_renewal(retry_at);
+    }
+}
+
+void owner_election::record_failure(common::time_point sent_at) {
+    const auto now = m_clock.now();
+    if (now - sent_at < max_failure_time) {
+        m_failed_at = now;
+    }
+}
+
+bool owner_election::may_act() {
+    renew_if_due();
+    const auto now = m_clock.now();
+    if (!m_is_owner || now < m_confirmed_until) {
+        return m_is_owner;
+    }
+    if (m_failed_at && now - *m_failed_at < max_failure_time) {
+        return true;
+    }
+    read_owner_key();
+    return false;
+}
+
+// After a pause of the process another node may be the owner, and the watch may not have delivered
+// its key yet. While calls to the store fail, the key cannot be read, and the owner's authority
+// over the workers decides.
+void owner_election::read_owner_key() {
+    if (m_key_read_pending) {
+        return;
+    }
+    m_key_read_pending = true;
+    log_event(severity::info, "owner_lease_uncertain", {{"fence", m_won_fence}});
+    m_store.read(std::string(owner_key), [self = shared_from_this(), fence = m_won_fence,
+                                          sent_at = m_clock.now()](const store_result& result) {
+        self->m_key_read_pending = false;
+        if (!self->m_is_owner || self->m_won_fence != fence) {
+            return;
+        }
+        if (result.status == store_status::ok && !result.items.empty()) {
+            self->on_item(result.items.front(), result.revision);
+        } else if (result.status == store_status::not_found) {
+            self->on_item(std::nullopt, result.revision);
+        } else {
+            self->record_failure(sent_at);
+            return;
+        }
+        // The answer to the next renewal is due by then.
+        self->m_confirmed_until =
+            std::max(self->m_confirmed_until, self->m_clock.now() + self->m_settings.renewal);
+    });
 }
 
 void owner_election::mark_lost(std::string_view reason) {
--- a/source/core/service/owner_election.h
+++ b/source/core/service/owner_election.h
@@ -65,6 +65,11 @@
     void resign(std::function<void()> complete);
     /// Whether this node may claim the ownership; it may once it has a configuration.
     void set_candidate(bool candidate);
+    /// Whether the owner may decide now. Called before each round of decisions: sends a renewal
+    /// that is due, because timers are late in a busy event loop. False after the lease has run out
+    /// by this node's clock, until a call to the store shows the ownership or the store does not
+    /// respond.
+    [[nodiscard]] bool may_act();
 
     [[nodiscard]] const std::optional<owner_record>& owner() const { return m_owner; }
     [[nodiscard]] bool is_owner() const { return m_is_owner; }
@@ -75,13 +80,20 @@
     [[nodiscard]] bool owned_by_other_node() const;
     void schedule_claim_if_vacant();
     void claim();
-    void commit_claim(std::uint64_t lease);
-    void renew();
+    void commit_claim(std::uint64_t lease, common::time_point opened_at);
+    void begin_renewals();
+    void renew_if_due();
+    void schedule_renewal(common::time_point due);
+    void on_renewal(std::uint64_t lease, common::time_point sent_at,
+                    const dispatch::store_result& result);
+    void record_failure(common::time_point sent_at);
+    void read_owner_key();
 
     dispatch::shared_store& m_store;
     net::event_loop& m_loop;
     election_settings m_settings;
     listener m_listener;
+    common::system_clock m_clock;
     std::shared_ptr<prefix_watcher> m_watcher;
     common::rng m_rng;
     std::optional<owner_record> m_owner;
@@ -90,6 +102,14 @@
     /// Store revision of the newest information about the key.
     std::uint64_t m_known_at = 0;
     std::uint64_t m_lease = 0;
+    common::time_point m_lease_opened_at;
+    common::time_point m_next_renewal;
+    /// When the last successful renewal was sent.
+    common::time_point m_renewed_at;
+    /// The lease has certainly not run out before this time.
+    common::time_point m_confirmed_until;
+    /// Last call that failed within its time limit since the last successful renewal.
+    std::optional<common::time_point> m_failed_at;
     /// Fence of the last ownership that was lost; its key can remain in the store until the lease
     /// expires.
     std::uint64_t m_lost_fence = 0;
@@ -103,6 +123,7 @@
     bool m_claim_pending = false;
     bool m_is_owner = false;
     bool m_stopping = false;
+    bool m_key_read_pending = false;
 };
 
 } // namespace buckthornspar::service
--- a/tests/fakes/fake_shared_store.h
+++ b/tests/fakes/fake_shared_store.h
@@ -13,8 +13,8 @@
 namespace buckthornspar::fakes {
 
 /// In-memory implementation of the shared store on one event loop. Responses are delivered on the
-/// loop after `delay`. Commits and leases follow the store's contract, except that leases do not
-/// expire: they end only by end_lease().
+/// loop after `delay`. Commits and leases follow the store's contract, except that leases expire
+/// only when leases_expire is set; otherwise they end only by end_lease().
 class fake_shared_store final : public dispatch::shared_store {
 public:
     explicit fake_shared_store(net::event_loop& loop) : m_loop(loop) {}
@@ -26,14 +26,17 @@
     unsigned commits = 0;
     bool reads_fail = false;
     bool renewals_fail = false;
-    /// No call is answered: watches, commits and renewals complete as unknown.
+    /// No call is answered: reads, watches, commits and renewals complete as unknown.
     bool fail_calls = false;
+    /// Leases that are not renewed in time end with their keys.
+    bool leases_expire = false;
+    unsigned renewals = 0;
     /// Answers to watch calls wait until this is false and release_watches() is called.
     bool hold_watches = false;
 
     void read(const std::string& key, dispatch::store_completion complete) override {
         dispatch::store_result result;
-        if (reads_fail) {
+        if (reads_fail || fail_calls) {
             result.status = dispatch::store_status::unknown;
             answer(std::move(complete), std::move(result));
             return;
@@ -94,14 +97,17 @@
         answer(std::move(complete), apply(change));
     }
 
-    void open_lease(common::duration /*ttl*/, dispatch::store_completion complete) override {
+    void open_lease(common::duration ttl, dispatch::store_completion complete) override {
         dispatch::store_result result;
         result.status = dispatch::store_status::ok;
         result.lease = ++m_last_lease;
+        m_leases[result.lease].ttl = ttl;
+        extend_lease(result.lease);
         answer(std::move(complete), std::move(result));
     }
 
-    void keep_lease(std::uint64_t /*lease*/, dispatch::store_completion complete) override {
+    void keep_lease(std::uint64_t lease, dispatch::store_completion complete) override {
+        ++renewals;
         if (fail_calls) {
             answer(std::move(complete), {});
             return;
@@ -110,19 +116,17 @@
             answer(std::move(complete), {dispatch::store_status::unavailable, {}, {}, false, 0, 0});
             return;
         }
+        end_lease_if_expired(lease);
+        if (!m_leases.contains(lease)) {
+            answer(std::move(complete), {dispatch::store_status::not_found, {}, {}, false, 0, 0});
+            return;
+        }
+        extend_lease(lease);
         answer(std::move(complete), {dispatch::store_status::ok, {}, {}, false, 0, 0});
     }
 
     void end_lease(std::uint64_t lease, dispatch::store_completion complete) override {
-        std::vector<std::string> keys;
-        for (const auto& [key, stored] : m_items) {
-            if (stored.lease == lease) {
-                keys.push_back(key);
-            }
-        }
-        for (const auto& key : keys) {
-            remove(key);
-        }
+        remove_lease(lease);
         answer(std::move(complete), {dispatch::store_status::ok, {}, {}, false, 0, 0});
     }
 
@@ -200,6 +204,38 @@
         std::uint64_t id = 0;
     };
 
+    struct open_lease_state {
+        common::duration ttl{0};
+        common::time_point expires;
+    };
+
+    void extend_lease(std::uint64_t lease) {
+        auto& state = m_leases[lease];
+        state.expires = m_clock.now() + state.ttl;
+        m_loop.post_after(state.ttl, [this, lease] { end_lease_if_expired(lease); });
+    }
+
+    void end_lease_if_expired(std::uint64_t lease) {
+        const auto position = m_leases.find(lease);
+        if (leases_expire && position != m_leases.end() &&
+            m_clock.now() >= position->second.expires) {
+            remove_lease(lease);
+        }
+    }
+
+    void remove_lease(std::uint64_t lease) {
+        m_leases.erase(lease);
+        std::vector<std::string> keys;
+        for (const auto& [key, stored] : m_items) {
+            if (stored.lease == lease) {
+                keys.push_back(key);
+            }
+        }
+        for (const auto& key : keys) {
+            remove(key);
+        }
+    }
+
     void record_removal(const std::string& key) {
         dispatch::store_event event;
         event.removed = true;
@@ -273,6 +309,8 @@
     std::uint64_t m_revision = 1;
     std::uint64_t m_history_start = 0;
     std::uint64_t m_last_lease = 100;
+    common::system_clock m_clock;
+    std::map<std::uint64_t, open_lease_state> m_leases;
 };
 
 } // namespace buckthornspar::fakes
--- a/tests/unit/service/owner_controller_test.cpp
+++ b/tests/unit/service/owner_controller_test.cpp
@@ -8,6 +8,9 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <ctime>
+#include <functional>
+#include <utility>
 
 using namespace buckthornspar;
 using namespace buckthornspar::service;
@@ -42,7 +45,8 @@
         }
     }
 
-    void become_owner(std::size_t workers) {
+    /// The change is made while the owner loads, when it has read all keys once.
+    void become_owner(std::size_t workers, const std::function<void()>& meanwhile = {}) {
         for (std::size_t i = 0; i < workers; ++i) {
             store.apply({{}, {{"w/w" + std::to_string(i), "", 0}}, {}});
         }
@@ -62,6 +66,12 @@
                const std::function<void(dispatch::advice_result)>& complete) { complete({}); },
             [](const net::endpoint&, const dispatch::poll_order&,
                const std::function<void(dispatch::poll_result)>& complete) { complete({}); },
+            [this] {
+                if (on_check) {
+                    std::exchange(on_check, nullptr)();
+                }
+                return may_act;
+            },
             [this](std::string_view reason) { lost = reason; },
             [] {}};
         controller = std::make_shared<owner_controller>(environment, fence);
@@ -69,15 +79,21 @@
         queue.name = "q";
         queue.service = "planner";
         queue.max_attempts = 3;
+        store.delay = meanwhile ? 20ms : 0ms;
         controller->begin({queue});
-        BOOST_REQUIRE(run_until([&] { return controller->loaded(); }));
+        if (meanwhile) {
+            meanwhile();
+            BOOST_REQUIRE(!controller->loaded());
+        }
+        BOOST_REQUIRE(run_until([&] { return controller->loaded(); }, 30s));
         run_for(100ms);
     }
 
-    void submit(const std::string& id, std::int64_t cpu_milli) {
+    void submit(const std::string& id, std::int64_t cpu_milli, std::size_t payload_bytes = 0) {
         dispatch::job_spec spec;
         spec.id = id;
         spec.queue = "q";
+        spec.payload = std::string(payload_bytes, 'x');
         dispatch::step_spec step;
         step.demand = {cpu_milli, 100, 0};
         step.estimate_ms = 1000;
@@ -99,6 +115,22 @@
     job_directory directory{120s};
     dispatch::dispatcher_settings dispatcher;
     std::shared_ptr<owner_controller> controller;
+    [[nodiscard]] bool was_used(const std::string& worker) const {
+        return std::any_of(platform.link.starts.begin(), platform.link.starts.end(),
+                           [&](const auto& order) { return order.worker == worker; });
+    }
+
+    /// Each job needs a worker of its own.
+    void submit_wide_jobs(int count) {
+        for (int i = 0; i < count; ++i) {
+            submit("j" + std::to_string(i), 60'000);
+        }
+        run_for(300ms);
+    }
+
+    bool may_act = true;
+    /// Called once when the controller asks whether it may act.
+    std::function<void()> on_check;
     std::string lost;
 };
 
@@ -161,4 +193,32 @@
     BOOST_TEST(run_until([&] { return starts_of("a") == 2; }));
 }
 
+// Pattern: paused process. Guards against starts by an owner whose lease has run out, before it has
+// read its key.
+BOOST_AUTO_TEST_CASE(an_unconfirmed_owner_starts_nothing) {
+    dispatcher.cancel_bound = 5000ms;
+    become_owner(3);
+    may_act = false;
+    submit("a", 1000);
+    run_for(300ms);
+    BOOST_TEST(starts_of("a") == 0U);
+    may_act = true;
+    BOOST_TEST(run_until([&] { return starts_of("a") == 1; }, 500ms));
+}
+
+// Pattern: hand-over. Guards against a planned stop that never ends because the ownership is lost
+// while the last changes are being recorded.
+BOOST_AUTO_TEST_CASE(a_planned_stop_ends_when_the_ownership_is_lost) {
+    become_owner(1);
+    store.fail_calls = true;
+    submit("a", 1000);
+    run_for(100ms);
+    may_act = false;
+    bool drained = false;
+    controller->drain([&] { drained = true; });
+    BOOST_TEST(!drained);
+    controller->end();
+    BOOST_TEST(run_until([&] { return drained; }, 500ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/service/owner_election_test.cpp
+++ b/tests/unit/service/owner_election_test.cpp
@@ -5,6 +5,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <functional>
+#include <thread>
+
 using namespace buckthornspar;
 using namespace buckthornspar::service;
 using namespace buckthornspar::service::test;
@@ -12,6 +15,8 @@
 
 namespace {
 
+constexpr auto* successor_record = R"({"node":"b","process":2,"address":"127.0.0.1:1"})";
+
 struct candidate {
     candidate(service_fixture& f, const std::string& node, std::uint64_t process) {
         owner_election::listener receiver;
@@ -118,4 +123,82 @@
     BOOST_TEST(b.won[0] > a.won[0]);
 }
 
+// Pattern: slow store. Guards against an owner that loses its key although the store serves it,
+// because the next renewal waits for the answer to the last one.
+BOOST_AUTO_TEST_CASE(slow_answers_do_not_delay_renewals) {
+    store.leases_expire = true;
+    candidate a(*this, "a", 1);
+    BOOST_REQUIRE(run_until([&] { return a.won.size() == 1; }));
+    store.delay = 900ms;
+    run_for(4s);
+    BOOST_TEST(a.lost.empty());
+    BOOST_TEST(a.won.size() == 1U);
+}
+
+// Pattern: saturated owner. Guards against an owner that loses its key because the timer of the
+// renewal waits behind more work than the lease lasts.
+BOOST_AUTO_TEST_CASE(a_busy_event_loop_does_not_delay_renewals) {
+    store.leases_expire = true;
+    candidate a(*this, "a", 1);
+    BOOST_REQUIRE(run_until([&] { return a.won.size() == 1; }));
+    // The handlers that are ready take 1.5 s together; each begins like a round of decisions.
+    const auto end = clock.now() + 3s;
+    std::function<void()> work = [&] {
+        static_cast<void>(a.election->may_act());
+        std::this_thread::sleep_for(3ms);
+        if (clock.now() < end) {
+            loop.post(work);
+        }
+    };
+    for (int i = 0; i < 500; ++i) {
+        loop.post(work);
+    }
+    run_for(5s);
+    BOOST_TEST(a.lost.empty());
+    BOOST_TEST(a.won.size() == 1U);
+}
+
+// Pattern: paused process, silent watch. Guards against a former owner that decides after its lease
+// has run out, before it hears of its successor.
+BOOST_AUTO_TEST_CASE(an_owner_whose_lease_has_run_out_reads_its_key_first) {
+    candidate a(*this, "a", 1);
+    BOOST_REQUIRE(run_until([&] { return a.won.size() == 1; }));
+    run_for(50ms);
+    BOOST_TEST(a.election->may_act());
+    store.hold_watches = true;
+    store.apply({{}, {{std::string(owner_key), successor_record, 0}}, {}});
+    std::this_thread::sleep_for(1300ms);
+    BOOST_TEST(!a.election->may_act());
+    run_for(50ms);
+    BOOST_TEST(!a.election->may_act());
+    BOOST_TEST(a.lost.size() == 1U);
+}
+
+// Pattern: paused process. Guards against an owner that stays idle although its key was never
+// replaced.
+BOOST_AUTO_TEST_CASE(an_owner_that_still_has_its_key_goes_on_after_a_pause) {
+    candidate a(*this, "a", 1);
+    BOOST_REQUIRE(run_until([&] { return a.won.size() == 1; }));
+    run_for(50ms);
+    std::this_thread::sleep_for(1300ms);
+    BOOST_TEST(!a.election->may_act());
+    BOOST_TEST(run_until([&] { return a.election->may_act(); }, 200ms));
+    BOOST_TEST(a.lost.empty());
+}
+
+// Guards against placement that stops in an outage of the store, in which no other node can claim.
+BOOST_AUTO_TEST_CASE(an_owner_goes_on_while_the_store_is_down) {
+    candidate a(*this, "a", 1);
+    BOOST_REQUIRE(run_until([&] { return a.won.size() == 1; }));
+    store.fail_calls = true;
+    run_for(1500ms);
+    BOOST_TEST(run_until([&] { return a.election->may_act(); }, 200ms));
+    run_for(1s);
+    BOOST_TEST(a.election->may_act());
+    store.fail_calls = false;
+    run_for(500ms);
+    BOOST_TEST(a.election->may_act());
+    BOOST_TEST(a.lost.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
