Do not take a failure that is handled late for an outage of the store

While no call to the store is answered, the owner takes its information for current. After a pause of the process, or behind a busy event loop, calls pass their time limits although the store has answered, so that old information was taken for current. The owner's check of the loop's delay covers most of this, other users of the watch had none. Change: a watch counts as failing only if the failure is handled within 0.9 s after the time for which the call waits. After a full read the age of a watch counts from the read; before, it counted from the construction of the watch or from the last answered watch call. Evidence: a_failure_that_is_handled_late_shows_no_outage failed without the comparison; the_age_counts_from_the_read was not seen to fail.

--- a/source/core/service/prefix_watcher.cpp
+++ b/source/core/service/prefix_watcher.cpp
@@ -12,6 +12,8 @@
 
 // Delay before a failed store call is retried.
 constexpr auto retry_delay = std::chrono::milliseconds(150);
+// Watch calls fail within 0.6 s after the time for which they wait.
+constexpr auto max_failure_delay = std::chrono::milliseconds(900);
 
 struct prefix_reader : std::enable_shared_from_this<prefix_reader> {
     prefix_reader(dispatch::shared_store& s, net::event_loop& l) : store(s), loop(l) {}
@@ -108,6 +110,7 @@
 void prefix_watcher::read() {
     m_items.clear();
     m_revision = 0;
+    m_read_at = m_clock.now();
     read_after("");
 }
 
@@ -135,6 +138,7 @@
         read_after(m_items.back().key);
         return;
     }
+    m_current_at = m_read_at;
     m_listener.on_snapshot(std::exchange(m_items, {}), m_revision);
     if (!m_stopped) {
         watch();
@@ -148,15 +152,15 @@
                           if (result.status == store_status::ok) {
                               self->m_current_at = sent_at;
                           }
-                          self->on_watch(result);
+                          self->on_watch(result, self->m_clock.now() - sent_at);
                       }
                   });
 }
 
-void prefix_watcher::on_watch(const store_result& result) {
+void prefix_watcher::on_watch(const store_result& result, common::duration took) {
     const bool answered =
         result.status == store_status::ok || result.status == store_status::history_gone;
-    m_failing = !answered;
+    m_failing = !answered && took < m_settings.watch_timeout + max_failure_delay;
     if (result.status == store_status::history_gone) {
         read();
         return;
--- a/source/core/service/prefix_watcher.h
+++ b/source/core/service/prefix_watcher.h
@@ -48,7 +48,8 @@
     void stop() { m_stopped = true; }
     /// Time since the last answered call was sent: later changes may be unknown.
     [[nodiscard]] common::duration age() const { return m_clock.now() - m_current_at; }
-    /// The last call has not been answered.
+    /// The last call has not been answered within its time limit. A failure that is handled later
+    /// does not count: an answer may have waited behind a busy event loop or a pause.
     [[nodiscard]] bool failing() const { return m_failing; }
     /// Reads the items now, because a watch call may deliver a change late.
     void refresh();
@@ -58,7 +59,7 @@
     void read_after(const std::string& after);
     void watch();
     void on_page(dispatch::store_result result);
-    void on_watch(const dispatch::store_result& result);
+    void on_watch(const dispatch::store_result& result, common::duration took);
     void call_after(common::duration delay, void (prefix_watcher::*step)());
 
     dispatch::shared_store& m_store;
@@ -69,6 +70,8 @@
     std::uint64_t m_revision = 0;
     common::system_clock m_clock;
     common::time_point m_current_at = m_clock.now();
+    /// When the running read of all items was begun.
+    common::time_point m_read_at;
     bool m_failing = false;
     bool m_stopped = false;
 };
--- a/tests/unit/service/prefix_watcher_test.cpp
+++ b/tests/unit/service/prefix_watcher_test.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <thread>
+
 using namespace buckthornspar;
 using namespace buckthornspar::service;
 using namespace buckthornspar::service::test;
@@ -80,6 +82,35 @@
     late.watcher->stop();
 }
 
+// Pattern: paused process, busy event loop. Guards against a call whose answer was not handled in
+// time being taken for an outage of the store, in which old information is used.
+BOOST_AUTO_TEST_CASE(a_failure_that_is_handled_late_shows_no_outage) {
+    watcher->start();
+    run_for(20ms);
+    store.fail_calls = true;
+    BOOST_REQUIRE(run_until([&] { return watcher->failing(); }, 2s));
+    store.fail_calls = false;
+    BOOST_REQUIRE(run_until([&] { return !watcher->failing(); }, 2s));
+    run_for(20ms);
+    store.fail_calls = true;
+    std::this_thread::sleep_for(1400ms);
+    run_for(100ms);
+    BOOST_TEST(!watcher->failing());
+    watcher->stop();
+}
+
+// Guards against information that is taken for older, or newer, than the read that brought it.
+BOOST_AUTO_TEST_CASE(the_age_counts_from_the_read) {
+    run_for(200ms);
+    const auto begin = clock.now();
+    store.delay = 50ms;
+    watcher->start();
+    BOOST_REQUIRE(run_until([&] { return snapshots == 1; }));
+    BOOST_TEST((watcher->age() >= 50ms));
+    BOOST_TEST((watcher->age() <= clock.now() - begin));
+    watcher->stop();
+}
+
 // Pattern: slow store. Guards against two owners at a time: a read that was answered late brought
 // back a former owner's key, so that the owner ended its term and began it a second time.
 BOOST_AUTO_TEST_CASE(a_read_answered_late_does_not_bring_back_an_older_state) {
