Bound the age of pending counts from the store to the caller

Callers saw: "32 jobs are said to wait; 151 have waited since 43.786 s", told by another node than the owner (MIXED; jobs of the last 5 s may be missing). Cause: each hop took the count for new. The owner told it while its watch of jobs was up to 2.5 s behind, a response may be on the way for up to 1.6 s, and the node kept it for 1.9 s from its arrival: 6.0 s together. Change: the owner sends the age of its count and how long it held the request; a node takes the count for made when the request had been held for that time after it was sent, less the age. A count is told until it is 3 s old, refused with 503 after that. In quiet times a count is under 2 s old as before: the watch is at most 0.5 s behind and polls are held for 0.9 s. Counts without an age are refused as unreadable. Ruled out: a new owner that has not read all jobs tells no count (as before). Evidence: with the arrival in place of the age, the_age_of_a_count_includes_what_the_owner_did_not_know and the_age_of_a_count_includes_the_time_on_the_way failed.

--- a/source/core/service/caller_api.cpp
+++ b/source/core/service/caller_api.cpp
@@ -21,8 +21,9 @@
 // Share of the caller's deadline that may be spent on store calls. After a refusal the caller then
 // has time left to try another node.
 constexpr int store_share_percent = 45;
-// Maximum age of the pending job counts that are reported to callers.
-constexpr auto max_pending_age = std::chrono::milliseconds(1900);
+// Maximum age of the pending job counts that are reported to callers, from the owner's call to the
+// store on. A count may miss the jobs of the last 5 s at most; usually it is under 2 s old.
+constexpr auto max_pending_age = std::chrono::milliseconds(3000);
 constexpr const char* retry_after_s = "1";
 
 net::http_response refusal(unsigned status, std::string_view type, std::string_view detail) {
--- a/source/core/service/job_directory.cpp
+++ b/source/core/service/job_directory.cpp
@@ -68,10 +68,10 @@
     return position == m_jobs.end() ? std::nullopt : std::optional(position->second.state);
 }
 
-void job_directory::set_pending(common::time_point now,
+void job_directory::set_pending(common::time_point known_until,
                                 std::map<std::string, std::size_t> pending) {
     m_pending = std::move(pending);
-    m_pending_at = now;
+    m_pending_at = known_until;
 }
 
 std::optional<std::size_t> job_directory::pending_of(const std::string& queue,
--- a/source/core/service/job_directory.h
+++ b/source/core/service/job_directory.h
@@ -29,8 +29,9 @@
     /// The job may become known later, when a new owner has read it.
     void follow(const std::string& job, const std::string& node);
 
-    /// Sets the number of jobs per queue that have not begun, as counted by the owner.
-    void set_pending(common::time_point now, std::map<std::string, std::size_t> pending);
+    /// Sets the number of jobs per queue that have not begun. All jobs that were accepted before
+    /// the given time are counted.
+    void set_pending(common::time_point known_until, std::map<std::string, std::size_t> pending);
     /// Empty when there is no count or it is older than max_age.
     [[nodiscard]] std::optional<std::size_t>
     pending_of(const std::string& queue, common::time_point now, common::duration max_age) const;
--- a/source/core/service/node_application.cpp
+++ b/source/core/service/node_application.cpp
@@ -139,7 +139,10 @@
             m_directory,
             m_intake,
             [this] { return m_configuration ? &*m_configuration : nullptr; },
-            [this] { return owner_pending(); },
+            [this]() -> std::optional<pending_counts> {
+                auto report = owner_pending();
+                return report ? std::optional(std::move(report->counts)) : std::nullopt;
+            },
             m_settings.id,
             [this](const std::string& job,
                    std::function<void(std::optional<dispatch::job_state>)> complete) {
@@ -147,7 +150,7 @@
             }};
 }
 
-std::optional<pending_counts> node_application::owner_pending() const {
+std::optional<pending_report> node_application::owner_pending() const {
     return m_controller ? m_controller->pending() : std::nullopt;
 }
 
--- a/source/core/service/node_application.h
+++ b/source/core/service/node_application.h
@@ -64,7 +64,7 @@
     void log_store_health_change();
     void tick();
     [[nodiscard]] bool ready() const;
-    [[nodiscard]] std::optional<pending_counts> owner_pending() const;
+    [[nodiscard]] std::optional<pending_report> owner_pending() const;
     [[nodiscard]] owner_environment make_owner_environment();
     [[nodiscard]] peer_exchange::environment make_peer_environment();
     [[nodiscard]] caller_api::environment make_caller_environment();
--- a/source/core/service/owner_controller.cpp
+++ b/source/core/service/owner_controller.cpp
@@ -89,11 +89,11 @@
     m_dispatcher.set_requesting_nodes(m_advice_balancer.node_count());
 }
 
-std::optional<pending_counts> owner_controller::pending() const {
+std::optional<pending_report> owner_controller::pending() const {
     if (!m_loaded || m_active_watcher->age() > max_pending_jobs_age) {
         return std::nullopt;
     }
-    return m_dispatcher.pending_by_queue();
+    return pending_report{m_dispatcher.pending_by_queue(), m_active_watcher->age()};
 }
 
 void owner_controller::drain(std::function<void()> complete) {
--- a/source/core/service/owner_controller.h
+++ b/source/core/service/owner_controller.h
@@ -68,7 +68,7 @@
     [[nodiscard]] std::uint64_t fence() const { return m_fence; }
     /// Number of jobs by queue of which no task has started; empty until all jobs are loaded and
     /// while the watch of new jobs is too far behind.
-    [[nodiscard]] std::optional<pending_counts> pending() const;
+    [[nodiscard]] std::optional<pending_report> pending() const;
 
 private:
     // owner_controller_loading.cpp
--- a/source/core/service/peer_exchange.cpp
+++ b/source/core/service/peer_exchange.cpp
@@ -119,7 +119,7 @@
     for (const auto& job : poll.follow) {
         m_env.directory.follow(job, poll.node);
     }
-    m_polls.push_back({poll.node, poll.after, std::move(reply), now + poll_wait});
+    m_polls.push_back({poll.node, poll.after, std::move(reply), now, now + poll_wait});
     if (m_env.directory.has_changes_after(poll.after, poll.node)) {
         notify_peers();
     }
@@ -129,7 +129,8 @@
 net::http_response peer_exchange::make_response(const pending_poll& poll) const {
     auto page = m_env.directory.changes_after(poll.after, poll.node);
     return net::json_response(
-        200, write_changes_response({page.next, std::move(page.changes), m_env.pending()}));
+        200, write_changes_response({page.next, std::move(page.changes), m_env.pending(),
+                                     m_env.clock.now() - poll.received}));
 }
 
 void peer_exchange::answer_polls(bool with_changes) {
@@ -316,7 +317,11 @@
             m_env.directory.apply_change(now, change);
         }
         if (page.pending) {
-            m_env.directory.set_pending(now, std::move(*page.pending));
+            // The owner counted at the earliest when it had held the request for this time after it
+            // was sent; a response that comes late does not make its counts newer.
+            const auto counted_at = sent_at + std::min<common::duration>(page.held, now - sent_at);
+            m_env.directory.set_pending(counted_at - page.pending->age,
+                                        std::move(page.pending->counts));
         }
         m_position = page.next;
         m_last_owner_answer = now;
--- a/source/core/service/peer_exchange.h
+++ b/source/core/service/peer_exchange.h
@@ -40,7 +40,7 @@
         std::function<void(const std::string&)> on_peer_seen;
         std::function<void(const std::string&)> on_peer_lost;
         /// Owner only: see changes_response::pending.
-        std::function<std::optional<pending_counts>()> pending;
+        std::function<std::optional<pending_report>()> pending;
         /// The followed node reports that it is not the owner, or its process has certainly ended.
         std::function<void(const owner_record&, bool ended)> on_owner_suspected;
     };
@@ -82,6 +82,7 @@
         std::string node;
         std::uint64_t after = 0;
         net::http_reply reply;
+        common::time_point received;
         common::time_point expires;
     };
 
--- a/source/core/service/peer_messages.cpp
+++ b/source/core/service/peer_messages.cpp
@@ -15,6 +15,10 @@
     return json::parse(json::string_view(text.data(), text.size()));
 }
 
+common::duration read_ms(const json::object& object, json::string_view key) {
+    return std::chrono::milliseconds(object.at(key).to_number<std::uint32_t>());
+}
+
 json::array write_run(const run_key& run) {
     return {run.task.job, run.task.occurrence, run.task.step, run.task.index, run.run};
 }
@@ -65,7 +69,9 @@
     }
     json::object object{{"next", response.next}, {"changes", std::move(rows)}};
     if (response.pending) {
-        object["pending"] = json::value_from(*response.pending);
+        object["pending"] = json::value_from(response.pending->counts);
+        object["pending_age_ms"] = common::to_milliseconds(response.pending->age);
+        object["held_ms"] = common::to_milliseconds(response.held);
     }
     return json::serialize(object);
 }
@@ -84,7 +90,10 @@
                  job_state_names.value(json::value_to<std::string>(fields.at(2))), ""});
         }
         if (const auto* const pending = object.if_contains("pending")) {
-            response.pending = json::value_to<pending_counts>(*pending);
+            response.pending.emplace();
+            response.pending->counts = json::value_to<pending_counts>(*pending);
+            response.pending->age = read_ms(object, "pending_age_ms");
+            response.held = read_ms(object, "held_ms");
         }
         return response;
     });
--- a/source/core/service/peer_messages.h
+++ b/source/core/service/peer_messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/common/clock.h"
 #include "core/dispatch/dispatch_actions.h"
 #include "core/net/endpoint.h"
 
@@ -16,6 +17,12 @@
 /// Number of jobs by queue of which no task has started.
 using pending_counts = std::map<std::string, std::size_t>;
 
+/// Counts as the owner knows them: changes within the age may be missing.
+struct pending_report {
+    pending_counts counts;
+    common::duration age{0};
+};
+
 /// Request of a node for changes of its jobs; also its heartbeat to the owner.
 struct changes_request {
     std::string node;
@@ -32,7 +39,9 @@
     std::uint64_t next = 0;
     std::vector<dispatch::state_change> changes;
     /// Empty while the owner does not know the counts, for example before it has read all jobs.
-    std::optional<pending_counts> pending;
+    std::optional<pending_report> pending;
+    /// Time from the arrival of the request to the response.
+    common::duration held{0};
 };
 
 /// Request for the state of a job that another node accepted. The node follows the job from then
--- /dev/null
+++ b/tests/unit/service/peer_exchange_test.cpp
@@ -0,0 +1,139 @@
+#include "core/service/peer_exchange.h"
+
+#include "core/net/http_server.h"
+#include "fakes/fake_platform.h"
+#include "unit/service/service_fixture.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+using namespace buckthornspar;
+using namespace buckthornspar::service;
+using namespace buckthornspar::service::test;
+using namespace std::chrono_literals;
+using dispatch::job_state;
+
+namespace {
+
+constexpr std::uint64_t fence = 7;
+
+/// One node with its exchange, on a port of its own.
+struct node {
+    node(service_fixture& f, std::string id)
+        : platform(f.loop, f.store),
+          client(f.loop, {}),
+          health(f.clock),
+          relay(client, f.store, health, [] { return std::optional<net::endpoint>(); }),
+          name(std::move(id)),
+          exchange({f.loop,
+                    client,
+                    f.clock,
+                    counters,
+                    directory,
+                    platform.advice(),
+                    platform.workers(),
+                    relay,
+                    name,
+                    {"127.0.0.1", 1},
+                    [](const std::string&) {},
+                    [](const std::string&) {},
+                    [this] { return pending; },
+                    [](const owner_record&, bool) {}}) {}
+
+    void follow(std::uint16_t port) {
+        owner_record owner;
+        owner.node = "owner";
+        owner.fence = fence;
+        owner.address = {"127.0.0.1", port};
+        exchange.set_followed_owner(owner);
+    }
+
+    std::optional<net::http_response> call(const std::string& path, const std::string& body) {
+        std::optional<net::http_response> response;
+        exchange.handle(net::json_post(path, body),
+                        [&](net::http_response r) { response = std::move(r); });
+        return response;
+    }
+
+    common::counters counters;
+    job_directory directory{120s};
+    fakes::fake_platform platform;
+    net::http_client client;
+    store_health health;
+    store_relay relay;
+    std::string name;
+    std::optional<pending_report> pending;
+    peer_exchange exchange;
+};
+
+/// Answers each request with the given body, after a delay.
+class fixed_answer final : public net::http_handler {
+public:
+    explicit fixed_answer(net::event_loop& loop) : m_loop(loop) {}
+    std::string body;
+    common::duration delay{0};
+    unsigned requests = 0;
+
+    void handle(net::http_request /*request*/, net::http_reply reply) override {
+        ++requests;
+        m_loop.post_after(delay, [reply = std::move(reply), text = body] {
+            reply(net::json_response(200, text));
+        });
+    }
+
+private:
+    net::event_loop& m_loop;
+};
+
+struct exchange_fixture : service_fixture {
+    node owner{*this, "owner"};
+    node follower{*this, "follower"};
+    fixed_answer answers{loop};
+    net::http_server owner_server{loop, {"127.0.0.1", 0}, {}, owner.exchange};
+    net::http_server fixed_server{loop, {"127.0.0.1", 0}, {}, answers};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(peer_exchange_suite, exchange_fixture)
+
+// Pattern: saturated owner, slow link. Guards against a count of pending jobs that each hop takes
+// for new, so that callers get one that is many seconds old (MIXED).
+BOOST_AUTO_TEST_CASE(the_age_of_a_count_includes_what_the_owner_did_not_know) {
+    owner.exchange.set_owned_fence(fence);
+    owner.pending = pending_report{{{"q", 32}}, 2000ms};
+    follower.follow(owner_server.port());
+    BOOST_REQUIRE(run_until(
+        [&] { return follower.directory.pending_of("q", clock.now(), 2900ms).has_value(); }));
+    BOOST_TEST(!follower.directory.pending_of("q", clock.now(), 2000ms).has_value());
+}
+
+// Pattern: busy event loop, slow link. Guards against a count that is taken for new because its
+// response was on the way for long.
+BOOST_AUTO_TEST_CASE(the_age_of_a_count_includes_the_time_on_the_way) {
+    answers.delay = 700ms;
+    answers.body = write_changes_response({1, {}, pending_report{{{"q", 32}}, 0ms}, 100ms});
+    follower.follow(fixed_server.port());
+    BOOST_REQUIRE(
+        run_until([&] { return follower.directory.pending_of("q", clock.now(), 5s).has_value(); }));
+    BOOST_TEST(!follower.directory.pending_of("q", clock.now(), 500ms).has_value());
+}
+
+// Guards against a refusal of counts in quiet times: the owner holds a poll for most of a second,
+// and its count is made when it responds.
+BOOST_AUTO_TEST_CASE(the_time_for_which_a_poll_is_held_does_not_make_a_count_old) {
+    owner.exchange.set_owned_fence(fence);
+    owner.pending = pending_report{{{"q", 3}}, 0ms};
+    follower.follow(owner_server.port());
+    BOOST_REQUIRE(
+        run_until([&] { return follower.directory.pending_of("q", clock.now(), 5s).has_value(); }));
+    const auto answered_at = clock.now();
+    BOOST_TEST(follower.directory.pending_of("q", answered_at, 400ms).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/service/peer_messages_test.cpp
+++ b/tests/unit/service/peer_messages_test.cpp
@@ -17,9 +17,13 @@
     BOOST_TEST(!read_changes_response(write_changes_response(response)).pending.has_value());
     response.pending.emplace();
     BOOST_TEST(read_changes_response(write_changes_response(response)).pending.has_value());
-    response.pending = {{"q", 3}};
-    BOOST_TEST((read_changes_response(write_changes_response(response)).pending ==
-                pending_counts{{"q", 3}}));
+    response.pending = pending_report{{{"q", 3}}, std::chrono::milliseconds(250)};
+    response.held = std::chrono::milliseconds(700);
+    const auto read = read_changes_response(write_changes_response(response));
+    BOOST_REQUIRE(read.pending.has_value());
+    BOOST_TEST((read.pending->counts == pending_counts{{"q", 3}}));
+    BOOST_TEST((read.pending->age == std::chrono::milliseconds(250)));
+    BOOST_TEST((read.held == std::chrono::milliseconds(700)));
 }
 
 BOOST_AUTO_TEST_CASE(messages_are_read_as_written) {
@@ -81,7 +85,10 @@
     for (const auto* text :
          {"", "[]", "{", "{\"next\":1}", "{\"next\":-1,\"changes\":[]}",
           "{\"next\":1,\"changes\":[[1,2,3]]}", "{\"next\":1,\"changes\":[[\"a\",\"q\",\"no\"]]}",
-          "{\"next\":1,\"changes\":[],\"pending\":{\"q\":-1}}"}) {
+          "{\"next\":1,\"changes\":[],\"pending\":{\"q\":1}}",
+          "{\"next\":1,\"changes\":[],\"pending\":{\"q\":-1},\"pending_age_ms\":1,\"held_ms\":1}",
+          "{\"next\":1,\"changes\":[],\"pending\":{\"q\":1},\"pending_age_ms\":-1,\"held_ms\":"
+          "1}"}) {
         BOOST_CHECK_THROW(static_cast<void>(read_changes_response(text)), common::error);
     }
     for (const auto* text :
