Answer malformed messages of other nodes with 400

Cause: peer_exchange::handle() moved the reply into the function that reads the message. When the message was malformed, the answer with 400 called an empty function; the sender got 500 from the server's last resort and the log an error without the reason. Change: the functions get a copy of the reply. Evidence: malformed_requests_are_answered failed before (35 combinations of path and body; all but those of /peer/state were seen or had the same cause). malformed_responses_do_not_end_the_exchange and a_malformed_poll_result_is_no_answer passed before; peer_exchange had no unit tests.

--- a/source/core/service/peer_exchange.cpp
+++ b/source/core/service/peer_exchange.cpp
@@ -82,6 +82,7 @@
 
 void peer_exchange::handle(net::http_request request, net::http_reply reply) {
     const auto path = request.path();
+    // Each function gets a copy of the reply, because a malformed request is answered here.
     try {
         if (path == "/metrics") {
             net::http_response response;
@@ -89,15 +90,15 @@
             response.body = m_env.counters.render();
             reply(std::move(response));
         } else if (path == "/peer/changes") {
-            serve_changes(request, std::move(reply));
+            serve_changes(request, reply);
         } else if (path == "/peer/advice") {
-            serve_advice(request, std::move(reply));
+            serve_advice(request, reply);
         } else if (path == "/peer/state") {
             serve_state(request, reply);
         } else if (path == "/peer/worker-poll") {
-            serve_worker_poll(request, std::move(reply));
+            serve_worker_poll(request, reply);
         } else if (path == "/peer/store") {
-            m_env.relay.serve(request, std::move(reply));
+            m_env.relay.serve(request, reply);
         } else {
             reply(net::error_response(404, "not_found", "no such path"));
         }
--- a/tests/unit/service/peer_exchange_test.cpp
+++ b/tests/unit/service/peer_exchange_test.cpp
@@ -136,4 +136,60 @@
     BOOST_TEST(follower.directory.pending_of("q", answered_at, 400ms).has_value());
 }
 
+// Guards against a malformed message that ends a process or leaves its sender without an answer.
+BOOST_DATA_TEST_CASE_F(exchange_fixture, malformed_requests_are_answered,
+                       boost::unit_test::data::make({"/peer/changes", "/peer/advice", "/peer/state",
+                                                     "/peer/worker-poll", "/peer/store"}) *
+                           boost::unit_test::data::make({"", "{", "[]", "{}", "{\"node\":1}",
+                                                         "{\"read\":7}", "{\"expect\":[[]]}"}),
+                       path, body) {
+    owner.exchange.set_owned_fence(fence);
+    std::optional<net::http_response> response;
+    BOOST_CHECK_NO_THROW(response = owner.call(path, body));
+    BOOST_REQUIRE(response.has_value());
+    BOOST_TEST(response->status == 400U);
+}
+
+// Guards against an exchange that stops, or a half applied message, after a malformed response.
+BOOST_DATA_TEST_CASE_F(
+    exchange_fixture, malformed_responses_do_not_end_the_exchange,
+    boost::unit_test::data::make(
+        {"", "{", "[]", "{}", "{\"next\":1,\"changes\":[[\"a\",\"q\",\"no\"]]}",
+         "{\"next\":1,\"changes\":[[\"a\",\"q\",\"completed\"]],\"pending\":{\"q\":1}}"}),
+    body) {
+    answers.body = body;
+    answers.delay = 20ms;
+    follower.follow(fixed_server.port());
+    BOOST_REQUIRE(run_until([&] { return answers.requests >= 2; }));
+    BOOST_TEST(!follower.directory.state_of("a").has_value());
+    BOOST_TEST(!follower.directory.pending_of("q", clock.now(), 60s).has_value());
+    std::optional<job_state> state = job_state::running;
+    bool asked = false;
+    follower.exchange.ask_state("b", [&](std::optional<job_state> answer) {
+        state = answer;
+        asked = true;
+    });
+    BOOST_REQUIRE(run_until([&] { return asked; }));
+    BOOST_TEST(!state.has_value());
+    answers.body =
+        write_changes_response({2, {{"a", "q", job_state::completed, ""}}, std::nullopt, 0ms});
+    BOOST_TEST(run_until([&] { return follower.directory.state_of("a").has_value(); }));
+}
+
+// Guards against a poll of a worker through another node that never completes, or is taken for an
+// answer of the worker, when the other node's response is malformed.
+BOOST_AUTO_TEST_CASE(a_malformed_poll_result_is_no_answer) {
+    owner.exchange.set_owned_fence(fence);
+    const auto request =
+        write_changes_request({"follower", {"127.0.0.1", fixed_server.port()}, fence, 1, {}});
+    owner.call("/peer/changes", request);
+    answers.body = "{\"status\":\"accepted\"}";
+    std::optional<dispatch::poll_result> result;
+    owner.exchange.poll_worker({"127.0.0.1", 1}, {"w1", fence, 0, 0, {}},
+                               [&](dispatch::poll_result r) { result = std::move(r); });
+    BOOST_REQUIRE(run_until([&] { return result.has_value(); }));
+    BOOST_TEST((result->status == dispatch::order_status::no_answer));
+    BOOST_TEST(!result->silence_confirmed);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
