Refuse calls while the configuration may be outdated

Cause (by reasoning, no log of such a request was read): a node handles calls with the newest version that it knows, however late its watch is. Change: a node whose information about the configuration is older than config_bound_ms (deploy: the platform's config_apply_ms) refuses calls with 503 configuration_outdated and Retry-After, so that callers ask another node. While calls to the store fail, no version can be accepted and calls are served. Evidence: calls_are_refused_while_the_configuration_may_be_outdated failed without the check.

--- a/source/core/service/node_application.cpp
+++ b/source/core/service/node_application.cpp
@@ -139,6 +139,7 @@
             m_directory,
             m_intake,
             [this] { return m_configuration ? &*m_configuration : nullptr; },
+            [this] { return configuration_current(); },
             [this]() -> std::optional<pending_counts> {
                 auto report = owner_pending();
                 return report ? std::optional(std::move(report->counts)) : std::nullopt;
@@ -337,6 +338,13 @@
            m_health.time_since_answer() < max_store_silence;
 }
 
+// While no call to the store is answered, operators cannot change the configuration either, and
+// callers are served.
+bool node_application::configuration_current() const {
+    const bool outage = m_configuration_watcher->failing() && m_health.last_call_failed();
+    return outage || m_configuration_watcher->age() <= m_settings.config_bound;
+}
+
 void node_application::tick() {
     const auto now = m_clock.now();
     m_directory.expire(now);
