Test that a new owner uses no worker or job that was withdrawn

Operators of similar systems saw that after a restart of a process a server that had left, or a key that had been withdrawn, was in use again; no test of its own existed. Four tests let a worker's entry or a cancellation change before, while and after a new owner reads the store, also with a dropped history. No fault was found.

--- a/tests/unit/service/owner_controller_test.cpp
+++ b/tests/unit/service/owner_controller_test.cpp
@@ -246,6 +246,60 @@
     BOOST_TEST(run_until([&] { return !platform.link.starts.empty(); }));
 }
 
+// Pattern: restarted process. Guards against a new owner that uses a worker which has left, because
+// its entry was removed between the owner's read and its watch.
+BOOST_AUTO_TEST_CASE(a_worker_that_leaves_while_a_new_owner_loads_is_not_used) {
+    dispatcher.unlisted_grace = 100ms;
+    become_owner(3, [&] { store.remove("w/w1"); });
+    run_for(150ms);
+    submit_wide_jobs(3);
+    BOOST_TEST(platform.link.starts.size() == 2U);
+    BOOST_TEST(!was_used("w1"));
+}
+
+// Pattern: restarted process, dropped history. Guards against a new owner that uses a worker which
+// has left, because the store no longer knows the removal.
+BOOST_AUTO_TEST_CASE(a_worker_whose_removal_is_no_longer_known_is_not_used) {
+    dispatcher.unlisted_grace = 100ms;
+    become_owner(3, [&] {
+        store.remove("w/w1");
+        store.apply({{}, {{"w/w2", "", 0}}, {}});
+        store.drop_history();
+    });
+    run_for(150ms);
+    submit_wide_jobs(3);
+    BOOST_TEST(platform.link.starts.size() == 2U);
+    BOOST_TEST(!was_used("w1"));
+}
+
+// Pattern: restarted process. Guards against a new owner that uses a worker which had left before,
+// because the former owner's record still names it.
+BOOST_AUTO_TEST_CASE(a_worker_that_left_before_the_take_over_is_not_used) {
+    become_owner(3);
+    BOOST_REQUIRE(run_until([&] { return store.has(std::string(workers_key)); }));
+    controller->end();
+    platform.link.starts.clear();
+    store.remove("w/w1");
+    dispatcher.unlisted_grace = 100ms;
+    become_owner(0);
+    run_for(150ms);
+    submit_wide_jobs(3);
+    BOOST_TEST(platform.link.starts.size() == 2U);
+    BOOST_TEST(!was_used("w1"));
+}
+
+// Pattern: restarted process. Guards against a new owner that starts a job which was cancelled
+// while it read the jobs.
+BOOST_AUTO_TEST_CASE(a_job_that_is_cancelled_while_a_new_owner_loads_is_not_started) {
+    submit("a", 1000);
+    submit("b", 1000);
+    store.apply({{}, {{cancel_key("a"), "{}", 0}}, {}});
+    become_owner(3, [&] { store.apply({{}, {{cancel_key("b"), "{}", 0}}, {}}); });
+    run_for(300ms);
+    BOOST_TEST(starts_of("a") == 0U);
+    BOOST_TEST((directory.state_of("b") == dispatch::job_state::cancelled));
+}
+
 // Guards against an owner that plans with the former configuration for its whole term, because the
 // configuration changed while it read the jobs.
 BOOST_AUTO_TEST_CASE(a_configuration_that_changes_while_a_new_owner_loads_takes_effect) {
