Ask at once what has changed after a failed watch call

By the times, its watch call of 0.3 s was not answered and failed after 1.9 s; the next one, which would have shown that nothing had changed, waited for a change for another 1.3 s. Change: the call after a failed one does not wait. It ends the time in which the information may be old, also for the owner's starts and for the counts of pending jobs. One more call to the store for each failure. Evidence: a_watch_is_current_soon_after_a_failed_call failed before (the age stayed above 100 ms, and the watch counted as failing).

--- a/source/core/service/prefix_watcher.cpp
+++ b/source/core/service/prefix_watcher.cpp
@@ -145,8 +145,11 @@
     }
 }
 
+// A call after a failed one does not wait for changes: it only shows whether there are any, and so
+// ends the time in which the information may be old.
 void prefix_watcher::watch() {
-    m_store.watch(m_settings.prefix, m_revision, m_settings.watch_timeout,
+    const auto wait = m_last_call_failed ? common::duration(0) : m_settings.watch_timeout;
+    m_store.watch(m_settings.prefix, m_revision, wait,
                   [self = shared_from_this(), sent_at = m_clock.now()](const store_result& result) {
                       if (!self->m_stopped) {
                           if (result.status == store_status::ok) {
@@ -160,6 +163,7 @@
 void prefix_watcher::on_watch(const store_result& result, common::duration took) {
     const bool answered =
         result.status == store_status::ok || result.status == store_status::history_gone;
+    m_last_call_failed = !answered;
     m_failing = !answered && took < m_settings.watch_timeout + max_failure_delay;
     if (result.status == store_status::history_gone) {
         read();
--- a/source/core/service/prefix_watcher.h
+++ b/source/core/service/prefix_watcher.h
@@ -73,6 +73,7 @@
     /// When the running read of all items was begun.
     common::time_point m_read_at;
     bool m_failing = false;
+    bool m_last_call_failed = false;
     bool m_stopped = false;
 };
 
--- a/tests/unit/service/prefix_watcher_test.cpp
+++ b/tests/unit/service/prefix_watcher_test.cpp
@@ -99,6 +99,20 @@
     watcher->stop();
 }
 
+// Pattern: silent connection. Guards against information that stays old for the time of one more
+// watch call after a failed one, in which counts, starts and calls are refused.
+BOOST_AUTO_TEST_CASE(a_watch_is_current_soon_after_a_failed_call) {
+    watcher->start();
+    run_for(20ms);
+    store.fail_calls = true;
+    BOOST_REQUIRE(run_until([&] { return watcher->failing(); }, 2s));
+    store.fail_calls = false;
+    run_for(200ms);
+    BOOST_TEST(!watcher->failing());
+    BOOST_TEST((watcher->age() < 100ms));
+    watcher->stop();
+}
+
 // Guards against information that is taken for older, or newer, than the read that brought it.
 BOOST_AUTO_TEST_CASE(the_age_counts_from_the_read) {
     run_for(200ms);
