Do not refuse calls for the age of a watch without changes

Between two answers of a watch without changes the information about the configuration is up to two wait times old: 2.6 s and a round trip. With a bound of 2.5 s (sites without growth) calls would have been refused for a moment in each cycle (found by reasoning). Change: the limit is the larger of config_bound_ms and 3 s. On a site with 2.5 s a silent watch can so be used for 0.5 s longer than the bound, as before without a limit.

--- a/source/core/service/node_application.cpp
+++ b/source/core/service/node_application.cpp
@@ -31,6 +31,10 @@
 // A dead connection of a watch is only noticed after the watch's wait time, and a new configuration
 // must take effect within 2.5 s.
 constexpr auto configuration_wait = std::chrono::milliseconds(1300);
+// Without changes the information is up to two wait times old, so that a shorter bound would refuse
+// calls in regular operation.
+constexpr common::duration max_regular_configuration_age =
+    2 * configuration_wait + std::chrono::milliseconds(400);
 constexpr std::size_t max_body_bytes = std::size_t{1} << 20U;
 
 // Starts without a response: as many as the link carries within this time, and at least one for
@@ -342,7 +346,8 @@
 // callers are served.
 bool node_application::configuration_current() const {
     const bool outage = m_configuration_watcher->failing() && m_health.last_call_failed();
-    return outage || m_configuration_watcher->age() <= m_settings.config_bound;
+    return outage || m_configuration_watcher->age() <=
+                         std::max(m_settings.config_bound, max_regular_configuration_age);
 }
 
 void node_application::tick() {
