Serve calls again while the configuration may be outdated

A node whose own event loop is late still handles calls with an old configuration (CONFIG). A limit would have to tell a late node from a slow store, which needs the time of the last failed or slow store call.

--- a/source/core/service/caller_api.cpp
+++ b/source/core/service/caller_api.cpp
@@ -95,11 +95,6 @@
                "refused", "no_configuration");
         return;
     }
-    if (!m_env.configuration_current()) {
-        answer(current, refusal(503, "configuration_outdated", "a newer version may be in force"),
-               "refused", "configuration_outdated");
-        return;
-    }
     const auto path = request.path();
     const auto* const route = configuration->find_route(request.fields.get("Host"), path);
     if (route == nullptr) {
--- a/source/core/service/caller_api.h
+++ b/source/core/service/caller_api.h
@@ -26,8 +26,6 @@
         job_intake& intake;
         /// Null until the first configuration has been read.
         std::function<const service_configuration*()> configuration;
-        /// Whether all versions are known that had to be in force by now.
-        std::function<bool()> configuration_current;
         /// Owner only: number of jobs per queue that have not begun; empty on other nodes.
         std::function<std::optional<pending_counts>()> owner_pending;
         std::string node;
--- a/source/core/service/node_application.cpp
+++ b/source/core/service/node_application.cpp
@@ -31,10 +31,6 @@
 // A dead connection of a watch is only noticed after the watch's wait time, and a new configuration
 // must take effect within 2.5 s.
 constexpr auto configuration_wait = std::chrono::milliseconds(1300);
-// Without changes the information is up to two wait times old, so that a shorter bound would refuse
-// calls in regular operation.
-constexpr common::duration max_regular_configuration_age =
-    2 * configuration_wait + std::chrono::milliseconds(400);
 constexpr std::size_t max_body_bytes = std::size_t{1} << 20U;
 
 // Starts without a response: as many as the link carries within this time, and at least one for
@@ -143,7 +139,6 @@
             m_directory,
             m_intake,
             [this] { return m_configuration ? &*m_configuration : nullptr; },
-            [this] { return configuration_current(); },
             [this]() -> std::optional<pending_counts> {
                 auto report = owner_pending();
                 return report ? std::optional(std::move(report->counts)) : std::nullopt;
@@ -342,14 +337,6 @@
            m_health.time_since_answer() < max_store_silence;
 }
 
-// While no call to the store is answered, operators cannot change the configuration either, and
-// callers are served.
-bool node_application::configuration_current() const {
-    const bool outage = m_configuration_watcher->failing() && m_health.last_call_failed();
-    return outage || m_configuration_watcher->age() <=
-                         std::max(m_settings.config_bound, max_regular_configuration_age);
-}
-
 void node_application::tick() {
     const auto now = m_clock.now();
     m_directory.expire(now);
--- a/source/core/service/node_application.h
+++ b/source/core/service/node_application.h
@@ -64,7 +64,6 @@
     void log_store_health_change();
     void tick();
     [[nodiscard]] bool ready() const;
-    [[nodiscard]] bool configuration_current() const;
     [[nodiscard]] std::optional<pending_report> owner_pending() const;
     [[nodiscard]] owner_environment make_owner_environment();
     [[nodiscard]] peer_exchange::environment make_peer_environment();
--- a/source/core/service/node_settings.cpp
+++ b/source/core/service/node_settings.cpp
@@ -52,7 +52,6 @@
     result.state_retention = read_seconds(settings, "state_retention_s", 120.0);
     result.cancel_bound = read_ms(settings, "cancel_bound_ms", 1000, 3000);
     result.drain_bound = read_ms(settings, "drain_bound_ms", 1000, 2500);
-    result.config_bound = read_ms(settings, "config_bound_ms", 1000, 2500);
     result.min_store_lease = read_ms(settings, "min_store_lease_ms", 1, 1000);
     result.cpu_share = settings.real("cpu_share", 0.0, 1024.0, 1.0);
     result.link_mbps = settings.real("link_mbps", 0.0, 1e6, 0.0);
--- a/source/core/service/node_settings.h
+++ b/source/core/service/node_settings.h
@@ -35,8 +35,6 @@
     /// draining, at which a worker may still begin a start of that job or on that worker.
     common::duration cancel_bound{};
     common::duration drain_bound{};
-    /// Longest time after the acknowledgement of a configuration until it is in force on all nodes.
-    common::duration config_bound{};
     /// Shortest lease that the store grants.
     common::duration min_store_lease{};
     std::string order;
