--- a/source/core/service/owner_controller.cpp
+++ b/source/core/service/owner_controller.cpp
@@ -23,6 +23,8 @@
 // Renewals and commits are sent more often than this; with a time limit of 700 ms a working store
 // has answered at least one of them.
 constexpr auto min_silence_of_outage = std::chrono::milliseconds(1100);
+// Time between two checks whether an ownership whose lease may have run out has been confirmed.
+constexpr auto confirmation_check_interval = std::chrono::milliseconds(10);
 // With a longer delay of the event loop a call that fails does not show an outage of the store.
 constexpr auto max_delay_of_outage = std::chrono::milliseconds(250);
 // Maximum number of expired job records that one commit removes, and the time for which they are
@@ -61,6 +63,10 @@
     if (m_worker_watcher) {
         m_worker_watcher->stop();
     }
+    if (m_on_drained) {
+        // A planned stop that waits for the last commits: the next owner makes them.
+        m_env.loop.post(std::exchange(m_on_drained, nullptr));
+    }
 }
 
 void owner_controller::on_queues(const std::vector<queue_settings>& queues) {
@@ -86,11 +92,11 @@
     m_dispatcher.set_requesting_nodes(m_advice_balancer.node_count());
 }
 
-std::optional<pending_counts> owner_controller::pending() const {
+std::optional<pending_report> owner_controller::pending() const {
     if (!m_loaded || m_active_watcher->age() > max_pending_jobs_age) {
         return std::nullopt;
     }
-    return m_dispatcher.pending_by_queue();
+    return pending_report{m_dispatcher.pending_by_queue(), m_active_watcher->age()};
 }
 
 void owner_controller::drain(std::function<void()> complete) {
@@ -120,6 +126,10 @@
         m_process_again = true;
         return;
     }
+    if (!m_env.may_act()) {
+        schedule_wakeup(m_env.clock.now() + confirmation_check_interval);
+        return;
+    }
     m_processing = true;
     do {
         m_process_again = false;
--- a/source/core/service/owner_controller.h
+++ b/source/core/service/owner_controller.h
@@ -14,6 +14,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -40,6 +41,8 @@
     std::function<void(const net::endpoint& worker, const dispatch::poll_order& order,
                        std::function<void(dispatch::poll_result)> complete)>
         poll_through_peer;
+    /// See owner_election::may_act().
+    std::function<bool()> may_act;
     /// The ownership is lost: the owner key has changed, or a worker has accepted a higher fence.
     std::function<void(std::string_view reason)> report_lost;
     /// The job directory has new entries.
@@ -65,7 +68,7 @@
     [[nodiscard]] std::uint64_t fence() const { return m_fence; }
     /// Number of jobs by queue of which no task has started; empty until all jobs are loaded and
     /// while the watch of new jobs is too far behind.
-    [[nodiscard]] std::optional<pending_counts> pending() const;
+    [[nodiscard]] std::optional<pending_report> pending() const;
 
 private:
     // owner_controller_loading.cpp
@@ -74,7 +77,11 @@
                   std::optional<dispatch::store_item> owner_controller::*target);
     void on_loaded();
     void load_workers(const std::vector<dispatch::store_item>& items);
-    void load_jobs();
+    /// Loads as many records as fit in a short time and continues later with the next ones.
+    void load_records();
+    void load_progress(const dispatch::store_item& item);
+    void load_active_item(const dispatch::store_item& item);
+    void finish_loading();
     void watch_active_keys(const prefix_contents& known);
     void watch_worker_entries(const prefix_contents& known);
     void on_active_snapshot(const std::vector<dispatch::store_item>& items);
@@ -127,6 +134,9 @@
     std::vector<dispatch::queue_settings> m_queues;
     prefix_contents m_active_contents;
     std::vector<dispatch::store_item> m_progress_items;
+    /// Number of records of m_progress_items and then of m_active_contents that are loaded.
+    std::size_t m_loaded_records = 0;
+    std::map<std::string, dispatch::job_progress> m_progress;
     prefix_contents m_worker_contents;
     std::optional<dispatch::store_item> m_workers_record;
     std::optional<dispatch::store_item> m_sequence;
--- a/source/core/service/prefix_watcher.cpp
+++ b/source/core/service/prefix_watcher.cpp
@@ -15,6 +15,8 @@
 // The store answers a watch that is far behind in pages, of about 500 items or 1 MB, without saying
 // so. An answer with at least this many events may be such a page and does not bring all changes.
 constexpr std::size_t possible_page_events = 100;
+// Watch calls fail within 0.6 s after the time for which they wait.
+constexpr auto max_failure_delay = std::chrono::milliseconds(900);
 
 struct prefix_reader : std::enable_shared_from_this<prefix_reader> {
     prefix_reader(dispatch::shared_store& s, net::event_loop& l) : store(s), loop(l) {}
@@ -119,29 +121,29 @@
 void prefix_watcher::read() {
     m_items.clear();
     m_revision = 0;
+    m_read_at = m_clock.now();
     read_after("");
 }
 
 void prefix_watcher::read_after(const std::string& after) {
-    m_store.range(
-        m_settings.prefix, after,
-        [self = shared_from_this(), call = ++m_call, sent_at = m_clock.now()](store_result result) {
-            if (self->is_current(call)) {
-                self->on_page(std::move(result), sent_at);
-            }
-        });
+    m_store.range(m_settings.prefix, after,
+                  [self = shared_from_this(), call = ++m_call](store_result result) {
+                      if (self->is_current(call)) {
+                          self->on_page(std::move(result));
+                      }
+                  });
 }
 
-void prefix_watcher::on_page(store_result result, common::time_point sent_at) {
-    m_failing = result.status != store_status::ok;
-    if (m_failing) {
+void prefix_watcher::on_page(store_result result) {
+    m_last_call_failed = result.status != store_status::ok;
+    m_failing = m_last_call_failed;
+    if (m_last_call_failed) {
         m_revision = 0;
         call_after(retry_delay, &prefix_watcher::read);
         return;
     }
     if (m_revision == 0) {
         m_revision = result.revision;
-        m_current_at = sent_at;
     }
     const bool more = result.more && !result.items.empty();
     for (auto& item : result.items) {
@@ -151,14 +153,18 @@
         read_after(m_items.back().key);
         return;
     }
+    m_current_at = m_read_at;
     m_listener.on_snapshot(std::exchange(m_items, {}), m_revision);
     if (!m_stopped) {
         watch();
     }
 }
 
+// A call after a failed one does not wait for changes: it only shows whether there are any, and so
+// ends the time in which the information may be old.
 void prefix_watcher::watch() {
-    m_store.watch(m_settings.prefix, m_revision, m_settings.watch_timeout,
+    const auto wait = m_last_call_failed ? common::duration(0) : m_settings.watch_timeout;
+    m_store.watch(m_settings.prefix, m_revision, wait,
                   [self = shared_from_this(), call = ++m_call,
                    sent_at = m_clock.now()](const store_result& result) {
                       if (self->is_current(call)) {
@@ -168,12 +174,15 @@
 }
 
 void prefix_watcher::on_watch(const store_result& result, common::time_point sent_at) {
-    m_failing = result.status != store_status::ok && result.status != store_status::history_gone;
+    m_last_call_failed =
+        result.status != store_status::ok && result.status != store_status::history_gone;
+    m_failing = m_last_call_failed &&
+                m_clock.now() - sent_at < m_settings.watch_timeout + max_failure_delay;
     if (result.status == store_status::history_gone) {
         read();
         return;
     }
-    if (m_failing) {
+    if (m_last_call_failed) {
         call_after(retry_delay, &prefix_watcher::watch);
         return;
     }
--- a/source/core/service/prefix_watcher.h
+++ b/source/core/service/prefix_watcher.h
@@ -49,7 +49,8 @@
     /// Time since the last call was sent whose answer brought all changes: later ones may be
     /// unknown.
     [[nodiscard]] common::duration age() const { return m_clock.now() - m_current_at; }
-    /// The last completed call failed.
+    /// The last completed call failed within its time limit. A failure that is handled later does not
+    /// count: an answer may have waited behind a busy event loop or a pause.
     [[nodiscard]] bool failing() const { return m_failing; }
     /// Abandons the pending call, which may hang, and sends a new one.
     void restart();
@@ -60,7 +61,7 @@
     void read();
     void read_after(const std::string& after);
     void watch();
-    void on_page(dispatch::store_result result, common::time_point sent_at);
+    void on_page(dispatch::store_result result);
     void on_watch(const dispatch::store_result& result, common::time_point sent_at);
     [[nodiscard]] bool is_current(std::uint64_t call) const { return !m_stopped && call == m_call; }
     void call_after(common::duration delay, void (prefix_watcher::*step)());
@@ -75,7 +76,10 @@
     common::time_point m_current_at = m_clock.now();
     /// Number of the last call; answers to earlier ones are ignored.
     std::uint64_t m_call = 0;
+    /// When the running read of all items was begun.
+    common::time_point m_read_at;
     bool m_failing = false;
+    bool m_last_call_failed = false;
     bool m_stopped = false;
 };
 
--- a/tests/unit/service/owner_controller_test.cpp
+++ b/tests/unit/service/owner_controller_test.cpp
@@ -8,7 +8,10 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <ctime>
+#include <functional>
 #include <thread>
+#include <utility>
 
 using namespace buckthornspar;
 using namespace buckthornspar::service;
@@ -43,7 +46,8 @@
         }
     }
 
-    void become_owner(std::size_t workers) {
+    /// The change is made while the owner loads, when it has read all keys once.
+    void become_owner(std::size_t workers, const std::function<void()>& meanwhile = {}) {
         for (std::size_t i = 0; i < workers; ++i) {
             store.apply({{}, {{"w/w" + std::to_string(i), "", 0}}, {}});
         }
@@ -63,6 +67,12 @@
                const std::function<void(dispatch::advice_result)>& complete) { complete({}); },
             [](const net::endpoint&, const dispatch::poll_order&,
                const std::function<void(dispatch::poll_result)>& complete) { complete({}); },
+            [this] {
+                if (on_check) {
+                    std::exchange(on_check, nullptr)();
+                }
+                return may_act;
+            },
             [this](std::string_view reason) { lost = reason; },
             [] {}};
         controller = std::make_shared<owner_controller>(environment, fence);
@@ -70,15 +80,21 @@
         queue.name = "q";
         queue.service = "planner";
         queue.max_attempts = 3;
+        store.delay = meanwhile ? 20ms : 0ms;
         controller->begin({queue});
-        BOOST_REQUIRE(run_until([&] { return controller->loaded(); }));
+        if (meanwhile) {
+            meanwhile();
+            BOOST_REQUIRE(!controller->loaded());
+        }
+        BOOST_REQUIRE(run_until([&] { return controller->loaded(); }, 30s));
         run_for(100ms);
     }
 
-    void submit(const std::string& id, std::int64_t cpu_milli) {
+    void submit(const std::string& id, std::int64_t cpu_milli, std::size_t payload_bytes = 0) {
         dispatch::job_spec spec;
         spec.id = id;
         spec.queue = "q";
+        spec.payload = std::string(payload_bytes, 'x');
         dispatch::step_spec step;
         step.demand = {cpu_milli, 100, 0};
         step.estimate_ms = 1000;
@@ -100,6 +116,22 @@
     job_directory directory{120s};
     dispatch::dispatcher_settings dispatcher;
     std::shared_ptr<owner_controller> controller;
+    [[nodiscard]] bool was_used(const std::string& worker) const {
+        return std::any_of(platform.link.starts.begin(), platform.link.starts.end(),
+                           [&](const auto& order) { return order.worker == worker; });
+    }
+
+    /// Each job needs a worker of its own.
+    void submit_wide_jobs(int count) {
+        for (int i = 0; i < count; ++i) {
+            submit("j" + std::to_string(i), 60'000);
+        }
+        run_for(300ms);
+    }
+
+    bool may_act = true;
+    /// Called once when the controller asks whether it may act.
+    std::function<void()> on_check;
     std::string lost;
 };
 
@@ -232,4 +264,138 @@
     BOOST_TEST(lost.empty());
 }
 
+// Pattern: paused process. Guards against starts by an owner whose lease has run out, before it has
+// read its key.
+BOOST_AUTO_TEST_CASE(an_unconfirmed_owner_starts_nothing) {
+    dispatcher.cancel_bound = 5000ms;
+    become_owner(3);
+    may_act = false;
+    submit("a", 1000);
+    run_for(300ms);
+    BOOST_TEST(starts_of("a") == 0U);
+    may_act = true;
+    BOOST_TEST(run_until([&] { return starts_of("a") == 1; }, 500ms));
+}
+
+// Pattern: hand-over. Guards against a planned stop that never ends because the ownership is lost
+// while the last changes are being recorded.
+BOOST_AUTO_TEST_CASE(a_planned_stop_ends_when_the_ownership_is_lost) {
+    become_owner(1);
+    store.fail_calls = true;
+    submit("a", 1000);
+    run_for(100ms);
+    may_act = false;
+    bool drained = false;
+    controller->drain([&] { drained = true; });
+    BOOST_TEST(!drained);
+    controller->end();
+    BOOST_TEST(run_until([&] { return drained; }, 500ms));
+}
+
+// Pattern: hand-over, many jobs. Guards against an owner that loses its key while it reads the
+// jobs, so that owner follows owner and none places anything (RECOVER).
+BOOST_AUTO_TEST_CASE(loading_thousands_of_jobs_does_not_hold_up_the_event_loop) {
+    for (int i = 0; i < 10'000; ++i) {
+        submit("j" + std::to_string(i), 1000, 4000);
+    }
+    // Processor time, so that other processes on the machine do not count.
+    auto last = std::clock();
+    std::clock_t longest = 0;
+    std::function<void()> tick = [&] {
+        const auto now = std::clock();
+        longest = std::max(longest, now - last);
+        last = now;
+        if (!controller || !controller->loaded()) {
+            loop.post(tick);
+        }
+    };
+    loop.post(tick);
+    become_owner(3);
+    // What a node with 0.12 of a core computes between a renewal and the end of the lease.
+    BOOST_TEST_MESSAGE("longest step: " << longest * 1000 / CLOCKS_PER_SEC << " ms");
+    BOOST_TEST(longest * 1000 / CLOCKS_PER_SEC < 100);
+    BOOST_TEST(run_until([&] { return !platform.link.starts.empty(); }));
+}
+
+// Pattern: restarted process. Guards against a new owner that uses a worker which has left, because
+// its entry was removed between the owner's read and its watch.
+BOOST_AUTO_TEST_CASE(a_worker_that_leaves_while_a_new_owner_loads_is_not_used) {
+    dispatcher.unlisted_grace = 100ms;
+    become_owner(3, [&] { store.remove("w/w1"); });
+    run_for(150ms);
+    submit_wide_jobs(3);
+    BOOST_TEST(platform.link.starts.size() == 2U);
+    BOOST_TEST(!was_used("w1"));
+}
+
+// Pattern: restarted process, dropped history. Guards against a new owner that uses a worker which
+// has left, because the store no longer knows the removal.
+BOOST_AUTO_TEST_CASE(a_worker_whose_removal_is_no_longer_known_is_not_used) {
+    dispatcher.unlisted_grace = 100ms;
+    become_owner(3, [&] {
+        store.remove("w/w1");
+        store.apply({{}, {{"w/w2", "", 0}}, {}});
+        store.drop_history();
+    });
+    run_for(150ms);
+    submit_wide_jobs(3);
+    BOOST_TEST(platform.link.starts.size() == 2U);
+    BOOST_TEST(!was_used("w1"));
+}
+
+// Pattern: restarted process. Guards against a new owner that uses a worker which had left before,
+// because the former owner's record still names it.
+BOOST_AUTO_TEST_CASE(a_worker_that_left_before_the_take_over_is_not_used) {
+    become_owner(3);
+    BOOST_REQUIRE(run_until([&] { return store.has(std::string(workers_key)); }));
+    controller->end();
+    platform.link.starts.clear();
+    store.remove("w/w1");
+    dispatcher.unlisted_grace = 100ms;
+    become_owner(0);
+    run_for(150ms);
+    submit_wide_jobs(3);
+    BOOST_TEST(platform.link.starts.size() == 2U);
+    BOOST_TEST(!was_used("w1"));
+}
+
+// Pattern: restarted process. Guards against a new owner that starts a job which was cancelled
+// while it read the jobs.
+BOOST_AUTO_TEST_CASE(a_job_that_is_cancelled_while_a_new_owner_loads_is_not_started) {
+    submit("a", 1000);
+    submit("b", 1000);
+    store.apply({{}, {{cancel_key("a"), "{}", 0}}, {}});
+    become_owner(3, [&] { store.apply({{}, {{cancel_key("b"), "{}", 0}}, {}}); });
+    run_for(300ms);
+    BOOST_TEST(starts_of("a") == 0U);
+    BOOST_TEST((directory.state_of("b") == dispatch::job_state::cancelled));
+}
+
+// Guards against an owner that plans with the former configuration for its whole term, because the
+// configuration changed while it read the jobs.
+BOOST_AUTO_TEST_CASE(a_configuration_that_changes_while_a_new_owner_loads_takes_effect) {
+    dispatch::queue_settings other;
+    other.name = "q2";
+    other.service = "planner";
+    other.max_attempts = 3;
+    submit("b", 1000);
+    submit("c", 1000);
+    // Each record takes longer than one step of the loading lasts.
+    slow.step = 20ms;
+    bool loaded = true;
+    on_check = [&] {
+        loaded = controller->loaded();
+        controller->on_queues({other});
+    };
+    become_owner(3);
+    slow.step = 0ms;
+    BOOST_REQUIRE(!loaded);
+    dispatch::job_spec spec;
+    spec.id = "a";
+    spec.queue = "q2";
+    spec.steps.emplace_back().demand = {1000, 100, 0};
+    store.apply({{}, {{job_key("a"), dispatch::write_job(spec), 0}}, {}});
+    BOOST_TEST(run_until([&] { return starts_of("a") == 1; }, 1s));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
