Use a worker again that restarts after draining when a poll shows its restart first

Cause: an empty worker that drains is left out of the stored record of workers, and a worker without a record gets no starts. A poll shows a restart before the instance list does; the entry then still says draining, so the record that the restart triggers leaves the worker out, and the new entry triggered none. Change: an entry that is no longer draining triggers a new record.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -67,10 +67,9 @@
     if (change.added || change.restarted) {
         schedule_poll(*m_workers.find(report.id), now);
     }
-    if (change.added) {
-        m_workers_dirty = true;
-        m_quorum_outdated = true;
-    }
+    // An empty worker that drains is not in the record; without an entry it would get no starts.
+    m_workers_dirty |= change.added || (change.draining_changed && !report.draining);
+    m_quorum_outdated |= change.added;
     m_replan_needed = true;
 }
 
--- a/tests/unit/dispatch/worker_loss_test.cpp
+++ b/tests/unit/dispatch/worker_loss_test.cpp
@@ -77,6 +77,30 @@
     BOOST_TEST(starts[0].run.run == 2U);
 }
 
+// Guards against a worker that is never used again: it restarts after it was draining, and a poll
+// shows the restart before its entry in the instance list does.
+BOOST_AUTO_TEST_CASE(a_worker_that_restarts_after_draining_is_used_again) {
+    dispatch_fixture f;
+    f.engine.on_queues({dispatch_fixture::plain_queue()});
+    f.become_owner({"w1"});
+    auto report = dispatch_fixture::report("w1");
+    report.draining = true;
+    f.engine.on_worker(f.now, report);
+    f.advance(100ms);
+    f.save();
+    f.start_time_ms = 2000;
+    f.advance(dispatcher_settings().idle_poll_interval + 100ms);
+    f.save();
+    report.draining = false;
+    report.start_time_ms = 2000;
+    f.engine.on_worker(f.now, report);
+    f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 11);
+    f.advance(100ms);
+    f.save();
+    f.advance(100ms);
+    BOOST_TEST(f.take_starts().size() == 1U);
+}
+
 // Guards against two concurrent runs: an unanswered start occupies capacity and its task is not
 // placed elsewhere until the worker can no longer execute it.
 BOOST_AUTO_TEST_CASE(a_start_without_an_answer_is_repeated_as_the_same_run) {
