Do not take one unanswered watch for an outage of the store

Scenarios with a late watch saw starts 4.1 s after the cancellation of the job and 3.2 s after a worker's report of draining, with the check of the age of the information in place (UNASKED, DRAIN). Cause: an owner counts its information as current during an outage of the store, in which no changes are accepted. It took for an outage that the watch had not been answered and that the latest call, usually the same one, had failed. While only this watch is silent, that holds after each of its time limits until another call is answered. Besides, a watch that was late before an outage counted as current in it. An outage requires that no call has been answered for 1.5 s, longer than the other watch takes (0.5 s wait, 0.6 s time limit, 0.3 s pause). During an outage the age stays as it was at the last answer.

--- a/source/core/service/owner_controller.cpp
+++ b/source/core/service/owner_controller.cpp
@@ -2,6 +2,7 @@
 
 #include "core/common/logging.h"
 #include "core/common/overloaded.h"
+#include "core/dispatch/known_changes.h"
 #include "core/service/store_keys.h"
 
 #include <algorithm>
@@ -20,8 +21,6 @@
 constexpr auto commit_retry_delay = std::chrono::milliseconds(80);
 // The counts of pending jobs are not reported while the watch of new jobs is further behind.
 constexpr auto max_pending_jobs_age = std::chrono::milliseconds(2500);
-// With a longer delay of the event loop a call that fails does not show an outage of the store.
-constexpr auto max_delay_of_outage = std::chrono::milliseconds(250);
 // Maximum number of expired job records that one commit removes, and the time for which they are
 // kept beyond their retention.
 constexpr std::size_t max_removals_per_commit = 24;
@@ -155,14 +154,10 @@
     }
 }
 
-// While no call to the store is answered, it accepts no changes either, and placement goes on. An
-// answer that waits behind a busy event loop looks the same, so that the loop must not be late. A
-// store that serves the other nodes takes the ownership from this one.
 common::time_point owner_controller::changes_known_until(common::time_point now,
                                                          const prefix_watcher& watcher) const {
-    const bool outage = watcher.failing() && m_env.health.last_call_failed() &&
-                        m_load.recent_delay() < max_delay_of_outage;
-    return outage ? now : now - watcher.age();
+    return dispatch::changes_known_until({now - watcher.age(), watcher.failing()},
+                                         {m_env.health.time_since_answer(), m_load.recent_delay()});
 }
 
 // One line a second, from the owner only: it shows whether a late decision was made with late input
--- a/tests/fakes/fake_shared_store.h
+++ b/tests/fakes/fake_shared_store.h
@@ -28,6 +28,8 @@
     bool renewals_fail = false;
     /// No call is answered: watches, commits and renewals complete as unknown.
     bool fail_calls = false;
+    /// Only watches of this prefix are not answered.
+    std::string unanswered_watch_prefix;
     /// Answers to watch calls wait until this is false and release_watches() is called.
     bool hold_watches = false;
 
@@ -63,7 +65,7 @@
 
     void watch(const std::string& prefix, std::uint64_t after, common::duration wait,
                dispatch::store_completion complete) override {
-        if (fail_calls) {
+        if (fail_calls || prefix == unanswered_watch_prefix) {
             answer_after(wait, std::move(complete), {});
             return;
         }
--- a/tests/unit/service/owner_controller_test.cpp
+++ b/tests/unit/service/owner_controller_test.cpp
@@ -147,6 +147,26 @@
     BOOST_TEST(lost.empty());
 }
 
+// Pattern: silent watch. Guards against an owner that takes an unanswered watch of the
+// cancellations for an outage of the store, in which none can be accepted (UNASKED): other calls
+// are answered.
+BOOST_AUTO_TEST_CASE(one_unanswered_watch_is_not_an_outage) {
+    become_owner(3);
+    submit("a", 1000);
+    BOOST_REQUIRE(run_until([&] { return starts_of("a") == 1; }));
+    run_for(100ms);
+    store.unanswered_watch_prefix = active_prefix;
+    // Ends the call that is waiting at the store.
+    store.apply({{}, {{std::string(active_prefix) + "other", "", 0}}, {}});
+    store.apply({{}, {{cancel_key("a"), "", 0}}, {}});
+    run_for(1600ms);
+    const auto& first = platform.link.starts.back();
+    platform.link.end_run(first.worker, first.run, dispatch::run_end::stopped);
+    run_for(1500ms);
+    BOOST_TEST(starts_of("a") == 1U);
+    BOOST_TEST(lost.empty());
+}
+
 // Guards against tasks that wait because the instance list is quiet: its watch is answered often
 // enough that the owner's information is never older than starts permit.
 BOOST_AUTO_TEST_CASE(a_quiet_instance_list_does_not_delay_starts) {
