Emulate a slow processor of the owner, a slow store and late watches

Change: an emulated_processor executes the owner's events one at a time in order of arrival. An event and a plan cost processor time (event_cost, plan_cost), what arrives meanwhile waits, and the actions of a plan are sent at its end. slow_owner() multiplies the costs. Jobs and the instance list are watched by calls, as in the service: a call waits 0.5 s for changes, ends without an answer 0.6 s after that, and is repeated. slow_store() delays watch answers and commits, delay_watch() only the watch of one prefix. The owner tells the dispatcher the time at which the last answered call was sent, by the rule of the service. A cancellation, or a report of draining, counts as acknowledged when the store answers it within the time limit of its caller (0.7 s); a report of draining is no longer stored while the store is down. Mutations for the tests: an owner that claims to know all changes, workers that begin late starts.

--- a/source/core/emulation/emulated_fleet.cpp
+++ b/source/core/emulation/emulated_fleet.cpp
@@ -109,7 +109,7 @@
     if (last_closed != worker.closed_runs.end() && order.run.run <= last_closed->second) {
         return {order_status::old_run, clock};
     }
-    if (clock > order.valid_until_ms) {
+    if (clock > order.valid_until_ms && m_settings.refuses_late_starts) {
         return {order_status::too_late, clock};
     }
     worker.lease_until_ms = std::max(
--- a/source/core/emulation/emulated_fleet.h
+++ b/source/core/emulation/emulated_fleet.h
@@ -19,6 +19,8 @@
     common::duration stop_delay = std::chrono::milliseconds(200);
     /// Amount of work after which a run produces a new checkpoint.
     common::duration checkpoint_interval = std::chrono::milliseconds(500);
+    /// Mutation: workers begin starts whose validity is over.
+    bool refuses_late_starts = true;
 };
 
 /// A run in progress on an emulated worker.
--- a/source/core/emulation/emulated_owner.cpp
+++ b/source/core/emulation/emulated_owner.cpp
@@ -1,5 +1,6 @@
 #include "core/emulation/emulated_owner.h"
 
+#include "core/dispatch/known_changes.h"
 #include "core/emulation/emulated_platform.h"
 
 #include <utility>
@@ -17,34 +18,75 @@
 
 emulated_owner::emulated_owner(emulated_platform& platform, std::uint64_t fence,
                                const dispatch::dispatcher_settings& settings)
-    : m_platform(platform), m_engine(settings, m_counters), m_fence(fence) {}
+    : m_platform(platform),
+      m_engine(settings, m_counters),
+      m_fence(fence),
+      m_processor(platform.m_events),
+      m_jobs(platform, *this, watched_prefix::jobs),
+      m_workers(platform, *this, watched_prefix::workers) {}
 
-void emulated_owner::post(common::duration delay, std::function<void()> event) {
-    m_platform.m_events.after(delay, [this, event = std::move(event)] {
-        if (m_ended) {
-            return;
-        }
-        if (m_platform.now() < m_frozen_until) {
-            post(m_frozen_until - m_platform.now(), event);
-            return;
-        }
-        event();
-        pump();
+void emulated_owner::post(common::duration delay, std::function<void()> event, std::size_t weight) {
+    m_platform.m_events.after(delay, [this, event = std::move(event), weight] {
+        m_processor.execute([this, event, weight] {
+            event();
+            request_pump();
+            m_processor.spend(m_platform.m_settings.event_cost * static_cast<int>(weight));
+        });
     });
 }
 
-void emulated_owner::pump() {
-    if (m_ended || m_platform.now() < m_frozen_until) {
+void emulated_owner::request_pump() {
+    if (m_ended || std::exchange(m_pump_requested, true)) {
         return;
     }
-    m_engine.on_list_known(m_platform.m_list_known_until);
-    const auto known = m_platform.changes_known_until();
-    m_engine.on_changes_known(known, known);
-    m_engine.on_time(m_platform.now());
-    for (const auto& action : m_engine.take_actions()) {
-        execute_action(action);
-    }
-    save();
+    m_processor.execute([this] {
+        m_pump_requested = false;
+        pump();
+    });
+}
+
+void emulated_owner::start_watches(std::size_t jobs_position, std::size_t workers_position,
+                                   common::time_point read_at) {
+    m_jobs.start(jobs_position, read_at);
+    m_workers.start(workers_position, read_at);
+}
+
+void emulated_owner::record_store_answer() {
+    m_store_answered_at = m_platform.now();
+}
+
+void emulated_owner::end() {
+    m_ended = true;
+    m_processor.stop();
+}
+
+common::time_point emulated_owner::changes_known_until(const emulated_watch& watch) const {
+    return dispatch::changes_known_until(
+        {watch.known_until(), watch.is_failing()},
+        {m_platform.now() - m_store_answered_at, m_processor.recent_wait()});
+}
+
+void emulated_owner::pump() {
+    const auto& settings = m_platform.m_settings;
+    const auto now = m_platform.now();
+    m_engine.on_list_known(m_workers.known_until());
+    m_engine.on_changes_known(settings.claims_all_cancels ? now : changes_known_until(m_jobs),
+                              settings.claims_all_drains ? now : changes_known_until(m_workers));
+    const auto& plans = m_counters.get("plans_total");
+    const auto plans_before = plans.value();
+    m_engine.on_time(now);
+    const bool planned = plans.value() != plans_before;
+    // As in the service's owner, actions are sent when the plan is complete.
+    m_processor.spend(planned ? settings.plan_cost : common::duration(0),
+                      [this, planned, actions = m_engine.take_actions()](common::duration took) {
+                          if (planned) {
+                              m_engine.on_planned(m_platform.now(), took);
+                          }
+                          for (const auto& action : actions) {
+                              execute_action(action);
+                          }
+                          save();
+                      });
 }
 
 void emulated_owner::execute_action(const dispatch::dispatch_action& action) {
@@ -70,7 +112,7 @@
     } else if (const auto* const call = std::get_if<dispatch::advice_call>(&action)) {
         ask_advice(*call);
     } else if (std::holds_alternative<dispatch::fenced>(action)) {
-        m_ended = true;
+        end();
     }
 }
 
@@ -101,18 +143,24 @@
 }
 
 void emulated_owner::write(const dispatch::save_batch& batch) {
-    // The store performs the write even if the owner's process is frozen or has ended.
-    m_platform.m_events.after(m_platform.m_settings.store_delay, [this, batch] {
-        if (!m_platform.store_up()) {
-            post(store_retry, [this, batch] { write(batch); });
-            return;
-        }
-        if (!m_platform.save(m_fence, batch)) {
-            m_ended = true;
-            return;
-        }
-        post({}, [this] { m_engine.on_saved(m_platform.now()); });
-    });
+    // The store performs the write even if the owner's process is frozen or has ended. A slow store
+    // takes half of the additional time before the write and half before the answer.
+    const auto slowness = m_platform.m_store.extra_delay(m_platform.now());
+    m_platform.m_events.after(m_platform.m_settings.store_delay + slowness / 2,
+                              [this, batch, slowness] {
+                                  if (!m_platform.store_up()) {
+                                      post(store_retry, [this, batch] { write(batch); });
+                                      return;
+                                  }
+                                  if (!m_platform.save(m_fence, batch)) {
+                                      end();
+                                      return;
+                                  }
+                                  post(slowness / 2, [this] {
+                                      record_store_answer();
+                                      m_engine.on_saved(m_platform.now());
+                                  });
+                              });
 }
 
 } // namespace buckthornspar::emulation
--- a/source/core/emulation/emulated_platform.cpp
+++ b/source/core/emulation/emulated_platform.cpp
@@ -15,18 +15,25 @@
 // Time that a poll may take beyond its wait; same value as in the programs that call workers.
 constexpr auto poll_slack = std::chrono::milliseconds(240);
 constexpr auto election_retry = std::chrono::milliseconds(100);
+// A change that the store answers later than this is not acknowledged; same value as in the
+// platform's store client.
+constexpr auto store_call_timeout = std::chrono::milliseconds(700);
 
 } // namespace
 
 void platform_observer::on_job_ended(const std::string&, dispatch::job_state) {}
 void platform_observer::on_cancel_accepted(const std::string&) {}
+void platform_observer::on_cancel_acknowledged(const std::string&) {}
+void platform_observer::on_drain_acknowledged(const emulated_worker&) {}
 
 emulated_platform::emulated_platform(const platform_settings& settings, platform_observer& observer,
                                      std::uint64_t seed)
     : m_settings(settings),
       m_observer(observer),
       m_rng(seed),
-      m_fleet(m_settings.fleet, observer, seed) {
+      m_fleet(m_settings.fleet, observer, seed),
+      m_job_changes(m_events, m_store, m_settings.watch_delay),
+      m_worker_changes(m_events, m_store, m_settings.watch_delay) {
     m_events.after(tick_interval, [this] { tick(); });
     m_events.after(m_settings.report_interval, [this] { report_workers(); });
 }
@@ -49,14 +56,11 @@
 void emulated_platform::tick() {
     m_fleet.advance(now());
     answer_polls();
-    if (store_up()) {
-        m_list_known_until = now() - m_settings.watch_delay;
-    }
     for (auto& former : m_replaced_owners) {
-        former->pump();
+        former->request_pump();
     }
     if (m_owner) {
-        m_owner->pump();
+        m_owner->request_pump();
         if (m_owner->is_ended()) {
             replace_owner(m_settings.owner_lease);
         }
@@ -86,12 +90,9 @@
     m_fleet.add_job(spec, work_ms);
     const auto revision = ++m_revision;
     m_jobs[spec.id] = {spec, revision};
-    if (m_owner) {
-        auto& owner = *m_owner;
-        owner.post(m_settings.watch_delay, [this, &owner, spec, revision] {
-            owner.engine().on_job(now(), spec, {}, revision);
-        });
-    }
+    m_job_changes.append([this, spec, revision](emulated_owner& owner) {
+        owner.engine().on_job(now(), spec, {}, revision);
+    });
     return true;
 }
 
@@ -102,14 +103,31 @@
     ++m_revision;
     m_cancels.insert(job);
     m_observer.on_cancel_accepted(job);
-    if (m_owner) {
-        auto& owner = *m_owner;
-        owner.post(m_settings.watch_delay,
-                   [this, &owner, job] { owner.engine().on_cancel(now(), job); });
-    }
+    acknowledge_cancel(job);
+    m_job_changes.append(
+        [this, job](emulated_owner& owner) { owner.engine().on_cancel(now(), job); });
     return true;
 }
 
+bool emulated_platform::acknowledges_changes() const {
+    return store_up() && m_store.extra_delay(now()) <= store_call_timeout;
+}
+
+// A caller whose request is not answered in time repeats it until the store answers in time.
+void emulated_platform::acknowledge_cancel(const std::string& job) {
+    if (acknowledges_changes()) {
+        m_observer.on_cancel_acknowledged(job);
+        return;
+    }
+    const auto retry_at = std::max(m_store.down_until, m_store.slow_until);
+    m_events.after(retry_at - now(), [this, job] { acknowledge_cancel(job); });
+}
+
+void emulated_platform::watch_store(watched_prefix prefix, std::size_t after,
+                                    watch_completion complete) {
+    log_of(prefix).watch(after, m_settings.watch_wait, std::move(complete));
+}
+
 bool emulated_platform::is_final(const std::string& job) const {
     return m_final.contains(job);
 }
@@ -147,10 +165,13 @@
     }
     m_owner_fence = ++m_revision;
     // The watch on the jobs reports the change of owner before any job accepted after it.
-    for (auto& former : m_replaced_owners) {
-        former->post(m_settings.watch_delay, [&owner = *former] { owner.end(); });
-    }
-    m_events.after(m_settings.load_delay, [this, election] {
+    m_job_changes.append([fence = m_owner_fence](emulated_owner& owner) {
+        if (owner.fence() < fence) {
+            owner.end();
+        }
+    });
+    m_loading_since = now();
+    m_events.after(m_settings.load_delay + m_store.extra_delay(now()), [this, election] {
         if (election == m_election) {
             begin_term();
         }
@@ -179,7 +200,8 @@
     for (const auto& id : m_cancels) {
         engine.on_cancel(now(), id);
     }
-    m_owner->pump();
+    m_owner->start_watches(m_job_changes.size(), m_worker_changes.size(), m_loading_since);
+    m_owner->request_pump();
 }
 
 void emulated_platform::replace_owner(common::duration after) {
@@ -218,26 +240,29 @@
     }
 }
 
+void emulated_platform::slow_owner(common::duration length, double factor) {
+    if (m_owner) {
+        m_owner->slow_down(factor, length);
+    }
+}
+
 void emulated_platform::publish(const std::string& id) {
     auto& link = m_links[id];
     link.listed = true;
-    if (!m_owner) {
-        return;
+    const auto& worker = *m_fleet.find(id);
+    auto report = worker.report;
+    report.clock_ms = worker.clock_ms(now());
+    m_worker_changes.append(
+        [this, report](emulated_owner& owner) { owner.engine().on_worker(now(), report); });
+    if (report.draining && acknowledges_changes()) {
+        m_observer.on_drain_acknowledged(worker);
     }
-    auto report = m_fleet.find(id)->report;
-    report.clock_ms = m_fleet.find(id)->clock_ms(now());
-    auto& owner = *m_owner;
-    owner.post(m_settings.watch_delay,
-               [this, &owner, report] { owner.engine().on_worker(now(), report); });
 }
 
 void emulated_platform::withdraw(const std::string& id) {
     m_links[id].listed = false;
-    if (m_owner) {
-        auto& owner = *m_owner;
-        owner.post(m_settings.watch_delay,
-                   [this, &owner, id] { owner.engine().on_worker_unlisted(now(), id); });
-    }
+    m_worker_changes.append(
+        [this, id](emulated_owner& owner) { owner.engine().on_worker_unlisted(now(), id); });
 }
 
 void emulated_platform::crash_worker(const std::string& id, common::duration length) {
@@ -254,8 +279,15 @@
 }
 
 void emulated_platform::drain_worker(const std::string& id) {
-    m_fleet.find(id)->report.draining = true;
-    publish(id);
+    auto& worker = *m_fleet.find(id);
+    if (!worker.up) {
+        return;
+    }
+    worker.report.draining = true;
+    // A report that the store does not receive now is repeated at the report interval.
+    if (store_up() && now() >= m_links[id].store_cut_until) {
+        publish(id);
+    }
 }
 
 void emulated_platform::cut_worker(const std::string& id, common::duration length, bool store) {
@@ -291,7 +323,24 @@
 }
 
 void emulated_platform::stop_store(common::duration length) {
-    m_store_down_until = std::max(m_store_down_until, now() + length);
+    m_store.down_until = std::max(m_store.down_until, now() + length);
+    m_store_unstable_until = std::max(m_store_unstable_until, m_store.down_until);
+    m_job_changes.drop_calls();
+    m_worker_changes.drop_calls();
+}
+
+void emulated_platform::slow_store(common::duration length, common::duration by) {
+    m_store.slow_until = now() + length;
+    m_store.slowness = by;
+    if (by > store_call_timeout) {
+        // Callers cannot tell this from an outage.
+        m_store_unstable_until = std::max(m_store_unstable_until, m_store.slow_until);
+    }
+}
+
+void emulated_platform::delay_watch(watched_prefix prefix, common::duration length,
+                                    common::duration by) {
+    log_of(prefix).delay_answers(length, by);
 }
 
 template <typename Result, typename Execute>
--- a/source/core/emulation/emulated_platform.h
+++ b/source/core/emulation/emulated_platform.h
@@ -2,6 +2,7 @@
 
 #include "core/common/event_queue.h"
 #include "core/dispatch/shared_store.h"
+#include "core/emulation/change_log.h"
 #include "core/emulation/emulated_fleet.h"
 #include "core/emulation/emulated_owner.h"
 
@@ -21,8 +22,16 @@
     common::duration min_delay = std::chrono::milliseconds(1);
     common::duration max_delay = std::chrono::milliseconds(22);
     common::duration store_delay = std::chrono::milliseconds(8);
-    /// Delay until a change of the instance list or the jobs reaches the owner.
+    /// Delay until a change of the instance list or the jobs reaches an owner whose watch call is
+    /// waiting at the store.
     common::duration watch_delay = std::chrono::milliseconds(60);
+    /// Longest time that a watch call waits for a change; same values as in the service.
+    common::duration watch_wait = std::chrono::milliseconds(500);
+    /// Time between an answer with changes of the instance list and the next call.
+    common::duration workers_watch_interval{0};
+    /// Processor time of the owner for an event and for a plan.
+    common::duration event_cost{0};
+    common::duration plan_cost{0};
     /// An unresponsive owner is replaced after this time.
     common::duration owner_lease = std::chrono::milliseconds(1200);
     /// An owner that stops by itself is replaced after this time.
@@ -35,13 +44,25 @@
     common::duration report_interval = std::chrono::milliseconds(1500);
     /// The advice service grants one in this many workers to a step.
     unsigned granted_one_in = 4;
+    /// Time after an outage of the store in which the platform judges no rule with a time bound
+    /// (contact_ms).
+    common::duration contact_time = std::chrono::milliseconds(4000);
+    /// Mutations: the owner claims that it knows all cancellations, or all reports of draining, up
+    /// to now.
+    bool claims_all_cancels = false;
+    bool claims_all_drains = false;
 };
 
 class platform_observer : public fleet_observer {
 public:
     /// The final state of the job is visible to callers from now on.
     virtual void on_job_ended(const std::string& job, dispatch::job_state state);
+    /// The cancellation is stored; workers may still begin starts of the job for a limited time
+    /// after it is acknowledged.
     virtual void on_cancel_accepted(const std::string& job);
+    virtual void on_cancel_acknowledged(const std::string& job);
+    /// The store has acknowledged a worker's report that it is draining.
+    virtual void on_drain_acknowledged(const emulated_worker& worker);
 
 protected:
     platform_observer() = default;
@@ -76,6 +97,8 @@
     void kill_owner();
     void stop_owner();
     void freeze_owner(common::duration length);
+    /// The owner's processor takes the factor of the time for its work.
+    void slow_owner(common::duration length, double factor);
     void crash_worker(const std::string& worker, common::duration length);
     void drain_worker(const std::string& worker);
     /// Cuts the connection between the owner and the worker, and with `store` also the worker's
@@ -87,14 +110,24 @@
     /// Removes the worker's entry from the instance list for the time.
     void lose_entry(const std::string& worker, common::duration length);
     void stop_store(common::duration length);
+    /// Watch calls and commits take longer by the given time.
+    void slow_store(common::duration length, common::duration by);
+    /// Only the answers to watch calls of one prefix take longer by the given time.
+    void delay_watch(watched_prefix prefix, common::duration length, common::duration by);
 
     [[nodiscard]] emulated_fleet& fleet() { return m_fleet; }
+    /// The store has answered calls within their time limits for so long that the platform judges
+    /// rules with a time bound.
+    [[nodiscard]] bool is_store_stable() const {
+        return now() >= m_store_unstable_until + m_settings.contact_time;
+    }
     /// True while accepted jobs have not ended.
     [[nodiscard]] bool has_open_jobs() const { return !m_jobs.empty(); }
     [[nodiscard]] bool is_final(const std::string& job) const;
 
 private:
     friend class emulated_owner;
+    friend class emulated_watch;
 
     struct worker_link_state {
         common::time_point cut_until;
@@ -116,11 +149,18 @@
     };
 
     [[nodiscard]] common::duration delay();
-    [[nodiscard]] bool store_up() const { return now() >= m_store_down_until; }
-    /// Time before which the owner knows all changes: none are accepted while the store is down.
-    [[nodiscard]] common::time_point changes_known_until() const {
-        return store_up() ? now() - m_settings.watch_delay : now();
+    [[nodiscard]] bool store_up() const { return m_store.is_up(now()); }
+    [[nodiscard]] change_log& log_of(watched_prefix prefix) {
+        return prefix == watched_prefix::jobs ? m_job_changes : m_worker_changes;
+    }
+    [[nodiscard]] common::duration watch_interval(watched_prefix prefix) const {
+        return prefix == watched_prefix::jobs ? common::duration(0)
+                                              : m_settings.workers_watch_interval;
     }
+    void watch_store(watched_prefix prefix, std::size_t after, watch_completion complete);
+    /// The store answers a change within the time limit of its caller.
+    [[nodiscard]] bool acknowledges_changes() const;
+    void acknowledge_cancel(const std::string& job);
     /// Delivers the call to the worker and returns its response; completes with an empty result
     /// when there is no response within the timeout.
     /// A call through another node is only affected by a cut from all nodes.
@@ -151,15 +191,19 @@
     emulated_fleet m_fleet;
     std::vector<dispatch::queue_settings> m_queues;
     std::map<std::string, worker_link_state> m_links;
-    common::time_point m_list_known_until;
     std::vector<pending_poll> m_pending_polls;
 
     std::unique_ptr<emulated_owner> m_owner;
     /// Replaced owners whose process may still be frozen and continue later.
     std::deque<std::unique_ptr<emulated_owner>> m_replaced_owners;
     std::uint64_t m_election = 0;
+    /// When the calls were sent by which the next owner reads the store.
+    common::time_point m_loading_since;
 
-    common::time_point m_store_down_until;
+    store_condition m_store;
+    common::time_point m_store_unstable_until{-m_settings.contact_time};
+    change_log m_job_changes;
+    change_log m_worker_changes;
     std::uint64_t m_revision = 0;
     std::uint64_t m_owner_fence = 0;
     std::map<std::string, stored_job> m_jobs;
