--- a/tests/scenario/dispatch/dispatch_invariants.cpp
+++ b/tests/scenario/dispatch/dispatch_invariants.cpp
@@ -7,8 +7,10 @@
 
 namespace {
 
-// Platform limit for starts after the cancellation of a job while no fault is active.
+// Platform limits for starts after the acknowledgement of a job's cancellation (cancel_ms), and of
+// a worker's report that it is draining (drain_ms).
 constexpr common::duration cancel_bound = std::chrono::milliseconds(3000);
+constexpr common::duration drain_bound = std::chrono::milliseconds(2500);
 
 std::string describe(const run_key& run) {
     return "run " + std::to_string(run.run) + " of " + dispatch::to_string(run.task);
@@ -34,10 +36,39 @@
     if (!m_platform->fleet().has_issued_checkpoint(run.task, order.checkpoint)) {
         throw violation(describe(run) + " starts with a checkpoint of another task");
     }
-    const auto cancelled = m_cancelled.find(run.task.job);
-    if (m_undisturbed && cancelled != m_cancelled.end() &&
-        m_platform->now() > cancelled->second + cancel_bound) {
-        throw violation(describe(run) + " starts after its job was cancelled");
+    // A change that was accepted just before an outage of the store, or before it became too slow
+    // to answer in time, cannot be read meanwhile. The platform judges these rules only once the
+    // store has been stable for contact_ms.
+    if (m_platform->is_store_stable()) {
+        check_cancellation(run);
+        check_draining(worker, run);
+    }
+}
+
+void dispatch_invariants::check_cancellation(const run_key& run) const {
+    const auto cancelled = m_cancels_acknowledged.find(run.task.job);
+    if (cancelled == m_cancels_acknowledged.end()) {
+        return;
+    }
+    const auto since = m_platform->now() - cancelled->second;
+    if (since > cancel_bound) {
+        throw violation(describe(run) + " starts after its job was cancelled, " +
+                        std::to_string(common::to_milliseconds(since)) + " ms after it");
+    }
+}
+
+void dispatch_invariants::check_draining(const emulation::emulated_worker& worker,
+                                         const run_key& run) const {
+    const auto draining =
+        m_drains_acknowledged.find({worker.report.id, worker.report.start_time_ms});
+    if (draining == m_drains_acknowledged.end()) {
+        return;
+    }
+    const auto since = m_platform->now() - draining->second;
+    if (since > drain_bound) {
+        throw violation(describe(run) + " starts on the draining worker " + worker.report.id +
+                        ", " + std::to_string(common::to_milliseconds(since)) +
+                        " ms after its report");
     }
 }
 
@@ -147,7 +178,16 @@
 }
 
 void dispatch_invariants::on_cancel_accepted(const std::string& job) {
-    m_cancelled.emplace(job, m_platform->now());
+    m_cancelled.insert(job);
+}
+
+void dispatch_invariants::on_cancel_acknowledged(const std::string& job) {
+    m_cancels_acknowledged.emplace(job, m_platform->now());
+}
+
+void dispatch_invariants::on_drain_acknowledged(const emulation::emulated_worker& worker) {
+    m_drains_acknowledged.emplace(worker_incarnation{worker.report.id, worker.report.start_time_ms},
+                                  m_platform->now());
 }
 
 } // namespace buckthornspar::scenario
--- a/tests/scenario/dispatch/dispatch_invariants.h
+++ b/tests/scenario/dispatch/dispatch_invariants.h
@@ -15,8 +15,8 @@
 public:
     /// Sets the observed platform; must be called before the first event.
     void watch(emulation::emulated_platform& platform) { m_platform = &platform; }
-    /// True while no fault has affected the owner or the network, so that rules with a time bound
-    /// apply.
+    /// True while no fault has affected the owner or the network, so that the rule on gangs
+    /// applies. The rules on cancelled jobs and draining workers apply while the store is stable.
     void set_undisturbed(bool undisturbed) { m_undisturbed = undisturbed; }
     void set_attempts(std::uint32_t attempts) { m_attempts = attempts; }
 
@@ -29,6 +29,8 @@
     void on_lease_lapsed(const emulation::emulated_worker& worker) override;
     void on_job_ended(const std::string& job, dispatch::job_state state) override;
     void on_cancel_accepted(const std::string& job) override;
+    void on_cancel_acknowledged(const std::string& job) override;
+    void on_drain_acknowledged(const emulation::emulated_worker& worker) override;
 
 private:
     using worker_incarnation = std::pair<std::string, std::int64_t>;
@@ -56,13 +58,18 @@
     void check_no_concurrent_run(const emulation::emulated_worker& worker,
                                  const dispatch::run_key& run) const;
     void check_step_order(const dispatch::run_key& run) const;
+    void check_cancellation(const dispatch::run_key& run) const;
+    void check_draining(const emulation::emulated_worker& worker,
+                        const dispatch::run_key& run) const;
 
     emulation::emulated_platform* m_platform = nullptr;
     bool m_undisturbed = true;
     std::uint32_t m_attempts = 3;
     std::map<dispatch::task_key, task_record> m_tasks;
     std::map<worker_incarnation, std::map<std::uint64_t, end_record>> m_unacknowledged_ends;
-    std::map<std::string, common::time_point> m_cancelled;
+    std::set<std::string> m_cancelled;
+    std::map<std::string, common::time_point> m_cancels_acknowledged;
+    std::map<worker_incarnation, common::time_point> m_drains_acknowledged;
     std::set<std::string> m_ended;
 };
 
--- a/tests/scenario/dispatch/dispatch_scenario_test.cpp
+++ b/tests/scenario/dispatch/dispatch_scenario_test.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr std::size_t random_runs = 1000;
-constexpr std::size_t mutation_runs = 300;
+constexpr std::size_t mutation_runs = 1000;
 
 bool mutation_is_detected(const std::string& mutation, const std::string& expected) {
     const auto failure =
@@ -17,6 +17,19 @@
     return failure.find(expected) != std::string::npos;
 }
 
+/// The violation of a script of the directory with a fault in the system; empty if there is none.
+std::string failure_with_mutation(const std::string& name, const std::string& mutation) {
+    auto s = load_script(std::string(BTS_SCRIPT_DIR) + "/" + name + ".yaml");
+    s.setup.set("mutation", mutation);
+    auto failure = run_script(s, make_dispatch_world).failure;
+    BOOST_TEST_MESSAGE(mutation << ": " << failure);
+    return failure;
+}
+
+bool contains(const std::string& text, const std::string& part) {
+    return text.find(part) != std::string::npos;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(dispatch_scenario_test)
@@ -51,4 +64,27 @@
     BOOST_TEST(mutation_is_detected("cancel", "after its job was cancelled"));
 }
 
+// An owner that claims to know all cancellations, or all reports of draining, up to now acts like
+// the owner of issue 26, which did not compare the age of its information with the bounds.
+BOOST_AUTO_TEST_CASE(starts_by_an_owner_with_outdated_cancellations_are_detected) {
+    const std::string expected = "after its job was cancelled";
+    BOOST_TEST(contains(failure_with_mutation("slow_owner_and_cancellation", "claimed_cancels"),
+                        expected));
+    BOOST_TEST(contains(failure_with_mutation("late_watch_and_cancellation", "claimed_cancels"),
+                        expected));
+    BOOST_TEST(mutation_is_detected("claimed_cancels", expected));
+}
+
+BOOST_AUTO_TEST_CASE(starts_by_an_owner_with_an_outdated_list_are_detected) {
+    const std::string expected = "on the draining worker";
+    BOOST_TEST(contains(failure_with_mutation("drain_and_late_list", "claimed_drains"), expected));
+    BOOST_TEST(mutation_is_detected("claimed_drains", expected));
+}
+
+// Workers that begin starts after the end of their validity.
+BOOST_AUTO_TEST_CASE(starts_that_are_not_refused_as_late_are_detected) {
+    BOOST_TEST(contains(failure_with_mutation("long_plan_and_cancellation", "late_starts"),
+                        "after its job was cancelled"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/scenario/dispatch/dispatch_world.cpp
+++ b/tests/scenario/dispatch/dispatch_world.cpp
@@ -30,7 +30,7 @@
 class dispatch_world final : public world {
 public:
     explicit dispatch_world(const script& s)
-        : m_platform(make_settings(), m_invariants, s.seed),
+        : m_platform(make_settings(s.setup), m_invariants, s.seed),
           m_mutation(s.setup.text("mutation", "")) {
         m_invariants.watch(m_platform);
         auto attempts = make_queue("plain", false);
@@ -80,10 +80,18 @@
 private:
     using verb = std::function<void(dispatch_world&, const arguments&)>;
 
-    static emulation::platform_settings make_settings() {
+    static emulation::platform_settings make_settings(const arguments& setup) {
         emulation::platform_settings settings;
         // Same lease as in the programs on the platform: four seconds.
         settings.dispatcher.leases.lease = milliseconds(4000);
+        settings.event_cost = setup.time("event_cost", settings.event_cost);
+        settings.plan_cost = setup.time("plan_cost", settings.plan_cost);
+        settings.workers_watch_interval =
+            setup.time("list_interval", settings.workers_watch_interval);
+        const auto mutation = setup.text("mutation", "");
+        settings.claims_all_cancels = mutation == "claimed_cancels";
+        settings.claims_all_drains = mutation == "claimed_drains";
+        settings.fleet.refuses_late_starts = mutation != "late_starts";
         return settings;
     }
 
@@ -118,13 +126,31 @@
             {"lose_entry", disturbing([](dispatch_world& w, const arguments& a) {
                  w.m_platform.lose_entry(a.text("worker"), a.time("for"));
              })},
+            {"slow_owner", disturbing([](dispatch_world& w, const arguments& a) {
+                 w.m_platform.slow_owner(a.time("for"), static_cast<double>(a.number("factor")));
+             })},
+            {"slow_store", disturbing([](dispatch_world& w, const arguments& a) {
+                 w.m_platform.slow_store(a.time("for"), a.time("by"));
+             })},
+            {"late_watch", disturbing([](dispatch_world& w, const arguments& a) {
+                 w.m_platform.delay_watch(read_prefix(a), a.time("for"), a.time("by"));
+             })},
             {"fail_runs", &dispatch_world::fail_runs},
             {"hang_runs", &dispatch_world::hang_runs},
         };
         return table;
     }
 
-    // Wraps a fault after which rules with a time bound no longer apply.
+    static emulation::watched_prefix read_prefix(const arguments& a) {
+        const auto name = a.text("what");
+        if (name != "jobs" && name != "workers") {
+            throw script_error("'" + name + "' is not watched; expected jobs or workers");
+        }
+        return name == "jobs" ? emulation::watched_prefix::jobs
+                              : emulation::watched_prefix::workers;
+    }
+
+    // Wraps a fault after which gangs may break, so that their rule no longer applies.
     static verb disturbing(verb act) {
         return [act = std::move(act)](dispatch_world& w, const arguments& a) {
             w.m_invariants.set_undisturbed(false);
@@ -168,6 +194,7 @@
     void cancel(const arguments& a) {
         if (m_mutation == "cancel") {
             m_invariants.on_cancel_accepted(a.text("job"));
+            m_invariants.on_cancel_acknowledged(a.text("job"));
             return;
         }
         m_platform.cancel(a.text("job"));
--- a/tests/scenario/dispatch/random_script.cpp
+++ b/tests/scenario/dispatch/random_script.cpp
@@ -14,6 +14,10 @@
 constexpr std::uint64_t busy_ms = 8'000;
 constexpr common::duration end_at = seconds(120);
 constexpr std::uint64_t max_fault_ms = 9'000;
+// Beyond and below the time limits of store calls.
+constexpr std::uint64_t max_lateness_ms = 3'000;
+// At the largest factor, an event takes 0.4 s and a plan 2 s.
+constexpr std::uint64_t max_factor = 2'000;
 
 class generator {
 public:
@@ -23,6 +27,10 @@
         m_script.end = end_at;
         m_workers = 3 + m_rng.below(4);
         m_script.setup.set("workers", std::to_string(m_workers));
+        // Processor time of the owner; slow_owner multiplies it.
+        m_script.setup.set("event_cost", "200us");
+        m_script.setup.set("plan_cost", "1ms");
+        m_script.setup.set("list_interval", "300ms");
     }
 
     script make() {
@@ -34,6 +42,13 @@
         for (std::uint64_t i = 0; i < faults; ++i) {
             add_fault();
         }
+        const auto late_faults = m_rng.below(3);
+        for (std::uint64_t i = 0; i < late_faults; ++i) {
+            add_late_fault();
+        }
+        if (m_rng.chance(0.3)) {
+            add_drain();
+        }
         sort_steps(m_script);
         return m_script;
     }
@@ -70,7 +85,7 @@
              {"true_ms", std::to_string(ms / 2 + m_rng.below(ms))},
              {"gang", gang ? "true" : "false"},
              {"checkpointing", m_rng.chance(0.5) ? "true" : "false"}});
-        if (m_rng.chance(0.2)) {
+        if (m_rng.chance(0.3)) {
             add(at + milliseconds(static_cast<std::int64_t>(m_rng.below(5000))), "cancel",
                 {{"job", id}});
         }
@@ -94,6 +109,29 @@
              {"store", m_rng.chance(0.5) ? "true" : "false"}});
     }
 
+    // Faults that only make the owner's information late.
+    void add_late_fault() {
+        static constexpr std::array late_faults{"slow_owner", "slow_store", "late_watch"};
+        add(time(), late_faults.at(m_rng.below(late_faults.size())),
+            {{"for", random_duration(max_fault_ms)},
+             {"by", random_duration(max_lateness_ms)},
+             {"factor", std::to_string(20 + m_rng.below(max_factor))},
+             {"what", m_rng.chance(0.5) ? "jobs" : "workers"}});
+    }
+
+    // The worker leaves and another one takes its place, so that jobs find capacity in the end.
+    void add_drain() {
+        const auto at = time();
+        const auto id = worker();
+        if (m_rng.chance(0.5)) {
+            add(at, "late_watch",
+                {{"what", "workers"}, {"for", random_duration(max_fault_ms)}, {"by", "3000ms"}});
+        }
+        add(at, "drain_worker", {{"worker", id}});
+        add(at + milliseconds(4000 + static_cast<std::int64_t>(m_rng.below(max_fault_ms))),
+            "crash_worker", {{"worker", id}, {"for", random_duration(max_fault_ms)}});
+    }
+
     common::rng m_rng;
     script m_script;
     std::uint64_t m_workers = 0;
