Emulate lease renewals and a full link of the owner, and cancel jobs while the watch is late

The service renews its lease in the store every 350 ms, and these answers show that the store works. Change: the emulated owner renews its lease as well. full_link limits the owner's link to a number of bytes a second in each direction; orders, answers to polls and watch answers queue. Random scripts add a late watch to three of ten cancellations and a full link to two of ten scripts.

--- a/source/core/emulation/emulated_owner.cpp
+++ b/source/core/emulation/emulated_owner.cpp
@@ -49,6 +49,19 @@
                                    common::time_point read_at) {
     m_jobs.start(jobs_position, read_at);
     m_workers.start(workers_position, read_at);
+    renew();
+}
+
+void emulated_owner::renew() {
+    if (!m_platform.acknowledges_changes()) {
+        post(store_call_timeout, [this] { renew(); });
+        return;
+    }
+    const auto& settings = m_platform.m_settings;
+    post(settings.store_delay + m_platform.m_store.extra_delay(m_platform.now()), [this] {
+        record_store_answer();
+        post(m_platform.m_settings.lease_renewal, [this] { renew(); });
+    });
 }
 
 void emulated_owner::record_store_answer() {
--- a/source/core/emulation/emulated_owner.h
+++ b/source/core/emulation/emulated_owner.h
@@ -41,6 +41,9 @@
 
 private:
     void pump();
+    /// Renews the owner's lease in the store again and again. The answers show that the store
+    /// works.
+    void renew();
     [[nodiscard]] common::time_point changes_known_until(const emulated_watch& watch) const;
     void execute_action(const dispatch::dispatch_action& action);
     void ask_advice(const dispatch::advice_call& call);
--- a/source/core/emulation/emulated_platform.cpp
+++ b/source/core/emulation/emulated_platform.cpp
@@ -15,9 +15,8 @@
 // Time that a poll may take beyond its wait; same value as in the programs that call workers.
 constexpr auto poll_slack = std::chrono::milliseconds(240);
 constexpr auto election_retry = std::chrono::milliseconds(100);
-// A change that the store answers later than this is not acknowledged; same value as in the
-// platform's store client.
-constexpr auto store_call_timeout = std::chrono::milliseconds(700);
+// Typical sizes of a message about one run, and of a change in an answer to a watch call.
+constexpr std::size_t message_bytes = 500;
 
 } // namespace
 
@@ -125,7 +124,13 @@
 
 void emulated_platform::watch_store(watched_prefix prefix, std::size_t after,
                                     watch_completion complete) {
-    log_of(prefix).watch(after, m_settings.watch_wait, std::move(complete));
+    log_of(prefix).watch(
+        after, m_settings.watch_wait,
+        [this, complete = std::move(complete)](const std::optional<store_changes>& changes) {
+            const auto bytes = changes ? message_bytes * changes->size() : 0;
+            const auto queued = m_owner_receives.send(now(), bytes);
+            m_events.after(queued, [complete, changes] { complete(changes); });
+        });
 }
 
 bool emulated_platform::is_final(const std::string& job) const {
@@ -179,6 +184,8 @@
 }
 
 void emulated_platform::begin_term() {
+    m_owner_sends = {};
+    m_owner_receives = {};
     m_owner = std::make_unique<emulated_owner>(*this, m_owner_fence, m_settings.dispatcher);
     auto& engine = m_owner->engine();
     engine.on_queues(m_queues);
@@ -246,6 +253,11 @@
     }
 }
 
+void emulated_platform::limit_owner_link(common::duration length, std::size_t bytes_per_second) {
+    m_owner_sends.limit(now() + length, bytes_per_second);
+    m_owner_receives.limit(now() + length, bytes_per_second);
+}
+
 void emulated_platform::publish(const std::string& id) {
     auto& link = m_links[id];
     link.listed = true;
@@ -365,11 +377,18 @@
     const bool late = now() < link.delayed_until;
     const bool answered = !late && (through_peer || now() >= link.answers_lost_until);
     const auto extra_delay = late ? link.extra_delay : common::duration(0);
-    m_events.after(delay(), [this, id, execute, answered, finish, extra_delay, is_cut] {
+    const auto queued = m_owner_sends.send(now(), message_bytes);
+    const auto receiver_at_sending = m_fleet.find(id)->report.start_time_ms;
+    m_events.after(queued + delay(), [this, id, execute, answered, finish, extra_delay, is_cut,
+                                      queued, receiver_at_sending] {
         const auto* const worker = m_fleet.find(id);
         if (worker == nullptr || !worker->up) {
             return;
         }
+        if (queued.count() > 0 && worker->report.start_time_ms != receiver_at_sending) {
+            // What waits for the link is lost with the connection when the worker restarts.
+            return;
+        }
         const auto incarnation = worker->report.start_time_ms;
         const auto deliver = [this, id, execute, answered, finish, incarnation, is_cut] {
             const auto& receiver = *m_fleet.find(id);
@@ -379,7 +398,8 @@
             }
             const auto result = execute(now());
             if (answered && !is_cut()) {
-                m_events.after(delay(), [finish, result] { finish(result); });
+                const auto answer_queued = m_owner_receives.send(now(), message_bytes);
+                m_events.after(answer_queued + delay(), [finish, result] { finish(result); });
             }
         };
         if (extra_delay.count() == 0) {
@@ -446,6 +466,20 @@
         });
 }
 
+void emulated_platform::answer_poll(const pending_poll& poll) {
+    auto result = m_fleet.poll(now(), poll.order);
+    const auto queued = m_owner_receives.send(now(), message_bytes);
+    const auto limit = poll.until + poll_slack - now();
+    if (queued.count() == 0) {
+        poll.complete(std::move(result));
+    } else if (queued > limit) {
+        m_events.after(limit, [complete = poll.complete] { complete({}); });
+    } else {
+        m_events.after(
+            queued, [complete = poll.complete, result = std::move(result)] { complete(result); });
+    }
+}
+
 void emulated_platform::answer_polls() {
     std::vector<pending_poll> waiting;
     waiting.swap(m_pending_polls);
@@ -455,7 +489,7 @@
         if (unreachable && now() >= poll.until + poll_slack) {
             poll.complete({});
         } else if (!unreachable && (now() >= poll.until || !worker.ends.empty())) {
-            poll.complete(m_fleet.poll(now(), poll.order));
+            answer_poll(poll);
         } else {
             m_pending_polls.push_back(std::move(poll));
         }
--- a/source/core/emulation/emulated_platform.h
+++ b/source/core/emulation/emulated_platform.h
@@ -4,6 +4,7 @@
 #include "core/dispatch/shared_store.h"
 #include "core/emulation/change_log.h"
 #include "core/emulation/emulated_fleet.h"
+#include "core/emulation/emulated_link.h"
 #include "core/emulation/emulated_owner.h"
 
 #include <deque>
@@ -15,6 +16,10 @@
 
 namespace buckthornspar::emulation {
 
+/// A change that the store answers later than this is not acknowledged; same value as in the
+/// platform's store client.
+inline constexpr common::duration store_call_timeout = std::chrono::milliseconds(700);
+
 struct platform_settings {
     dispatch::dispatcher_settings dispatcher;
     fleet_settings fleet;
@@ -27,6 +32,8 @@
     common::duration watch_delay = std::chrono::milliseconds(60);
     /// Longest time that a watch call waits for a change; same values as in the service.
     common::duration watch_wait = std::chrono::milliseconds(500);
+    /// Interval at which the owner renews its lease in the store; same value as in the service.
+    common::duration lease_renewal = std::chrono::milliseconds(350);
     /// Time between an answer with changes of the instance list and the next call.
     common::duration workers_watch_interval{0};
     /// Processor time of the owner for an event and for a plan.
@@ -110,6 +117,8 @@
     /// Removes the worker's entry from the instance list for the time.
     void lose_entry(const std::string& worker, common::duration length);
     void stop_store(common::duration length);
+    /// The owner's link carries this many bytes a second in each direction; messages queue.
+    void limit_owner_link(common::duration length, std::size_t bytes_per_second);
     /// Watch calls and commits take longer by the given time.
     void slow_store(common::duration length, common::duration by);
     /// Only the answers to watch calls of one prefix take longer by the given time.
@@ -183,6 +192,7 @@
     void tick();
     void report_workers();
     void answer_polls();
+    void answer_poll(const pending_poll& poll);
 
     platform_settings m_settings;
     platform_observer& m_observer;
@@ -197,6 +207,8 @@
     /// Replaced owners whose process may still be frozen and continue later.
     std::deque<std::unique_ptr<emulated_owner>> m_replaced_owners;
     std::uint64_t m_election = 0;
+    emulated_link m_owner_sends;
+    emulated_link m_owner_receives;
     /// When the calls were sent by which the next owner reads the store.
     common::time_point m_loading_since;
 
--- a/tests/scenario/dispatch/dispatch_scenario_test.cpp
+++ b/tests/scenario/dispatch/dispatch_scenario_test.cpp
@@ -83,8 +83,11 @@
 
 // Workers that begin starts after the end of their validity.
 BOOST_AUTO_TEST_CASE(starts_that_are_not_refused_as_late_are_detected) {
-    BOOST_TEST(contains(failure_with_mutation("long_plan_and_cancellation", "late_starts"),
-                        "after its job was cancelled"));
+    const std::string expected = "after its job was cancelled";
+    BOOST_TEST(
+        contains(failure_with_mutation("long_plan_and_cancellation", "late_starts"), expected));
+    BOOST_TEST(
+        contains(failure_with_mutation("full_link_and_cancellation", "late_starts"), expected));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/scenario/dispatch/dispatch_world.cpp
+++ b/tests/scenario/dispatch/dispatch_world.cpp
@@ -129,6 +129,10 @@
             {"slow_owner", disturbing([](dispatch_world& w, const arguments& a) {
                  w.m_platform.slow_owner(a.time("for"), static_cast<double>(a.number("factor")));
              })},
+            {"full_link", disturbing([](dispatch_world& w, const arguments& a) {
+                 w.m_platform.limit_owner_link(a.time("for"),
+                                               static_cast<std::size_t>(a.number("rate")));
+             })},
             {"slow_store", disturbing([](dispatch_world& w, const arguments& a) {
                  w.m_platform.slow_store(a.time("for"), a.time("by"));
              })},
--- a/tests/scenario/dispatch/random_script.cpp
+++ b/tests/scenario/dispatch/random_script.cpp
@@ -18,6 +18,9 @@
 constexpr std::uint64_t max_lateness_ms = 3'000;
 // At the largest factor, an event takes 0.4 s and a plan 2 s.
 constexpr std::uint64_t max_factor = 2'000;
+// Bytes a second of the owner's link: one to 40 messages.
+constexpr std::uint64_t min_link_rate = 500;
+constexpr std::uint64_t max_link_rate = 20'000;
 
 class generator {
 public:
@@ -49,6 +52,9 @@
         if (m_rng.chance(0.3)) {
             add_drain();
         }
+        if (m_rng.chance(0.2)) {
+            add_full_link();
+        }
         sort_steps(m_script);
         return m_script;
     }
@@ -86,8 +92,12 @@
              {"gang", gang ? "true" : "false"},
              {"checkpointing", m_rng.chance(0.5) ? "true" : "false"}});
         if (m_rng.chance(0.3)) {
-            add(at + milliseconds(static_cast<std::int64_t>(m_rng.below(5000))), "cancel",
-                {{"job", id}});
+            const auto cancelled_at =
+                at + milliseconds(static_cast<std::int64_t>(m_rng.below(5000)));
+            if (m_rng.chance(0.3)) {
+                add_late_watch(cancelled_at, "jobs");
+            }
+            add(cancelled_at, "cancel", {{"job", id}});
         }
     }
 
@@ -119,13 +129,24 @@
              {"what", m_rng.chance(0.5) ? "jobs" : "workers"}});
     }
 
+    // Late by more than the time limit of a watch call.
+    void add_late_watch(common::duration at, const std::string& what) {
+        add(at, "late_watch",
+            {{"what", what}, {"for", random_duration(max_fault_ms)}, {"by", "3000ms"}});
+    }
+
+    void add_full_link() {
+        add(time(), "full_link",
+            {{"for", random_duration(max_fault_ms)},
+             {"rate", std::to_string(min_link_rate + m_rng.below(max_link_rate))}});
+    }
+
     // The worker leaves and another one takes its place, so that jobs find capacity in the end.
     void add_drain() {
         const auto at = time();
         const auto id = worker();
         if (m_rng.chance(0.5)) {
-            add(at, "late_watch",
-                {{"what", "workers"}, {"for", random_duration(max_fault_ms)}, {"by", "3000ms"}});
+            add_late_watch(at, "workers");
         }
         add(at, "drain_worker", {{"worker", id}});
         add(at + milliseconds(4000 + static_cast<std::int64_t>(m_rng.below(max_fault_ms))),
