--- a/source/core/service/owner_controller.cpp
+++ b/source/core/service/owner_controller.cpp
@@ -2,6 +2,7 @@
 
 #include "core/common/logging.h"
 #include "core/common/overloaded.h"
+#include "core/dispatch/known_changes.h"
 #include "core/service/store_keys.h"
 
 #include <algorithm>
@@ -20,13 +21,8 @@
 constexpr auto commit_retry_delay = std::chrono::milliseconds(80);
 // The counts of pending jobs are not reported while the watch of new jobs is further behind.
 constexpr auto max_pending_jobs_age = std::chrono::milliseconds(2500);
-// Renewals and commits are sent more often than this; with a time limit of 700 ms a working store
-// has answered at least one of them.
-constexpr auto min_silence_of_outage = std::chrono::milliseconds(1100);
 // Time between two checks whether an ownership whose lease may have run out has been confirmed.
 constexpr auto confirmation_check_interval = std::chrono::milliseconds(10);
-// With a longer delay of the event loop a call that fails does not show an outage of the store.
-constexpr auto max_delay_of_outage = std::chrono::milliseconds(250);
 // Maximum number of expired job records that one commit removes, and the time for which they are
 // kept beyond their retention.
 constexpr std::size_t max_removals_per_commit = 24;
@@ -169,22 +165,17 @@
     }
 }
 
-// A store that answers no call of any kind accepts no changes either, and placement goes on. An
-// answer that waits behind a busy event loop looks the same, so that the loop must not be late. If
-// the store serves the other nodes, this one hands the ownership over or loses its key.
-bool owner_controller::is_store_down() const {
-    return m_env.health.last_call_failed() &&
-           m_env.health.time_since_answer() > min_silence_of_outage &&
-           m_load.recent_delay() < max_delay_of_outage;
+store_contact owner_controller::contact() const {
+    return {m_env.health.time_since_answer(), m_load.recent_delay()};
 }
 
 common::time_point owner_controller::changes_known_until(common::time_point now,
                                                          const prefix_watcher& watcher) const {
-    return m_store_down && watcher.failing() ? now : now - watcher.age();
+    return dispatch::changes_known_until({now - watcher.age(), watcher.failing()}, contact());
 }
 
 void owner_controller::check_store() {
-    const bool down = is_store_down();
+    const bool down = is_outage(contact());
     if (m_store_down && !down) {
         // Watch calls sent during the outage may hang until their time limit.
         m_active_watcher->restart();
--- a/source/core/service/owner_controller.h
+++ b/source/core/service/owner_controller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/dispatch/dispatcher.h"
+#include "core/dispatch/known_changes.h"
 #include "core/dispatch/shared_store.h"
 #include "core/net/event_loop.h"
 #include "core/service/advice_balancer.h"
@@ -97,8 +98,7 @@
     /// Time before which all changes under the watched prefix are known.
     [[nodiscard]] common::time_point changes_known_until(common::time_point now,
                                                          const prefix_watcher& watcher) const;
-    /// No call to the store is answered, so that it accepts no changes.
-    [[nodiscard]] bool is_store_down() const;
+    [[nodiscard]] dispatch::store_contact contact() const;
     void check_store();
     void report_load(common::time_point now);
     void schedule_wakeup(common::time_point due);
--- a/tests/fakes/fake_shared_store.h
+++ b/tests/fakes/fake_shared_store.h
@@ -30,6 +30,8 @@
     bool fail_watches = false;
     /// No call is answered: reads, watches, commits and renewals complete as unknown.
     bool fail_calls = false;
+    /// Watches of this prefix complete as unknown.
+    std::string unanswered_watch_prefix;
     /// Leases that are not renewed in time end with their keys.
     bool leases_expire = false;
     unsigned renewals = 0;
@@ -68,7 +70,7 @@
 
     void watch(const std::string& prefix, std::uint64_t after, common::duration wait,
                dispatch::store_completion complete) override {
-        if (fail_calls || fail_watches) {
+        if (fail_calls || fail_watches || prefix == unanswered_watch_prefix) {
             answer_after(wait, std::move(complete), {});
             return;
         }
