Give up tasks that crash the workers that start them

Cause: a crash reaches the owner as a lost lease or a new incarnation. Both end the runs as lapsed, and only failed runs are counted as attempts.

Change: a lost worker counts against the runs that may have crashed it: the newest that it confirmed and the first that it did not. Such a task is suspected. It starts on a worker that has responded since its last start, nothing else starts there for 1.5 s, and of a step one suspected task starts first, so that a second crash has one cause only. After two crashes the job ends as failed (crashed_workers). The count is part of the stored progress. It is withdrawn when the worker only was silent, and cleared by a run of 10 s; draining workers are not counted. A job is given up only when it is certain that the worker has crashed: by its new incarnation or its removal. The event worker_runs_lost names the suspected runs and their age.

The scenarios have deadly tasks in random scripts, a script of their own, an invariant for the number of starts and the mutation "crashes".

--- /dev/null
+++ b/source/core/dispatch/crash_attribution.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "core/common/clock.h"
+#include "core/dispatch/worker_registry.h"
+
+#include <map>
+#include <vector>
+
+namespace buckthornspar::dispatch {
+
+/// Which runs may have crashed a worker, and how suspected tasks are started.
+struct crash_settings {
+    /// Runs whose orders are this close are suspected together: the orders may reach the worker in
+    /// any sequence.
+    common::duration window = std::chrono::milliseconds(300);
+    /// A run that was older than this when its worker crashed is not suspected, and a suspected
+    /// task whose run gets older is cleared.
+    common::duration max_age = std::chrono::milliseconds(10000);
+    /// Nothing else is started on the worker of a suspected task for this time after its start.
+    common::duration isolation = std::chrono::milliseconds(1500);
+    /// Crashes of a task's workers after which it is given up, if the last one can have no task of
+    /// another job as its cause.
+    unsigned attributed_limit = 2;
+    /// The same if it can, or with those crashes before which the start was not confirmed.
+    unsigned ambiguous_limit = 3;
+};
+
+/// The runs that may have crashed their worker, which became silent at the given time: those that
+/// it confirmed last, and the first ones that it did not confirm. Runs that a former crash already
+/// counts are left out.
+[[nodiscard]] std::vector<run_key> attribute_crash(const std::map<run_key, placed_run>& runs,
+                                                   common::time_point crashed_at,
+                                                   const crash_settings& settings);
+
+} // namespace buckthornspar::dispatch
--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -54,7 +54,7 @@
     if (change.restarted) {
         log_event(severity::info, "worker_restarted",
                   {{"worker", report.id}, {"born_ms", report.start_time_ms}});
-        handle_worker_restart(now, report.id);
+        handle_worker_restart(now, report.id, change);
         m_unreported_runs_possible |= m_unadopted.erase(report.id) > 0;
         m_unresponsive_workers.erase(report.id);
     }
@@ -67,7 +67,11 @@
     if (change.added || change.restarted) {
         schedule_poll(*m_workers.find(report.id), now);
     }
+    if (change.reported) {
+        withdraw_crash(std::exchange(m_workers.find(report.id)->pending_suspects, {}), false);
+    }
     if (change.added) {
+        withdraw_crash_of_returned_worker(report);
         m_workers_dirty = true;
         m_quorum_outdated = true;
     }
@@ -194,7 +198,7 @@
             position = m_save_round.erase(position);
             continue;
         }
-        const auto& job = found->second;
+        auto& job = found->second;
         if (is_final(job.state) != final) {
             ++position;
             continue;
@@ -205,6 +209,7 @@
         }
         rows += row_count(record);
         record.progress = write_progress(job.progress());
+        note_batch_crashes(job);
         if (final) {
             m_batch_changes.push_back(
                 {record.job, job.spec.queue, job.state, job.spec.accepted_by});
@@ -221,6 +226,7 @@
         m_term_recorded = true;
         m_replan_needed = true;
     }
+    confirm_batch_crashes();
     for (const auto& change : m_batch_changes) {
         m_jobs.erase(change.job);
         m_dirty_jobs.erase(change.job);
@@ -275,6 +281,9 @@
             log_event(severity::warning, "worker_lost",
                       {{"worker", id}, {"runs", worker.runs.size()}});
             worker.adopted = false;
+            if (!worker.report.draining) {
+                count_crash(now, worker, worker.silent_since);
+            }
             handle_lost_runs(now, id, m_workers.remove_runs(worker), "lease_over");
             m_workers_dirty = true;
         }
@@ -289,6 +298,8 @@
     }
     for (const auto& id : removable) {
         log_event(severity::info, "worker_gone", {{"worker", id}});
+        auto& worker = *m_workers.find(id);
+        confirm_crash(now, worker);
         m_workers.erase(id);
         m_unreported_runs_possible |= m_unadopted.erase(id) > 0;
         m_unresponsive_workers.erase(id);
@@ -344,7 +355,9 @@
             m_actions.emplace_back(fenced{call.order.worker});
             return;
         }
-        ++worker->poll_failures;
+        if (worker->poll_failures++ == 0) {
+            worker->silent_since = now;
+        }
         worker->silence_confirmed |= result.silence_confirmed;
         worker->answers_through_peer &= !call.through_peer;
         if (worker->poll_failures < m_settings.unreachable_after_polls) {
@@ -373,12 +386,13 @@
         if (change.restarted) {
             log_event(severity::info, "worker_restarted",
                       {{"worker", call.order.worker}, {"born_ms", result.start_time_ms}});
-            handle_worker_restart(now, call.order.worker);
+            handle_worker_restart(now, call.order.worker, change);
             m_unreported_runs_possible |= m_unadopted.contains(call.order.worker);
         }
     }
     m_workers.update_clock(*worker, now, result.clock_ms);
     worker->last_contact = now;
+    withdraw_crash(std::exchange(worker->pending_suspects, {}), false);
     worker->silence_confirmed = false;
     worker->answers_through_peer = call.through_peer;
     if (call.through_peer) {
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -2,6 +2,7 @@
 
 #include "core/common/counters.h"
 #include "core/common/due_queue.h"
+#include "core/dispatch/crash_attribution.h"
 #include "core/dispatch/dispatch_actions.h"
 #include "core/dispatch/job_entry.h"
 #include "core/dispatch/step_planner.h"
@@ -52,6 +53,7 @@
     /// Maximum number of starts without a response; 0 for no limit. More would queue up at the
     /// owner's network link until their workers refuse them as late.
     std::size_t max_pending_starts = 0;
+    crash_settings crashes;
 };
 
 /// The scheduling logic of the owner of a service: which task runs where, which runs are stopped,
@@ -173,11 +175,30 @@
     void request_stop(common::time_point now, const std::string& worker, const run_key& run);
     void stop_gang(common::time_point now, job_entry& job, const task_key& task);
     void check_stops(common::time_point now);
-    void handle_worker_restart(common::time_point now, const std::string& worker);
+    void handle_worker_restart(common::time_point now, const std::string& worker,
+                               const worker_registry::update& change);
     void handle_lost_runs(common::time_point now, const std::string& worker,
                           const std::vector<lost_run>& runs, std::string_view reason);
     void update_exclusion(common::time_point now, worker_entry& worker, run_end how);
 
+    // dispatcher_crashes.cpp
+    void count_crash(common::time_point now, worker_entry& worker, common::time_point crashed_at);
+    void confirm_crash(common::time_point now, worker_entry& worker);
+    [[nodiscard]] bool may_give_up(const task_state& task, const suspected_run& last) const;
+    void withdraw_crash(const std::vector<suspected_run>& suspects, bool confirmed);
+    /// A worker that was taken for crashed is back in the same incarnation.
+    void withdraw_crash_of_returned_worker(const worker_report& report);
+    [[nodiscard]] std::pair<job_entry*, task_state*> find_open_task(const run_key& run);
+    void clear_suspicion(common::time_point now, job_entry& job, const task_key& task,
+                         const placed_run& placed);
+    void note_batch_crashes(job_entry& job);
+    void confirm_batch_crashes();
+    void isolate_suspect(common::time_point now, worker_entry& worker, step_state& step,
+                         const run_key& run);
+    /// The task may be started as far as former crashes of its workers are concerned.
+    [[nodiscard]] bool may_start_after_crash(common::time_point now, const step_spec& spec,
+                                             const step_state& step, std::uint32_t index) const;
+
     // dispatcher_plan.cpp
     void plan(common::time_point now);
     [[nodiscard]] std::vector<waiting_step> collect_waiting(common::time_point now);
@@ -233,6 +254,13 @@
     std::optional<common::time_point> m_majority_at;
     std::set<std::string> m_recorded_workers;
     bool m_workers_dirty = false;
+    /// Removed workers whose crashes were counted; they may only have been cut off.
+    struct gone_worker {
+        std::int64_t start_time_ms = 0;
+        common::time_point gone_at;
+        std::vector<suspected_run> suspects;
+    };
+    std::map<std::string, gone_worker> m_gone_workers;
 
     std::set<std::string> m_dirty_jobs;
     /// Jobs that the current save round still has to write, and by worker the number up to which
@@ -242,6 +270,8 @@
     /// Workers with ended runs that may be unsaved.
     std::set<std::string> m_unsaved_workers;
     std::vector<state_change> m_batch_changes;
+    /// Jobs with suspected tasks whose progress the pending batch contains.
+    std::vector<std::string> m_batch_suspects;
     /// Workers that may receive starts once the pending batch is stored; absent when the batch
     /// contains no worker record.
     std::optional<std::set<std::string>> m_batch_workers;
--- /dev/null
+++ b/source/core/dispatch/dispatcher_crashes.cpp
@@ -0,0 +1,227 @@
+#include "core/common/logging.h"
+#include "core/dispatch/dispatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace buckthornspar::dispatch {
+
+using common::log_event;
+using common::severity;
+
+namespace {
+
+// Limits the length of a log line; a worker may have held hundreds of runs.
+constexpr std::size_t max_logged_runs = 8;
+// A worker that was cut off rather than crashed is back in the instance list within this time.
+constexpr auto gone_worker_memory = std::chrono::minutes(1);
+
+std::string describe(const std::vector<run_key>& runs) {
+    std::string text;
+    for (std::size_t i = 0; i < std::min(runs.size(), max_logged_runs); ++i) {
+        text += (i == 0 ? "" : ",") + to_string(runs[i].task) + "/" + std::to_string(runs[i].run);
+    }
+    return text;
+}
+
+bool is_one_job(const std::vector<run_key>& runs) {
+    return std::all_of(runs.begin(), runs.end(), [&runs](const run_key& run) {
+        return run.task.job == runs.front().task.job;
+    });
+}
+
+} // namespace
+
+std::pair<job_entry*, task_state*> dispatcher::find_open_task(const run_key& run) {
+    const auto position = m_jobs.find(run.task.job);
+    if (position == m_jobs.end() || is_final(position->second.state)) {
+        return {nullptr, nullptr};
+    }
+    auto* const task = position->second.find(run.task);
+    if (task == nullptr || task->progress.succeeded) {
+        return {nullptr, nullptr};
+    }
+    return {&position->second, task};
+}
+
+// The runs of the worker are lost. Whether it has crashed shows its next incarnation, or its
+// removal; until then it may only be silent, and the tasks are not given up.
+void dispatcher::count_crash(common::time_point now, worker_entry& worker,
+                             common::time_point crashed_at) {
+    const auto suspects = attribute_crash(worker.runs, crashed_at, m_settings.crashes);
+    const bool attributed = is_one_job(suspects);
+    const auto run_age = suspects.empty() ? common::duration(0)
+                                          : crashed_at - worker.runs.at(suspects[0]).ordered_at;
+    m_counters.get("worker_crashes_total", "suspects", suspects.empty() ? "none" : "some").add();
+    log_event(severity::info, "worker_runs_lost",
+              {{"worker", worker.report.id},
+               {"runs", worker.runs.size()},
+               {"suspects", suspects.size()},
+               {"run_age_ms", common::to_milliseconds(run_age)},
+               {"silent_ms", common::to_milliseconds(now - crashed_at)},
+               {"tasks", describe(suspects)}});
+    for (auto& entry : worker.runs) {
+        entry.second.crash_counted = true;
+    }
+    for (const auto& run : suspects) {
+        const auto [job, task] = find_open_task(run);
+        if (task == nullptr) {
+            continue;
+        }
+        task->suspected = true;
+        job->find_step(run.task)->probe_passed = false;
+        // The worker may have crashed before an unconfirmed order arrived, unless it responded just
+        // before, as is checked for a suspected task.
+        const auto& placed = worker.runs.at(run);
+        if (placed.confirmed || placed.started_as_suspect) {
+            ++(placed.confirmed ? task->progress.crashes : task->progress.possible_crashes);
+            ++task->pending_crashes;
+            mark_dirty(*job);
+            worker.pending_suspects.push_back({run, attributed, placed.confirmed});
+        }
+        log_event(severity::warning, "task_suspected",
+                  {{"task", to_string(run.task)},
+                   {"run", run.run},
+                   {"crashes", task->all_crashes()},
+                   {"attributed", attributed ? 1 : 0}});
+    }
+}
+
+bool dispatcher::may_give_up(const task_state& task, const suspected_run& last) const {
+    const auto& limits = m_settings.crashes;
+    const auto certain =
+        task.progress.crashes - std::min(task.progress.crashes, task.pending_crashes);
+    const bool attributed = last.attributed && last.confirmed;
+    return certain >= (attributed ? limits.attributed_limit : limits.ambiguous_limit) ||
+           task.all_crashes() - task.pending_crashes >= limits.ambiguous_limit;
+}
+
+void dispatcher::confirm_crash(common::time_point now, worker_entry& worker) {
+    auto suspects = std::exchange(worker.pending_suspects, {});
+    for (const auto& suspect : suspects) {
+        const auto [job, task] = find_open_task(suspect.run);
+        if (task == nullptr) {
+            continue;
+        }
+        task->pending_crashes -= std::min(1U, task->pending_crashes);
+        m_replan_needed = true;
+        if (may_give_up(*task, suspect)) {
+            m_counters.get("tasks_given_up_total", "reason", "crashed_workers").add();
+            end_job(now, *job, job_state::failed, "crashed_workers");
+        }
+    }
+    std::erase_if(m_gone_workers, [now](const auto& entry) {
+        return now > entry.second.gone_at + gone_worker_memory;
+    });
+    if (!suspects.empty()) {
+        m_gone_workers[worker.report.id] = {worker.report.start_time_ms, now, std::move(suspects)};
+    }
+}
+
+void dispatcher::withdraw_crash(const std::vector<suspected_run>& suspects, bool confirmed) {
+    for (const auto& suspect : suspects) {
+        const auto [job, task] = find_open_task(suspect.run);
+        // A run that a worker survived has cleared the task meanwhile.
+        auto* const count = task == nullptr     ? nullptr
+                            : suspect.confirmed ? &task->progress.crashes
+                                                : &task->progress.possible_crashes;
+        if (count == nullptr || *count == 0) {
+            continue;
+        }
+        --*count;
+        if (!confirmed) {
+            task->pending_crashes -= std::min(1U, task->pending_crashes);
+        }
+        mark_dirty(*job);
+        m_replan_needed = true;
+    }
+}
+
+void dispatcher::withdraw_crash_of_returned_worker(const worker_report& report) {
+    const auto gone = m_gone_workers.find(report.id);
+    if (gone != m_gone_workers.end() && gone->second.start_time_ms == report.start_time_ms) {
+        withdraw_crash(gone->second.suspects, true);
+        m_gone_workers.erase(gone);
+    }
+}
+
+// Called when a worker lists the run of a task.
+void dispatcher::clear_suspicion(common::time_point now, job_entry& job, const task_key& task,
+                                 const placed_run& placed) {
+    auto& state = *job.find(task);
+    if (!state.is_suspected()) {
+        return;
+    }
+    if (now > placed.ordered_at + m_settings.crashes.isolation) {
+        job.find_step(task)->probe_passed = true;
+    }
+    if (now > placed.ordered_at + m_settings.crashes.max_age) {
+        state.suspected = false;
+        state.progress.crashes = 0;
+        state.progress.possible_crashes = 0;
+        state.pending_crashes = 0;
+        mark_dirty(job);
+    }
+}
+
+void dispatcher::isolate_suspect(common::time_point now, worker_entry& worker, step_state& step,
+                                 const run_key& run) {
+    if (!step.tasks[run.task.index].is_suspected()) {
+        return;
+    }
+    worker.runs.at(run).started_as_suspect = true;
+    worker.isolated_until = now + m_settings.crashes.isolation;
+    step.probe_until = worker.isolated_until;
+    m_counters.get("suspect_starts_total").add();
+}
+
+void dispatcher::note_batch_crashes(job_entry& job) {
+    bool suspected = false;
+    for (auto& occurrence : job.occurrences) {
+        for (auto& step : occurrence.steps) {
+            for (auto& task : step.tasks) {
+                task.crashes_in_batch = task.all_crashes();
+                suspected |= task.is_suspected();
+            }
+        }
+    }
+    if (suspected) {
+        m_batch_suspects.push_back(job.spec.id);
+    }
+}
+
+void dispatcher::confirm_batch_crashes() {
+    for (const auto& id : std::exchange(m_batch_suspects, {})) {
+        const auto job = m_jobs.find(id);
+        if (job == m_jobs.end()) {
+            continue;
+        }
+        for (auto& occurrence : job->second.occurrences) {
+            for (auto& step : occurrence.steps) {
+                for (auto& task : step.tasks) {
+                    task.crashes_stored = task.crashes_in_batch;
+                }
+            }
+        }
+        m_replan_needed = true;
+    }
+}
+
+bool dispatcher::may_start_after_crash(common::time_point now, const step_spec& spec,
+                                       const step_state& step, std::uint32_t index) const {
+    const auto& task = step.tasks[index];
+    if (!task.is_suspected()) {
+        return true;
+    }
+    // A successor must know of all crashes but the last before another one can follow.
+    if (task.all_crashes() > task.crashes_stored + 1) {
+        return false;
+    }
+    // The job may end as soon as the last crash is certain.
+    if (task.pending_crashes > 0 && task.all_crashes() >= m_settings.crashes.attributed_limit) {
+        return false;
+    }
+    return spec.gang || step.probe_passed || now >= step.probe_until;
+}
+
+} // namespace buckthornspar::dispatch
--- a/source/core/dispatch/dispatcher_plan.cpp
+++ b/source/core/dispatch/dispatcher_plan.cpp
@@ -41,7 +41,8 @@
 bool dispatcher::is_usable(const worker_entry& worker, common::time_point now) const {
     const bool listed = worker.listed || now < worker.unlisted_since + m_settings.unlisted_grace;
     return listed && worker.adopted && worker.reachable && !worker.report.draining &&
-           now >= worker.excluded_until && m_recorded_workers.contains(worker.report.id);
+           now >= worker.excluded_until && now >= worker.isolated_until &&
+           m_recorded_workers.contains(worker.report.id);
 }
 
 std::vector<worker_free_capacity> dispatcher::collect_free_capacities(common::time_point now) {
@@ -92,7 +93,8 @@
                 step.since = job.first_seen_at;
                 for (std::uint32_t i = 0; i < state.tasks.size(); ++i) {
                     const auto& task = state.tasks[i];
-                    if (!task.progress.succeeded && !task.current && now >= task.not_before) {
+                    if (!task.progress.succeeded && !task.current && now >= task.not_before &&
+                        may_start_after_crash(now, spec, state, i)) {
                         step.tasks.push_back(i);
                     }
                 }
@@ -145,6 +147,7 @@
     m_counters.get("plans_total").add();
     sort_steps(waiting, m_settings.order);
     plan_limits limits;
+    limits.suspect_distance = m_settings.crashes.window;
     limits.pending_starts = m_pending_starts;
     if (m_settings.max_pending_starts > 0) {
         limits.max_pending_starts = m_settings.max_pending_starts;
@@ -230,6 +233,7 @@
     describe_run(now, placed, job, planned.task);
     step.set_current(task, {worker.report.id, planned.run});
     task.progress.last_run = planned.run;
+    isolate_suspect(now, worker, step, run);
     if (spec.gang) {
         step.gang_run = planned.run;
         step.gang_since = now;
--- a/source/core/dispatch/dispatcher_runs.cpp
+++ b/source/core/dispatch/dispatcher_runs.cpp
@@ -43,6 +43,8 @@
             placed.phase = run_phase::running;
         }
         placed.confirmed_clock_ms = std::max(placed.confirmed_clock_ms, result.clock_ms);
+        // A repeated order may have reached the next incarnation.
+        placed.confirmed |= placed.unanswered_orders == 0;
         if (const auto job = m_jobs.find(order.run.task.job); job != m_jobs.end()) {
             job->second.find_step(order.run.task)->started = true;
             mark_running(job->second);
@@ -149,9 +151,14 @@
 
 // A start that was sent before a restart may be executed by the new incarnation, which has the same
 // id. Only a response of the new incarnation to a stop rules this out.
-void dispatcher::handle_worker_restart(common::time_point now, const std::string& id) {
+void dispatcher::handle_worker_restart(common::time_point now, const std::string& id,
+                                       const worker_registry::update& change) {
     auto& worker = *m_workers.find(id);
     m_workers_dirty = true;
+    if (!change.was_draining) {
+        count_crash(now, worker, change.was_silent_since.value_or(now));
+        confirm_crash(now, worker);
+    }
     // The new incarnation numbers its ended runs from 1 again.
     m_save_round_ends.erase(id);
     for (auto& [run, placed] : worker.runs) {
@@ -206,6 +213,7 @@
         }
     }
     placed.confirmed_clock_ms = std::max(placed.confirmed_clock_ms, clock_ms);
+    placed.confirmed = true;
     placed.update_progress(now, reported.percent);
     if (reported.checkpoint != placed.checkpoint && !reported.checkpoint.empty()) {
         placed.checkpoint = reported.checkpoint;
@@ -215,6 +223,9 @@
     auto* const task = job == m_jobs.end() ? nullptr : job->second.find(reported.run.task);
     const bool wanted = task != nullptr && !is_final(job->second.state) &&
                         task->current == run_location{worker.report.id, reported.run.run};
+    if (wanted) {
+        clear_suspicion(now, job->second, reported.run.task, placed);
+    }
     if (!wanted && placed.phase == run_phase::running && now > placed.ordered_at + gang_end_delay) {
         const bool gang_done = task != nullptr && task->progress.succeeded &&
                                job->second.spec_of(reported.run.task).gang;
@@ -245,6 +256,7 @@
     auto& placed = m_workers.place(worker, reported.run, spec.allocation(), now);
     placed.phase = run_phase::running;
     placed.confirmed_clock_ms = clock_ms;
+    placed.confirmed = true;
     placed.update_progress(now, reported.percent);
     placed.checkpoint = reported.checkpoint;
     placed.expected_end =
@@ -267,6 +279,7 @@
         return;
     }
     step.set_current(*task, {worker.report.id, reported.run.run});
+    isolate_suspect(now, worker, step, reported.run);
     step.started = true;
     if (spec.gang) {
         step.gang_run = reported.run.run;
@@ -371,6 +384,7 @@
     } else {
         auto& state = *job.find(task);
         step.set_succeeded(state);
+        step.probe_passed = true;
         if (const auto copy = state.current) {
             request_stop(now, copy->worker, {task, copy->run});
         }
--- a/source/core/dispatch/job_entry.cpp
+++ b/source/core/dispatch/job_entry.cpp
@@ -45,6 +45,7 @@
             throw common::format_error("progress refers to a task that the job does not have");
         }
         task->progress = known;
+        task->crashes_stored = task->all_crashes();
         auto& step = *job.find_step(key);
         if (known.succeeded) {
             ++step.succeeded;
--- a/source/core/dispatch/job_entry.h
+++ b/source/core/dispatch/job_entry.h
@@ -26,6 +26,20 @@
     common::time_point not_before;
     /// Workers on which the task has failed; others are preferred.
     std::set<std::string> failed_on;
+    /// Part of all_crashes() for which it is not certain yet that the worker has crashed.
+    std::uint32_t pending_crashes = 0;
+    /// Value of all_crashes() that the store holds, and that the pending batch contains.
+    std::uint32_t crashes_stored = 0;
+    std::uint32_t crashes_in_batch = 0;
+
+    /// A worker crashed that had not confirmed the start of the task.
+    bool suspected = false;
+
+    [[nodiscard]] std::uint32_t all_crashes() const {
+        return progress.crashes + progress.possible_crashes;
+    }
+    /// The task may have crashed a worker.
+    [[nodiscard]] bool is_suspected() const { return suspected || all_crashes() > 0; }
 };
 
 struct ticket_state {
@@ -67,6 +81,10 @@
     common::time_point latest_start;
     /// A worker has confirmed the start of a task of the step.
     bool started = false;
+    /// Suspected tasks that are not part of a gang are started one at a time, at this time the next
+    /// one, until a worker has survived one of them.
+    common::time_point probe_until;
+    bool probe_passed = false;
 
     [[nodiscard]] bool complete() const { return succeeded == tasks.size(); }
     [[nodiscard]] bool any_current() const { return placed > 0; }
--- a/source/core/dispatch/progress.cpp
+++ b/source/core/dispatch/progress.cpp
@@ -107,6 +107,11 @@
     task.last_run = row.at(5).to_number<std::uint32_t>();
     task.failures = row.at(6).to_number<std::uint32_t>();
     task.checkpoint = json::value_to<std::string>(row.at(7));
+    // Records of earlier versions have no count of crashes.
+    if (row.size() > 9) {
+        task.crashes = row.at(8).to_number<std::uint32_t>();
+        task.possible_crashes = row.at(9).to_number<std::uint32_t>();
+    }
     return task;
 }
 
@@ -170,7 +175,7 @@
         for (const auto& [key, task] : progress.tasks) {
             rows.push_back({key.occurrence, key.step, key.index, task.succeeded ? 1 : 0,
                             json::value_from(task.processed_runs), task.last_run, task.failures,
-                            task.checkpoint});
+                            task.checkpoint, task.crashes, task.possible_crashes});
         }
         object["tasks"] = std::move(rows);
     } else {
--- a/source/core/dispatch/progress.h
+++ b/source/core/dispatch/progress.h
@@ -19,6 +19,12 @@
     std::uint32_t last_run = 0;
     /// Number of failed runs; runs that were stopped or lost do not count.
     std::uint32_t failures = 0;
+    /// Number of workers that crashed, or vanished, shortly after they had started the task and may
+    /// have crashed because of it, since the last run that a worker survived.
+    std::uint32_t crashes = 0;
+    /// The same for workers that had not confirmed the start of the suspected task, so that they
+    /// may have crashed before.
+    std::uint32_t possible_crashes = 0;
     std::string checkpoint;
 
     bool operator==(const task_progress&) const = default;
--- a/source/core/dispatch/step_planner.cpp
+++ b/source/core/dispatch/step_planner.cpp
@@ -171,6 +171,7 @@
             planned.ticket = ticket->ticket;
         }
         m_capacities[w].free -= m_demand;
+        m_started.insert(w);
         if (step.spec->max_per_worker != 0) {
             ++m_planned_tasks[{step.step, w}];
         }
@@ -188,6 +189,10 @@
                 return;
             }
             const auto& task = step.state->tasks[index];
+            if (task.is_suspected()) {
+                placed += plan_suspect(step, index) ? 1 : 0;
+                continue;
+            }
             const auto worker = best_worker(step, task);
             if (!worker) {
                 // All tasks of a step have the same demand, so no further one fits either.
@@ -201,6 +206,36 @@
         }
     }
 
+    // Starts a task that may have crashed a worker. Nothing else is started on the worker at this
+    // time, so that a further crash has no other cause. Of a step, one such task starts first.
+    bool plan_suspect(const waiting_step& step, std::uint32_t index) {
+        if (!step.state->probe_passed && std::exchange(m_probed_step, step.step) == step.step) {
+            return false;
+        }
+        std::optional<worker_slot> best;
+        for (const auto& c : m_candidates) {
+            const auto* const worker = m_capacities[c.worker].worker;
+            const bool settled =
+                worker != nullptr && !m_started.contains(c.worker) &&
+                worker->last_start_at + m_limits.suspect_distance <= worker->last_contact;
+            if (!settled || !is_valid(c) || remaining_tasks_on(step, c.worker) == 0 ||
+                !m_demand.fits(available_capacity(step, c.worker))) {
+                continue;
+            }
+            // The least loaded worker loses the least by a crash.
+            if (!best ||
+                m_capacities[c.worker].free.cpu_milli > m_capacities[*best].free.cpu_milli) {
+                best = c.worker;
+            }
+        }
+        if (best) {
+            start(step, index, *best, step.state->tasks[index].progress.last_run + 1);
+            m_capacities[*best].worker = nullptr;
+            std::erase_if(m_candidates, [&](const candidate& c) { return c.worker == *best; });
+        }
+        return best.has_value();
+    }
+
     [[nodiscard]] std::optional<worker_slot> best_worker(const waiting_step& step,
                                                          const task_state& task) const {
         std::optional<worker_slot> best;
@@ -633,6 +668,10 @@
     std::vector<candidate> m_candidates;
     resources m_demand;
     std::map<std::pair<task_key, worker_slot>, std::int64_t> m_planned_tasks;
+    /// Workers that receive a start of this plan.
+    std::set<worker_slot> m_started;
+    /// The step of the suspected task that was planned last.
+    std::optional<task_key> m_probed_step;
     std::size_t m_reserved_gangs = 0;
     plan_limits m_limits;
     common::time_point m_now;
--- a/source/core/dispatch/step_planner.h
+++ b/source/core/dispatch/step_planner.h
@@ -41,6 +41,8 @@
     std::size_t max_pending_starts = std::numeric_limits<std::size_t>::max();
     /// Ticket requests that may be sent in advance or to widen a choice. Others are not limited.
     std::size_t optional_requests = std::numeric_limits<std::size_t>::max();
+    /// A suspected task starts only on workers that responded this long after their last start.
+    common::duration suspect_distance{0};
     /// Whether runs may be preempted.
     bool preemption = false;
 };
--- a/source/core/dispatch/worker_registry.cpp
+++ b/source/core/dispatch/worker_registry.cpp
@@ -49,10 +49,15 @@
                        report.start_time_ms != worker.report.start_time_ms;
     result.draining_changed = !added && report.draining != worker.report.draining;
     if (result.restarted) {
+        result.was_draining = worker.report.draining;
+        if (worker.poll_failures > 0) {
+            result.was_silent_since = worker.silent_since;
+        }
         worker_entry reset;
         reset.slot = worker.slot;
         reset.runs = std::move(worker.runs);
         reset.allocated = worker.allocated;
+        reset.pending_suspects = std::move(worker.pending_suspects);
         worker = std::move(reset);
         for (auto& entry : worker.runs) {
             auto& placed = entry.second;
@@ -66,6 +71,7 @@
     }
     if (added || result.restarted || report.clock_ms != worker.report.clock_ms) {
         worker.reported_at = now;
+        result.reported = !added && !result.restarted;
     }
     worker.report = report;
     worker.listed = true;
@@ -145,6 +151,7 @@
         placed.ordered_at = now;
         placed.percent_at = now;
         worker.allocated += demand;
+        worker.last_start_at = now;
     }
     return placed;
 }
--- a/source/core/dispatch/worker_registry.h
+++ b/source/core/dispatch/worker_registry.h
@@ -28,6 +28,10 @@
     std::int64_t start_valid_until_ms = 0;
     /// The worker's clock when it confirmed the run. Older lists do not contain the run.
     std::int64_t confirmed_clock_ms = 0;
+    /// The worker has accepted or listed the run at some time.
+    bool confirmed = false;
+    /// The task was suspected when this run started.
+    bool started_as_suspect = false;
     common::time_point ordered_at;
     common::time_point expected_end;
     common::time_point stop_sent_at;
@@ -35,6 +39,8 @@
     bool uncertain = false;
     /// Unanswered orders of this start; each may still be executed.
     unsigned unanswered_orders = 0;
+    /// The crash of the worker under this run has been counted.
+    bool crash_counted = false;
     /// Completed share of the work in percent, and when it last rose.
     int percent = 0;
     common::time_point percent_at;
@@ -53,6 +59,15 @@
     void update_progress(common::time_point now, int reported);
 };
 
+/// A run that may have crashed its worker.
+struct suspected_run {
+    run_key run;
+    /// No task of another job may have been the cause.
+    bool attributed = false;
+    /// The worker had confirmed the run.
+    bool confirmed = false;
+};
+
 /// A run that ended without a report, with the last reported checkpoint.
 struct lost_run {
     run_key run;
@@ -86,6 +101,8 @@
     bool poll_pending = false;
     std::uint64_t poll_call = 0;
     unsigned poll_failures = 0;
+    /// When the first of the failed polls failed.
+    common::time_point silent_since;
     /// Another node could not reach the worker either since its last response.
     bool silence_confirmed = false;
     /// The last poll through another node was answered, while direct polls were not.
@@ -95,6 +112,12 @@
 
     std::map<run_key, placed_run> runs;
     placement::resources allocated;
+    /// Suspected runs that ended with their lease while it was unknown whether the worker had
+    /// crashed or was only silent.
+    std::vector<suspected_run> pending_suspects;
+    common::time_point last_start_at;
+    /// A suspected task was started here; nothing else is started until this time.
+    common::time_point isolated_until;
 
     /// Failed runs of different tasks since the last success.
     unsigned failures_in_row = 0;
@@ -129,6 +152,11 @@
         bool added = false;
         bool restarted = false;
         bool draining_changed = false;
+        /// The worker has written a new report in the same incarnation.
+        bool reported = false;
+        /// State of the former incarnation of a restarted worker.
+        bool was_draining = false;
+        std::optional<common::time_point> was_silent_since;
     };
     /// A restart of the worker makes its runs uncertain.
     update upsert(common::time_point now, const worker_report& report);
--- a/source/core/emulation/emulated_fleet.cpp
+++ b/source/core/emulation/emulated_fleet.cpp
@@ -28,6 +28,7 @@
 void fleet_observer::on_run_ended(const emulated_worker&, const dispatch::ended_run&) {}
 void fleet_observer::on_ends_acknowledged(const emulated_worker&, std::uint64_t) {}
 void fleet_observer::on_lease_lapsed(const emulated_worker&) {}
+void fleet_observer::on_run_crashed(const emulated_worker&, const run_key&, bool) {}
 
 placement::resources emulated_worker::used() const {
     placement::resources sum;
@@ -91,6 +92,21 @@
     return gang;
 }
 
+std::vector<std::string> emulated_fleet::workers_to_crash(common::time_point now) const {
+    std::vector<std::string> result;
+    for (const auto& [id, worker] : m_workers) {
+        const bool crashes =
+            std::any_of(worker.runs.begin(), worker.runs.end(), [&](const auto& entry) {
+                return m_deadly.contains(entry.first.task) &&
+                       now >= entry.second.started + m_settings.crash_delay;
+            });
+        if (worker.up && crashes) {
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
 order_result emulated_fleet::start(common::time_point now, const dispatch::start_order& order) {
     auto& worker = m_workers.at(order.worker);
     const auto clock = worker.clock_ms(now);
@@ -184,6 +200,11 @@
     worker.up = false;
     const auto runs = worker.runs;
     worker.runs.clear();
+    for (const auto& entry : runs) {
+        const bool deadly = m_deadly.contains(entry.first.task) &&
+                            now >= entry.second.started + m_settings.crash_delay;
+        m_observer.on_run_crashed(worker, entry.first, deadly);
+    }
     for (const auto& entry : runs) {
         const auto gang = m_gangs.find(gang_of(entry.first));
         if (gang == m_gangs.end()) {
--- a/source/core/emulation/emulated_fleet.h
+++ b/source/core/emulation/emulated_fleet.h
@@ -19,6 +19,8 @@
     common::duration stop_delay = std::chrono::milliseconds(200);
     /// Amount of work after which a run produces a new checkpoint.
     common::duration checkpoint_interval = std::chrono::milliseconds(500);
+    /// Time from the start of a deadly task to the crash of its worker.
+    common::duration crash_delay = std::chrono::milliseconds(50);
 };
 
 /// A run in progress on an emulated worker.
@@ -76,6 +78,9 @@
     virtual void on_ends_acknowledged(const emulated_worker& worker, std::uint64_t number);
     /// From now on owners are not expected to know of ended runs that are unacknowledged.
     virtual void on_lease_lapsed(const emulated_worker& worker);
+    /// The worker has crashed while it held the run. It is deadly when it caused the crash.
+    virtual void on_run_crashed(const emulated_worker& worker, const dispatch::run_key& run,
+                                bool deadly);
 
 protected:
     fleet_observer() = default;
@@ -93,6 +98,11 @@
     /// Registers the job's tasks. work_ms holds the actual duration of a task for each step.
     void add_job(const dispatch::job_spec& spec, const std::vector<double>& work_ms);
 
+    /// Each worker that starts the task crashes shortly after.
+    void set_deadly(const dispatch::task_key& task) { m_deadly.insert(task); }
+    /// Workers that deadly tasks crash by now. The caller has to crash them.
+    [[nodiscard]] std::vector<std::string> workers_to_crash(common::time_point now) const;
+
     dispatch::order_result start(common::time_point now, const dispatch::start_order& order);
     dispatch::order_result stop(common::time_point now, const dispatch::stop_order& order);
     /// Responds at once; poll_order::wait has to be implemented by the caller.
@@ -141,6 +151,7 @@
     std::map<std::string, job_model> m_jobs;
     std::map<gang_key, gang_members> m_gangs;
     std::set<std::pair<dispatch::task_key, std::string>> m_issued_checkpoints;
+    std::set<dispatch::task_key> m_deadly;
 };
 
 } // namespace buckthornspar::emulation
--- a/source/core/emulation/emulated_platform.cpp
+++ b/source/core/emulation/emulated_platform.cpp
@@ -48,6 +48,9 @@
 
 void emulated_platform::tick() {
     m_fleet.advance(now());
+    for (const auto& id : m_fleet.workers_to_crash(now())) {
+        crash_worker(id, m_settings.crash_length);
+    }
     answer_polls();
     if (store_up()) {
         m_list_known_until = now() - m_settings.watch_delay;
--- a/source/core/emulation/emulated_platform.h
+++ b/source/core/emulation/emulated_platform.h
@@ -33,6 +33,8 @@
     common::duration list_timeout = std::chrono::milliseconds(4500);
     /// Interval at which a worker renews its entry in the instance list.
     common::duration report_interval = std::chrono::milliseconds(1500);
+    /// A worker that a deadly task has crashed is back after this time.
+    common::duration crash_length = std::chrono::milliseconds(3000);
     /// The advice service grants one in this many workers to a step.
     unsigned granted_one_in = 4;
 };
--- a/tests/scenario/dispatch/dispatch_invariants.h
+++ b/tests/scenario/dispatch/dispatch_invariants.h
@@ -27,6 +27,8 @@
     void on_ends_acknowledged(const emulation::emulated_worker& worker,
                               std::uint64_t number) override;
     void on_lease_lapsed(const emulation::emulated_worker& worker) override;
+    void on_run_crashed(const emulation::emulated_worker& worker, const dispatch::run_key& run,
+                        bool deadly) override;
     void on_job_ended(const std::string& job, dispatch::job_state state) override;
     void on_cancel_accepted(const std::string& job) override;
 
@@ -47,6 +49,10 @@
         std::uint32_t failures = 0;
         std::uint32_t failures_acknowledged = 0;
         std::uint32_t starts = 0;
+        /// Workers that crashed under the task for any cause, and those that it has crashed.
+        std::uint32_t crashes = 0;
+        std::uint32_t deadly_crashes = 0;
+        std::uint32_t starts_after_crashes = 0;
         std::map<std::uint32_t, worker_incarnation> run_places;
     };
 
@@ -56,6 +62,7 @@
     void check_no_concurrent_run(const emulation::emulated_worker& worker,
                                  const dispatch::run_key& run) const;
     void check_step_order(const dispatch::run_key& run) const;
+    static void check_crashes(const dispatch::run_key& run, task_record& task);
 
     emulation::emulated_platform* m_platform = nullptr;
     bool m_undisturbed = true;
--- a/tests/scenario/dispatch/dispatch_scenario_test.cpp
+++ b/tests/scenario/dispatch/dispatch_scenario_test.cpp
@@ -47,6 +47,10 @@
     BOOST_TEST(mutation_is_detected("attempts", "after the last attempt"));
 }
 
+BOOST_AUTO_TEST_CASE(a_task_that_crashes_too_many_workers_is_detected) {
+    BOOST_TEST(mutation_is_detected("crashes", "has crashed"));
+}
+
 BOOST_AUTO_TEST_CASE(a_start_of_a_cancelled_job_is_detected) {
     BOOST_TEST(mutation_is_detected("cancel", "after its job was cancelled"));
 }
--- a/tests/scenario/dispatch/random_script.cpp
+++ b/tests/scenario/dispatch/random_script.cpp
@@ -69,6 +69,8 @@
              {"ms", std::to_string(ms)},
              {"true_ms", std::to_string(ms / 2 + m_rng.below(ms))},
              {"gang", gang ? "true" : "false"},
+             // The first task crashes every worker that starts it.
+             {"deadly", m_rng.chance(0.1) ? "true" : "false"},
              {"checkpointing", m_rng.chance(0.5) ? "true" : "false"}});
         if (m_rng.chance(0.2)) {
             add(at + milliseconds(static_cast<std::int64_t>(m_rng.below(5000))), "cancel",
--- /dev/null
+++ b/tests/unit/dispatch/crashes_test.cpp
@@ -0,0 +1,319 @@
+#include "unit/dispatch/dispatch_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <set>
+
+using namespace buckthornspar;
+using namespace buckthornspar::dispatch;
+using namespace buckthornspar::dispatch::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A task under which two workers have crashed may be given up; after the third crash it may be
+// started twice more.
+constexpr std::size_t max_starts = 5;
+
+class crash_fixture : public dispatch_fixture {
+public:
+    explicit crash_fixture(const std::vector<std::string>& workers = {"w1", "w2", "w3", "w4"},
+                           const dispatcher_settings& settings = {})
+        : dispatch_fixture(settings) {
+        engine.on_queues({plain_queue()});
+        become_owner(workers);
+    }
+
+    /// Lets time pass, during which each start of a deadly task crashes its worker after the delay.
+    void play(common::duration length, common::duration delay = 20ms) {
+        const auto end = now + length;
+        while (now < end) {
+            run_until_idle();
+            save();
+            for (const auto& start : take_starts()) {
+                starts_of[start.run.task].push_back(start.worker);
+                if (deadly.contains(start.run.task)) {
+                    pending_crashes.emplace(now + delay, start.worker);
+                }
+            }
+            now += 10ms;
+            while (!pending_crashes.empty() && pending_crashes.begin()->first <= now) {
+                const auto worker = pending_crashes.begin()->second;
+                pending_crashes.erase(pending_crashes.begin());
+                crash_worker(worker);
+            }
+        }
+    }
+
+    [[nodiscard]] std::optional<job_state> final_state(const std::string& id) const {
+        for (const auto& change : changes) {
+            if (change.job == id && is_final(change.state)) {
+                return change.state;
+            }
+        }
+        return std::nullopt;
+    }
+
+    [[nodiscard]] std::size_t starts_of_job(const std::string& id) const {
+        std::size_t sum = 0;
+        for (const auto& [task, workers] : starts_of) {
+            sum += task.job == id ? workers.size() : 0;
+        }
+        return sum;
+    }
+
+    void succeed(const task_key& task) {
+        for (const auto& [worker, runs] : std::map(running)) {
+            for (const auto& item : runs) {
+                if (item.run.task == task) {
+                    end_run(worker, item.run, run_end::succeeded);
+                }
+            }
+        }
+    }
+
+    std::set<task_key> deadly;
+    std::map<task_key, std::vector<std::string>> starts_of;
+    std::multimap<common::time_point, std::string> pending_crashes;
+};
+
+job_progress stored_progress(const dispatch_fixture& f, const std::string& id) {
+    const auto record = f.stored.find(id);
+    return record == f.stored.end() ? job_progress{} : read_progress(id, record->second);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(crashes_suite)
+
+// Guards against a task that crashes one worker after the other.
+BOOST_AUTO_TEST_CASE(a_task_that_crashes_its_workers_is_given_up) {
+    crash_fixture f;
+    f.deadly = {{"a", 0, 0, 0}};
+    f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 11);
+    f.play(20s);
+    BOOST_TEST(f.starts_of_job("a") >= 2U);
+    BOOST_TEST(f.starts_of_job("a") <= 3U);
+    BOOST_TEST((f.final_state("a") == job_state::failed));
+}
+
+// Guards against a count that is lost with the owner.
+BOOST_AUTO_TEST_CASE(a_successor_knows_the_crashes) {
+    std::size_t starts = 0;
+    job_progress progress;
+    bool failed = false;
+    for (std::uint64_t term = 0; term < 8 && !failed; ++term) {
+        crash_fixture f;
+        f.deadly = {{"a", 0, 0, 0}};
+        f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), progress, 11);
+        // The owner is killed after the first crash of its term has been stored.
+        while (f.starts_of_job("a") == 0) {
+            f.play(10ms);
+        }
+        f.play(200ms);
+        starts += f.starts_of_job("a");
+        failed = f.final_state("a") == job_state::failed;
+        progress = stored_progress(f, "a");
+    }
+    BOOST_TEST(failed);
+    BOOST_TEST(starts <= 3U);
+}
+
+// Guards against a successor that does not know of crashes although the task was started again: at
+// most the last crash may not be stored.
+BOOST_AUTO_TEST_CASE(a_suspected_task_waits_until_its_crashes_are_stored) {
+    dispatcher_settings settings;
+    settings.crashes.attributed_limit = 3;
+    crash_fixture f({"w1", "w2", "w3", "w4"}, settings);
+    f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 11);
+    for (int crash = 0; crash < 2; ++crash) {
+        f.advance(2s);
+        const auto starts = f.take_starts();
+        BOOST_REQUIRE(starts.size() == 1U);
+        f.crash_worker(starts[0].worker);
+    }
+    f.advance(3s);
+    BOOST_TEST(f.take_starts().empty());
+    f.save();
+    f.advance(3s);
+    BOOST_TEST(f.take_starts().size() == 1U);
+}
+
+// Guards against giving up a task that was at work for some time when a newer one crashed their
+// worker.
+BOOST_AUTO_TEST_CASE(an_older_run_on_a_crashed_worker_is_not_suspected) {
+    crash_fixture f({"w1"});
+    f.deadly = {{"a", 0, 0, 0}};
+    f.engine.on_job(f.now, dispatch_fixture::job("b", 4, 1000), {}, 11);
+    f.play(1s);
+    f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 12);
+    f.play(20s);
+    BOOST_TEST((f.final_state("a") == job_state::failed));
+    BOOST_TEST(f.starts_of_job("a") <= 3U);
+    BOOST_TEST(!f.final_state("b").has_value());
+    BOOST_TEST(f.running["w1"].size() == 4U);
+}
+
+// Guards against giving up a task that started on the same worker together with one that crashes
+// it: the two are told apart by starting them alone.
+BOOST_AUTO_TEST_CASE(a_task_that_started_beside_a_deadly_one_is_not_given_up) {
+    crash_fixture f;
+    f.deadly = {{"a", 0, 0, 0}};
+    for (const auto* const id : {"a", "b", "c", "d"}) {
+        f.engine.on_job(f.now, dispatch_fixture::job(id, 1, 1000), {}, 11);
+    }
+    f.play(20s);
+    BOOST_TEST((f.final_state("a") == job_state::failed));
+    for (const auto* const id : {"b", "c", "d"}) {
+        BOOST_TEST(!f.final_state(id).has_value());
+        f.succeed({id, 0, 0, 0});
+    }
+    f.play(3s);
+    for (const auto* const id : {"b", "c", "d"}) {
+        BOOST_TEST((f.final_state(id) == job_state::completed));
+    }
+}
+
+// Guards against a new suspicion of other tasks: none starts on the worker of a suspected one until
+// the worker has survived it for a while.
+BOOST_AUTO_TEST_CASE(nothing_starts_beside_a_suspected_task) {
+    crash_fixture f({"w1"});
+    f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 11);
+    f.play(100ms);
+    f.crash_worker("w1");
+    while (f.starts_of_job("a") < 2) {
+        f.play(10ms);
+    }
+    f.engine.on_job(f.now, dispatch_fixture::job("b", 1, 1000), {}, 12);
+    f.play(1s);
+    BOOST_TEST(f.starts_of_job("b") == 0U);
+    f.play(1s);
+    BOOST_TEST(f.starts_of_job("b") == 1U);
+}
+
+// Guards against a job that crashes many workers at once: of its suspected tasks one starts first.
+BOOST_AUTO_TEST_CASE(suspected_tasks_of_a_step_start_one_after_the_other) {
+    crash_fixture f;
+    f.engine.on_job(f.now, dispatch_fixture::job("a", 3, 1000), {}, 11);
+    f.play(100ms);
+    BOOST_REQUIRE(f.starts_of_job("a") == 3U);
+    const std::set<std::string> used{f.starts_of.at({"a", 0, 0, 0})[0],
+                                     f.starts_of.at({"a", 0, 0, 1})[0],
+                                     f.starts_of.at({"a", 0, 0, 2})[0]};
+    for (const auto& worker : used) {
+        f.crash_worker(worker);
+    }
+    f.play(1s);
+    BOOST_TEST(f.starts_of_job("a") == 4U);
+    // The worker survives the first one, so the others follow, each on its own worker.
+    f.play(5s);
+    BOOST_TEST(f.starts_of_job("a") == 6U);
+    BOOST_TEST(!f.final_state("a").has_value());
+    std::set<std::string> last;
+    for (const auto& [task, workers] : f.starts_of) {
+        last.insert(workers.back());
+    }
+    BOOST_TEST(last.size() == 3U);
+}
+
+// Guards against counting workers that crash by themselves: a run that was at work for long is no
+// cause, and a suspicion ends when a worker survives the task.
+BOOST_AUTO_TEST_CASE(a_task_that_workers_survive_is_not_given_up) {
+    crash_fixture f;
+    f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 11);
+    for (std::size_t i = 1; i <= 6; ++i) {
+        f.play(200ms);
+        BOOST_REQUIRE(f.starts_of_job("a") == i);
+        if (i % 2 == 0) {
+            f.play(12s);
+        }
+        f.crash_worker(f.starts_of.at({"a", 0, 0, 0}).back());
+        f.play(500ms);
+    }
+    BOOST_TEST(!f.final_state("a").has_value());
+}
+
+// Guards against taking a planned leave for a crash.
+BOOST_AUTO_TEST_CASE(a_worker_that_was_draining_has_not_crashed) {
+    crash_fixture f;
+    f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 11);
+    for (std::size_t i = 1; i <= 4; ++i) {
+        f.play(500ms);
+        BOOST_REQUIRE(f.starts_of_job("a") == i);
+        const auto worker = f.starts_of.at({"a", 0, 0, 0}).back();
+        auto leaving = dispatch_fixture::report(worker);
+        leaving.start_time_ms = f.incarnation_of(worker);
+        leaving.draining = true;
+        f.engine.on_worker(f.now, leaving);
+        f.play(50ms);
+        f.crash_worker(worker);
+    }
+    f.play(500ms);
+    BOOST_TEST(f.starts_of_job("a") == 5U);
+    BOOST_TEST(!f.final_state("a").has_value());
+}
+
+// Guards against taking a silent worker for a crashed one: it answers again as the same incarnation
+// after its lease has ended.
+BOOST_AUTO_TEST_CASE(a_silent_worker_has_not_crashed) {
+    crash_fixture f;
+    f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 11);
+    for (std::size_t i = 1; i <= 4; ++i) {
+        while (f.starts_of_job("a") < i) {
+            f.play(10ms);
+        }
+        const auto worker = f.starts_of.at({"a", 0, 0, 0}).back();
+        f.unreachable[worker] = true;
+        f.through_peer[worker] = dispatch_fixture::peer_view::silent;
+        while (f.starts_of_job("a") < i + 1) {
+            f.play(10ms);
+        }
+        f.running[worker].clear();
+        f.unreachable[worker] = false;
+        f.play(100ms);
+    }
+    BOOST_TEST(!f.final_state("a").has_value());
+}
+
+// Guards against missing a crash that shows only after the lease: the worker is back late as a new
+// incarnation, or it is gone for good.
+BOOST_AUTO_TEST_CASE(a_worker_that_vanishes_under_a_task_counts_as_crashed) {
+    for (const bool returns : {true, false}) {
+        crash_fixture f({"w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8"});
+        f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 11);
+        for (std::size_t i = 1; i <= max_starts + 1 && !f.final_state("a"); ++i) {
+            f.play(500ms);
+            BOOST_REQUIRE(f.starts_of_job("a") == i);
+            const auto worker = f.starts_of.at({"a", 0, 0, 0}).back();
+            f.unreachable[worker] = true;
+            f.through_peer[worker] = dispatch_fixture::peer_view::silent;
+            f.play(4500ms);
+            f.engine.on_worker_unlisted(f.now, worker);
+            f.play(4500ms);
+            if (returns) {
+                f.unreachable[worker] = false;
+                f.crash_worker(worker);
+            }
+        }
+        BOOST_TEST((f.final_state("a") == job_state::failed));
+        BOOST_TEST(f.starts_of_job("a") <= max_starts);
+    }
+}
+
+// Guards against a gang that crashes workers without limit, and against members that work on when
+// their job has been given up.
+BOOST_AUTO_TEST_CASE(a_gang_with_a_deadly_member_is_given_up) {
+    crash_fixture f;
+    auto spec = dispatch_fixture::job("a", 3, 40000);
+    spec.steps[0].gang = true;
+    f.deadly = {{"a", 0, 0, 1}};
+    f.engine.on_job(f.now, spec, {}, 11);
+    f.play(20s);
+    BOOST_TEST((f.final_state("a") == job_state::failed));
+    BOOST_TEST((f.starts_of.at({"a", 0, 0, 1}).size() <= 3U));
+    for (const auto& [worker, runs] : f.running) {
+        BOOST_TEST(runs.empty());
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
