Test workers whose capacity shrinks and grows while they run

Users say that a worker's capacity may change while it runs. The registry takes the capacity of each new report, and the planner compares demands with the free capacity, which is negative while runs exceed a shrunk capacity. No fault was found: the unit tests pass on the former logic too.

The invariant for overcommitment allows the former capacity for the time in which the report may be unknown.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -64,6 +64,13 @@
                    {"draining", report.draining ? 1 : 0},
                    {"cpu_milli", report.capacity.cpu_milli}});
     }
+    if (change.capacity_changed) {
+        m_counters.get("worker_capacity_changes_total").add();
+        log_event(severity::info, "worker_resized",
+                  {{"worker", report.id},
+                   {"cpu_milli", report.capacity.cpu_milli},
+                   {"free_cpu_milli", m_workers.find(report.id)->free().cpu_milli}});
+    }
     if (change.added || change.restarted) {
         schedule_poll(*m_workers.find(report.id), now);
     }
--- a/source/core/dispatch/worker_registry.cpp
+++ b/source/core/dispatch/worker_registry.cpp
@@ -47,6 +47,8 @@
     }
     result.restarted = !added && report.start_time_ms != 0 && worker.report.start_time_ms != 0 &&
                        report.start_time_ms != worker.report.start_time_ms;
+    result.capacity_changed =
+        !added && !result.restarted && report.capacity != worker.report.capacity;
     result.draining_changed = !added && report.draining != worker.report.draining;
     if (result.restarted) {
         result.was_draining = worker.report.draining;
--- a/source/core/dispatch/worker_registry.h
+++ b/source/core/dispatch/worker_registry.h
@@ -152,6 +152,7 @@
         bool added = false;
         bool restarted = false;
         bool draining_changed = false;
+        bool capacity_changed = false;
         /// The worker has written a new report in the same incarnation.
         bool reported = false;
         /// State of the former incarnation of a restarted worker.
--- a/source/core/emulation/emulated_fleet.h
+++ b/source/core/emulation/emulated_fleet.h
@@ -46,6 +46,9 @@
     /// Offset and rate of the worker's clock relative to the time of the experiment.
     std::int64_t clock_offset_ms = 0;
     double clock_rate = 1.0;
+    /// The capacity before the last change, and the time of this change.
+    placement::resources former_capacity;
+    common::time_point capacity_changed_at;
 
     bool up = true;
     double speed = 1.0;
--- a/source/core/emulation/emulated_platform.cpp
+++ b/source/core/emulation/emulated_platform.cpp
@@ -261,6 +261,24 @@
     publish(id);
 }
 
+void emulated_platform::set_capacity(const std::string& id, const placement::resources& capacity) {
+    auto& worker = *m_fleet.find(id);
+    worker.former_capacity = worker.report.capacity;
+    worker.capacity_changed_at = now();
+    worker.report.capacity = capacity;
+    if (store_up() && worker.up && m_links[id].listed) {
+        publish(id);
+    }
+}
+
+void emulated_platform::shrink_worker(const std::string& id, common::duration length,
+                                      std::int64_t percent) {
+    const auto full = m_fleet.find(id)->report.capacity;
+    set_capacity(id, {full.cpu_milli * percent / 100, full.memory_mb * percent / 100,
+                      full.accelerators * percent / 100});
+    m_events.after(length, [this, id, full] { set_capacity(id, full); });
+}
+
 void emulated_platform::cut_worker(const std::string& id, common::duration length, bool store) {
     auto& link = m_links[id];
     link.cut_until = std::max(link.cut_until, now() + length);
--- a/source/core/emulation/emulated_platform.h
+++ b/source/core/emulation/emulated_platform.h
@@ -80,6 +80,8 @@
     void freeze_owner(common::duration length);
     void crash_worker(const std::string& worker, common::duration length);
     void drain_worker(const std::string& worker);
+    /// The worker has only this share of its capacity for the time; its runs go on.
+    void shrink_worker(const std::string& worker, common::duration length, std::int64_t percent);
     /// Cuts the connection between the owner and the worker, and with `store` also the worker's
     /// connections to the other nodes and the store.
     void cut_worker(const std::string& worker, common::duration length, bool store);
@@ -142,6 +144,7 @@
     void replace_owner(common::duration after);
     void publish(const std::string& worker);
     void withdraw(const std::string& worker);
+    void set_capacity(const std::string& worker, const placement::resources& capacity);
     void tick();
     void report_workers();
     void answer_polls();
--- a/tests/scenario/dispatch/dispatch_world.cpp
+++ b/tests/scenario/dispatch/dispatch_world.cpp
@@ -111,6 +111,7 @@
             {"drain_worker", disturbing([](dispatch_world& w, const arguments& a) {
                  w.m_platform.drain_worker(a.text("worker"));
              })},
+            {"shrink_worker", &dispatch_world::shrink_worker},
             {"cut_worker", disturbing([](dispatch_world& w, const arguments& a) {
                  w.m_platform.cut_worker(a.text("worker"), a.time("for"), a.flag("store", false));
              })},
@@ -182,6 +183,10 @@
         m_platform.cancel(a.text("job"));
     }
 
+    void shrink_worker(const arguments& a) {
+        m_platform.shrink_worker(a.text("worker"), a.time("for"), a.number("percent", 50));
+    }
+
     void fail_runs(const arguments& a) {
         auto& worker = *m_platform.fleet().find(a.text("worker"));
         worker.fails = true;
--- a/tests/scenario/dispatch/random_script.cpp
+++ b/tests/scenario/dispatch/random_script.cpp
@@ -34,6 +34,12 @@
         for (std::uint64_t i = 0; i < faults; ++i) {
             add_fault();
         }
+        if (m_rng.chance(0.3)) {
+            add(time(), "shrink_worker",
+                {{"worker", worker()},
+                 {"for", random_duration(max_fault_ms)},
+                 {"percent", std::to_string(10 + m_rng.below(80))}});
+        }
         sort_steps(m_script);
         return m_script;
     }
