Do not take workers that crash together for crashed by a task

A crash counts as attributed only if the suspected run was younger than its isolation, and if fewer than four other workers became silent within 50 ms. The success of a task that was not suspected no longer ends the one-by-one starts of its step.

--- a/source/core/dispatch/crash_attribution.h
+++ b/source/core/dispatch/crash_attribution.h
@@ -18,6 +18,10 @@
     common::duration max_age = std::chrono::milliseconds(10000);
     /// Nothing else is started on the worker of a suspected task for this time after its start.
     common::duration isolation = std::chrono::milliseconds(1500);
+    /// Workers that become silent within this time of each other, this many besides the one in
+    /// question, have a common cause: a rack, a switch, a shared service.
+    common::duration common_cause_window = std::chrono::milliseconds(50);
+    std::size_t common_cause_workers = 4;
     /// Crashes of a task's workers after which it is given up, if the last one can have no task of
     /// another job as its cause.
     unsigned attributed_limit = 2;
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -183,6 +183,8 @@
 
     // dispatcher_crashes.cpp
     void count_crash(common::time_point now, worker_entry& worker, common::time_point crashed_at);
+    [[nodiscard]] bool has_common_cause(const worker_entry& worker,
+                                        common::time_point crashed_at) const;
     void confirm_crash(common::time_point now, worker_entry& worker);
     [[nodiscard]] bool may_give_up(const task_state& task, const suspected_run& last) const;
     void withdraw_crash(const std::vector<suspected_run>& suspects, bool confirmed);
--- a/source/core/dispatch/dispatcher_crashes.cpp
+++ b/source/core/dispatch/dispatcher_crashes.cpp
@@ -49,7 +49,7 @@
 void dispatcher::count_crash(common::time_point now, worker_entry& worker,
                              common::time_point crashed_at) {
     const auto suspects = attribute_crash(worker.runs, crashed_at, m_settings.crashes);
-    const bool attributed = is_one_job(suspects);
+    const bool one_cause = is_one_job(suspects) && !has_common_cause(worker, crashed_at);
     const auto run_age = suspects.empty() ? common::duration(0)
                                           : crashed_at - worker.runs.at(suspects[0]).ordered_at;
     m_counters.get("worker_crashes_total", "suspects", suspects.empty() ? "none" : "some").add();
@@ -73,6 +73,8 @@
         // The worker may have crashed before an unconfirmed order arrived, unless it responded just
         // before, as is checked for a suspected task.
         const auto& placed = worker.runs.at(run);
+        const bool attributed =
+            one_cause && crashed_at <= placed.ordered_at + m_settings.crashes.isolation;
         if (placed.confirmed || placed.started_as_suspect) {
             ++(placed.confirmed ? task->progress.crashes : task->progress.possible_crashes);
             ++task->pending_crashes;
@@ -87,6 +89,18 @@
     }
 }
 
+bool dispatcher::has_common_cause(const worker_entry& worker, common::time_point crashed_at) const {
+    const auto window = m_settings.crashes.common_cause_window;
+    std::size_t others = 0;
+    for (const auto& [id, other] : m_workers.all()) {
+        const bool together = other.poll_failures > 0 &&
+                              other.silent_since <= crashed_at + window &&
+                              crashed_at <= other.silent_since + window;
+        others += together && other.slot != worker.slot ? 1 : 0;
+    }
+    return others >= m_settings.crashes.common_cause_workers;
+}
+
 bool dispatcher::may_give_up(const task_state& task, const suspected_run& last) const {
     const auto& limits = m_settings.crashes;
     const auto certain =
--- a/source/core/dispatch/dispatcher_runs.cpp
+++ b/source/core/dispatch/dispatcher_runs.cpp
@@ -384,7 +384,7 @@
     } else {
         auto& state = *job.find(task);
         step.set_succeeded(state);
-        step.probe_passed = true;
+        step.probe_passed |= state.is_suspected();
         if (const auto copy = state.current) {
             request_stop(now, copy->worker, {task, copy->run});
         }
--- a/tests/unit/dispatch/crashes_test.cpp
+++ b/tests/unit/dispatch/crashes_test.cpp
@@ -233,6 +233,37 @@
     BOOST_TEST(!f.final_state("a").has_value());
 }
 
+// Guards against giving up tasks when many workers crash at once, as with a rack: the crash has
+// another cause than the tasks that had just started there.
+BOOST_AUTO_TEST_CASE(workers_that_crash_together_have_another_cause) {
+    std::vector<std::string> ids;
+    for (int i = 0; i < 18; ++i) {
+        ids.push_back("w" + std::to_string(i));
+    }
+    crash_fixture f(ids);
+    for (const auto* const id : {"a", "b", "c", "d", "e", "g"}) {
+        f.engine.on_job(f.now, dispatch_fixture::job(id, 1, 40000), {}, 11);
+    }
+    for (int crash = 0; crash < 2; ++crash) {
+        f.play(500ms);
+        std::set<std::string> crashed;
+        for (const auto& [task, workers] : f.starts_of) {
+            crashed.insert(workers.back());
+        }
+        BOOST_REQUIRE(crashed.size() == 6U);
+        for (const auto& id : crashed) {
+            f.unreachable[id] = true;
+            f.through_peer[id] = dispatch_fixture::peer_view::silent;
+            f.engine.on_worker_unlisted(f.now, id);
+        }
+        f.play(9s);
+    }
+    for (const auto& [task, workers] : f.starts_of) {
+        BOOST_TEST(!f.final_state(task.job).has_value());
+        BOOST_TEST(workers.size() == 3U);
+    }
+}
+
 // Guards against taking a planned leave for a crash.
 BOOST_AUTO_TEST_CASE(a_worker_that_was_draining_has_not_crashed) {
     crash_fixture f;
