--- a/tests/unit/dispatch/crashes_test.cpp
+++ b/tests/unit/dispatch/crashes_test.cpp
@@ -237,6 +237,7 @@
 // another cause than the tasks that had just started there.
 BOOST_AUTO_TEST_CASE(workers_that_crash_together_have_another_cause) {
     std::vector<std::string> ids;
+    ids.reserve(18);
     for (int i = 0; i < 18; ++i) {
         ids.push_back("w" + std::to_string(i));
     }
