--- a/source/core/dispatch/dispatcher_plan.cpp
+++ b/source/core/dispatch/dispatcher_plan.cpp
@@ -41,7 +41,8 @@
 bool dispatcher::is_usable(const worker_entry& worker, common::time_point now) const {
     const bool listed = worker.listed || now < worker.unlisted_since + m_settings.unlisted_grace;
     return listed && worker.adopted && worker.reachable && !worker.report.draining &&
-           now >= worker.excluded_until && m_recorded_workers.contains(worker.report.id);
+           now >= worker.excluded_until && now >= worker.isolated_until &&
+           m_recorded_workers.contains(worker.report.id);
 }
 
 std::vector<worker_free_capacity> dispatcher::collect_free_capacities(common::time_point now) {
@@ -127,13 +128,13 @@
                                                        const task_key& step) {
     auto& job = m_jobs.at(step.job);
     auto& state = *job.find_step(step);
-    const auto first = std::find_if(state.tasks.begin(), state.tasks.end(),
-                                    [now](const task_state& task) { return task.may_start(now); });
-    if (first == state.tasks.end()) {
-        return std::nullopt;
+    const auto& spec = job.spec_of(step);
+    for (std::uint32_t index = 0; index < state.tasks.size(); ++index) {
+        if (state.may_start(spec, index, now, m_settings.crashes.attributed_limit)) {
+            return waiting_step{step, &spec, queue_of(job.spec), &state, index};
+        }
     }
-    return waiting_step{step, &job.spec_of(step), queue_of(job.spec), &state,
-                        static_cast<std::uint32_t>(first - state.tasks.begin())};
+    return std::nullopt;
 }
 
 void dispatcher::on_wall_clock(common::time_point now, std::int64_t unix_ms) {
@@ -174,6 +175,8 @@
 
 plan_limits dispatcher::limits_of_plan(common::time_point now) const {
     plan_limits limits;
+    limits.suspect_distance = m_settings.crashes.window;
+    limits.crash_limit = m_settings.crashes.attributed_limit;
     limits.pending_starts = m_pending_starts;
     if (m_settings.max_pending_starts > 0) {
         limits.max_pending_starts = m_settings.max_pending_starts;
@@ -295,6 +298,7 @@
         // The position depends on the number of waiting tasks.
         note_waiting(planned.task.job);
     }
+    isolate_suspect(now, worker, step, run);
     if (spec.gang) {
         step.gang_run = planned.run;
         step.gang_since = now;
--- a/source/core/dispatch/job_entry.cpp
+++ b/source/core/dispatch/job_entry.cpp
@@ -45,6 +45,7 @@
             throw common::format_error("progress refers to a task that the job does not have");
         }
         task->progress = known;
+        task->crashes_stored = task->all_crashes();
         auto& step = *job.find_step(key);
         if (known.succeeded) {
             ++step.succeeded;
@@ -80,6 +81,23 @@
     granted.push_back({worker, std::move(ticket), expires});
 }
 
+bool step_state::may_start(const step_spec& spec, std::uint32_t index, common::time_point now,
+                           std::uint32_t crash_limit) const {
+    const auto& task = tasks[index];
+    if (!task.may_start(now) || !task.is_suspected()) {
+        return task.may_start(now);
+    }
+    // A successor must know of all crashes but the last before another one can follow.
+    if (task.all_crashes() > task.crashes_stored + 1) {
+        return false;
+    }
+    // The job may end as soon as the last crash is certain.
+    if (task.pending_crashes > 0 && task.all_crashes() >= crash_limit) {
+        return false;
+    }
+    return spec.gang || probe_passed || now >= probe_until;
+}
+
 void step_state::set_current(task_state& task, run_location place) {
     placed += task.current ? 0U : 1U;
     task.current = std::move(place);
--- a/source/core/dispatch/job_entry.h
+++ b/source/core/dispatch/job_entry.h
@@ -30,6 +30,20 @@
     [[nodiscard]] bool may_start(common::time_point now) const {
         return !progress.succeeded && !current && now >= not_before;
     }
+    /// Part of all_crashes() for which it is not certain yet that the worker has crashed.
+    std::uint32_t pending_crashes = 0;
+    /// Value of all_crashes() that the store holds, and that the pending batch contains.
+    std::uint32_t crashes_stored = 0;
+    std::uint32_t crashes_in_batch = 0;
+
+    /// A worker crashed that had not confirmed the start of the task.
+    bool suspected = false;
+
+    [[nodiscard]] std::uint32_t all_crashes() const {
+        return progress.crashes + progress.possible_crashes;
+    }
+    /// The task may have crashed a worker.
+    [[nodiscard]] bool is_suspected() const { return suspected || all_crashes() > 0; }
 };
 
 struct ticket_state {
@@ -71,7 +85,15 @@
     common::time_point latest_start;
     /// A worker has confirmed the start of a task of the step.
     bool started = false;
-
+    /// Suspected tasks that are not part of a gang are started one at a time, at this time the next
+    /// one, until a worker has survived one of them.
+    common::time_point probe_until;
+    bool probe_passed = false;
+
+    /// Whether the task is waiting and may start now. A suspected task also waits for the outcome
+    /// of earlier starts, with the number of crashes after which a task may be given up.
+    [[nodiscard]] bool may_start(const step_spec& spec, std::uint32_t index, common::time_point now,
+                                 std::uint32_t crash_limit) const;
     [[nodiscard]] bool complete() const { return succeeded == tasks.size(); }
     [[nodiscard]] bool any_current() const { return placed > 0; }
     [[nodiscard]] bool any_waiting() const { return succeeded + placed < tasks.size(); }
--- a/source/core/dispatch/plan_state.cpp
+++ b/source/core/dispatch/plan_state.cpp
@@ -34,7 +34,7 @@
 }
 
 bool plan_state::is_eligible(const waiting_step& step, worker_slot w) const {
-    if (!(*m_selected_service)[w]) {
+    if (!(*m_selected_service)[w] || capacities[w].worker == nullptr) {
         return false;
     }
     const auto& report = capacities[w].worker->report;
@@ -137,6 +137,11 @@
     return pending + count <= most || (count > most && pending <= most / 4);
 }
 
+void plan_state::withdraw(worker_slot w) {
+    capacities[w].worker = nullptr;
+    std::erase_if(candidates, [w](const worker_candidate& c) { return c.worker == w; });
+}
+
 void plan_state::start(const waiting_step& step, std::uint32_t index, worker_slot w,
                        std::uint32_t run) {
     planned_start planned;
@@ -148,6 +153,7 @@
         planned.ticket = ticket->ticket;
     }
     capacities[w].free -= demand;
+    started.insert(w);
     if (step.spec->max_per_worker != 0) {
         ++m_present_tasks[capacities[w].worker->report.id];
     }
--- a/source/core/dispatch/plan_state.h
+++ b/source/core/dispatch/plan_state.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <limits>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -44,6 +45,10 @@
     std::size_t max_pending_starts = std::numeric_limits<std::size_t>::max();
     /// Ticket requests that may be sent in advance or to widen a choice. Others are not limited.
     std::size_t optional_requests = std::numeric_limits<std::size_t>::max();
+    /// A suspected task starts only on workers that responded this long after their last start.
+    common::duration suspect_distance{0};
+    /// Crashes of workers after which a task may be given up.
+    std::uint32_t crash_limit = std::numeric_limits<std::uint32_t>::max();
     /// Whether runs may be preempted.
     bool preemption = false;
 };
@@ -107,12 +112,16 @@
     /// work.
     [[nodiscard]] bool may_start(std::size_t count) const;
     void start(const waiting_step& step, std::uint32_t index, worker_slot w, std::uint32_t run);
+    /// Places nothing more on the worker.
+    void withdraw(worker_slot w);
 
     std::vector<worker_free_capacity> capacities;
     std::vector<std::vector<capacity_reservation>> reservations;
     plan_limits limits;
     common::time_point now;
     plan_result result;
+    /// Workers that receive a start of this plan.
+    std::set<worker_slot> started;
 
     // The selected step.
     placement::resources demand;
--- a/source/core/dispatch/step_planner.cpp
+++ b/source/core/dispatch/step_planner.cpp
@@ -38,7 +38,7 @@
     const auto& tasks = step.state->tasks;
     for (auto index = step.first_task; index < tasks.size(); ++index) {
         const auto& task = tasks[index];
-        if (!task.may_start(m_plan.now)) {
+        if (!may_start_task(step, index)) {
             continue;
         }
         if (!m_plan.may_start(1)) {
@@ -48,6 +48,10 @@
             }
             return;
         }
+        if (task.is_suspected()) {
+            plan_suspect(step, index);
+            continue;
+        }
         const auto worker = best_worker(step, task);
         if (!worker) {
             // All tasks of a step have the same demand, so no further one fits either.
@@ -58,6 +62,39 @@
     }
 }
 
+bool step_planner::may_start_task(const waiting_step& step, std::uint32_t index) const {
+    return step.state->may_start(*step.spec, index, m_plan.now, m_plan.limits.crash_limit);
+}
+
+// Starts a task that may have crashed a worker. Nothing else is started on the worker at this time,
+// so that a further crash has no other cause. Of a step, one such task starts first.
+void step_planner::plan_suspect(const waiting_step& step, std::uint32_t index) {
+    if (!step.state->probe_passed && std::exchange(m_probed_step, step.step) == step.step) {
+        return;
+    }
+    std::optional<worker_slot> best;
+    for (const auto& c : m_plan.candidates) {
+        const auto& capacity = m_plan.capacities[c.worker];
+        const bool settled = capacity.worker != nullptr && !m_plan.started.contains(c.worker) &&
+                             capacity.worker->last_start_at + m_plan.limits.suspect_distance <=
+                                 capacity.worker->last_contact;
+        if (!settled || !m_plan.is_valid(c) || m_plan.remaining_tasks_on(step, c.worker) == 0 ||
+            !m_plan.demand.fits(m_plan.available_capacity(step, c.worker))) {
+            continue;
+        }
+        // The least loaded worker loses the least by a crash.
+        if (!best || capacity.free.cpu_milli > m_plan.capacities[*best].free.cpu_milli) {
+            best = c.worker;
+        }
+    }
+    if (!best) {
+        m_tickets.request_for_tasks(step);
+        return;
+    }
+    m_plan.start(step, index, *best, step.state->tasks[index].progress.last_run + 1);
+    m_plan.withdraw(*best);
+}
+
 std::optional<worker_slot> step_planner::best_worker(const waiting_step& step,
                                                      const task_state& task) const {
     const auto& demand = m_plan.demand;
@@ -132,9 +169,10 @@
 
 void step_planner::plan_gang(const waiting_step& step) {
     const auto& tasks = step.state->tasks;
-    if (!std::all_of(tasks.begin(), tasks.end(),
-                     [this](const task_state& task) { return task.may_start(m_plan.now); })) {
-        return;
+    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+        if (!may_start_task(step, index)) {
+            return;
+        }
     }
     if (step.queue->needs_tickets && step.state->tickets.asked.empty()) {
         if (m_tickets.may_request(step)) {
--- a/source/core/dispatch/step_planner.h
+++ b/source/core/dispatch/step_planner.h
@@ -32,6 +32,8 @@
 
 private:
     void plan_tasks(const waiting_step& step);
+    [[nodiscard]] bool may_start_task(const waiting_step& step, std::uint32_t index) const;
+    void plan_suspect(const waiting_step& step, std::uint32_t index);
     [[nodiscard]] std::optional<worker_slot> best_worker(const waiting_step& step,
                                                          const task_state& task) const;
     void plan_gang(const waiting_step& step);
@@ -61,6 +63,8 @@
     plan_state m_plan;
     ticket_planner m_tickets{m_plan};
     std::size_t m_reserved_gangs = 0;
+    /// The step of the suspected task that was planned last.
+    std::optional<task_key> m_probed_step;
     /// Sum of the runs on each worker that work of a priority may preempt, by slot.
     std::map<int, std::vector<std::optional<placement::resources>>> m_preemptible;
 };
--- a/source/core/emulation/emulated_platform.h
+++ b/source/core/emulation/emulated_platform.h
@@ -49,6 +49,8 @@
     common::duration list_timeout = std::chrono::milliseconds(4500);
     /// Interval at which a worker renews its entry in the instance list.
     common::duration report_interval = std::chrono::milliseconds(1500);
+    /// A worker that a deadly task has crashed is back after this time.
+    common::duration crash_length = std::chrono::milliseconds(3000);
     /// The advice service grants one in this many workers to a step.
     unsigned granted_one_in = 4;
     /// Time after an outage of the store in which the platform judges no rule with a time bound
@@ -108,6 +110,8 @@
     void slow_owner(common::duration length, double factor);
     void crash_worker(const std::string& worker, common::duration length);
     void drain_worker(const std::string& worker);
+    /// The worker has only this share of its capacity for the time; its runs go on.
+    void shrink_worker(const std::string& worker, common::duration length, std::int64_t percent);
     /// Cuts the connection between the owner and the worker, and with `store` also the worker's
     /// connections to the other nodes and the store.
     void cut_worker(const std::string& worker, common::duration length, bool store);
@@ -189,6 +193,7 @@
     void replace_owner(common::duration after);
     void publish(const std::string& worker);
     void withdraw(const std::string& worker);
+    void set_capacity(const std::string& worker, const placement::resources& capacity);
     void tick();
     void report_workers();
     void answer_polls();
--- a/source/core/service/prefix_watcher.h
+++ b/source/core/service/prefix_watcher.h
@@ -49,8 +49,8 @@
     /// Time since the last call was sent whose answer brought all changes: later ones may be
     /// unknown.
     [[nodiscard]] common::duration age() const { return m_clock.now() - m_current_at; }
-    /// The last completed call failed within its time limit. A failure that is handled later does not
-    /// count: an answer may have waited behind a busy event loop or a pause.
+    /// The last completed call failed within its time limit. A failure that is handled later does
+    /// not count: an answer may have waited behind a busy event loop or a pause.
     [[nodiscard]] bool failing() const { return m_failing; }
     /// Abandons the pending call, which may hang, and sends a new one.
     void restart();
--- a/tests/scenario/dispatch/dispatch_world.cpp
+++ b/tests/scenario/dispatch/dispatch_world.cpp
@@ -11,6 +11,7 @@
 using std::chrono::milliseconds;
 
 constexpr std::int64_t mib = 1024;
+constexpr unsigned unlimited_crashes = 1000;
 
 dispatch::queue_settings make_queue(const std::string& name, bool tickets) {
     dispatch::queue_settings queue;
@@ -92,6 +93,10 @@
         settings.claims_all_cancels = mutation == "claimed_cancels";
         settings.claims_all_drains = mutation == "claimed_drains";
         settings.fleet.refuses_late_starts = mutation != "late_starts";
+        if (mutation == "crashes") {
+            settings.dispatcher.crashes.attributed_limit = unlimited_crashes;
+            settings.dispatcher.crashes.ambiguous_limit = unlimited_crashes;
+        }
         return settings;
     }
 
@@ -114,6 +119,7 @@
             {"drain_worker", disturbing([](dispatch_world& w, const arguments& a) {
                  w.m_platform.drain_worker(a.text("worker"));
              })},
+            {"shrink_worker", &dispatch_world::shrink_worker},
             {"cut_worker", disturbing([](dispatch_world& w, const arguments& a) {
                  w.m_platform.cut_worker(a.text("worker"), a.time("for"), a.flag("store", false));
              })},
@@ -193,6 +199,10 @@
         }
         m_platform.submit(submitted_spec, work);
         m_platform.fleet().add_job(spec, work);
+        if (a.flag("deadly", false)) {
+            m_invariants.set_undisturbed(false);
+            m_platform.fleet().set_deadly({spec.id, 0, 0, 0});
+        }
     }
 
     void cancel(const arguments& a) {
@@ -204,6 +214,10 @@
         m_platform.cancel(a.text("job"));
     }
 
+    void shrink_worker(const arguments& a) {
+        m_platform.shrink_worker(a.text("worker"), a.time("for"), a.number("percent", 50));
+    }
+
     void fail_runs(const arguments& a) {
         auto& worker = *m_platform.fleet().find(a.text("worker"));
         worker.fails = true;
--- a/tests/scenario/dispatch/random_script.cpp
+++ b/tests/scenario/dispatch/random_script.cpp
@@ -55,6 +55,12 @@
         if (m_rng.chance(0.2)) {
             add_full_link();
         }
+        if (m_rng.chance(0.3)) {
+            add(time(), "shrink_worker",
+                {{"worker", worker()},
+                 {"for", random_duration(max_fault_ms)},
+                 {"percent", std::to_string(10 + m_rng.below(80))}});
+        }
         sort_steps(m_script);
         return m_script;
     }
@@ -90,6 +96,8 @@
              {"ms", std::to_string(ms)},
              {"true_ms", std::to_string(ms / 2 + m_rng.below(ms))},
              {"gang", gang ? "true" : "false"},
+             // The first task crashes every worker that starts it.
+             {"deadly", m_rng.chance(0.1) ? "true" : "false"},
              {"checkpointing", m_rng.chance(0.5) ? "true" : "false"}});
         if (m_rng.chance(0.3)) {
             const auto cancelled_at =
