--- a/tests/unit/service/peer_messages_test.cpp
+++ b/tests/unit/service/peer_messages_test.cpp
@@ -87,8 +87,7 @@
           "{\"next\":1,\"changes\":[[1,2,3]]}", "{\"next\":1,\"changes\":[[\"a\",\"q\",\"no\"]]}",
           "{\"next\":1,\"changes\":[],\"pending\":{\"q\":1}}",
           "{\"next\":1,\"changes\":[],\"pending\":{\"q\":-1},\"pending_age_ms\":1,\"held_ms\":1}",
-          "{\"next\":1,\"changes\":[],\"pending\":{\"q\":1},\"pending_age_ms\":-1,\"held_ms\":"
-          "1}"}) {
+          R"({"next":1,"changes":[],"pending":{"q":1},"pending_age_ms":-1,"held_ms":1})"}) {
         BOOST_CHECK_THROW(static_cast<void>(read_changes_response(text)), common::error);
     }
     for (const auto* text :
