Take the announced length of a message from its header field

Cause: with the sanitizers' options the compiler takes the optional of Beast's content_length_remaining() for uninitialized, which ends the build. Change: the Content-Length field is read instead. Measured: bts_net builds with the address sanitizer, test_net passes.

--- a/source/core/net/read_message.h
+++ b/source/core/net/read_message.h
@@ -4,6 +4,7 @@
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <cstddef>
 #include <cstdint>
 #include <utility>
@@ -33,9 +34,10 @@
                 complete(failure);
                 return;
             }
-            if (const auto remaining = parser.content_length_remaining()) {
-                buffer.reserve(static_cast<std::size_t>(std::min(*remaining, max_read_bytes)));
-            }
+            const auto announced = parser.get()[http::field::content_length];
+            std::uint64_t length = 0;
+            std::from_chars(announced.data(), announced.data() + announced.size(), length);
+            buffer.reserve(static_cast<std::size_t>(std::min(length, max_read_bytes)));
             http::async_read(stream, buffer, parser,
                              [complete = std::move(complete)](boost::beast::error_code read_failure,
                                                               std::size_t /*bytes*/) mutable {
