Release the pending calls of an HTTP client with its event loop

Cause: the client's table of calls owned the calls, and these own the client's state, so that calls that were pending when the client and its loop ended were never released. Since requests are sent at once, the tests of peer_exchange end with such calls. Change: the table refers to the calls, which their pending operations keep alive. Measured: test_service under the address sanitizer reported the leak before and passes now, test_net passes.

--- a/source/core/net/http_client.cpp
+++ b/source/core/net/http_client.cpp
@@ -71,7 +71,8 @@
     asio::io_context& context;
     http_client_limits limits;
     std::map<endpoint, connection_pool> pools;
-    std::unordered_map<std::uint64_t, std::shared_ptr<exchange>> exchanges;
+    /// Kept alive by their pending operations, so that they do not keep the state alive in turn.
+    std::unordered_map<std::uint64_t, std::weak_ptr<exchange>> exchanges;
     std::atomic<std::uint64_t> next_id{1};
 };
 
@@ -296,8 +297,10 @@
 void http_client::cancel(std::uint64_t id) {
     asio::post(m_state->context, [s = m_state, id] {
         const auto position = s->exchanges.find(id);
-        if (position != s->exchanges.end()) {
-            const auto e = position->second;
+        if (position == s->exchanges.end()) {
+            return;
+        }
+        if (const auto e = position->second.lock()) {
             e->fail(http_failure_kind::cancelled);
         }
     });
