Process the first decisions of a term in a step of their own

Cause: the step that ended the loading also made the first decisions, 142 ms of processor time for 10,000 jobs under the thread sanitizer, where loading_thousands_of_jobs... failed (252 ms, 100 allowed). The rest of the 252 ms was the fake store, which copied all records for each answer, and the time before the loop ran. Change: the decisions follow in the next step; the fake store moves its answers, and the test counts from the first pass of the loop. Its bound is unchanged.

--- a/source/core/service/owner_controller_loading.cpp
+++ b/source/core/service/owner_controller_loading.cpp
@@ -98,7 +98,7 @@
     m_progress.clear();
     m_worker_contents = {};
     m_loaded = true;
-    process_actions();
+    process_soon();
 }
 
 void owner_controller::load_workers(const std::vector<store_item>& items) {
--- a/tests/fakes/fake_shared_store.h
+++ b/tests/fakes/fake_shared_store.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -257,9 +258,10 @@
 
     void answer_after(common::duration time, dispatch::store_completion complete,
                       dispatch::store_result result) {
-        m_loop.post_after(time, [complete = std::move(complete), result = std::move(result)] {
-            complete(result);
-        });
+        // Shared, because the loop copies tasks; a real answer is not copied either.
+        auto shared = std::make_shared<dispatch::store_result>(std::move(result));
+        m_loop.post_after(
+            time, [complete = std::move(complete), shared] { complete(std::move(*shared)); });
     }
 
     void notify_watches() {
--- a/tests/unit/service/owner_controller_test.cpp
+++ b/tests/unit/service/owner_controller_test.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <ctime>
 #include <functional>
+#include <optional>
 #include <thread>
 #include <utility>
 
@@ -329,12 +330,13 @@
     for (int i = 0; i < 10'000; ++i) {
         submit("j" + std::to_string(i), 1000, 4000);
     }
-    // Processor time, so that other processes on the machine do not count.
-    auto last = std::clock();
+    // Processor time, so that other processes on the machine do not count. The time before the loop
+    // first runs is that of the fake store, which copies the records.
+    std::optional<std::clock_t> last;
     std::clock_t longest = 0;
     std::function<void()> tick = [&] {
         const auto now = std::clock();
-        longest = std::max(longest, now - last);
+        longest = std::max(longest, now - last.value_or(now));
         last = now;
         if (!controller || !controller->loaded()) {
             loop.post(tick);
