--- a/source/core/common/log_output.h
+++ b/source/core/common/log_output.h
@@ -28,7 +28,7 @@
     /// Important lines (warnings and errors) are exempt from the rate limit and may use the
     /// reserved part of the pending bytes.
     void write(time_point now, std::string_view line, bool important);
-    /// Ordinary lines wait for flush(), so that many lines take one system call. The request is
+    /// Ordinary lines wait for flush(), so that many lines share their system calls. The request is
     /// called for the first line that waits and must lead to a call of flush(). Empty: each line is
     /// written at once.
     void defer(std::function<void()> request_flush);
--- a/source/core/common/logging.h
+++ b/source/core/common/logging.h
@@ -30,7 +30,7 @@
 void init_logging(const std::string& process_id, const std::string& level);
 
 /// Lets ordinary lines wait until flush_log(), which request_flush must bring about soon: a busy
-/// process then writes many lines with one system call. Warnings and errors are written at once.
+/// process then writes many lines together. Warnings and errors are written at once.
 /// May be called from any thread after init_logging(); an empty function ends the deferral.
 void defer_log_lines(std::function<void()> request_flush);
 void flush_log();
