--- a/review/standins/deployment.cpp
+++ b/review/standins/deployment.cpp
@@ -214,7 +214,7 @@
 std::optional<response> deployment::ask(http::verb method, const queue& at, const std::string& id,
                                         const std::string& body, int timeout_ms) {
     const auto& to = *nodes[m_next_node++ % nodes.size()];
-    const auto answer = call(to.callers(), method, at.prefix + id, body, at.host, timeout_ms);
+    auto answer = call(to.callers(), method, at.prefix + id, body, at.host, timeout_ms);
     std::ostringstream line;
     line << "client " << std::string(http::to_string(method)) << " " << at.prefix << id << " at "
          << to.id() << ": " << (answer ? std::to_string(answer->status) : "no answer");
--- a/review/standins/runner.cpp
+++ b/review/standins/runner.cpp
@@ -230,7 +230,7 @@
     const auto work = spec.find("work_ms=");
     added.work_ms = work == std::string::npos ? 1000 : std::stoll(spec.substr(work + 8));
     if (const auto spread = spec.find("spread_ms="); spread != std::string::npos) {
-        const auto seed = std::hash<std::string>{}(task) + run * 7919U;
+        const auto seed = std::hash<std::string>{}(task) + std::size_t{run} * 7919U;
         added.work_ms += static_cast<std::int64_t>(seed % std::stoull(spec.substr(spread + 10)));
     }
     added.done_at = now_ms() + added.work_ms;
