Keep a state only for tasks that have been started and have not succeeded

Callers of every queue saw accepted jobs stop: the process that led was killed by its memory limit, and so was each successor while it loaded the jobs, for good.

Cause: a step held a task_state of about 200 bytes for each of its tasks from the acceptance of the job on, started or not, and again for each task of a finished step. Memory grew with the tasks submitted. When runs of a former owner may be unreported, a run number was noted in every task as well, also in the store.

Change: task_table holds a state for tasks that have been started and have not succeeded; succeeded tasks are ranges of indexes, all others take no memory. Skipped run numbers are one number of the job (possible_runs in the progress record; records without it are read as before).

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -144,11 +144,10 @@
     }
     for (auto& occurrence : job.occurrences) {
         for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
-            auto& step = occurrence.steps[s];
-            for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
-                if (const auto current = step.tasks[i].current) {
-                    request_stop(now, current->worker,
-                                 {{job.spec.id, occurrence.number, s, i}, current->run});
+            for (const auto& [i, task] : occurrence.steps[s].tasks.own()) {
+                if (task.current) {
+                    request_stop(now, task.current->worker,
+                                 {{job.spec.id, occurrence.number, s, i}, task.current->run});
                 }
             }
         }
--- a/source/core/dispatch/dispatcher_crashes.cpp
+++ b/source/core/dispatch/dispatcher_crashes.cpp
@@ -37,11 +37,11 @@
     if (position == m_jobs.end() || is_final(position->second.state)) {
         return {nullptr, nullptr};
     }
-    auto* const task = position->second.find(run.task);
+    const auto* const task = position->second.find(run.task);
     if (task == nullptr || task->progress.succeeded) {
         return {nullptr, nullptr};
     }
-    return {&position->second, task};
+    return {&position->second, &position->second.edit(run.task)};
 }
 
 // The runs of the worker are lost. Whether it has crashed shows its next incarnation, or its
@@ -162,10 +162,10 @@
 // Called when a worker lists the run of a task.
 void dispatcher::clear_suspicion(common::time_point now, job_entry& job, const task_key& task,
                                  const placed_run& placed) {
-    auto& state = *job.find(task);
-    if (!state.is_suspected()) {
+    if (!job.find(task)->is_suspected()) {
         return;
     }
+    auto& state = job.edit(task);
     if (now > placed.ordered_at + m_settings.crashes.isolation) {
         job.find_step(task)->probe_passed = true;
     }
@@ -193,7 +193,7 @@
     bool suspected = false;
     for (auto& occurrence : job.occurrences) {
         for (auto& step : occurrence.steps) {
-            for (auto& task : step.tasks) {
+            for (auto& [index, task] : step.tasks.own()) {
                 task.crashes_in_batch = task.all_crashes();
                 suspected |= task.is_suspected();
             }
@@ -212,7 +212,7 @@
         }
         for (auto& occurrence : job->second.occurrences) {
             for (auto& step : occurrence.steps) {
-                for (auto& task : step.tasks) {
+                for (auto& [index, task] : step.tasks.own()) {
                     task.crashes_stored = task.crashes_in_batch;
                 }
             }
--- a/source/core/dispatch/dispatcher_plan.cpp
+++ b/source/core/dispatch/dispatcher_plan.cpp
@@ -129,9 +129,10 @@
     auto& job = m_jobs.at(step.job);
     auto& state = *job.find_step(step);
     const auto& spec = job.spec_of(step);
-    for (std::uint32_t index = 0; index < state.tasks.size(); ++index) {
+    for (auto index = state.tasks.next_open(0); index < state.tasks.size();
+         index = state.tasks.next_open(index + 1)) {
         if (state.may_start(spec, index, now, m_settings.crashes.attributed_limit)) {
-            return waiting_step{step, &spec, queue_of(job.spec), &state, index};
+            return waiting_step{step, &spec, queue_of(job.spec), &state, index, job.possible_runs};
         }
     }
     return std::nullopt;
@@ -274,7 +275,7 @@
 void dispatcher::start_task(common::time_point now, const planned_start& planned) {
     auto& job = m_jobs.at(planned.task.job);
     auto& step = *job.find_step(planned.task);
-    auto& task = *job.find(planned.task);
+    auto& task = job.edit(planned.task);
     auto& worker = *m_workers.at(planned.worker);
     const auto& spec = job.spec_of(planned.task);
     const run_key run{planned.task, planned.run};
@@ -292,7 +293,7 @@
     placed.start_valid_until_ms = order.valid_until_ms;
     placed.expected_end = now + std::chrono::milliseconds(spec.estimate_ms);
     describe_run(now, placed, job, planned.task);
-    step.set_current(task, {worker.report.id, planned.run});
+    step.set_current(planned.task.index, {worker.report.id, planned.run});
     task.progress.last_run = planned.run;
     if (m_settings.order == placement_order::smallest) {
         // The position depends on the number of waiting tasks.
@@ -362,7 +363,7 @@
     request.queue = queue;
     request.reason = "broken";
     std::set<worker_slot> named;
-    for (const auto& member : step.tasks) {
+    for (const auto& [index, member] : step.tasks.own()) {
         const auto* const worker =
             member.current ? m_workers.find(member.current->worker) : nullptr;
         if (worker != nullptr && is_usable(*worker, now) && named.insert(worker->slot).second) {
--- a/source/core/dispatch/dispatcher_recovery.cpp
+++ b/source/core/dispatch/dispatcher_recovery.cpp
@@ -111,16 +111,7 @@
 void dispatcher::skip_possible_run_numbers(job_entry& job) const {
     // Runs that no worker reported may have existed. Their numbers are not reused, neither by this
     // owner nor by a later one that does not learn of the runs of this term.
-    for (auto& occurrence : job.occurrences) {
-        for (auto& step : occurrence.steps) {
-            for (auto& task : step.tasks) {
-                if (!task.current) {
-                    task.progress.last_run =
-                        std::max(task.progress.last_run, m_term * runs_per_term);
-                }
-            }
-        }
-    }
+    job.possible_runs = std::max(job.possible_runs, m_term * runs_per_term);
 }
 
 void dispatcher::check_recovery(common::time_point now) {
--- a/source/core/dispatch/dispatcher_runs.cpp
+++ b/source/core/dispatch/dispatcher_runs.cpp
@@ -100,13 +100,16 @@
                {"worker", worker.report.id},
                {"reason", reason}});
     const auto job = m_jobs.find(run.task.job);
-    auto* const task = job == m_jobs.end() ? nullptr : job->second.find(run.task);
+    const auto* const task = job == m_jobs.end() ? nullptr : job->second.find(run.task);
     if (task == nullptr || task->current != run_location{worker.report.id, run.run}) {
         return;
     }
-    job->second.find_step(run.task)->clear_current(*task);
+    const bool open = !task->progress.succeeded;
+    job->second.find_step(run.task)->clear_current(run.task.index);
     note_waiting(run.task.job);
-    task->not_before = now + refused_start_delay;
+    if (open) {
+        job->second.edit(run.task).not_before = now + refused_start_delay;
+    }
     m_replan_needed = true;
     if (job->second.spec_of(run.task).gang) {
         stop_gang(now, job->second, run.task);
@@ -189,11 +192,11 @@
 
 void dispatcher::stop_gang(common::time_point now, job_entry& job, const task_key& task) {
     auto& step = *job.find_step(task);
-    for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
-        if (const auto current = step.tasks[i].current) {
+    for (const auto& [i, member] : step.tasks.own()) {
+        if (member.current) {
             auto key = task;
             key.index = i;
-            request_stop(now, current->worker, {key, current->run});
+            request_stop(now, member.current->worker, {key, member.current->run});
         }
     }
 }
@@ -221,7 +224,7 @@
     }
     // Stops unwanted runs: a copy of a task that has succeeded, or a task of an ended job.
     const auto job = m_jobs.find(reported.run.task.job);
-    auto* const task = job == m_jobs.end() ? nullptr : job->second.find(reported.run.task);
+    const auto* const task = job == m_jobs.end() ? nullptr : job->second.find(reported.run.task);
     const bool wanted = task != nullptr && !is_final(job->second.state) &&
                         task->current == run_location{worker.report.id, reported.run.run};
     if (wanted) {
@@ -239,7 +242,7 @@
 void dispatcher::adopt_run(common::time_point now, worker_entry& worker,
                            const running_run& reported, std::int64_t clock_ms) {
     const auto job = m_jobs.find(reported.run.task.job);
-    auto* const task = job == m_jobs.end() ? nullptr : job->second.find(reported.run.task);
+    const auto* const task = job == m_jobs.end() ? nullptr : job->second.find(reported.run.task);
     if (task == nullptr) {
         // The demand of an unknown run is not known, so nothing else is started on this worker
         // until it has ended.
@@ -269,7 +272,10 @@
     const bool wanted = !task->progress.succeeded && !task->current &&
                         !task->progress.is_processed(reported.run.run) && current_gang &&
                         !is_final(job->second.state);
-    task->progress.last_run = std::max(task->progress.last_run, reported.run.run);
+    if (!task->progress.succeeded) {
+        auto& last_run = job->second.edit(reported.run.task).progress.last_run;
+        last_run = std::max(last_run, reported.run.run);
+    }
     log_event(severity::info, "run_adopted",
               {{"task", to_string(reported.run.task)},
                {"run", reported.run.run},
@@ -279,7 +285,7 @@
         request_stop(now, worker.report.id, reported.run);
         return;
     }
-    step.set_current(*task, {worker.report.id, reported.run.run});
+    step.set_current(reported.run.task.index, {worker.report.id, reported.run.run});
     isolate_suspect(now, worker, step, reported.run);
     step.started = true;
     if (spec.gang) {
@@ -337,26 +343,28 @@
         return;
     }
     job_entry& job = position->second;
-    auto* const task = job.find(run.task);
+    const auto* const task = job.find(run.task);
     if (task == nullptr) {
         return;
     }
     auto& step = *job.find_step(run.task);
     note_waiting(run.task.job);
+    const bool known = task->progress.is_processed(run.run) || task->progress.succeeded;
     if (task->current == run_location{worker, run.run}) {
-        step.clear_current(*task);
+        step.clear_current(run.task.index);
     }
-    if (task->progress.is_processed(run.run) || task->progress.succeeded) {
+    if (known) {
         return;
     }
-    task->progress.mark_processed(run.run);
+    auto& progress = job.edit(run.task).progress;
+    progress.mark_processed(run.run);
     mark_dirty(job);
     if (is_final(job.state)) {
         return;
     }
     mark_running(job);
     if (!checkpoint.empty()) {
-        task->progress.checkpoint = checkpoint;
+        progress.checkpoint = checkpoint;
         step.gang_checkpoint = checkpoint;
     }
     if (how == run_end::succeeded) {
@@ -379,15 +387,16 @@
     }
     if (job.spec_of(task).gang) {
         // The members succeed together: the success of one counts for all.
-        for (auto& member : step.tasks) {
-            step.set_succeeded(member);
+        for (std::uint32_t member = 0; member < step.tasks.size(); ++member) {
             step.clear_current(member);
+            step.set_succeeded(member);
         }
     } else {
-        auto& state = *job.find(task);
-        step.set_succeeded(state);
+        const auto& state = step.tasks[task.index];
         step.probe_passed |= state.is_suspected();
-        if (const auto copy = state.current) {
+        const auto copy = state.current;
+        step.set_succeeded(task.index);
+        if (copy) {
             request_stop(now, copy->worker, {task, copy->run});
         }
     }
@@ -398,7 +407,7 @@
 
 void dispatcher::handle_task_failure(common::time_point now, job_entry& job, const task_key& task,
                                      const std::string& worker) {
-    auto& state = *job.find(task);
+    auto& state = job.edit(task);
     ++state.progress.failures;
     state.failed_on.insert(worker);
     if (job.spec_of(task).long_running) {
--- a/source/core/dispatch/job_entry.cpp
+++ b/source/core/dispatch/job_entry.cpp
@@ -32,24 +32,26 @@
     occurrence.number = number;
     for (const auto& step : spec.steps) {
         step_state state;
-        state.tasks.resize(step.count);
+        state.tasks = task_table(step.count);
         occurrence.steps.push_back(std::move(state));
     }
     return occurrence;
 }
 
 void restore(job_entry& job, const job_progress& progress) {
+    job.possible_runs = progress.possible_runs;
     for (const auto& [key, known] : progress.tasks) {
-        auto* const task = job.find(key);
-        if (task == nullptr) {
+        if (job.find(key) == nullptr) {
             throw common::format_error("progress refers to a task that the job does not have");
         }
-        task->progress = known;
-        task->crashes_stored = task->all_crashes();
         auto& step = *job.find_step(key);
         if (known.succeeded) {
-            ++step.succeeded;
+            step.set_succeeded(key.index);
+            continue;
         }
+        auto& task = job.edit(key);
+        task.progress = known;
+        task.crashes_stored = task.all_crashes();
         if (job.spec_of(key).gang && !known.checkpoint.empty()) {
             step.gang_checkpoint = known.checkpoint;
         }
@@ -98,28 +100,27 @@
     return spec.gang || probe_passed || now >= probe_until;
 }
 
-void step_state::set_current(task_state& task, run_location place) {
+void step_state::set_current(std::uint32_t index, run_location place) {
+    auto& task = tasks.edit(index);
     placed += task.current ? 0U : 1U;
     task.current = std::move(place);
 }
 
-void step_state::clear_current(task_state& task) {
-    placed -= task.current ? 1U : 0U;
-    task.current.reset();
+void step_state::clear_current(std::uint32_t index) {
+    placed -= tasks.clear_current(index) ? 1U : 0U;
 }
 
-void step_state::set_succeeded(task_state& task) {
-    if (task.progress.succeeded) {
+void step_state::set_succeeded(std::uint32_t index) {
+    if (tasks[index].progress.succeeded) {
         return;
     }
-    task.progress.succeeded = true;
-    task.progress.checkpoint.clear();
+    tasks.mark_succeeded(index);
     ++succeeded;
 }
 
 std::uint32_t step_state::failures() const {
     std::uint32_t sum = 0;
-    for (const auto& task : tasks) {
+    for (const auto& [index, task] : tasks.own()) {
         sum += task.progress.failures;
     }
     return sum;
@@ -127,7 +128,7 @@
 
 std::uint32_t step_state::last_run() const {
     std::uint32_t last = 0;
-    for (const auto& task : tasks) {
+    for (const auto& [index, task] : tasks.own()) {
         last = std::max(last, task.progress.last_run);
     }
     return last;
@@ -151,12 +152,18 @@
         result.accepted_by = spec.accepted_by;
         return result;
     }
+    result.possible_runs = possible_runs;
     for (const auto& occurrence : occurrences) {
         for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
-            const auto& step = occurrence.steps[s];
-            for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
-                if (!step.tasks[i].progress.empty()) {
-                    result.tasks[{spec.id, occurrence.number, s, i}] = step.tasks[i].progress;
+            const auto& tasks = occurrence.steps[s].tasks;
+            for (const auto& [first, last] : tasks.succeeded().ranges()) {
+                for (auto i = first; i <= last; ++i) {
+                    result.tasks[{spec.id, occurrence.number, s, i}].succeeded = true;
+                }
+            }
+            for (const auto& [i, task] : tasks.own()) {
+                if (!task.progress.empty()) {
+                    result.tasks[{spec.id, occurrence.number, s, i}] = task.progress;
                 }
             }
         }
@@ -176,12 +183,16 @@
     return &occurrences[task.occurrence].steps[task.step];
 }
 
-task_state* job_entry::find(const task_key& task) {
-    auto* const step = find_step(task);
-    if (step == nullptr || task.index >= step->tasks.size()) {
+const task_state* job_entry::find(const task_key& task) const {
+    if (task.occurrence >= occurrences.size() || task.step >= spec.steps.size() ||
+        task.index >= spec.steps[task.step].count) {
         return nullptr;
     }
-    return &step->tasks[task.index];
+    return &occurrences[task.occurrence].steps[task.step].tasks[task.index];
+}
+
+task_state& job_entry::edit(const task_key& task) {
+    return find_step(task)->tasks.edit(task.index);
 }
 
 job_entry make_job(const job_spec& spec, const job_progress& progress, std::uint64_t revision,
@@ -196,8 +207,10 @@
         job.occurrences.push_back(make_occurrence(spec, number));
     }
     restore(job, progress);
-    const bool begun = std::any_of(progress.tasks.begin(), progress.tasks.end(),
-                                   [](const auto& entry) { return entry.second.last_run > 0; });
+    const bool begun =
+        std::any_of(progress.tasks.begin(), progress.tasks.end(), [](const auto& entry) {
+            return entry.second.succeeded || entry.second.last_run > 0;
+        });
     job.state = begun ? job_state::running : job_state::queued;
     return job;
 }
--- a/source/core/dispatch/job_entry.h
+++ b/source/core/dispatch/job_entry.h
@@ -1,51 +1,16 @@
 #pragma once
 
 #include "core/common/clock.h"
-#include "core/dispatch/progress.h"
+#include "core/dispatch/task_table.h"
 #include "core/dispatch/worker_registry.h"
 
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
 namespace buckthornspar::dispatch {
 
-/// Where a task runs or may be running.
-struct run_location {
-    std::string worker;
-    std::uint32_t run = 0;
-
-    bool operator==(const run_location&) const = default;
-};
-
-struct task_state {
-    task_progress progress;
-    std::optional<run_location> current;
-    common::time_point not_before;
-    /// Workers on which the task has failed; others are preferred.
-    std::set<std::string> failed_on;
-
-    [[nodiscard]] bool may_start(common::time_point now) const {
-        return !progress.succeeded && !current && now >= not_before;
-    }
-    /// Part of all_crashes() for which it is not certain yet that the worker has crashed.
-    std::uint32_t pending_crashes = 0;
-    /// Value of all_crashes() that the store holds, and that the pending batch contains.
-    std::uint32_t crashes_stored = 0;
-    std::uint32_t crashes_in_batch = 0;
-
-    /// A worker crashed that had not confirmed the start of the task.
-    bool suspected = false;
-
-    [[nodiscard]] std::uint32_t all_crashes() const {
-        return progress.crashes + progress.possible_crashes;
-    }
-    /// The task may have crashed a worker.
-    [[nodiscard]] bool is_suspected() const { return suspected || all_crashes() > 0; }
-};
-
 struct ticket_state {
     worker_slot worker = 0;
     std::string ticket;
@@ -70,7 +35,7 @@
 };
 
 struct step_state {
-    std::vector<task_state> tasks;
+    task_table tasks;
     std::uint32_t succeeded = 0;
     /// Tasks that are running or may be running.
     std::uint32_t placed = 0;
@@ -97,10 +62,11 @@
     [[nodiscard]] bool complete() const { return succeeded == tasks.size(); }
     [[nodiscard]] bool any_current() const { return placed > 0; }
     [[nodiscard]] bool any_waiting() const { return succeeded + placed < tasks.size(); }
-    void set_current(task_state& task, run_location place);
-    void clear_current(task_state& task);
-    void set_succeeded(task_state& task);
+    void set_current(std::uint32_t index, run_location place);
+    void clear_current(std::uint32_t index);
+    void set_succeeded(std::uint32_t index);
     [[nodiscard]] std::uint32_t failures() const;
+    /// Number of the last run of any task.
     [[nodiscard]] std::uint32_t last_run() const;
 };
 
@@ -121,10 +87,15 @@
     job_state state = job_state::queued;
     bool cancel_stored = false;
     std::vector<occurrence_state> occurrences;
+    /// Runs of every task up to this number may have existed although no worker reported them.
+    std::uint32_t possible_runs = 0;
 
     [[nodiscard]] job_progress progress() const;
     [[nodiscard]] bool complete() const;
-    [[nodiscard]] task_state* find(const task_key& task);
+    /// Null when the job has no such task. The state is valid until it changes.
+    [[nodiscard]] const task_state* find(const task_key& task) const;
+    /// The task's own state, for changes; the task must exist and not have succeeded.
+    [[nodiscard]] task_state& edit(const task_key& task);
     [[nodiscard]] step_state* find_step(const task_key& task);
     [[nodiscard]] const step_spec& spec_of(const task_key& task) const {
         return spec.steps[task.step];
--- a/source/core/dispatch/plan_state.cpp
+++ b/source/core/dispatch/plan_state.cpp
@@ -63,7 +63,7 @@
     m_selected_service = &workers_of(step.queue->service);
     m_present_tasks.clear();
     if (step.spec->max_per_worker != 0) {
-        for (const auto& task : step.state->tasks) {
+        for (const auto& [index, task] : step.state->tasks.own()) {
             if (task.current) {
                 ++m_present_tasks[task.current->worker];
             }
--- a/source/core/dispatch/progress.cpp
+++ b/source/core/dispatch/progress.cpp
@@ -178,6 +178,7 @@
                             task.checkpoint, task.crashes, task.possible_crashes});
         }
         object["tasks"] = std::move(rows);
+        put(object, "possible_runs", std::int64_t{progress.possible_runs});
     } else {
         put(object, "accepted_by", progress.accepted_by);
     }
@@ -190,6 +191,7 @@
         job_progress progress;
         progress.state = job_state_names.value(text_of(object, "state"));
         progress.accepted_by = text_of(object, "accepted_by");
+        progress.possible_runs = static_cast<std::uint32_t>(number_of(object, "possible_runs"));
         if (const auto* const rows = object.if_contains("tasks")) {
             for (const auto& value : rows->as_array()) {
                 const auto& row = value.as_array();
--- a/source/core/dispatch/progress.h
+++ b/source/core/dispatch/progress.h
@@ -37,6 +37,8 @@
 struct job_progress {
     job_state state = job_state::queued;
     std::map<task_key, task_progress> tasks;
+    /// Runs of every task up to this number may have existed although no worker reported them.
+    std::uint32_t possible_runs = 0;
     /// See job_spec; only set for a final state, because the job record is removed then.
     std::string accepted_by;
 };
--- a/source/core/dispatch/step_order.h
+++ b/source/core/dispatch/step_order.h
@@ -4,6 +4,7 @@
 #include "core/common/name_table.h"
 #include "core/dispatch/job_entry.h"
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 
@@ -26,6 +27,14 @@
     step_state* state = nullptr;
     /// The first of the tasks that may start now.
     std::uint32_t first_task = 0;
+    /// See job_entry.
+    std::uint32_t possible_runs = 0;
+
+    /// Number of the next run of the task, or of all tasks of a gang.
+    [[nodiscard]] std::uint32_t next_run(std::uint32_t index) const {
+        const auto last = spec->gang ? state->last_run() : state->tasks[index].progress.last_run;
+        return std::max(last, possible_runs) + 1;
+    }
 };
 
 /// Place of a step in the placement order; the smallest comes first.
--- a/source/core/dispatch/step_planner.cpp
+++ b/source/core/dispatch/step_planner.cpp
@@ -36,7 +36,7 @@
 
 void step_planner::plan_tasks(const waiting_step& step) {
     const auto& tasks = step.state->tasks;
-    for (auto index = step.first_task; index < tasks.size(); ++index) {
+    for (auto index = step.first_task; index < tasks.size(); index = tasks.next_open(index + 1)) {
         const auto& task = tasks[index];
         if (!may_start_task(step, index)) {
             continue;
@@ -58,7 +58,7 @@
             m_tickets.request_for_tasks(step);
             return;
         }
-        m_plan.start(step, index, *worker, task.progress.last_run + 1);
+        m_plan.start(step, index, *worker, step.next_run(index));
     }
 }
 
@@ -91,7 +91,7 @@
         m_tickets.request_for_tasks(step);
         return;
     }
-    m_plan.start(step, index, *best, step.state->tasks[index].progress.last_run + 1);
+    m_plan.start(step, index, *best, step.next_run(index));
     m_plan.withdraw(*best);
 }
 
@@ -297,7 +297,7 @@
 }
 
 void step_planner::start_gang(const waiting_step& step, const tasks_by_worker& workers) {
-    const auto run = step.state->last_run() + 1;
+    const auto run = step.next_run(0);
     std::uint32_t index = 0;
     for (const auto& [w, task_count] : workers) {
         for (std::int64_t i = 0; i < task_count; ++i) {
