Hold occurrences only while they are due and unfinished

Cause: make_job built the state of all occurrences of a schedule, about 500 bytes each, at every load and already to check a submission.

Change: a due occurrence is opened while fewer than 256 steps of open occurrences of its job (8,192 of all, at least one occurrence of each job) are without a run; a run that a worker reports opens its occurrence too. Finished occurrences are ranges of numbers in memory and in the progress record (finished). Records with rows of finished occurrences are read as before.

Why this works: what grows with the schedule is gone; occurrences with runs are as many as the workers hold, all others are bounded by the two limits.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -102,6 +102,7 @@
     auto job = make_job(spec, progress, revision, now);
     const auto state = job.state;
     m_queued_by_queue[spec.queue] += state == job_state::queued ? 1 : 0;
+    m_scheduled_job_count += spec.schedule.repeats > 0 ? 1 : 0;
     m_jobs.emplace(spec.id, std::move(job));
     note_waiting(spec.id);
     m_actions.emplace_back(state_change{spec.id, spec.queue, state, spec.accepted_by});
@@ -142,12 +143,12 @@
     if (state == job_state::completed) {
         return;
     }
-    for (auto& occurrence : job.occurrences) {
+    for (const auto& [number, occurrence] : job.occurrences) {
         for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
             for (const auto& [i, task] : occurrence.steps[s].tasks.own()) {
                 if (task.current) {
                     request_stop(now, task.current->worker,
-                                 {{job.spec.id, occurrence.number, s, i}, task.current->run});
+                                 {{job.spec.id, number, s, i}, task.current->run});
                 }
             }
         }
@@ -163,6 +164,13 @@
     }
 }
 
+void dispatcher::mark_started(job_entry& job, const task_key& task) {
+    if (auto* const step = job.find_step(task)) {
+        step->started = true;
+    }
+    mark_running(job);
+}
+
 std::optional<save_batch> dispatcher::next_save() {
     if (m_save_pending) {
         return std::nullopt;
@@ -240,7 +248,10 @@
     }
     confirm_batch_crashes();
     for (const auto& change : m_batch_changes) {
-        m_jobs.erase(change.job);
+        if (const auto job = m_jobs.find(change.job); job != m_jobs.end()) {
+            m_scheduled_job_count -= job->second.spec.schedule.repeats > 0 ? 1 : 0;
+            m_jobs.erase(job);
+        }
         m_dirty_jobs.erase(change.job);
         m_actions.emplace_back(change);
     }
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -143,6 +143,8 @@
     void end_job(common::time_point now, job_entry& job, job_state state, std::string_view reason);
     void mark_dirty(const job_entry& job) { m_dirty_jobs.insert(job.spec.id); }
     void mark_running(job_entry& job);
+    /// A worker has confirmed the start of the task.
+    void mark_started(job_entry& job, const task_key& task);
     void send_polls(common::time_point now);
     void schedule_poll(worker_entry& worker, common::time_point due);
     void fill_batch(save_batch& batch, std::size_t& rows, bool final);
@@ -204,6 +206,8 @@
     void note_all_waiting();
     void order_waiting_steps(common::time_point now);
     void order_steps_of(common::time_point now, job_entry& job);
+    /// Opens as many due occurrences of a scheduled job as may wait at a time.
+    void open_due_occurrences(common::time_point now, job_entry& job);
     /// Whether tasks of the step wait, now or after a delay.
     [[nodiscard]] bool is_waiting(common::time_point now, const task_key& step);
     /// Absent when all waiting tasks of the step are delayed.
@@ -242,6 +246,8 @@
     bool m_quorum_outdated = true;
     std::map<std::string, queue_settings> m_queues;
     std::map<std::string, job_entry> m_jobs;
+    /// Number of the jobs that have a schedule.
+    std::size_t m_scheduled_job_count = 0;
     /// Steps that may have waiting tasks. Jobs that may have runs that no worker reported are left
     /// out, and those in m_jobs_to_order may be missing.
     waiting_steps m_waiting;
--- a/source/core/dispatch/dispatcher_crashes.cpp
+++ b/source/core/dispatch/dispatcher_crashes.cpp
@@ -191,7 +191,7 @@
 
 void dispatcher::note_batch_crashes(job_entry& job) {
     bool suspected = false;
-    for (auto& occurrence : job.occurrences) {
+    for (auto& [number, occurrence] : job.occurrences) {
         for (auto& step : occurrence.steps) {
             for (auto& [index, task] : step.tasks.own()) {
                 task.crashes_in_batch = task.all_crashes();
@@ -210,7 +210,7 @@
         if (job == m_jobs.end()) {
             continue;
         }
-        for (auto& occurrence : job->second.occurrences) {
+        for (auto& [number, occurrence] : job->second.occurrences) {
             for (auto& step : occurrence.steps) {
                 for (auto& [index, task] : step.tasks.own()) {
                     task.crashes_stored = task.crashes_in_batch;
--- a/source/core/dispatch/dispatcher_plan.cpp
+++ b/source/core/dispatch/dispatcher_plan.cpp
@@ -25,6 +25,10 @@
 constexpr auto min_start_validity = std::chrono::milliseconds(500);
 // Shortest time between two plans that may preempt runs; the search costs processor time.
 constexpr auto preemption_interval = std::chrono::milliseconds(40);
+// Steps of open occurrences without a run, of one job and of all: they bound the memory of
+// schedules with many occurrences that are due. A plan examines 768 blocked steps.
+constexpr std::size_t max_idle_steps_per_job = 256;
+constexpr std::size_t max_idle_steps = 8192;
 
 common::duration duration_from_ms(double ms) {
     return std::chrono::duration_cast<common::duration>(
@@ -92,10 +96,11 @@
     if (queue == nullptr || is_final(job.state) || may_have_unreported_runs(job)) {
         return;
     }
+    open_due_occurrences(now, job);
     std::size_t examined = 0;
-    for (auto& occurrence : job.occurrences) {
-        if (!is_due(now, job.spec, occurrence.number)) {
-            m_scheduled_jobs.emplace(due_ms(job.spec, occurrence.number), job.spec.id);
+    for (auto& [number, occurrence] : job.occurrences) {
+        if (!is_due(now, job.spec, number)) {
+            m_scheduled_jobs.emplace(due_ms(job.spec, number), job.spec.id);
             break;
         }
         examined += occurrence.steps.size();
@@ -106,13 +111,36 @@
                 continue;
             }
             mark_ready(now, job, s, state);
-            const task_key step{job.spec.id, occurrence.number, s, 0};
+            const task_key step{job.spec.id, number, s, 0};
             m_waiting.insert(queue->name, position_of(job, step, state, *queue, m_settings.order));
         }
     }
     m_counters.get("plan_steps_examined_total").add(static_cast<std::int64_t>(examined));
 }
 
+// Only occurrences without a run are limited: the others are as many as fit on the workers.
+void dispatcher::open_due_occurrences(common::time_point now, job_entry& job) {
+    if (job.spec.schedule.repeats == 0) {
+        return;
+    }
+    const auto idle = std::count_if(job.occurrences.begin(), job.occurrences.end(),
+                                    [](const auto& o) { return !o.second.any_current(); });
+    const auto share = max_idle_steps / std::max<std::size_t>(1, m_scheduled_job_count);
+    const auto limit =
+        std::max<std::size_t>(1, std::min(share, max_idle_steps_per_job) / job.spec.steps.size());
+    for (auto count = static_cast<std::size_t>(idle); count < limit; ++count) {
+        const auto next = job.next_occurrence();
+        if (!next) {
+            return;
+        }
+        if (!is_due(now, job.spec, *next)) {
+            m_scheduled_jobs.emplace(due_ms(job.spec, *next), job.spec.id);
+            return;
+        }
+        job.open(*next);
+    }
+}
+
 bool dispatcher::is_waiting(common::time_point now, const task_key& step) {
     auto& job = m_jobs.at(step.job);
     if (!is_due(now, job.spec, step.occurrence)) {
@@ -120,8 +148,9 @@
         m_scheduled_jobs.emplace(due_ms(job.spec, step.occurrence), step.job);
         return false;
     }
-    const auto& state = *job.find_step(step);
-    return state.any_waiting() && !(job.spec_of(step).gang && state.any_current());
+    const auto* const state = job.find_step(step);
+    return state != nullptr && state->any_waiting() &&
+           !(job.spec_of(step).gang && state->any_current());
 }
 
 std::optional<waiting_step> dispatcher::find_startable(common::time_point now,
@@ -245,12 +274,13 @@
 void dispatcher::describe_run(common::time_point now, placed_run& placed, job_entry& job,
                               const task_key& task) {
     const auto& spec = job.spec_of(task);
-    auto& step = *job.find_step(task);
-    mark_ready(now, job, task.step, step);
     const auto* const queue = queue_of(job.spec);
     placed.priority = queue == nullptr ? 0 : queue->priority;
     placed.preemptible = spec.checkpointing && !spec.gang && !spec.long_running;
-    placed.latest_end = step.latest_start + std::chrono::milliseconds(spec.estimate_ms);
+    if (auto* const step = job.find_step(task)) {
+        mark_ready(now, job, task.step, *step);
+        placed.latest_end = step->latest_start + std::chrono::milliseconds(spec.estimate_ms);
+    }
 }
 
 common::time_point dispatcher::starts_permitted_until() const {
@@ -295,8 +325,9 @@
     describe_run(now, placed, job, planned.task);
     step.set_current(planned.task.index, {worker.report.id, planned.run});
     task.progress.last_run = planned.run;
-    if (m_settings.order == placement_order::smallest) {
-        // The position depends on the number of waiting tasks.
+    if (m_settings.order == placement_order::smallest || job.spec.schedule.repeats > 0) {
+        // The position depends on the number of waiting tasks, and further occurrences may be
+        // opened.
         note_waiting(planned.task.job);
     }
     isolate_suspect(now, worker, step, run);
@@ -400,7 +431,11 @@
     if (job == m_jobs.end()) {
         return;
     }
-    auto& tickets = job->second.find_step(step_key)->tickets;
+    auto* const step = job->second.find_step(step_key);
+    if (step == nullptr) {
+        return;
+    }
+    auto& tickets = step->tickets;
     const auto named = tickets.calls.extract(call);
     if (named.empty()) {
         return;
--- a/source/core/dispatch/dispatcher_runs.cpp
+++ b/source/core/dispatch/dispatcher_runs.cpp
@@ -46,8 +46,7 @@
         // A repeated order may have reached the next incarnation.
         placed.confirmed |= placed.unanswered_orders == 0;
         if (const auto job = m_jobs.find(order.run.task.job); job != m_jobs.end()) {
-            job->second.find_step(order.run.task)->started = true;
-            mark_running(job->second);
+            mark_started(job->second, order.run.task);
         }
         return;
     }
@@ -80,8 +79,9 @@
     handle_start_not_executed(now, *worker, order.run, order_status_names.name(result.status));
     if (result.status == order_status::no_ticket) {
         if (const auto job = m_jobs.find(order.run.task.job); job != m_jobs.end()) {
-            auto& tickets = job->second.find_step(order.run.task)->tickets;
-            if (auto* const ticket = tickets.find(worker->slot)) {
+            auto* const step = job->second.find_step(order.run.task);
+            auto* const ticket = step == nullptr ? nullptr : step->tickets.find(worker->slot);
+            if (ticket != nullptr) {
                 ticket->expires = now;
             }
         }
@@ -191,8 +191,11 @@
 }
 
 void dispatcher::stop_gang(common::time_point now, job_entry& job, const task_key& task) {
-    auto& step = *job.find_step(task);
-    for (const auto& [i, member] : step.tasks.own()) {
+    const auto* const step = job.find_step(task);
+    if (step == nullptr) {
+        return;
+    }
+    for (const auto& [i, member] : step->tasks.own()) {
         if (member.current) {
             auto key = task;
             key.index = i;
@@ -212,8 +215,7 @@
     if (placed.phase == run_phase::ordered || placed.phase == run_phase::unanswered) {
         placed.phase = run_phase::running;
         if (const auto job = m_jobs.find(reported.run.task.job); job != m_jobs.end()) {
-            job->second.find_step(reported.run.task)->started = true;
-            mark_running(job->second);
+            mark_started(job->second, reported.run.task);
         }
     }
     placed.confirmed_clock_ms = std::max(placed.confirmed_clock_ms, clock_ms);
@@ -265,10 +267,10 @@
     placed.checkpoint = reported.checkpoint;
     placed.expected_end =
         now + std::chrono::milliseconds(spec.estimate_ms * (100 - reported.percent) / 100);
-    describe_run(now, placed, job->second, reported.run.task);
-    auto& step = *job->second.find_step(reported.run.task);
-    const bool current_gang = !spec.gang || step.gang_run == 0 ||
-                              step.gang_run == reported.run.run || !step.any_current();
+    const auto* const known_step = job->second.find_step(reported.run.task);
+    const bool current_gang = !spec.gang || known_step == nullptr || known_step->gang_run == 0 ||
+                              known_step->gang_run == reported.run.run ||
+                              !known_step->any_current();
     const bool wanted = !task->progress.succeeded && !task->current &&
                         !task->progress.is_processed(reported.run.run) && current_gang &&
                         !is_final(job->second.state);
@@ -276,6 +278,7 @@
         auto& last_run = job->second.edit(reported.run.task).progress.last_run;
         last_run = std::max(last_run, reported.run.run);
     }
+    describe_run(now, placed, job->second, reported.run.task);
     log_event(severity::info, "run_adopted",
               {{"task", to_string(reported.run.task)},
                {"run", reported.run.run},
@@ -285,6 +288,7 @@
         request_stop(now, worker.report.id, reported.run);
         return;
     }
+    auto& step = *job->second.find_step(reported.run.task);
     step.set_current(reported.run.task.index, {worker.report.id, reported.run.run});
     isolate_suspect(now, worker, step, reported.run);
     step.started = true;
@@ -347,11 +351,10 @@
     if (task == nullptr) {
         return;
     }
-    auto& step = *job.find_step(run.task);
     note_waiting(run.task.job);
     const bool known = task->progress.is_processed(run.run) || task->progress.succeeded;
     if (task->current == run_location{worker, run.run}) {
-        step.clear_current(run.task.index);
+        job.find_step(run.task)->clear_current(run.task.index);
     }
     if (known) {
         return;
@@ -363,6 +366,7 @@
         return;
     }
     mark_running(job);
+    auto& step = *job.find_step(run.task);
     if (!checkpoint.empty()) {
         progress.checkpoint = checkpoint;
         step.gang_checkpoint = checkpoint;
@@ -400,6 +404,7 @@
             request_stop(now, copy->worker, {task, copy->run});
         }
     }
+    job.close_if_complete(task.occurrence);
     if (job.complete()) {
         end_job(now, job, job_state::completed, "all_tasks_succeeded");
     }
--- a/source/core/dispatch/job.h
+++ b/source/core/dispatch/job.h
@@ -3,6 +3,7 @@
 #include "core/common/name_table.h"
 #include "core/placement/resources.h"
 
+#include <algorithm>
 #include <compare>
 #include <cstddef>
 #include <cstdint>
@@ -72,6 +73,10 @@
     /// Node that accepted the job and shows its state to the customer; empty when unknown.
     std::string accepted_by;
 
+    /// Number of times that the steps run.
+    [[nodiscard]] std::uint32_t occurrence_count() const {
+        return std::max<std::uint32_t>(1, schedule.repeats);
+    }
     /// True for the same submission, whenever and by whichever node it was accepted.
     [[nodiscard]] bool same_content(const job_spec& other) const;
 };
--- a/source/core/dispatch/job_entry.cpp
+++ b/source/core/dispatch/job_entry.cpp
@@ -27,9 +27,8 @@
     }
 }
 
-occurrence_state make_occurrence(const job_spec& spec, std::uint32_t number) {
+occurrence_state make_occurrence(const job_spec& spec) {
     occurrence_state occurrence;
-    occurrence.number = number;
     for (const auto& step : spec.steps) {
         step_state state;
         state.tasks = task_table(step.count);
@@ -38,15 +37,29 @@
     return occurrence;
 }
 
+[[noreturn]] void throw_no_such_task() {
+    throw common::format_error("progress refers to a task that the job does not have");
+}
+
 void restore(job_entry& job, const job_progress& progress) {
     job.possible_runs = progress.possible_runs;
+    job.finished = progress.finished;
+    const auto& finished = job.finished.ranges();
+    if (!finished.empty() && finished.rbegin()->second >= job.spec.occurrence_count()) {
+        throw_no_such_task();
+    }
     for (const auto& [key, known] : progress.tasks) {
         if (job.find(key) == nullptr) {
-            throw common::format_error("progress refers to a task that the job does not have");
+            throw_no_such_task();
+        }
+        if (job.finished.contains(key.occurrence)) {
+            continue;
         }
-        auto& step = *job.find_step(key);
+        auto& step = job.open(key.occurrence).steps[key.step];
         if (known.succeeded) {
             step.set_succeeded(key.index);
+            // Records of earlier versions have rows for the tasks of finished occurrences.
+            job.close_if_complete(key.occurrence);
             continue;
         }
         auto& task = job.edit(key);
@@ -56,6 +69,9 @@
             step.gang_checkpoint = known.checkpoint;
         }
     }
+    if (job.spec.schedule.repeats == 0 && !job.finished.contains(0)) {
+        job.open(0);
+    }
 }
 
 } // namespace
@@ -139,6 +155,11 @@
                        [](const step_state& step) { return step.complete(); });
 }
 
+bool occurrence_state::any_current() const {
+    return std::any_of(steps.begin(), steps.end(),
+                       [](const step_state& step) { return step.any_current(); });
+}
+
 bool occurrence_state::ready(const job_spec& spec, std::uint32_t step) const {
     const auto& after = spec.steps[step].after;
     return std::all_of(after.begin(), after.end(),
@@ -153,17 +174,18 @@
         return result;
     }
     result.possible_runs = possible_runs;
-    for (const auto& occurrence : occurrences) {
+    result.finished = finished;
+    for (const auto& [number, occurrence] : occurrences) {
         for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
             const auto& tasks = occurrence.steps[s].tasks;
             for (const auto& [first, last] : tasks.succeeded().ranges()) {
                 for (auto i = first; i <= last; ++i) {
-                    result.tasks[{spec.id, occurrence.number, s, i}].succeeded = true;
+                    result.tasks[{spec.id, number, s, i}].succeeded = true;
                 }
             }
             for (const auto& [i, task] : tasks.own()) {
                 if (!task.progress.empty()) {
-                    result.tasks[{spec.id, occurrence.number, s, i}] = task.progress;
+                    result.tasks[{spec.id, number, s, i}] = task.progress;
                 }
             }
         }
@@ -171,28 +193,55 @@
     return result;
 }
 
-bool job_entry::complete() const {
-    return std::all_of(occurrences.begin(), occurrences.end(),
-                       [](const occurrence_state& o) { return o.complete(); });
+std::optional<std::uint32_t> job_entry::next_occurrence() {
+    while (m_first_unopened < spec.occurrence_count()) {
+        m_first_unopened = finished.first_missing(m_first_unopened).value_or(m_first_unopened);
+        if (!occurrences.contains(m_first_unopened)) {
+            break;
+        }
+        ++m_first_unopened;
+    }
+    return m_first_unopened < spec.occurrence_count() ? std::optional(m_first_unopened)
+                                                      : std::nullopt;
 }
 
-step_state* job_entry::find_step(const task_key& task) {
-    if (task.occurrence >= occurrences.size() || task.step >= spec.steps.size()) {
-        return nullptr;
+occurrence_state& job_entry::open(std::uint32_t number) {
+    const auto found = occurrences.find(number);
+    return found == occurrences.end()
+               ? occurrences.emplace(number, make_occurrence(spec)).first->second
+               : found->second;
+}
+
+void job_entry::close_if_complete(std::uint32_t number) {
+    const auto found = occurrences.find(number);
+    if (found != occurrences.end() && found->second.complete()) {
+        occurrences.erase(found);
+        finished.insert(number);
     }
-    return &occurrences[task.occurrence].steps[task.step];
+}
+
+step_state* job_entry::find_step(const task_key& task) {
+    const auto found = occurrences.find(task.occurrence);
+    return found == occurrences.end() || task.step >= spec.steps.size()
+               ? nullptr
+               : &found->second.steps[task.step];
 }
 
 const task_state* job_entry::find(const task_key& task) const {
-    if (task.occurrence >= occurrences.size() || task.step >= spec.steps.size() ||
+    if (task.occurrence >= spec.occurrence_count() || task.step >= spec.steps.size() ||
         task.index >= spec.steps[task.step].count) {
         return nullptr;
     }
-    return &occurrences[task.occurrence].steps[task.step].tasks[task.index];
+    if (finished.contains(task.occurrence)) {
+        return &task_table::succeeded_state();
+    }
+    const auto found = occurrences.find(task.occurrence);
+    return found == occurrences.end() ? &task_table::untouched()
+                                      : &found->second.steps[task.step].tasks[task.index];
 }
 
 task_state& job_entry::edit(const task_key& task) {
-    return find_step(task)->tasks.edit(task.index);
+    return open(task.occurrence).steps[task.step].tasks.edit(task.index);
 }
 
 job_entry make_job(const job_spec& spec, const job_progress& progress, std::uint64_t revision,
@@ -202,10 +251,6 @@
     job.spec = spec;
     job.revision = revision;
     job.first_seen_at = now;
-    const auto occurrences = std::max<std::uint32_t>(1, spec.schedule.repeats);
-    for (std::uint32_t number = 0; number < occurrences; ++number) {
-        job.occurrences.push_back(make_occurrence(spec, number));
-    }
     restore(job, progress);
     const bool begun =
         std::any_of(progress.tasks.begin(), progress.tasks.end(), [](const auto& entry) {
--- a/source/core/dispatch/job_entry.h
+++ b/source/core/dispatch/job_entry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/common/clock.h"
+#include "core/common/number_set.h"
 #include "core/dispatch/task_table.h"
 #include "core/dispatch/worker_registry.h"
 
@@ -71,10 +72,10 @@
 };
 
 struct occurrence_state {
-    std::uint32_t number = 0;
     std::vector<step_state> steps;
 
     [[nodiscard]] bool complete() const;
+    [[nodiscard]] bool any_current() const;
     [[nodiscard]] bool ready(const job_spec& spec, std::uint32_t step) const;
 };
 
@@ -86,20 +87,38 @@
     common::time_point first_seen_at;
     job_state state = job_state::queued;
     bool cancel_stored = false;
-    std::vector<occurrence_state> occurrences;
+    /// The occurrences in progress, by number: those that the dispatcher has opened, because they
+    /// are due, or that have runs, and that have not finished.
+    std::map<std::uint32_t, occurrence_state> occurrences;
+    /// Occurrences of which all tasks have succeeded.
+    common::number_set finished;
     /// Runs of every task up to this number may have existed although no worker reported them.
     std::uint32_t possible_runs = 0;
 
     [[nodiscard]] job_progress progress() const;
-    [[nodiscard]] bool complete() const;
+    [[nodiscard]] bool complete() const { return finished.size() == spec.occurrence_count(); }
+    /// The first occurrence that is neither open nor finished; absent when there is none.
+    [[nodiscard]] std::optional<std::uint32_t> next_occurrence();
+    /// The state of the occurrence, which must not have finished.
+    occurrence_state& open(std::uint32_t number);
+    /// Releases the state of the occurrence if all its tasks have succeeded. Pointers to its steps
+    /// are invalid then.
+    void close_if_complete(std::uint32_t number);
+
     /// Null when the job has no such task. The state is valid until it changes.
     [[nodiscard]] const task_state* find(const task_key& task) const;
-    /// The task's own state, for changes; the task must exist and not have succeeded.
+    /// The task's own state, for changes; the task must exist and not have succeeded. Opens its
+    /// occurrence.
     [[nodiscard]] task_state& edit(const task_key& task);
+    /// Null when the occurrence of the task is not open.
     [[nodiscard]] step_state* find_step(const task_key& task);
     [[nodiscard]] const step_spec& spec_of(const task_key& task) const {
         return spec.steps[task.step];
     }
+
+private:
+    /// All occurrences before it are open or finished.
+    std::uint32_t m_first_unopened = 0;
 };
 
 /// Builds the entry of an accepted job; progress is empty for a new one. Throws
--- a/source/core/dispatch/progress.cpp
+++ b/source/core/dispatch/progress.cpp
@@ -100,6 +100,25 @@
     return step;
 }
 
+// Ranges as a flat list of their first and last numbers.
+json::array ranges_to_json(const common::number_set& numbers) {
+    json::array bounds;
+    for (const auto& [first, last] : numbers.ranges()) {
+        bounds.push_back(first);
+        bounds.push_back(last);
+    }
+    return bounds;
+}
+
+common::number_set ranges_from_json(const json::array& bounds) {
+    common::number_set numbers;
+    for (std::size_t i = 0; i < bounds.size(); i += 2) {
+        numbers.insert(bounds.at(i).to_number<std::uint32_t>(),
+                       bounds.at(i + 1).to_number<std::uint32_t>());
+    }
+    return numbers;
+}
+
 task_progress task_from_json(const json::array& row) {
     task_progress task;
     task.succeeded = row.at(3).to_number<int>() != 0;
@@ -178,6 +197,9 @@
                             task.checkpoint, task.crashes, task.possible_crashes});
         }
         object["tasks"] = std::move(rows);
+        if (!progress.finished.empty()) {
+            object["finished"] = ranges_to_json(progress.finished);
+        }
         put(object, "possible_runs", std::int64_t{progress.possible_runs});
     } else {
         put(object, "accepted_by", progress.accepted_by);
@@ -192,6 +214,9 @@
         progress.state = job_state_names.value(text_of(object, "state"));
         progress.accepted_by = text_of(object, "accepted_by");
         progress.possible_runs = static_cast<std::uint32_t>(number_of(object, "possible_runs"));
+        if (const auto* const bounds = object.if_contains("finished")) {
+            progress.finished = ranges_from_json(bounds->as_array());
+        }
         if (const auto* const rows = object.if_contains("tasks")) {
             for (const auto& value : rows->as_array()) {
                 const auto& row = value.as_array();
--- a/source/core/dispatch/progress.h
+++ b/source/core/dispatch/progress.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/common/number_set.h"
 #include "core/dispatch/job.h"
 
 #include <map>
@@ -33,9 +34,11 @@
     void mark_processed(std::uint32_t run);
 };
 
-/// Progress of a job. Tasks without progress are absent.
+/// Progress of a job. Tasks without progress, and those of finished occurrences, are absent.
 struct job_progress {
     job_state state = job_state::queued;
+    /// Occurrences of which all tasks have succeeded.
+    common::number_set finished;
     std::map<task_key, task_progress> tasks;
     /// Runs of every task up to this number may have existed although no worker reported them.
     std::uint32_t possible_runs = 0;
--- a/source/core/dispatch/task_table.cpp
+++ b/source/core/dispatch/task_table.cpp
@@ -4,9 +4,12 @@
 
 namespace buckthornspar::dispatch {
 
-namespace {
+const task_state& task_table::untouched() {
+    static const task_state shared;
+    return shared;
+}
 
-const task_state& succeeded_task() {
+const task_state& task_table::succeeded_state() {
     static const task_state shared = [] {
         task_state task;
         task.progress.succeeded = true;
@@ -15,18 +18,11 @@
     return shared;
 }
 
-const task_state& untouched_task() {
-    static const task_state shared;
-    return shared;
-}
-
-} // namespace
-
 const task_state& task_table::operator[](std::uint32_t index) const {
     if (const auto found = m_own.find(index); found != m_own.end()) {
         return found->second;
     }
-    return m_succeeded.contains(index) ? succeeded_task() : untouched_task();
+    return m_succeeded.contains(index) ? succeeded_state() : untouched();
 }
 
 std::uint32_t task_table::next_open(std::uint32_t from) const {
--- a/source/core/dispatch/task_table.h
+++ b/source/core/dispatch/task_table.h
@@ -51,6 +51,10 @@
 /// not succeeded: all others have one of two states that they share.
 class task_table {
 public:
+    /// The state of a task that has not been started, and of one that has succeeded.
+    [[nodiscard]] static const task_state& untouched();
+    [[nodiscard]] static const task_state& succeeded_state();
+
     explicit task_table(std::uint32_t count = 0) : m_count(count) {}
 
     [[nodiscard]] std::uint32_t size() const { return m_count; }
--- a/tests/unit/dispatch/memory_test.cpp
+++ b/tests/unit/dispatch/memory_test.cpp
@@ -24,6 +24,18 @@
     }
 };
 
+constexpr std::int64_t unix_now_ms = 1'800'000'000'000;
+constexpr std::int64_t minute_ms = 60'000;
+constexpr std::uint32_t every_minute_for_sixty_days = 86'400;
+
+/// A job with one small task in each occurrence.
+job_spec timed_job(const std::string& id, std::uint32_t repeats, std::int64_t first_ms,
+                   std::int64_t interval_ms) {
+    auto spec = dispatch_fixture::job(id, 1, 500);
+    spec.schedule = {repeats, first_ms, interval_ms};
+    return spec;
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(dispatch_memory, owner_fixture)
@@ -69,4 +81,159 @@
     }
 }
 
+// Guards against memory for occurrences that are not due: eight such jobs ended every process that
+// led, for good (review/2).
+BOOST_AUTO_TEST_CASE(later_occurrences_use_no_memory) {
+    engine.on_wall_clock(now, unix_now_ms);
+    const auto before = buckthornspar::test::allocated_bytes();
+    for (int i = 0; i < 8; ++i) {
+        engine.on_job(now,
+                      timed_job("a" + std::to_string(i), every_minute_for_sixty_days,
+                                unix_now_ms + minute_ms, minute_ms),
+                      {}, 20);
+    }
+    engine.on_job(now, job("plain", 1, 1000), {}, 21);
+    run_until_idle();
+    BOOST_TEST(buckthornspar::test::allocated_bytes() - before < node_limit);
+    BOOST_TEST(starts.size() == 1U);
+}
+
+// Guards against memory for all occurrences of schedules that are due at once, and against
+// occurrences that do not start although there is room.
+BOOST_AUTO_TEST_CASE(due_occurrences_use_bounded_memory) {
+    engine.on_wall_clock(now, unix_now_ms);
+    const auto before = buckthornspar::test::allocated_bytes();
+    for (int i = 0; i < 98; ++i) {
+        engine.on_job(now,
+                      timed_job("a" + std::to_string(i), every_minute_for_sixty_days,
+                                unix_now_ms - every_minute_for_sixty_days * minute_ms, minute_ms),
+                      {}, 20);
+    }
+    advance(1s);
+    BOOST_TEST(buckthornspar::test::allocated_bytes() - before < node_limit);
+    // Two workers of 64 cores, half a core for each task.
+    BOOST_TEST(starts.size() == 256U);
+    for (int round = 0; round < 20; ++round) {
+        for (const auto& order : take_starts()) {
+            end_run(order.worker, order.run, run_end::succeeded);
+        }
+        advance(100ms);
+        save();
+        advance(100ms);
+        BOOST_TEST(starts.size() == 256U);
+    }
+    BOOST_TEST(buckthornspar::test::allocated_bytes() - before < node_limit);
+}
+
+// Guards against a stored record with a row for every task of every finished occurrence, which the
+// store refuses once it exceeds the size of a value, and against occurrences that run again or not
+// at all after a change of owner.
+BOOST_AUTO_TEST_CASE(finished_occurrences_are_stored_compactly) {
+    engine.on_wall_clock(now, unix_now_ms);
+    constexpr std::uint32_t occurrences = 2000;
+    engine.on_job(now, timed_job("a", occurrences, unix_now_ms - 10 * minute_ms, 1), {}, 20);
+    std::set<task_key> ended_tasks;
+    while (ended_tasks.size() < occurrences / 2) {
+        advance(100ms);
+        for (const auto& order : take_starts()) {
+            end_run(order.worker, order.run, run_end::succeeded);
+            BOOST_TEST(ended_tasks.insert(order.run.task).second);
+        }
+        advance(100ms);
+        save();
+    }
+    BOOST_TEST(stored.at("a").size() < 20'000U);
+
+    owner_fixture successor;
+    successor.engine.on_wall_clock(successor.now, unix_now_ms);
+    successor.engine.on_job(successor.now,
+                            timed_job("a", occurrences, unix_now_ms - 10 * minute_ms, 1),
+                            read_progress("a", stored.at("a")), 20);
+    while (successor.changes.empty() || successor.changes.back().state != job_state::completed) {
+        successor.advance(100ms);
+        const auto started = successor.take_starts();
+        BOOST_REQUIRE(!started.empty());
+        for (const auto& order : started) {
+            successor.end_run(order.worker, order.run, run_end::succeeded);
+            BOOST_TEST(ended_tasks.insert(order.run.task).second);
+        }
+        successor.advance(100ms);
+        successor.save();
+        successor.advance(10ms);
+    }
+    BOOST_TEST(ended_tasks.size() == occurrences);
+}
+
+// Guards against a record of an earlier version, with a row for each succeeded task, that is
+// forgotten: its tasks would run again.
+BOOST_AUTO_TEST_CASE(records_with_rows_of_finished_occurrences_are_read) {
+    engine.on_wall_clock(now, unix_now_ms);
+    const std::string record =
+        R"({"state":"running","tasks":[[0,0,0,1,[1],1,0,"",0,0],[1,0,0,1,[2],2,0,""],)"
+        R"([2,0,0,0,[1],1,1,"",0,0]]})";
+    engine.on_job(now, timed_job("a", 4, unix_now_ms - minute_ms, 1), read_progress("a", record),
+                  20);
+    run_until_idle();
+    BOOST_REQUIRE(starts.size() == 2U);
+    BOOST_TEST(starts[0].run.task.occurrence == 2U);
+    BOOST_TEST(starts[0].run.run == 2U);
+    BOOST_TEST(starts[1].run.task.occurrence == 3U);
+}
+
+// Guards against runs of the former owner that a successor takes for unknown, because their
+// occurrences are not open there yet: it would stop them or run their tasks a second time.
+BOOST_AUTO_TEST_CASE(runs_of_unopened_occurrences_are_adopted) {
+    dispatch_fixture successor;
+    successor.engine.on_queues({plain_queue()});
+    successor.engine.on_wall_clock(successor.now, unix_now_ms);
+    const task_key running_task{"a", 1'500, 0, 0};
+    const task_key ended_task{"a", 1'600, 0, 0};
+    successor.running["w1"].push_back({{running_task, 1}, "", 10});
+    successor.end_run("w1", {ended_task, 1}, run_end::succeeded);
+    successor.engine.on_worker(successor.now, report("w1"));
+    dispatch::worker_record record;
+    record.workers = {report("w1")};
+    successor.engine.take_over(successor.now, 10, write_worker_record(record));
+    successor.engine.on_job(successor.now, timed_job("a", 2'000, unix_now_ms - minute_ms, 1), {},
+                            5);
+    for (int round = 0; round < 3; ++round) {
+        successor.save();
+        successor.advance(1s);
+    }
+    BOOST_TEST(successor.stops.empty());
+    for (int round = 0; round < 40; ++round) {
+        for (const auto& order : successor.take_starts()) {
+            BOOST_TEST((order.run.task != running_task));
+            BOOST_TEST((order.run.task != ended_task));
+            successor.end_run(order.worker, order.run, run_end::succeeded);
+        }
+        successor.advance(100ms);
+        successor.save();
+    }
+    successor.end_run("w1", {running_task, 1}, run_end::succeeded);
+    successor.advance(1s);
+    successor.save();
+    successor.advance(100ms);
+    BOOST_REQUIRE(!successor.changes.empty());
+    BOOST_TEST((successor.changes.back().state == job_state::completed));
+}
+
+// Guards against a process that ends because a start is answered after the occurrence of its task
+// has finished.
+BOOST_AUTO_TEST_CASE(a_start_may_be_answered_after_its_occurrence_has_finished) {
+    accept_starts = false;
+    engine.on_wall_clock(now, unix_now_ms);
+    engine.on_job(now, timed_job("a", 2, unix_now_ms - minute_ms, 10 * minute_ms), {}, 20);
+    run_until_idle();
+    BOOST_REQUIRE(starts.size() == 1U);
+    const auto order = starts[0];
+    end_run(order.worker, order.run, run_end::succeeded);
+    advance(2s);
+    BOOST_TEST(engine.jobs().at("a").occurrences.empty());
+    engine.on_start_result(now, order, {order_status::accepted, clock_ms()});
+    engine.on_start_result(now, order, {order_status::no_ticket, clock_ms()});
+    advance(1s);
+    BOOST_TEST(starts.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/dispatch/recovery_test.cpp
+++ b/tests/unit/dispatch/recovery_test.cpp
@@ -68,7 +68,7 @@
     g.save();
     g.run_until_idle();
     BOOST_REQUIRE(g.engine.jobs().contains("a"));
-    BOOST_TEST(g.engine.jobs().at("a").occurrences[0].steps[0].tasks[0].progress.failures == 1U);
+    BOOST_TEST(g.engine.jobs().at("a").occurrences.at(0).steps[0].tasks[0].progress.failures == 1U);
 }
 
 // Guards against two concurrent runs of a task: a worker that may hold the former owner's run does
--- a/tests/unit/dispatch/worker_loss_test.cpp
+++ b/tests/unit/dispatch/worker_loss_test.cpp
@@ -218,7 +218,7 @@
     BOOST_TEST(f.take_starts().empty());
     f.end_run(worker, started[0].run, run_end::succeeded);
     f.advance(3s);
-    BOOST_TEST(f.engine.jobs().at("a").occurrences[0].steps[0].succeeded == 1U);
+    BOOST_TEST(f.engine.jobs().at("a").occurrences.at(0).steps[0].succeeded == 1U);
     // No new work goes there, because starts would not arrive.
     f.engine.on_job(f.now, dispatch_fixture::job("b", 3, 60000), {}, 12);
     f.advance(1s);
