Refuse at the door the jobs that no node can hold

Callers got 200 for jobs that then ended each process that led, or that could never run, and 504 for jobs whose record the store does not take.

Cause: a submission was checked for the tasks of one occurrence only. Steps, the times of a schedule (whose arithmetic overflows), the size of the record and the sum of all accepted jobs had no bound.

Change: check_submission refuses such jobs with 400; stored ones are loaded as before. A node without room refuses with 503 and Retry-After, after a read that shows that the call does not repeat an accepted one.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -106,6 +106,7 @@
     const auto state = job.state;
     m_queued_by_queue[spec.queue] += state == job_state::queued ? 1 : 0;
     m_scheduled_job_count += spec.schedule.repeats > 0 ? 1 : 0;
+    m_job_memory += memory_of(job.spec);
     m_jobs.emplace(spec.id, std::move(job));
     note_waiting(spec.id);
     m_actions.emplace_back(state_change{spec.id, spec.queue, state, spec.accepted_by});
@@ -259,6 +260,7 @@
     for (const auto& change : m_batch_changes) {
         if (const auto job = m_jobs.find(change.job); job != m_jobs.end()) {
             m_scheduled_job_count -= job->second.spec.schedule.repeats > 0 ? 1 : 0;
+            m_job_memory -= memory_of(job->second.spec);
             m_jobs.erase(job);
         }
         m_dirty_jobs.erase(change.job);
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -124,6 +124,8 @@
 
     // Read access.
     [[nodiscard]] const std::map<std::string, job_entry>& jobs() const { return m_jobs; }
+    /// Memory in bytes that the jobs take before their tasks are started.
+    [[nodiscard]] std::int64_t job_memory() const { return m_job_memory; }
     [[nodiscard]] const worker_registry& workers() const { return m_workers; }
     [[nodiscard]] std::uint64_t fence() const { return m_fence; }
     [[nodiscard]] bool has_authority(common::time_point now);
@@ -254,6 +256,8 @@
     std::map<std::string, job_entry> m_jobs;
     /// Number of the jobs that have a schedule.
     std::size_t m_scheduled_job_count = 0;
+    /// See memory_of().
+    std::int64_t m_job_memory = 0;
     /// Steps that may have waiting tasks. Jobs that may have runs that no worker reported are left
     /// out, and those in m_jobs_to_order may be missing.
     waiting_steps m_waiting;
--- a/source/core/dispatch/job_entry.cpp
+++ b/source/core/dispatch/job_entry.cpp
@@ -27,6 +27,23 @@
     }
 }
 
+// Steps have a state each while their occurrence is open.
+constexpr std::size_t max_steps_per_job = 2'000;
+// Times beyond these would exceed the range of the clock's arithmetic. In milliseconds, a thousand
+// years.
+constexpr std::int64_t max_time_ms = std::int64_t{1000} * 366 * 24 * 3600 * 1000;
+
+bool is_time(std::int64_t ms) {
+    return ms >= 0 && ms <= max_time_ms;
+}
+
+// Overhead of a block of memory and of a node of a tree.
+constexpr std::int64_t node_overhead = 48;
+
+std::int64_t memory_of(const std::string& text) {
+    return static_cast<std::int64_t>(text.capacity() + 1);
+}
+
 occurrence_state make_occurrence(const job_spec& spec) {
     occurrence_state occurrence;
     for (const auto& step : spec.steps) {
@@ -271,6 +288,38 @@
     return job;
 }
 
+void check_submission(const job_spec& spec) {
+    validate(spec);
+    if (spec.steps.size() > max_steps_per_job) {
+        throw common::format_error("a job may have at most " + std::to_string(max_steps_per_job) +
+                                   " steps");
+    }
+    const auto& schedule = spec.schedule;
+    if (schedule.repeats > 0 && (!is_time(schedule.first_ms) || !is_time(schedule.interval_ms) ||
+                                 schedule.interval_ms > max_time_ms / schedule.repeats)) {
+        throw common::format_error("the times of the schedule are out of range");
+    }
+    for (const auto& step : spec.steps) {
+        if (!is_time(step.estimate_ms)) {
+            throw common::format_error("the estimate of a step is out of range");
+        }
+    }
+}
+
+std::int64_t memory_of(const job_spec& spec) {
+    // The id is also the key of several tables.
+    constexpr std::int64_t copies_of_id = 4;
+    auto bytes = static_cast<std::int64_t>(sizeof(job_entry) + sizeof(occurrence_state)) +
+                 copies_of_id * (node_overhead + memory_of(spec.id)) + memory_of(spec.payload) +
+                 memory_of(spec.queue) + memory_of(spec.accepted_by);
+    for (const auto& step : spec.steps) {
+        bytes += static_cast<std::int64_t>(sizeof(step_spec) + sizeof(step_state)) + node_overhead +
+                 static_cast<std::int64_t>(step.after.size() * sizeof(std::uint32_t)) +
+                 memory_of(step.required_label) + memory_of(step.preferred_rack);
+    }
+    return bytes;
+}
+
 std::int64_t critical_path_ms(const job_spec& spec, std::uint32_t from) {
     std::vector<std::int64_t> longest(spec.steps.size(), 0);
     std::int64_t result = 0;
--- a/source/core/dispatch/job_entry.h
+++ b/source/core/dispatch/job_entry.h
@@ -128,6 +128,14 @@
 [[nodiscard]] job_entry make_job(const job_spec& spec, const job_progress& progress,
                                  std::uint64_t revision, common::time_point now);
 
+/// Checks a submission. Throws common::format_error for a job that cannot be executed, or that no
+/// node could hold. Jobs that are already stored may exceed its limits.
+void check_submission(const job_spec& spec);
+
+/// Memory in bytes that an accepted job without runs takes at the owner; its schedule does not
+/// count.
+[[nodiscard]] std::int64_t memory_of(const job_spec& spec);
+
 /// Estimated duration of the critical path through the given step and later ones, in milliseconds.
 [[nodiscard]] std::int64_t critical_path_ms(const job_spec& spec, std::uint32_t from);
 
--- a/source/core/service/caller_api.cpp
+++ b/source/core/service/caller_api.cpp
@@ -138,13 +138,39 @@
         job.queue = request.queue;
         job.accepted_ms = common::wall_clock_ms();
         job.accepted_by = m_env.node;
-        static_cast<void>(make_job(job, {}, 0, request.received));
+        check_submission(job);
     } catch (const common::error& e) {
         answer(request, net::error_response(400, e.type(), e.what()), "refused", "invalid_job");
         return;
     }
+    const auto memory = memory_of(job);
+    if (m_env.admission != nullptr && !m_env.admission->admit(memory)) {
+        refuse_unless_stored(request, job);
+        return;
+    }
+    store_job(request, job, memory);
+}
+
+void caller_api::refuse_unless_stored(const call& request, const job_spec& job) {
+    m_env.intake.query(job.id, store_deadline(request),
+                       [this, request, job](const intake_result& result) {
+                           if (result.outcome == intake_outcome::found) {
+                               store_job(request, job, 0);
+                               return;
+                           }
+                           answer(request, refusal(503, "no_memory", "the job was not stored"),
+                                  "refused", "no_memory");
+                       });
+}
+
+void caller_api::store_job(const call& request, const job_spec& job, std::int64_t memory) {
     const auto deadline = store_deadline(request);
-    m_env.intake.submit(job, deadline, [this, request, job](const intake_result& result) {
+    m_env.intake.submit(job, deadline, [this, request, job, memory](const intake_result& result) {
+        const bool stored =
+            result.outcome == intake_outcome::accepted || result.outcome == intake_outcome::unknown;
+        if (m_env.admission != nullptr && !stored) {
+            m_env.admission->give_back(memory);
+        }
         switch (result.outcome) {
         case intake_outcome::accepted:
             // The owner reports changes to the node that stored the job first; on other nodes
@@ -165,6 +191,11 @@
             answer(request, refusal(503, "store_unavailable", "the job was not stored"), "refused",
                    "store_unavailable");
             return;
+        case intake_outcome::too_large:
+            answer(request,
+                   net::error_response(400, "job_too_large", "the job does not fit into the store"),
+                   "refused", "job_too_large");
+            return;
         default:
             answer(request,
                    net::error_response(504, "outcome_unknown", "the job may have been stored"),
--- a/source/core/service/caller_api.h
+++ b/source/core/service/caller_api.h
@@ -3,6 +3,7 @@
 #include "core/common/clock.h"
 #include "core/common/counters.h"
 #include "core/net/http_server.h"
+#include "core/service/job_admission.h"
 #include "core/service/job_directory.h"
 #include "core/service/job_intake.h"
 #include "core/service/peer_messages.h"
@@ -33,6 +34,7 @@
         std::function<void(const std::string& job,
                            std::function<void(std::optional<dispatch::job_state>)> complete)>
             ask_state;
+        job_admission* admission = nullptr;
     };
 
     explicit caller_api(environment env) : m_env(std::move(env)) {}
@@ -51,6 +53,10 @@
     };
 
     void submit(const call& request, const std::string& body);
+    void store_job(const call& request, const dispatch::job_spec& job, std::int64_t memory);
+    /// Answers the submission of a job for which there is no memory. It may be the repeat of one
+    /// that was accepted.
+    void refuse_unless_stored(const call& request, const dispatch::job_spec& job);
     void query(const call& request);
     void query_store(const call& request);
     /// Later queries of an ended job need no other node.
--- a/source/core/service/job_intake.cpp
+++ b/source/core/service/job_intake.cpp
@@ -45,6 +45,11 @@
     work->deadline = deadline;
     work->complete = std::move(complete);
     work->record = write_job(job);
+    if (work->record.size() > m_max_record_bytes) {
+        ++m_in_progress;
+        finish(work, intake_outcome::too_large);
+        return;
+    }
     run(work, &job_intake::try_submit);
 }
 
--- a/source/core/service/job_intake.h
+++ b/source/core/service/job_intake.h
@@ -26,9 +26,11 @@
     conflict,   ///< the id is in use for a job with other content
     not_stored, ///< certainly not stored; the job never runs
     unknown,    ///< the store did not answer: the change may have been made
+    too_large,  ///< the store does not take the record of the job; the job never runs
 };
-inline constexpr common::name_table<intake_outcome, 6> intake_outcome_names{
-    "intake outcome", {"accepted", "found", "no_such_job", "conflict", "not_stored", "unknown"}};
+inline constexpr common::name_table<intake_outcome, 7> intake_outcome_names{
+    "intake outcome",
+    {"accepted", "found", "no_such_job", "conflict", "not_stored", "unknown", "too_large"}};
 
 struct intake_result {
     intake_outcome outcome = intake_outcome::unknown;
@@ -48,13 +50,15 @@
 class job_intake {
 public:
     job_intake(dispatch::shared_store& store, store_relay& relay, const store_health& health,
-               net::event_loop& loop, const common::clock& clock, common::counters& counters)
+               net::event_loop& loop, const common::clock& clock, common::counters& counters,
+               std::size_t max_record_bytes = std::size_t{1} << 20U)
         : m_store(store),
           m_relay(relay),
           m_health(health),
           m_loop(loop),
           m_clock(clock),
-          m_counters(counters) {}
+          m_counters(counters),
+          m_max_record_bytes(max_record_bytes) {}
 
     void submit(const dispatch::job_spec& job, common::time_point deadline,
                 intake_completion complete);
@@ -89,6 +93,7 @@
     net::event_loop& m_loop;
     const common::clock& m_clock;
     common::counters& m_counters;
+    std::size_t m_max_record_bytes = 0;
     std::size_t m_in_progress = 0;
 };
 
--- a/source/core/service/node_application.cpp
+++ b/source/core/service/node_application.cpp
@@ -48,6 +48,13 @@
                                                                  max_start_queue_s / start_bytes));
 }
 
+// The rest is for the process itself, for the runs on the workers, and for the records of the jobs
+// while an owner loads them.
+std::int64_t memory_for_jobs(std::int64_t memory) {
+    constexpr std::int64_t divisor = 4;
+    return memory / divisor;
+}
+
 std::uint64_t random_process_number() {
     std::random_device source;
     // 53 bits: JSON readers that use double represent the number exactly.
@@ -96,7 +103,8 @@
       m_store(m_platform->store(), m_health),
       m_directory(m_settings.state_retention),
       m_relay(m_client, m_store, m_health, [this] { return m_peers.relay_peer(); }),
-      m_intake(m_store, m_relay, m_health, loop, clock, counters),
+      m_intake(m_store, m_relay, m_health, loop, clock, counters, m_settings.max_store_value_bytes),
+      m_admission(memory_for_jobs(m_settings.memory)),
       m_peers(make_peer_environment()),
       m_callers(make_caller_environment()),
       m_readiness(*this) {
@@ -129,7 +137,8 @@
             [this] { return owner_pending(); },
             [this](const owner_record& owner, bool ended) {
                 m_election->on_owner_suspected(owner, ended);
-            }};
+            },
+            &m_admission};
 }
 
 caller_api::environment node_application::make_caller_environment() {
@@ -147,7 +156,8 @@
             [this](const std::string& job,
                    std::function<void(std::optional<dispatch::job_state>)> complete) {
                 m_peers.ask_state(job, std::move(complete));
-            }};
+            },
+            &m_admission};
 }
 
 std::optional<pending_report> node_application::owner_pending() const {
@@ -342,6 +352,9 @@
     const auto now = m_clock.now();
     m_directory.expire(now);
     m_peers.expire_peers(now);
+    if (const auto report = owner_pending()) {
+        m_admission.set_headroom(m_peers.headroom(report->job_memory));
+    }
     log_store_health_change();
     m_loop.post_after(tick_interval, [this] { tick(); });
 }
--- a/source/core/service/node_application.h
+++ b/source/core/service/node_application.h
@@ -81,6 +81,7 @@
     job_directory m_directory;
     store_relay m_relay;
     job_intake m_intake;
+    job_admission m_admission;
     peer_exchange m_peers;
     caller_api m_callers;
     readiness_handler m_readiness;
--- a/source/core/service/owner_controller.cpp
+++ b/source/core/service/owner_controller.cpp
@@ -92,7 +92,8 @@
     if (!m_loaded || m_active_watcher->age() > max_pending_jobs_age) {
         return std::nullopt;
     }
-    return pending_report{m_dispatcher.pending_by_queue(), m_active_watcher->age()};
+    return pending_report{m_dispatcher.pending_by_queue(), m_active_watcher->age(),
+                          m_dispatcher.job_memory()};
 }
 
 void owner_controller::drain(std::function<void()> complete) {
@@ -200,6 +201,7 @@
                {"list_age_ms", common::to_milliseconds(m_worker_watcher->age())},
                {"store_down", m_store_down ? 1 : 0},
                {"jobs", m_dispatcher.jobs().size()},
+               {"job_memory_kb", m_dispatcher.job_memory() / 1024},
                {"pending_starts", m_dispatcher.pending_starts()}});
 }
 
--- a/source/core/service/peer_exchange.cpp
+++ b/source/core/service/peer_exchange.cpp
@@ -115,7 +115,7 @@
         return;
     }
     const auto now = m_env.clock.now();
-    m_peers[poll.node] = {poll.address, now};
+    m_peers[poll.node] = {poll.address, now, poll.job_limit};
     m_env.on_peer_seen(poll.node);
     for (const auto& job : poll.follow) {
         m_env.directory.follow(job, poll.node);
@@ -129,9 +129,22 @@
 
 net::http_response peer_exchange::make_response(const pending_poll& poll) const {
     auto page = m_env.directory.changes_after(poll.after, poll.node);
-    return net::json_response(
-        200, write_changes_response({page.next, std::move(page.changes), m_env.pending(),
-                                     m_env.clock.now() - poll.received}));
+    changes_response response{page.next, std::move(page.changes), m_env.pending(),
+                              m_env.clock.now() - poll.received, std::nullopt};
+    if (response.pending && m_env.admission != nullptr) {
+        response.headroom = headroom(response.pending->job_memory);
+    }
+    return net::json_response(200, write_changes_response(response));
+}
+
+std::int64_t peer_exchange::headroom(std::int64_t job_memory) const {
+    auto smallest = job_limit();
+    for (const auto& [node, peer] : m_peers) {
+        if (smallest == 0 || (peer.job_limit != 0 && peer.job_limit < smallest)) {
+            smallest = peer.job_limit;
+        }
+    }
+    return headroom_of_node(smallest, job_memory, m_peers.size() + 1);
 }
 
 void peer_exchange::answer_polls(bool with_changes) {
@@ -240,6 +253,10 @@
     reply(net::json_response(200, write_state_response(*state)));
 }
 
+std::int64_t peer_exchange::job_limit() const {
+    return m_env.admission == nullptr ? 0 : m_env.admission->limit();
+}
+
 void peer_exchange::poll() {
     if (!m_owner) {
         return;
@@ -250,7 +267,7 @@
     m_env.client.send(
         m_owner->address,
         net::json_post("/peer/changes", write_changes_request({m_env.node, m_env.address, fence,
-                                                               m_position, follow})),
+                                                               m_position, follow, job_limit()})),
         poll_timeout,
         [this, fence, follow, sent_at = m_env.clock.now(),
          to = m_owner->address](const net::http_result& answer) {
@@ -324,6 +341,9 @@
             m_env.directory.set_pending(counted_at - page.pending->age,
                                         std::move(page.pending->counts));
         }
+        if (page.headroom && m_env.admission != nullptr) {
+            m_env.admission->set_headroom(*page.headroom);
+        }
         m_position = page.next;
         m_last_owner_answer = now;
     } catch (const std::exception& e) {
--- a/source/core/service/peer_exchange.h
+++ b/source/core/service/peer_exchange.h
@@ -6,6 +6,7 @@
 #include "core/net/event_loop.h"
 #include "core/net/http_client.h"
 #include "core/net/http_server.h"
+#include "core/service/job_admission.h"
 #include "core/service/job_directory.h"
 #include "core/service/owner_election.h"
 #include "core/service/peer_messages.h"
@@ -43,6 +44,7 @@
         std::function<std::optional<pending_report>()> pending;
         /// The followed node reports that it is not the owner, or its process has certainly ended.
         std::function<void(const owner_record&, bool ended)> on_owner_suspected;
+        job_admission* admission = nullptr;
     };
 
     explicit peer_exchange(environment env) : m_env(std::move(env)) {}
@@ -62,6 +64,8 @@
     [[nodiscard]] std::optional<net::endpoint> relay_peer() const;
     /// The job directory has changed: answers the pending polls after a short delay.
     void notify_peers();
+    /// Owner only: what each node may still accept, from the memory that the jobs take.
+    [[nodiscard]] std::int64_t headroom(std::int64_t job_memory) const;
     /// Removes nodes that have stopped polling. Called periodically.
     void expire_peers(common::time_point now);
 
@@ -77,6 +81,7 @@
     struct live_peer {
         net::endpoint address;
         common::time_point last_request;
+        std::int64_t job_limit = 0;
     };
     struct pending_poll {
         std::string node;
@@ -93,6 +98,7 @@
     [[nodiscard]] net::http_response make_response(const pending_poll& poll) const;
     /// Answers the polls that have expired and, if with_changes is set, those with new changes.
     void answer_polls(bool with_changes);
+    [[nodiscard]] std::int64_t job_limit() const;
     void poll();
     void on_changes(std::uint64_t fence, const std::vector<std::string>& follow,
                     common::time_point sent_at, const net::http_result& answer);
--- a/source/core/service/peer_messages.cpp
+++ b/source/core/service/peer_messages.cpp
@@ -43,6 +43,9 @@
     if (!request.follow.empty()) {
         object["follow"] = json::value_from(request.follow);
     }
+    if (request.job_limit != 0) {
+        object["job_limit"] = request.job_limit;
+    }
     return json::serialize(object);
 }
 
@@ -58,6 +61,9 @@
         if (const auto* const follow = object.if_contains("follow")) {
             request.follow = json::value_to<std::vector<std::string>>(*follow);
         }
+        if (const auto* const limit = object.if_contains("job_limit")) {
+            request.job_limit = limit->to_number<std::int64_t>();
+        }
         return request;
     });
 }
@@ -73,6 +79,9 @@
         object["pending_age_ms"] = common::to_milliseconds(response.pending->age);
         object["held_ms"] = common::to_milliseconds(response.held);
     }
+    if (response.headroom) {
+        object["headroom"] = *response.headroom;
+    }
     return json::serialize(object);
 }
 
@@ -95,6 +104,9 @@
             response.pending->age = read_ms(object, "pending_age_ms");
             response.held = read_ms(object, "held_ms");
         }
+        if (const auto* const headroom = object.if_contains("headroom")) {
+            response.headroom = headroom->to_number<std::int64_t>();
+        }
         return response;
     });
 }
--- a/source/core/service/peer_messages.h
+++ b/source/core/service/peer_messages.h
@@ -21,6 +21,8 @@
 struct pending_report {
     pending_counts counts;
     common::duration age{0};
+    /// Memory in bytes that all jobs take at the owner.
+    std::int64_t job_memory = 0;
 };
 
 /// Request of a node for changes of its jobs; also its heartbeat to the owner.
@@ -33,6 +35,8 @@
     std::uint64_t after = 0;
     /// Jobs that other nodes accepted and the node was asked about.
     std::vector<std::string> follow;
+    /// Memory in bytes that the node has for jobs; 0 for no limit.
+    std::int64_t job_limit = 0;
 };
 
 struct changes_response {
@@ -42,6 +46,8 @@
     std::optional<pending_report> pending;
     /// Time from the arrival of the request to the response.
     common::duration held{0};
+    /// See job_admission; absent while the owner does not know it.
+    std::optional<std::int64_t> headroom{};
 };
 
 /// Request for the state of a job that another node accepted. The node follows the job from then
--- a/tests/unit/dispatch/memory_test.cpp
+++ b/tests/unit/dispatch/memory_test.cpp
@@ -54,6 +54,34 @@
     BOOST_TEST(starts.size() == 12U);
 }
 
+// Guards against an admission of jobs that counts less memory than they take.
+BOOST_AUTO_TEST_CASE(the_memory_of_waiting_jobs_is_counted) {
+    engine.on_wall_clock(now, unix_now_ms);
+    // Half of the jobs are scheduled, and some have many steps.
+    std::vector<job_spec> specs;
+    for (int i = 0; i < 1000; ++i) {
+        auto spec = job("00000000000000000000" + std::to_string(i), 5, 128'001);
+        spec.payload.assign(static_cast<std::size_t>(i) * 4, 'p');
+        spec.accepted_by = "an instance with a long name";
+        spec.steps.resize(1U + static_cast<std::size_t>(i % 40), spec.steps[0]);
+        for (std::uint32_t s = 1; s < spec.steps.size(); ++s) {
+            spec.steps[s].after = {s - 1};
+        }
+        if (i % 2 == 0) {
+            spec.schedule = {1000, unix_now_ms + minute_ms, minute_ms};
+        }
+        specs.push_back(std::move(spec));
+    }
+    const auto before = buckthornspar::test::allocated_bytes();
+    for (const auto& spec : specs) {
+        engine.on_job(now, spec, {}, 20);
+    }
+    run_until_idle();
+    const auto taken = buckthornspar::test::allocated_bytes() - before;
+    BOOST_TEST(taken <= engine.job_memory());
+    BOOST_TEST(engine.job_memory() < 3 * taken);
+}
+
 // Guards against run numbers that are used again when runs of a former owner may be unreported, and
 // against a state for each task that only says so.
 BOOST_AUTO_TEST_CASE(skipped_run_numbers_use_no_memory) {
--- a/tests/unit/service/caller_api_test.cpp
+++ b/tests/unit/service/caller_api_test.cpp
@@ -1,12 +1,15 @@
 #include "unit/service/service_fixture.h"
 
 #include "core/common/counters.h"
+#include "core/dispatch/job_entry.h"
 #include "core/dispatch/progress.h"
 #include "core/service/caller_api.h"
 #include "core/service/store_keys.h"
 
 #include <boost/test/unit_test.hpp>
 
+#include <limits>
+
 using namespace buckthornspar;
 using namespace buckthornspar::service;
 using namespace buckthornspar::service::test;
@@ -31,6 +34,9 @@
         dispatch::job_spec job;
         job.payload = body;
         job.steps.emplace_back();
+        if (change) {
+            change(job);
+        }
         return job;
     }
     [[nodiscard]] bool is_job_id(std::string_view text) const override { return text.size() == 1; }
@@ -42,6 +48,8 @@
     }
     [[nodiscard]] std::string deadline_header() const override { return "Deadline"; }
     [[nodiscard]] std::string readiness_path() const override { return "/ready"; }
+
+    std::function<void(dispatch::job_spec&)> change;
 };
 
 service_configuration configuration_of(const std::string& queue) {
@@ -81,6 +89,7 @@
     job_intake intake{observed, relay, health, loop, clock, counters};
     std::optional<service_configuration> configuration = configuration_of("q");
     std::optional<pending_counts> owner_counts;
+    job_admission admission{1 << 24};
     std::optional<job_state> owner_view;
     std::vector<std::string> asked;
     caller_api callers{{clock, counters, format, directory, intake,
@@ -90,7 +99,8 @@
                                const std::function<void(std::optional<job_state>)>& complete) {
                             asked.push_back(job);
                             complete(owner_view);
-                        }}};
+                        },
+                        &admission}};
 };
 
 } // namespace
@@ -142,4 +152,65 @@
     BOOST_TEST(call(net::http_method::get, "/jobs/").body == "5");
 }
 
+// Guards against an accepted job that no owner can hold, against a refusal after which the job
+// runs, and against one that gives no time to return.
+BOOST_AUTO_TEST_CASE(a_job_for_which_there_is_no_memory_is_refused) {
+    admission.set_headroom(0);
+    const auto refused = call(net::http_method::post, "/jobs/a");
+    BOOST_TEST(refused.status == 503U);
+    BOOST_TEST(refused.fields.get("Retry-After") == "1");
+    BOOST_TEST(!store.has(job_key("a")));
+    admission.set_headroom(1 << 20);
+    BOOST_TEST(call(net::http_method::post, "/jobs/a").status == 200U);
+    BOOST_TEST(store.has(job_key("a")));
+}
+
+// Guards against a refusal "not accepted" to the repeat of a submission that was accepted.
+BOOST_AUTO_TEST_CASE(the_repeat_of_an_accepted_job_needs_no_memory) {
+    admission.set_headroom(1 << 20);
+    BOOST_TEST(call(net::http_method::post, "/jobs/a").status == 200U);
+    admission.set_headroom(0);
+    BOOST_TEST(call(net::http_method::post, "/jobs/a").status == 200U);
+    BOOST_TEST(call(net::http_method::post, "/jobs/b").status == 503U);
+}
+
+// Guards against a node that accepts more than is left for it before the owner reports again, and
+// against memory that stays taken by jobs that were not stored.
+BOOST_AUTO_TEST_CASE(memory_is_taken_by_accepted_jobs_only) {
+    dispatch::job_spec job;
+    job.id = "a";
+    job.payload = "p";
+    job.steps.emplace_back();
+    // Two jobs, whose exact size depends on the names of the queue and the node.
+    admission.set_headroom(2 * dispatch::memory_of(job) + dispatch::memory_of(job) / 2);
+    store.on_commit = [](const dispatch::store_commit&) {
+        return dispatch::store_status::unavailable;
+    };
+    for (const auto* const id : {"a", "b", "c"}) {
+        BOOST_TEST(call(net::http_method::post, std::string("/jobs/") + id).status == 503U);
+    }
+    store.on_commit = {};
+    BOOST_TEST(call(net::http_method::post, "/jobs/a").status == 200U);
+    BOOST_TEST(call(net::http_method::post, "/jobs/b").status == 200U);
+    BOOST_TEST(call(net::http_method::post, "/jobs/c").status == 503U);
+}
+
+// Guards against jobs that no node can hold or execute, which were accepted and never ran.
+BOOST_AUTO_TEST_CASE(jobs_that_cannot_be_held_are_refused) {
+    admission.set_headroom(1 << 24);
+    const auto refused = [this](const std::function<void(dispatch::job_spec&)>& change) {
+        format.change = change;
+        return call(net::http_method::post, "/jobs/a").status == 400U && !store.has(job_key("a"));
+    };
+    constexpr auto highest = std::numeric_limits<std::int64_t>::max();
+    BOOST_TEST(refused([](auto& job) { job.steps.resize(2'001); }));
+    BOOST_TEST(refused([](auto& job) { job.steps[0].count = 20'001; }));
+    BOOST_TEST(refused([](auto& job) { job.schedule = {10, highest, 1}; }));
+    BOOST_TEST(refused([](auto& job) { job.schedule = {1'000'000, 0, highest / 1'000}; }));
+    BOOST_TEST(refused([](auto& job) { job.schedule = {10, 0, -1}; }));
+    BOOST_TEST(refused([](auto& job) { job.steps[0].estimate_ms = highest; }));
+    BOOST_TEST(refused([](auto& job) { job.payload.assign(std::size_t{1} << 20U, 'p'); }));
+    BOOST_TEST(!refused([](auto& job) { job.schedule = {525'600, 1'800'000'000'000, 60'000}; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/service/peer_exchange_test.cpp
+++ b/tests/unit/service/peer_exchange_test.cpp
@@ -24,12 +24,13 @@
 
 /// One node with its exchange, on a port of its own.
 struct node {
-    node(service_fixture& f, std::string id)
+    node(service_fixture& f, std::string id, std::int64_t limit)
         : platform(f.loop, f.store),
           client(f.loop, {}),
           health(f.clock),
           relay(client, f.store, health, [] { return std::optional<net::endpoint>(); }),
           name(std::move(id)),
+          admission(limit),
           exchange({f.loop,
                     client,
                     f.clock,
@@ -43,7 +44,8 @@
                     [](const std::string&) {},
                     [](const std::string&) {},
                     [this] { return pending; },
-                    [](const owner_record&, bool) {}}) {}
+                    [](const owner_record&, bool) {},
+                    &admission}) {}
 
     void follow(std::uint16_t port) {
         owner_record owner;
@@ -68,6 +70,7 @@
     store_relay relay;
     std::string name;
     std::optional<pending_report> pending;
+    job_admission admission;
     peer_exchange exchange;
 };
 
@@ -91,8 +94,8 @@
 };
 
 struct exchange_fixture : service_fixture {
-    node owner{*this, "owner"};
-    node follower{*this, "follower"};
+    node owner{*this, "owner", 3'000'000};
+    node follower{*this, "follower", 1'000'000};
     fixed_answer answers{loop};
     net::http_server owner_server{loop, {"127.0.0.1", 0}, {}, owner.exchange};
     net::http_server fixed_server{loop, {"127.0.0.1", 0}, {}, answers};
@@ -124,6 +127,25 @@
     BOOST_TEST(!follower.directory.pending_of("q", clock.now(), 500ms).has_value());
 }
 
+// Guards against nodes that together accept more than the smallest of them, which may become the
+// owner, can hold.
+BOOST_AUTO_TEST_CASE(the_owner_divides_the_memory_for_jobs) {
+    owner.exchange.set_owned_fence(fence);
+    owner.pending = pending_report{{}, 0ms, 400'000};
+    BOOST_TEST(follower.admission.admit(60'000));
+    follower.admission.set_headroom(0);
+    follower.follow(owner_server.port());
+    // Half of what the follower, with a limit of 1,000,000 bytes, has left.
+    bool admitted = false;
+    BOOST_REQUIRE(run_until([&] {
+        admitted = admitted || follower.admission.admit(290'000);
+        return admitted;
+    }));
+    BOOST_TEST(!follower.admission.admit(20'000));
+    BOOST_TEST(owner.exchange.headroom(400'000) == 300'000);
+    BOOST_TEST(owner.exchange.headroom(2'000'000) == 0);
+}
+
 // Guards against a refusal of counts in quiet times: the owner holds a poll for most of a second,
 // and its count is made when it responds.
 BOOST_AUTO_TEST_CASE(the_time_for_which_a_poll_is_held_does_not_make_a_count_old) {
