Follow the instance list when it has an entry that cannot be read

Cause: read_instances parsed the document as a whole. One such entry made the whole list unreadable, so that entries, schedulers and config processes kept their last list for good.

Change: the entries are separated without recursion and parsed one by one. Unreadable ones are counted (instance_list_entries_unreadable_total) and skipped; a list of which no entry can be read is still an error.

--- a/source/core/membership/http_instance_list.cpp
+++ b/source/core/membership/http_instance_list.cpp
@@ -5,6 +5,8 @@
 #include "core/membership/instance_format.h"
 
 #include <memory>
+#include <set>
+#include <string>
 #include <utility>
 
 namespace buckthornspar::membership {
@@ -39,6 +41,23 @@
                   });
 }
 
+// An instance that is missing may be the one whose entry cannot be read. Those that have gone count
+// as listed until the entry can be read again, as with a list that lags.
+void http_instance_list::keep_missing_instances(instance_snapshot& snapshot) const {
+    if (!m_last) {
+        return;
+    }
+    std::set<std::string> listed;
+    for (const auto& i : snapshot.instances) {
+        listed.insert(i.id);
+    }
+    for (const auto& known : m_last->instances) {
+        if (!listed.contains(known.id)) {
+            snapshot.instances.push_back(known);
+        }
+    }
+}
+
 std::optional<instance_snapshot> http_instance_list::read(const net::http_result& result) {
     const auto* const failure = std::get_if<net::http_failure>(&result);
     if (failure != nullptr) {
@@ -64,6 +83,11 @@
         auto snapshot = read_instances(response.body, &skipped);
         m_counters.get("instance_list_entries_skipped_total")
             .add(static_cast<std::int64_t>(skipped));
+        if (snapshot.unreadable > 0) {
+            m_counters.get("instance_list_entries_unreadable_total")
+                .add(static_cast<std::int64_t>(snapshot.unreadable));
+            keep_missing_instances(snapshot);
+        }
         m_last = snapshot;
         m_known_index = snapshot.index;
         return snapshot;
--- a/source/core/membership/http_instance_list.h
+++ b/source/core/membership/http_instance_list.h
@@ -18,6 +18,7 @@
 
 private:
     [[nodiscard]] std::optional<instance_snapshot> read(const net::http_result& result);
+    void keep_missing_instances(instance_snapshot& snapshot) const;
 
     common::counters& m_counters;
     net::endpoint m_address;
--- a/source/core/membership/instance_format.cpp
+++ b/source/core/membership/instance_format.cpp
@@ -7,7 +7,9 @@
 
 #include <optional>
 #include <set>
+#include <string_view>
 #include <utility>
+#include <vector>
 
 namespace buckthornspar::membership {
 
@@ -32,6 +34,92 @@
     }
 }
 
+// The text of a list, divided so that entries that the JSON parser refuses, such as deeply nested
+// ones, leave the rest readable.
+struct divided_list {
+    /// The document with an empty array in place of the entries.
+    std::string document;
+    std::vector<std::string_view> entries;
+};
+
+constexpr std::string_view white_space = " \t\r\n";
+
+// Follows the nesting and the strings of a JSON text, without recursion.
+class text_scanner {
+public:
+    void pass(char c) {
+        if (m_in_string) {
+            m_in_string = m_escaped || c != '"';
+            m_escaped = !m_escaped && c == '\\';
+            return;
+        }
+        m_in_string = c == '"';
+        if (c == '[' || c == '{') {
+            ++m_depth;
+        } else if (c == ']' || c == '}') {
+            --m_depth;
+        }
+    }
+    [[nodiscard]] bool in_string() const { return m_in_string; }
+    [[nodiscard]] int depth() const { return m_depth; }
+
+private:
+    bool m_in_string = false;
+    bool m_escaped = false;
+    int m_depth = 0;
+};
+
+// Position behind the bracket that opens the array of entries; npos if there is none.
+std::size_t find_entries(std::string_view text) {
+    constexpr std::string_view key = "\"instances\"";
+    text_scanner scanner;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const bool key_position = scanner.depth() == 1 && !scanner.in_string();
+        if (key_position && text.substr(i).starts_with(key)) {
+            const auto colon = text.find_first_not_of(white_space, i + key.size());
+            const auto value = colon == std::string_view::npos || text[colon] != ':'
+                                   ? std::string_view::npos
+                                   : text.find_first_not_of(white_space, colon + 1);
+            if (value != std::string_view::npos && text[value] == '[') {
+                return value + 1;
+            }
+        }
+        scanner.pass(text[i]);
+    }
+    return std::string_view::npos;
+}
+
+divided_list divide(std::string_view text) {
+    divided_list result;
+    const auto begin = find_entries(text);
+    if (begin == std::string_view::npos) {
+        result.document = std::string(text);
+        return result;
+    }
+    text_scanner scanner;
+    auto first = begin;
+    for (auto i = begin; i < text.size(); ++i) {
+        const char c = text[i];
+        const bool outside = scanner.depth() == 0 && !scanner.in_string();
+        const bool end = outside && c == ']';
+        if (end || (outside && c == ',')) {
+            const auto entry = text.substr(first, i - first);
+            const bool blank = entry.find_first_not_of(white_space) == std::string_view::npos;
+            if (!blank || !end || !result.entries.empty()) {
+                result.entries.push_back(entry);
+            }
+            first = i + 1;
+        }
+        if (end) {
+            result.document = std::string(text.substr(0, begin)) + std::string(text.substr(i));
+            return result;
+        }
+        scanner.pass(c);
+    }
+    result.document = std::string(text);
+    return result;
+}
+
 /// Empty if the role is unknown.
 std::optional<instance> read_instance(const json::object& object) {
     instance i;
@@ -58,12 +146,22 @@
 instance_snapshot read_instances(const std::string& text, std::size_t* skipped) {
     std::size_t skipped_count = 0;
     try {
-        const json::value document = json::parse(text);
+        const auto list = divide(text);
+        const json::value document = json::parse(list.document);
+        static_cast<void>(document.at("instances").as_array());
         instance_snapshot snapshot;
         snapshot.index = document.at("index").to_number<std::uint64_t>();
         std::set<std::string> ids;
-        for (const auto& item : document.at("instances").as_array()) {
-            auto i = read_instance(item.as_object());
+        std::string last_failure;
+        for (const auto& entry : list.entries) {
+            std::optional<instance> i;
+            try {
+                i = read_instance(json::parse(entry).as_object());
+            } catch (const std::exception& e) {
+                last_failure = e.what();
+                ++snapshot.unreadable;
+                continue;
+            }
             if (!i) {
                 ++skipped_count;
                 continue;
@@ -73,6 +171,9 @@
             }
             snapshot.instances.push_back(std::move(*i));
         }
+        if (snapshot.unreadable > 0 && snapshot.unreadable == list.entries.size()) {
+            throw common::format_error(last_failure);
+        }
         if (skipped != nullptr) {
             *skipped = skipped_count;
         }
--- a/source/core/membership/instance_format.h
+++ b/source/core/membership/instance_format.h
@@ -9,9 +9,10 @@
 namespace buckthornspar::membership {
 
 /// Parses the JSON of the instance list (docs/platform-contract.md). Entries with a role that this
-/// release does not know are skipped and counted in skipped, because they must not make the rest of
-/// the list unusable. Throws common::format_error if the list is otherwise malformed or an id is
-/// listed twice.
+/// release does not know are skipped and counted in skipped, and those that cannot be read in
+/// instance_snapshot::unreadable, because they must not make the rest of the list unusable. Throws
+/// common::format_error if the list itself is malformed, an id is listed twice, or there are
+/// entries of which none can be read.
 [[nodiscard]] instance_snapshot read_instances(const std::string& text,
                                                std::size_t* skipped = nullptr);
 
--- a/source/core/membership/instance_list.h
+++ b/source/core/membership/instance_list.h
@@ -2,6 +2,7 @@
 
 #include "core/net/endpoint.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -31,6 +32,8 @@
 struct instance_snapshot {
     std::uint64_t index = 0;
     std::vector<instance> instances;
+    /// Entries that cannot be read. An instance that is missing from the list may be one of them.
+    std::size_t unreadable = 0;
 };
 
 /// Receives the snapshot, or an empty value if the list could not be read.
--- a/tests/unit/membership/http_instance_list_test.cpp
+++ b/tests/unit/membership/http_instance_list_test.cpp
@@ -113,4 +113,57 @@
     loop.stop();
 }
 
+// Guards against one odd entry that makes the whole list unusable: all processes stopped following
+// it.
+BOOST_AUTO_TEST_CASE(odd_entries_are_skipped) {
+    const std::string deep = std::string(1'000'000, '[') + std::string(1'000'000, ']');
+    const std::vector<std::string> odd_entries{
+        R"({"id":"w9","role":"worker","address":"127.0.0.1:70000","state":"live"})",
+        R"({"id":"w9","role":"worker","address":"127.0.0.1:-1","state":"live"})",
+        R"({"id":"w9","role":"runner","address":"127.0.0.1:1","state":"live","slots":1e300})",
+        R"({"id":"w9","role":"runner","address":"127.0.0.1:1","state":"live",)"
+        R"("slots":99999999999999999999999})",
+        R"({"id":"w9","role":"runner","address":"127.0.0.1:1","state":"live","slots":1e99999999999})",
+        R"({"id":"w9","role":"worker","state":"live"})",
+        R"({"id":7,"role":"worker","address":"127.0.0.1:1","state":"live"})",
+        R"({"id":"w9","role":"worker","address":"127.0.0.1:1","state":"resting"})",
+        R"("a, b], \" ]")",
+        "null",
+        "{",
+        R"({"x":)" + deep + "}",
+        deep,
+    };
+    for (const auto& odd : odd_entries) {
+        BOOST_TEST_CONTEXT(odd.substr(0, 100)) {
+            auto text = good_list;
+            text.insert(text.find("{\"id\":\"r1\""), odd + " , ");
+            if (odd == "{") {
+                BOOST_CHECK_THROW((void)read_instances(text), common::format_error);
+                continue;
+            }
+            const auto snapshot = read_instances(text);
+            BOOST_TEST(snapshot.unreadable == 1U);
+            BOOST_REQUIRE(snapshot.instances.size() == 2U);
+            BOOST_TEST(snapshot.instances[0].id == "w1");
+            BOOST_TEST(snapshot.instances[1].id == "r1");
+            BOOST_TEST(snapshot.index == 7U);
+        }
+    }
+}
+
+// Guards against a live instance that is taken for gone, because its entry cannot be read.
+BOOST_FIXTURE_TEST_CASE(an_unreadable_entry_removes_no_instance, list_fixture) {
+    handler.answer = net::json_response(200, good_list);
+    BOOST_REQUIRE(fetch().has_value());
+    auto text = good_list;
+    text.replace(text.find(":9000"), 5, ":90000");
+    handler.answer = net::json_response(200, text);
+    const auto snapshot = fetch();
+    BOOST_REQUIRE(snapshot.has_value());
+    BOOST_REQUIRE(snapshot->instances.size() == 2U);
+    BOOST_TEST(snapshot->instances[0].id == "r1");
+    BOOST_TEST(snapshot->instances[1].id == "w1");
+    BOOST_TEST(snapshot->instances[1].address.port == 9000U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
