--- a/source/core/net/endpoint.cpp
+++ b/source/core/net/endpoint.cpp
@@ -2,6 +2,8 @@
 
 #include "core/common/error.h"
 
+#include <boost/asio/ip/address.hpp>
+
 #include <charconv>
 
 namespace buckthornspar::net {
@@ -22,6 +24,12 @@
     return e;
 }
 
+bool is_ip_address(const std::string& text) {
+    boost::system::error_code failure;
+    boost::asio::ip::make_address(text, failure);
+    return !failure;
+}
+
 std::string to_string(const endpoint& e) {
     return e.address + ":" + std::to_string(e.port);
 }
--- a/source/core/net/endpoint.h
+++ b/source/core/net/endpoint.h
@@ -19,6 +19,8 @@
 /// is missing or out of range.
 [[nodiscard]] endpoint parse_endpoint(std::string_view text);
 
+[[nodiscard]] bool is_ip_address(const std::string& text);
+
 [[nodiscard]] std::string to_string(const endpoint& e);
 
 } // namespace buckthornspar::net
--- a/tests/unit/platform/clients_test.cpp
+++ b/tests/unit/platform/clients_test.cpp
@@ -115,6 +115,31 @@
     BOOST_TEST((start(200, "").status == order_status::no_answer));
 }
 
+// Guards against an answer with odd numbers that ends the owner's term: its failure reached the
+// event loop.
+BOOST_AUTO_TEST_CASE(odd_numbers_in_answers_are_no_answer) {
+    using dispatch::order_status;
+    bool failed = false;
+    loop.set_failure_handler([&failed] { failed = true; });
+    for (const std::string number :
+         {"18446744073709551615", "1e300", "-1e300", "9000000000000000000", "-7", "1e400"}) {
+        BOOST_TEST_CONTEXT(number) {
+            const auto body = R"({"clock_ms":)" + number + "}";
+            const auto result = start(200, body);
+            BOOST_TEST((result.status == order_status::no_answer));
+            BOOST_TEST(result.clock_ms == 0);
+            BOOST_TEST((look(200, body).status == order_status::no_answer));
+            BOOST_TEST((look(200, R"({"clock_ms":1,"born":)" + number + "}").status ==
+                        order_status::no_answer));
+        }
+    }
+    BOOST_TEST(!failed);
+    const auto result =
+        look(200, R"({"clock_ms":1,"running":[["5c0e7a21d94b36f8.0.1.17",2,"",1e300]]})");
+    BOOST_REQUIRE(result.running.size() == 1U);
+    BOOST_TEST(result.running[0].percent == 100);
+}
+
 // Guards against running or ended runs that are lost or mixed up in decoding.
 BOOST_AUTO_TEST_CASE(the_lists_of_a_worker_are_decoded) {
     const auto result = look(
--- a/tests/unit/platform/format_test.cpp
+++ b/tests/unit/platform/format_test.cpp
@@ -61,6 +61,44 @@
     BOOST_CHECK_THROW(static_cast<void>(format.read_worker("i", "[]")), common::format_error);
 }
 
+// Guards against an odd entry of another writer that is taken for a worker: its amounts and clocks
+// overflow in the sums of the planner, or its orders can never be sent.
+BOOST_AUTO_TEST_CASE(odd_entries_name_no_worker) {
+    const wire_format format;
+    const std::string deep = std::string(300'000, '[') + std::string(300'000, ']');
+    const std::vector<std::pair<std::string, std::string>> changes{
+        {"10.0.0.9:8080", "10.0.0.9:70000"},
+        {"10.0.0.9:8080", "10.0.0.9:-1"},
+        {"10.0.0.9:8080", "10.0.0.9:0"},
+        {"10.0.0.9:8080", "10.0.0.9:80808080808080808080"},
+        {"10.0.0.9:8080", "worker.example:8080"},
+        {"10.0.0.9:8080", "10.0.0.9\\r\\nX:8080"},
+        {"16000", "1e300"},
+        {"16000", "-1e300"},
+        {"16000", "99999999999999999999"},
+        {"16000", "9000000000000000000"},
+        {"32768", "18446744073709551615"},
+        {"\"gpu\":1", "\"gpu\":1e400"},
+        {"1700000000000", "1e300"},
+        {"1700000000000", "9000000000000000000"},
+        {"1700000000000", "-1"},
+        {"482113", "1e300"},
+        {"482113", "-5"},
+        {"{\"x\":1}", deep},
+        {"[\"a\",\"r1-3\"]", deep},
+    };
+    for (const auto& [from, to] : changes) {
+        BOOST_TEST_CONTEXT(from << " -> " << to.substr(0, 60)) {
+            BOOST_CHECK_THROW(static_cast<void>(format.read_worker("i", with(entry, from, to))),
+                              common::format_error);
+        }
+    }
+    BOOST_CHECK_THROW(static_cast<void>(format.read_worker("i", deep)), common::format_error);
+    for (const std::string id : {"", "i\r\nX: y", "i 1", "\xff"}) {
+        BOOST_CHECK_THROW(static_cast<void>(format.read_worker(id, entry)), common::format_error);
+    }
+}
+
 // Guards against a job that differs from the submitted one.
 BOOST_AUTO_TEST_CASE(a_submission_is_decoded) {
     const auto job = wire_format().read_submission(
