Do not run a job whose progress cannot be read

Callers would see tasks run twice: an owner that took over and could not read the progress of a job loaded the job as a new one.

Cause: progress was parsed into a table before the jobs were loaded, and a job that is missing there counts as new. All records also stayed in memory until the last one was loaded, beside the jobs.

Change: the progress is read with its job; if it cannot be read, the job is not run, also when the watch reads all keys again, and is counted (unreadable_jobs_total). A record is released once it is loaded.

Evidence: a_job_whose_progress_cannot_be_read_is_not_run fails on (both jobs start) and holds now; progress_and_ended_jobs_are_loaded guards the new order; owner_controller_suite passes.

--- a/source/core/service/owner_controller.h
+++ b/source/core/service/owner_controller.h
@@ -18,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace buckthornspar::service {
@@ -80,8 +81,10 @@
     void load_workers(const std::vector<dispatch::store_item>& items);
     /// Loads as many records as fit in a short time and continues later with the next ones.
     void load_records();
-    void load_progress(const dispatch::store_item& item);
-    void load_active_item(const dispatch::store_item& item);
+    void load_active_item(dispatch::store_item& item);
+    /// Progress of a job from the records that are not loaded yet; empty when it has none.
+    [[nodiscard]] dispatch::job_progress take_progress(const std::string& id);
+    void load_ended_job(const dispatch::store_item& item);
     void finish_loading();
     void watch_active_keys(const prefix_contents& known);
     void watch_worker_entries(const prefix_contents& known);
@@ -134,9 +137,12 @@
     std::vector<dispatch::queue_settings> m_queues;
     prefix_contents m_active_contents;
     std::vector<dispatch::store_item> m_progress_items;
-    /// Number of records of m_progress_items and then of m_active_contents that are loaded.
+    /// Number of records of m_active_contents and then of m_progress_items that are loaded. The
+    /// value of a loaded record is released.
     std::size_t m_loaded_records = 0;
-    std::map<std::string, dispatch::job_progress> m_progress;
+    /// Jobs whose progress cannot be read. They are not run, because nothing shows which of their
+    /// tasks have succeeded.
+    std::set<std::string> m_unreadable_jobs;
     prefix_contents m_worker_contents;
     std::optional<dispatch::store_item> m_workers_record;
     std::optional<dispatch::store_item> m_sequence;
--- a/source/core/service/owner_controller_loading.cpp
+++ b/source/core/service/owner_controller_loading.cpp
@@ -94,8 +94,7 @@
     watch_active_keys(m_active_contents);
     watch_worker_entries(m_worker_contents);
     m_active_contents = {};
-    m_progress_items.clear();
-    m_progress.clear();
+    m_progress_items = {};
     m_worker_contents = {};
     m_loaded = true;
     process_soon();
@@ -108,20 +107,24 @@
 }
 
 // Thousands of records in one step would hold up the event loop, and with it the renewal of the
-// lease, for longer than the lease on a node with a small processor share.
+// lease, for longer than the lease on a node with a small processor share. A record is released
+// once it is loaded, so that an owner does not hold all jobs twice.
 void owner_controller::load_records() {
     if (!m_active) {
         return;
     }
     const auto pause_at = m_env.clock.now() + load_step_time;
-    const auto& active = m_active_contents.items;
-    const auto records = m_progress_items.size() + active.size();
+    auto& active = m_active_contents.items;
+    const auto records = active.size() + m_progress_items.size();
     while (m_loaded_records < records) {
         const auto record = m_loaded_records++;
-        if (record < m_progress_items.size()) {
-            load_progress(m_progress_items[record]);
+        if (record < active.size()) {
+            load_active_item(active[record]);
+            std::string().swap(active[record].value);
         } else {
-            load_active_item(active[record - m_progress_items.size()]);
+            auto& item = m_progress_items[record - active.size()];
+            load_ended_job(item);
+            std::string().swap(item.value);
         }
         if (m_env.clock.now() >= pause_at) {
             // Keeps the lease while the process is busy with loading.
@@ -133,22 +136,40 @@
     finish_loading();
 }
 
-void owner_controller::load_progress(const store_item& item) {
-    const auto now = m_env.clock.now();
+void owner_controller::load_ended_job(const store_item& item) {
+    if (item.value.empty()) {
+        // Loaded with its job.
+        return;
+    }
     const auto id = without_prefix(item.key, progress_prefix);
     try {
-        auto record = read_progress(id, item.value);
+        const auto record = read_progress(id, item.value);
         if (is_final(record.state)) {
+            const auto now = m_env.clock.now();
             m_env.directory.apply_change(now, {id, "", record.state, record.accepted_by});
             m_ended_jobs.emplace_back(now, id);
         }
-        m_progress.emplace(id, std::move(record));
     } catch (const common::error& e) {
         log_event(severity::error, "progress_unreadable", {{"job", id}, {"reason", e.what()}});
     }
 }
 
-void owner_controller::load_active_item(const store_item& item) {
+job_progress owner_controller::take_progress(const std::string& id) {
+    const auto key = progress_key(id);
+    const auto found =
+        std::lower_bound(m_progress_items.begin(), m_progress_items.end(), key,
+                         [](const store_item& item, const std::string& k) { return item.key < k; });
+    if (found == m_progress_items.end() || found->key != key) {
+        return {};
+    }
+    auto progress = read_progress(id, found->value);
+    if (!is_final(progress.state)) {
+        std::string().swap(found->value);
+    }
+    return progress;
+}
+
+void owner_controller::load_active_item(store_item& item) {
     const auto now = m_env.clock.now();
     if (item.key.starts_with(cancel_prefix)) {
         m_dispatcher.on_cancel(now, without_prefix(item.key, cancel_prefix));
@@ -158,11 +179,11 @@
     }
     const auto id = without_prefix(item.key, job_prefix);
     try {
-        const auto found = m_progress.find(id);
-        m_dispatcher.on_job(now, read_job(item.value),
-                            found == m_progress.end() ? job_progress{} : found->second,
-                            item.revision);
+        const auto progress = take_progress(id);
+        m_dispatcher.on_job(now, read_job(item.value), progress, item.revision);
     } catch (const common::error& e) {
+        m_unreadable_jobs.insert(id);
+        m_env.counters.get("unreadable_jobs_total").add();
         log_event(severity::error, "job_unreadable", {{"job", id}, {"reason", e.what()}});
     }
 }
@@ -251,8 +272,9 @@
     }
     const auto id = without_prefix(item.key, job_prefix);
     const auto known = m_env.directory.state_of(id);
-    if (known && is_final(*known)) {
-        // The snapshot was read before the key of this ended job was removed.
+    if (m_unreadable_jobs.contains(id) || (known && is_final(*known))) {
+        // The snapshot was read before the key of this ended job was removed, or its progress
+        // cannot be read.
         return;
     }
     try {
--- a/tests/unit/service/owner_controller_test.cpp
+++ b/tests/unit/service/owner_controller_test.cpp
@@ -431,4 +431,49 @@
     BOOST_TEST(run_until([&] { return starts_of("a") == 1; }, 1s));
 }
 
+// Guards against tasks that run again because another writer has damaged the record of their
+// progress: the job was taken for a new one.
+BOOST_AUTO_TEST_CASE(a_job_whose_progress_cannot_be_read_is_not_run) {
+    for (const auto* const id : {"a", "b", "c"}) {
+        submit(id, 1000);
+    }
+    store.apply({{}, {{progress_key("a"), "{", 0}}, {}});
+    store.apply({{}, {{progress_key("b"), R"({"state":"running","tasks":[[0,0,7]]})", 0}}, {}});
+    become_owner(4);
+    run_for(200ms);
+    BOOST_TEST(starts_of("a") == 0U);
+    BOOST_TEST(starts_of("b") == 0U);
+    BOOST_TEST(starts_of("c") == 1U);
+    // A watch that has to read all keys again finds the jobs once more.
+    store.drop_history();
+    submit("d", 1000);
+    BOOST_TEST(run_until([&] { return starts_of("d") == 1U; }));
+    BOOST_TEST(starts_of("a") == 0U);
+    BOOST_TEST(starts_of("b") == 0U);
+    BOOST_TEST(counters.get("unreadable_jobs_total").value() == 2);
+}
+
+// Guards against a successor that does not see finished tasks, or the state of ended jobs, among
+// the records.
+BOOST_AUTO_TEST_CASE(progress_and_ended_jobs_are_loaded) {
+    submit("a", 1000);
+    submit("b", 1000);
+    dispatch::job_progress progress;
+    progress.state = dispatch::job_state::running;
+    progress.succeeded[{0, 0}].insert(0);
+    store.apply({{}, {{progress_key("b"), dispatch::write_progress(progress), 0}}, {}});
+    progress = {};
+    progress.state = dispatch::job_state::completed;
+    for (const auto* const id : {"0", "az", "z"}) {
+        store.apply({{}, {{progress_key(id), dispatch::write_progress(progress), 0}}, {}});
+    }
+    become_owner(4);
+    run_for(200ms);
+    BOOST_TEST(starts_of("a") == 1U);
+    BOOST_TEST(starts_of("b") == 0U);
+    for (const auto* const id : {"0", "az", "z"}) {
+        BOOST_TEST((directory.state_of(id) == dispatch::job_state::completed));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
