--- a/source/core/dispatch/job_entry.cpp
+++ b/source/core/dispatch/job_entry.cpp
@@ -309,9 +309,11 @@
 std::int64_t memory_of(const job_spec& spec) {
     // The id is also the key of several tables.
     constexpr std::int64_t copies_of_id = 4;
+    // Entries of a job with a waiting step in the tables of waiting steps.
+    constexpr std::int64_t waiting_step_bytes = 320;
     auto bytes = static_cast<std::int64_t>(sizeof(job_entry) + sizeof(occurrence_state)) +
-                 copies_of_id * (node_overhead + memory_of(spec.id)) + memory_of(spec.payload) +
-                 memory_of(spec.queue) + memory_of(spec.accepted_by);
+                 waiting_step_bytes + copies_of_id * (node_overhead + memory_of(spec.id)) +
+                 memory_of(spec.payload) + memory_of(spec.queue) + memory_of(spec.accepted_by);
     for (const auto& step : spec.steps) {
         bytes += static_cast<std::int64_t>(sizeof(step_spec) + sizeof(step_state)) + node_overhead +
                  static_cast<std::int64_t>(step.after.size() * sizeof(std::uint32_t)) +
