Bound the tasks that a damaged record names, and refuse fewer schedules

Found while reading the change again: a damaged record could name many rows of a million tasks each; a job whose record was written without run numbers counted as not begun for a successor; nodes that follow an owner of an earlier version, which reports no headroom, would refuse all jobs in the end; and the limit on the times of a schedule refused two thousand million occurrences a minute apart, which can be held.

--- a/source/core/dispatch/job_entry.cpp
+++ b/source/core/dispatch/job_entry.cpp
@@ -29,13 +29,11 @@
 
 // Steps have a state each while their occurrence is open.
 constexpr std::size_t max_steps_per_job = 2'000;
-// Times beyond these would exceed the range of the clock's arithmetic. In milliseconds, a thousand
-// years.
-constexpr std::int64_t max_time_ms = std::int64_t{1000} * 366 * 24 * 3600 * 1000;
-
-bool is_time(std::int64_t ms) {
-    return ms >= 0 && ms <= max_time_ms;
-}
+// Larger times would exceed the range of the clock's arithmetic, which adds them up in
+// microseconds.
+constexpr std::int64_t max_estimate_ms = std::int64_t{10} * 366 * 24 * 3600 * 1000;
+constexpr std::int64_t max_first_ms = std::int64_t{1} << 50U;
+constexpr std::int64_t max_schedule_ms = std::int64_t{1} << 61U;
 
 // Overhead of a block of memory and of a node of a tree.
 constexpr std::int64_t node_overhead = 48;
@@ -281,7 +279,8 @@
     job.revision = revision;
     job.first_seen_at = now;
     restore(job, progress);
-    const bool begun = !progress.finished.empty() || !progress.succeeded.empty() ||
+    const bool begun = progress.state == job_state::running || !progress.finished.empty() ||
+                       !progress.succeeded.empty() ||
                        std::any_of(progress.tasks.begin(), progress.tasks.end(),
                                    [](const auto& entry) { return entry.second.last_run > 0; });
     job.state = begun ? job_state::running : job_state::queued;
@@ -295,12 +294,13 @@
                                    " steps");
     }
     const auto& schedule = spec.schedule;
-    if (schedule.repeats > 0 && (!is_time(schedule.first_ms) || !is_time(schedule.interval_ms) ||
-                                 schedule.interval_ms > max_time_ms / schedule.repeats)) {
+    if (schedule.repeats > 0 &&
+        (schedule.first_ms < 0 || schedule.first_ms > max_first_ms || schedule.interval_ms < 0 ||
+         schedule.interval_ms > max_schedule_ms / schedule.repeats)) {
         throw common::format_error("the times of the schedule are out of range");
     }
     for (const auto& step : spec.steps) {
-        if (!is_time(step.estimate_ms)) {
+        if (step.estimate_ms < 0 || step.estimate_ms > max_estimate_ms) {
             throw common::format_error("the estimate of a step is out of range");
         }
     }
--- a/source/core/dispatch/progress.cpp
+++ b/source/core/dispatch/progress.cpp
@@ -15,8 +15,8 @@
 
 // Workers have long forgotten an ended run when this many later runs have ended, so it is dropped.
 constexpr std::size_t max_processed_runs = 64;
-// More than a job may have; a damaged record must not use up the memory.
-constexpr std::uint32_t max_tasks_per_row = 1U << 20U;
+// More than a record may name; a damaged one must not use up the memory.
+constexpr std::size_t max_tasks_in_progress = std::size_t{1} << 17U;
 
 json::object parse_object(std::string_view text) {
     boost::system::error_code failure;
@@ -172,8 +172,8 @@
                  row.at(2).to_number<std::uint32_t>()};
     // Records of earlier versions have one row for each task.
     const auto count = row.size() > 10 ? row.at(10).to_number<std::uint32_t>() : 1U;
-    if (count == 0 || count > max_tasks_per_row) {
-        throw common::format_error("a row of tasks has an impossible length");
+    if (count == 0 || count > max_tasks_in_progress - progress.tasks.size()) {
+        throw common::format_error("the record names an impossible number of tasks");
     }
     const auto task = task_from_json(row);
     if (task.succeeded) {
--- a/source/core/service/peer_exchange.cpp
+++ b/source/core/service/peer_exchange.cpp
@@ -341,8 +341,9 @@
             m_env.directory.set_pending(counted_at - page.pending->age,
                                         std::move(page.pending->counts));
         }
-        if (page.headroom && m_env.admission != nullptr) {
-            m_env.admission->set_headroom(*page.headroom);
+        if (page.pending && m_env.admission != nullptr) {
+            // An owner of an earlier version reports no headroom.
+            m_env.admission->set_headroom(page.headroom.value_or(m_env.admission->limit()));
         }
         m_position = page.next;
         m_last_owner_answer = now;
--- a/tests/unit/dispatch/memory_test.cpp
+++ b/tests/unit/dispatch/memory_test.cpp
@@ -236,6 +236,8 @@
     const auto& record = stored.at("a");
     BOOST_TEST(record.size() <= std::size_t{1} << 20U);
     const auto known = read_progress("a", record);
+    // The job has begun, also for a successor.
+    BOOST_TEST((make_job(spec, known, 20, now).state == job_state::running));
     for (std::uint32_t index = 0; index < 20'000; ++index) {
         const auto task = known.tasks.find({"a", 0, 0, index});
         const auto last_run = task == known.tasks.end() ? 0U : task->second.last_run;
@@ -298,6 +300,12 @@
     BOOST_CHECK_THROW(
         read_progress("a", R"({"state":"running","tasks":[[0,0,0,0,[],1,0,"",0,0,4000000000]]})"),
         common::format_error);
+    std::string rows = "[0,0,0,0,[],1,0,\"\",0,0,100000]";
+    for (int i = 1; i < 100; ++i) {
+        rows += ",[" + std::to_string(i) + ",0,0,0,[],1,0,\"\",0,0,100000]";
+    }
+    BOOST_CHECK_THROW(read_progress("a", R"({"state":"running","tasks":[)" + rows + "]}"),
+                      common::format_error);
 }
 
 // Guards against a record of an earlier version, with a row for each succeeded task, that is
