--- a/tests/unit/dispatch/memory_test.cpp
+++ b/tests/unit/dispatch/memory_test.cpp
@@ -298,14 +298,16 @@
 // Guards against a damaged record that uses up the memory of each process that reads it.
 BOOST_AUTO_TEST_CASE(a_row_of_too_many_tasks_is_refused) {
     BOOST_CHECK_THROW(
-        read_progress("a", R"({"state":"running","tasks":[[0,0,0,0,[],1,0,"",0,0,4000000000]]})"),
+        static_cast<void>(read_progress(
+            "a", R"({"state":"running","tasks":[[0,0,0,0,[],1,0,"",0,0,4000000000]]})")),
         common::format_error);
     std::string rows = "[0,0,0,0,[],1,0,\"\",0,0,100000]";
     for (int i = 1; i < 100; ++i) {
         rows += ",[" + std::to_string(i) + ",0,0,0,[],1,0,\"\",0,0,100000]";
     }
-    BOOST_CHECK_THROW(read_progress("a", R"({"state":"running","tasks":[)" + rows + "]}"),
-                      common::format_error);
+    BOOST_CHECK_THROW(
+        static_cast<void>(read_progress("a", R"({"state":"running","tasks":[)" + rows + "]}")),
+        common::format_error);
 }
 
 // Guards against a record of an earlier version, with a row for each succeeded task, that is
