--- a/tests/unit/membership/http_instance_list_test.cpp
+++ b/tests/unit/membership/http_instance_list_test.cpp
@@ -121,8 +121,7 @@
         R"({"id":"w9","role":"worker","address":"127.0.0.1:70000","state":"live"})",
         R"({"id":"w9","role":"worker","address":"127.0.0.1:-1","state":"live"})",
         R"({"id":"w9","role":"runner","address":"127.0.0.1:1","state":"live","slots":1e300})",
-        R"({"id":"w9","role":"runner","address":"127.0.0.1:1","state":"live",)"
-        R"("slots":99999999999999999999999})",
+        R"({"id":"w9","role":"runner","address":"127.0.0.1:1","state":"live","slots":99999999999999999999999})",
         R"({"id":"w9","role":"runner","address":"127.0.0.1:1","state":"live","slots":1e99999999999})",
         R"({"id":"w9","role":"worker","state":"live"})",
         R"({"id":7,"role":"worker","address":"127.0.0.1:1","state":"live"})",
