End thousands of runs in a test without a quadratic search

dispatch_memory took over 150 s under the thread sanitizer (limit 300 s), because the fixture searched all runs of a worker for each end. What the tests check is unchanged.

--- a/tests/unit/dispatch/dispatch_fixture.h
+++ b/tests/unit/dispatch/dispatch_fixture.h
@@ -137,7 +137,12 @@
     void end_run(const std::string& worker, const run_key& run, run_end how,
                  const std::string& checkpoint = "") {
         auto& runs = running[worker];
-        std::erase_if(runs, [&run](const running_run& item) { return item.run == run; });
+        // From the back, so that tests with thousands of runs may end the latest ones first.
+        const auto last = std::find_if(runs.rbegin(), runs.rend(),
+                                       [&run](const running_run& item) { return item.run == run; });
+        if (last != runs.rend()) {
+            runs.erase(std::next(last).base());
+        }
         ended[worker].push_back({++end_numbers[worker], run, how, checkpoint});
     }
 
--- a/tests/unit/dispatch/memory_test.cpp
+++ b/tests/unit/dispatch/memory_test.cpp
@@ -8,6 +8,8 @@
 #include "dispatch_fixture.h"
 #include "fakes/allocation_count.h"
 
+#include <algorithm>
+
 using namespace buckthornspar;
 using namespace buckthornspar::dispatch;
 using namespace buckthornspar::dispatch::test;
@@ -204,7 +206,9 @@
     std::size_t largest = 0;
     for (int round = 0; round < 60 && engine.jobs().contains("a"); ++round) {
         advance(50ms);
-        for (const auto& order : take_starts()) {
+        auto started = take_starts();
+        std::reverse(started.begin(), started.end());
+        for (const auto& order : started) {
             end_run(order.worker, order.run, run_end::succeeded);
         }
         advance(50ms);
@@ -223,8 +227,9 @@
     spec.steps[0].demand = {1, 1, 0};
     engine.on_job(now, spec, {}, 20);
     run_until_idle();
-    const auto lost = take_starts();
+    auto lost = take_starts();
     BOOST_REQUIRE(lost.size() == 20'000U);
+    std::reverse(lost.begin(), lost.end());
     for (const auto& order : lost) {
         const auto how = order.run.task.index % 2 == 0 ? run_end::lapsed : run_end::failed;
         end_run(order.worker, order.run, how,
