Do not refuse a repeat for want of memory while the store cannot be read

A node without memory for jobs reads the store to see whether a submission repeats an accepted one. When the read failed, it answered 503 "not stored", which may be untrue. It answers 504 now: the outcome is unknown.

Evidence: a_repeat_is_not_refused_while_the_store_cannot_be_read fails without the change (503) and holds now; caller_api_suite passes.

--- a/source/core/service/caller_api.cpp
+++ b/source/core/service/caller_api.cpp
@@ -158,6 +158,13 @@
                                store_job(request, job, 0);
                                return;
                            }
+                           if (result.outcome != intake_outcome::no_such_job) {
+                               answer(request,
+                                      net::error_response(504, "outcome_unknown",
+                                                          "the job may have been stored before"),
+                                      "unknown", "store_gave_no_answer");
+                               return;
+                           }
                            answer(request, refusal(503, "no_memory", "the job was not stored"),
                                   "refused", "no_memory");
                        });
--- a/tests/unit/service/caller_api_test.cpp
+++ b/tests/unit/service/caller_api_test.cpp
@@ -174,6 +174,17 @@
     BOOST_TEST(call(net::http_method::post, "/jobs/b").status == 503U);
 }
 
+// Guards against the same refusal when the store does not tell whether the job was accepted before.
+BOOST_AUTO_TEST_CASE(a_repeat_is_not_refused_while_the_store_cannot_be_read) {
+    BOOST_TEST(call(net::http_method::post, "/jobs/a").status == 200U);
+    admission.set_headroom(0);
+    store.reads_fail = true;
+    BOOST_TEST(call(net::http_method::post, "/jobs/a").status == 504U);
+    store.reads_fail = false;
+    health.record_outcome(dispatch::store_status::ok);
+    BOOST_TEST(call(net::http_method::post, "/jobs/a").status == 200U);
+}
+
 // Guards against a node that accepts more than is left for it before the owner reports again, and
 // against memory that stays taken by jobs that were not stored.
 BOOST_AUTO_TEST_CASE(memory_is_taken_by_accepted_jobs_only) {
