Log authority, adoption and removal of workers around a take-over

No line says which workers a successor gave up waiting for, when an owner lost its majority, or who renewed the leases of a worker.

Change: authority_held and authority_lost, worker_adopted (first answer of a worker under a fence), the workers and times in recovered, silent_workers_settled and worker_gone, and the counter lease_renewals_total{authority}. No decision changes. A line a worker and term; the lists name at most eight workers.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -295,6 +295,20 @@
     m_authority.set_quorums(ids, ids);
 }
 
+void dispatcher::log_authority_change(common::time_point now) {
+    const bool held = has_authority(now);
+    if (held == m_authority_logged) {
+        return;
+    }
+    m_authority_logged = held;
+    std::size_t reachable = 0;
+    for (const auto& entry : m_workers.all()) {
+        reachable += entry.second.adopted && entry.second.reachable ? 1U : 0U;
+    }
+    log_event(held ? severity::info : severity::warning, held ? "authority_held" : "authority_lost",
+              {{"fence", m_fence}, {"reachable", reachable}, {"workers", m_workers.all().size()}});
+}
+
 // Silence towards this owner alone does not show that a worker is dead: the owner's link may be
 // slow, and runs of the worker may have succeeded. Their tasks wait for a sign from another source.
 bool dispatcher::is_dead(const worker_entry& worker, common::time_point now) const {
@@ -331,8 +345,12 @@
         }
     }
     for (const auto& id : removable) {
-        log_event(severity::info, "worker_gone", {{"worker", id}});
         auto& worker = *m_workers.find(id);
+        log_event(severity::info, "worker_gone",
+                  {{"worker", id},
+                   {"fence", m_fence},
+                   {"answered", worker.known ? 1 : 0},
+                   {"term_ms", common::to_milliseconds(now - m_taken_over_at)}});
         confirm_crash(now, worker);
         m_workers.erase(id);
         m_unreported_runs_possible |= m_unadopted.erase(id) > 0;
@@ -367,6 +385,11 @@
         // or it would never be certain that the worker's runs have ended.
         const bool renew = worker->reachable || (call.through_peer && worker->answers_through_peer);
         call.order.valid_until_ms = renew ? m_workers.grant_lease(*worker, now) : 0;
+        if (call.order.valid_until_ms != 0) {
+            m_counters
+                .get("lease_renewals_total", "authority", has_authority(now) ? "held" : "none")
+                .add();
+        }
         const bool wait = worker->adopted && worker->poll_failures == 0 && !worker->runs.empty() &&
                           worker->ends_received == worker->ends_saved &&
                           !worker->has_uncertain_runs();
@@ -437,6 +460,9 @@
         worker->reachable = true;
         worker->poll_failures = 0;
     }
+    if (!worker->known) {
+        log_adoption(now, *worker, result, call.through_peer);
+    }
     worker->adopted = true;
     worker->known = true;
     m_unadopted.erase(call.order.worker);
@@ -466,6 +492,7 @@
         check_workers(now);
         check_stops(now);
     }
+    log_authority_change(now);
     check_recovery(now);
     if ((m_replan_needed && now >= m_next_plan) || now >= m_next_plan + max_plan_interval) {
         m_replan_needed = false;
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -144,6 +144,8 @@
     void check_workers(common::time_point now);
     [[nodiscard]] bool is_dead(const worker_entry& worker, common::time_point now) const;
     void update_quorum();
+    /// Logs that the authority has been won or lost since the last call.
+    void log_authority_change(common::time_point now);
     void end_job(common::time_point now, job_entry& job, job_state state, std::string_view reason);
     void mark_dirty(const job_entry& job) { m_dirty_jobs.insert(job.spec.id); }
     void mark_running(job_entry& job);
@@ -160,6 +162,8 @@
     // dispatcher_recovery.cpp
     void check_recovery(common::time_point now);
     void skip_possible_run_numbers(job_entry& job) const;
+    void log_adoption(common::time_point now, const worker_entry& worker, const poll_result& result,
+                      bool through_peer) const;
     [[nodiscard]] bool is_unresponsive(const worker_entry& worker) const;
     /// The job's tasks may be running on workers that have not answered yet.
     [[nodiscard]] bool may_have_unreported_runs(const job_entry& job) const;
@@ -252,6 +256,7 @@
     scheduling::authority m_authority;
     /// Workers have been added or removed since the quorum was set.
     bool m_quorum_outdated = true;
+    bool m_authority_logged = false;
     std::map<std::string, queue_settings> m_queues;
     std::map<std::string, job_entry> m_jobs;
     /// Number of the jobs that have a schedule.
@@ -282,6 +287,7 @@
     std::set<std::string> m_jobs_on_unresponsive_workers;
     /// A worker that may have held runs never answered, or has restarted since it held them.
     bool m_unreported_runs_possible = false;
+    common::time_point m_taken_over_at;
     std::optional<common::time_point> m_majority_at;
     std::set<std::string> m_recorded_workers;
     bool m_workers_dirty = false;
--- a/source/core/dispatch/dispatcher_recovery.cpp
+++ b/source/core/dispatch/dispatcher_recovery.cpp
@@ -22,11 +22,26 @@
     return worker.has_uncertain_runs() ? 0 : worker.report.start_time_ms;
 }
 
+// Names of the workers, of the first ones only so that the line stays short.
+std::string list_names(const std::set<std::string>& workers) {
+    constexpr std::size_t most = 8;
+    std::string text;
+    std::size_t count = 0;
+    for (const auto& id : workers) {
+        if (++count > most) {
+            return text + ",...";
+        }
+        text += (count == 1 ? "" : ",") + id;
+    }
+    return text;
+}
+
 } // namespace
 
 void dispatcher::take_over(common::time_point now, std::uint64_t fence,
                            const std::string& recorded_workers) {
     m_fence = fence;
+    m_taken_over_at = now;
     worker_record record;
     try {
         record = read_worker_record(recorded_workers);
@@ -108,6 +123,18 @@
            (!m_recovered || m_jobs_on_unresponsive_workers.contains(job.spec.id));
 }
 
+void dispatcher::log_adoption(common::time_point now, const worker_entry& worker,
+                              const poll_result& result, bool through_peer) const {
+    log_event(severity::info, "worker_adopted",
+              {{"worker", worker.report.id},
+               {"fence", m_fence},
+               {"running", result.running.size()},
+               {"ended", result.ended.size()},
+               {"through_peer", through_peer ? 1 : 0},
+               {"listed", worker.listed ? 1 : 0},
+               {"term_ms", common::to_milliseconds(now - m_taken_over_at)}});
+}
+
 void dispatcher::skip_possible_run_numbers(job_entry& job) const {
     // Runs that no worker reported may have existed. Their numbers are not reused, neither by this
     // owner nor by a later one that does not learn of the runs of this term.
@@ -136,11 +163,15 @@
                 skip_possible_run_numbers(entry.second);
             }
         }
-        log_event(severity::info, "recovered",
-                  {{"fence", m_fence},
-                   {"unadopted", m_unadopted.size()},
-                   {"silent", m_unresponsive_workers.size()},
-                   {"jobs", m_jobs.size()}});
+        log_event(
+            severity::info, "recovered",
+            {{"fence", m_fence},
+             {"unadopted", m_unadopted.size()},
+             {"unadopted_workers", list_names(m_unadopted)},
+             {"silent", m_unresponsive_workers.size()},
+             {"jobs", m_jobs.size()},
+             {"term_ms", common::to_milliseconds(now - m_taken_over_at)},
+             {"majority_ms", m_majority_at ? common::to_milliseconds(now - *m_majority_at) : -1}});
         m_unadopted.clear();
     }
     if (m_recovered && !m_jobs_on_unresponsive_workers.empty() &&
@@ -152,6 +183,7 @@
         }
         log_event(severity::info, "silent_workers_settled",
                   {{"unanswered", m_unresponsive_workers.size()},
+                   {"unanswered_workers", list_names(m_unresponsive_workers)},
                    {"jobs", m_jobs_on_unresponsive_workers.size()}});
         m_unresponsive_workers.clear();
         m_jobs_on_unresponsive_workers.clear();
