Wait for unlisted workers until the former owner's leases have ended

Cause: a successor waits for silent workers of the former owner until its majority + authority (2 s) + lease (4.2 s), but check_workers removed a worker that is missing in the instance list 4.1 s after the take-over, and with it the entry for which check_recovery waits. A worker that is cut off from the store together with the former owner has no entry, and the former owner may renew its leases until its authority ends.

Change: a worker that is waited for is removed only when the leases that a former owner may have granted are over. Without a majority the time counts from the take-over.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -340,7 +340,8 @@
             m_workers_dirty = true;
         }
         if (!worker.listed && now > worker.unlisted_since + m_settings.unlisted_grace &&
-            worker.runs.empty() && !worker.reachable && now > worker.lease_end) {
+            worker.runs.empty() && !worker.reachable && now > worker.lease_end &&
+            (!is_waited_for(id) || former_leases_over(now))) {
             removable.push_back(id);
         }
     }
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -161,6 +161,12 @@
 
     // dispatcher_recovery.cpp
     void check_recovery(common::time_point now);
+    /// The leases that a former owner may have granted have ended.
+    [[nodiscard]] bool former_leases_over(common::time_point now) const;
+    /// The worker may hold runs of a former owner that no list has shown.
+    [[nodiscard]] bool is_waited_for(const std::string& worker) const {
+        return m_unadopted.contains(worker) || m_unresponsive_workers.contains(worker);
+    }
     void skip_possible_run_numbers(job_entry& job) const;
     void log_adoption(common::time_point now, const worker_entry& worker, const poll_result& result,
                       bool through_peer) const;
--- a/source/core/dispatch/dispatcher_recovery.cpp
+++ b/source/core/dispatch/dispatcher_recovery.cpp
@@ -141,6 +141,16 @@
     job.possible_runs = std::max(job.possible_runs, m_term * runs_per_term);
 }
 
+// A former owner that has lost its majority sends no orders after its authority has expired. Runs
+// that it started or renewed until then end with their lease. Without a majority of its own, this
+// owner counts from its take-over, so that workers that are gone do not hold up their jobs for
+// good.
+bool dispatcher::former_leases_over(common::time_point now) const {
+    const auto lease = m_settings.leases.lease;
+    const auto since = m_majority_at.value_or(m_taken_over_at);
+    return now > since + m_settings.authority + lease + lease / 20;
+}
+
 void dispatcher::check_recovery(common::time_point now) {
     if (m_recovered && m_jobs_on_unresponsive_workers.empty()) {
         return;
@@ -148,11 +158,7 @@
     if (!m_majority_at && has_authority(now)) {
         m_majority_at = now;
     }
-    // A former owner that has lost its majority sends no orders after its authority has expired.
-    // Runs that it started or renewed until then end with their lease.
-    const auto lease = m_settings.leases.lease;
-    const bool lapsed =
-        m_majority_at && now > *m_majority_at + m_settings.authority + lease + lease / 20;
+    const bool lapsed = m_majority_at && former_leases_over(now);
     if (!m_recovered && m_term_recorded && (m_unadopted.empty() || lapsed)) {
         m_recovered = true;
         m_replan_needed = true;
