Start nothing on a restarted worker before its report is read

What callers would see: more work on a worker than it has room for (LIMIT).

Cause: an answer to a poll shows the new incarnation of a worker before the instance list does. on_poll_result kept the report of the former incarnation, so that starts were planned with its capacity, labels and rack. A new incarnation may be of another kind (PROTOCOL.md).

Change: worker_entry::described is false from such an answer until a report of the incarnation arrives; the worker is not usable meanwhile.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -448,6 +448,7 @@
         worker = m_workers.find(call.order.worker);
         worker->listed = listed;
         if (change.restarted) {
+            worker->described = false;
             log_event(severity::info, "worker_restarted",
                       {{"worker", call.order.worker}, {"born_ms", result.start_time_ms}});
             handle_worker_restart(now, call.order.worker, change);
--- a/source/core/dispatch/worker_registry.cpp
+++ b/source/core/dispatch/worker_registry.cpp
@@ -77,6 +77,7 @@
     }
     worker.report = report;
     worker.listed = true;
+    worker.described = true;
     if ((added || result.restarted) && report.clock_ms != 0) {
         update_clock(worker, now, report.clock_ms);
     }
--- a/source/core/dispatch/worker_registry.h
+++ b/source/core/dispatch/worker_registry.h
@@ -81,6 +81,9 @@
     worker_report report;
     bool listed = true;
     common::time_point unlisted_since;
+    /// False while only an answer has shown the current incarnation: its capacity, labels and rack
+    /// may differ from those of the report.
+    bool described = true;
 
     /// The current incarnation of the worker has answered a poll under the owner's fence.
     bool adopted = false;
--- a/tests/unit/dispatch/capacity_change_test.cpp
+++ b/tests/unit/dispatch/capacity_change_test.cpp
@@ -57,6 +57,20 @@
     BOOST_TEST(f.take_starts().size() == 1U);
 }
 
+// Guards against a start over the capacity of a worker that restarts smaller: its answer to a poll
+// shows the new incarnation before the instance list has its capacity.
+BOOST_AUTO_TEST_CASE(a_restarted_worker_gets_no_start_before_its_report) {
+    capacity_fixture f({"w1"});
+    f.incarnations["w1"] = 2000;
+    f.advance(2s);
+    f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1 * cores), {}, 11);
+    f.advance(1s);
+    BOOST_TEST(f.take_starts().empty());
+    f.report_from("w1");
+    f.advance(100ms);
+    BOOST_TEST(f.take_starts().size() == 1U);
+}
+
 // Guards against a gang that is planned on a capacity that is no longer there.
 BOOST_AUTO_TEST_CASE(a_gang_waits_until_the_capacity_is_back) {
     capacity_fixture f({"w1", "w2"});
