End a term whose key was gone or replaced when the owner loaded

Callers would see a task run twice: an owner that is paused between its claim and its first read loads jobs that were accepted after the next owner's claim, takes them for jobs that no other owner knows, and starts them at once. Its watch begins after the other owner's key and does not show it.

Cause: load() read the owner's key with the other keys under bts/a/ and did not look at it. A commit or the reading of the key by the election usually ends such a term, but neither has to be answered before the first start when the workers are known from the former owner's record.

The loaded key is now compared with the fence before anything is taken over. It sorts behind the cancel requests and jobs, so that a read in pages reaches it last: with the revision of the claim it shows that no other owner had claimed when the earlier pages were read, and later claims are after the revision from which the watch continues. A read after lost history makes the same comparison before it delivers jobs; before, it looked for the key only.

Evidence: without the comparison an_owner_that_was_replaced_before_it_loaded_starts_nothing sees one start of the job and no loss, and an_owner_whose_key_was_removed_before_it_loaded_starts_nothing sees no loss.

--- a/source/core/service/owner_controller_loading.cpp
+++ b/source/core/service/owner_controller_loading.cpp
@@ -29,6 +29,18 @@
     return key.substr(prefix.size());
 }
 
+// Why the items show the loss of the ownership with this fence; empty when they do not. The owner's
+// key sorts behind the cancel requests and jobs, so that a read in pages reaches it last: with the
+// revision of the claim it shows that no other owner had claimed when the earlier pages were read.
+std::string_view ownership_loss(const std::vector<store_item>& items, std::uint64_t fence) {
+    const auto position = std::find_if(items.begin(), items.end(),
+                                       [](const auto& item) { return item.key == owner_key; });
+    if (position == items.end()) {
+        return "owner_key_missing";
+    }
+    return position->revision == fence ? "" : "owner_key_changed";
+}
+
 } // namespace
 
 void owner_controller::load() {
@@ -80,6 +92,12 @@
     if (--m_pending_loads > 0 || !m_active) {
         return;
     }
+    const auto loss = ownership_loss(m_active_contents.items, m_fence);
+    if (!loss.empty()) {
+        // The watch begins after this read and would not show the change of the key.
+        m_env.report_lost(loss);
+        return;
+    }
     m_sequence_revision = m_sequence ? m_sequence->revision : 0;
     m_dispatcher.on_queues(m_queues);
     load_workers(m_worker_contents.items);
@@ -239,18 +257,13 @@
 }
 
 void owner_controller::on_active_snapshot(const std::vector<store_item>& items) {
-    bool owner_seen = false;
-    for (const auto& item : items) {
-        owner_seen |= item.key == owner_key;
-    }
-    if (!owner_seen) {
-        m_env.report_lost("owner_key_missing");
+    const auto loss = ownership_loss(items, m_fence);
+    if (!loss.empty()) {
+        m_env.report_lost(loss);
         return;
     }
     for (const auto& item : items) {
-        if (m_active) {
-            on_active_item(item);
-        }
+        on_active_item(item);
     }
     process_soon();
 }
--- a/tests/unit/service/owner_controller_test.cpp
+++ b/tests/unit/service/owner_controller_test.cpp
@@ -49,10 +49,21 @@
 
     /// The change is made while the owner loads, when it has read all keys once.
     void become_owner(std::size_t workers, const std::function<void()>& meanwhile = {}) {
+        const auto fence = claim(workers);
+        begin_term(fence, meanwhile);
+        BOOST_REQUIRE(run_until([&] { return controller->loaded(); }, 30s));
+        run_for(100ms);
+    }
+
+    /// Registers the workers and claims the ownership; returns the fence.
+    std::uint64_t claim(std::size_t workers) {
         for (std::size_t i = 0; i < workers; ++i) {
             store.apply({{}, {{"w/w" + std::to_string(i), "", 0}}, {}});
         }
-        const auto fence = store.apply({{}, {{std::string(owner_key), "{}", 0}}, {}}).revision;
+        return store.apply({{}, {{std::string(owner_key), "{}", 0}}, {}}).revision;
+    }
+
+    void begin_term(std::uint64_t fence, const std::function<void()>& meanwhile = {}) {
         owner_environment environment{
             loop,
             slow,
@@ -87,8 +98,6 @@
             meanwhile();
             BOOST_REQUIRE(!controller->loaded());
         }
-        BOOST_REQUIRE(run_until([&] { return controller->loaded(); }, 30s));
-        run_for(100ms);
     }
 
     void submit(const std::string& id, std::int64_t cpu_milli, std::size_t payload_bytes = 0) {
@@ -220,6 +229,38 @@
     BOOST_TEST(lost.empty());
 }
 
+// Pattern: paused process. Guards against an owner that was paused between its claim and its first
+// read: it started the jobs that were accepted after the next owner's claim, which it took for jobs
+// that no other owner knows (TWICE).
+BOOST_AUTO_TEST_CASE(an_owner_that_was_replaced_before_it_loaded_starts_nothing) {
+    // The record of the owner before lets a successor use the workers before its first commit.
+    become_owner(3);
+    BOOST_REQUIRE(run_until([&] { return store.has(std::string(workers_key)); }));
+    controller->end();
+    const auto fence = claim(0);
+    claim(0);
+    submit("a", 1000);
+    // A commit that is answered would show the loss as well.
+    store.on_commit = [](const auto&) { return dispatch::store_status::unavailable; };
+    begin_term(fence);
+    run_for(500ms);
+    BOOST_TEST(lost == "owner_key_changed");
+    BOOST_TEST(starts_of("a") == 0U);
+}
+
+// Pattern: paused process. Guards against an owner that loads although its key has been removed, so
+// that another node may claim at any moment.
+BOOST_AUTO_TEST_CASE(an_owner_whose_key_was_removed_before_it_loaded_starts_nothing) {
+    const auto fence = claim(3);
+    store.remove(std::string(owner_key));
+    submit("a", 1000);
+    store.on_commit = [](const auto&) { return dispatch::store_status::unavailable; };
+    begin_term(fence);
+    run_for(500ms);
+    BOOST_TEST(lost == "owner_key_missing");
+    BOOST_TEST(starts_of("a") == 0U);
+}
+
 // Guards against tasks that wait because the instance list is quiet: its watch is answered often
 // enough that the owner's information is never older than starts permit.
 BOOST_AUTO_TEST_CASE(a_quiet_instance_list_does_not_delay_starts) {
