Read all items anew when a watcher is restarted between two pages

After an outage of the store in which its history was lost, an owner with more than 500 jobs would never learn what was in the lost part: jobs that stay queued, cancelled jobs that run on, and another owner's key.

Cause: prefix_watcher::restart(), which the owner calls at the end of an outage, took a revision above 0 for a sign that the items are known. The first page of a read sets the revision as well.

The watcher now records that a read is under way, and a restart begins it anew.

The fake store answers ranges in pages for this test.

--- a/source/core/service/prefix_watcher.cpp
+++ b/source/core/service/prefix_watcher.cpp
@@ -102,8 +102,10 @@
     });
 }
 
+// A read of several pages begins anew: a watch from its first page would bring none of the changes
+// that made the read necessary.
 void prefix_watcher::restart() {
-    if (m_revision == 0) {
+    if (m_reading) {
         read();
     } else {
         watch();
@@ -120,6 +122,7 @@
 
 void prefix_watcher::read() {
     m_items.clear();
+    m_reading = true;
     m_revision = 0;
     m_read_at = m_clock.now();
     read_after("");
@@ -153,6 +156,7 @@
         read_after(m_items.back().key);
         return;
     }
+    m_reading = false;
     m_current_at = m_read_at;
     m_listener.on_snapshot(std::exchange(m_items, {}), m_revision);
     if (!m_stopped) {
--- a/source/core/service/prefix_watcher.h
+++ b/source/core/service/prefix_watcher.h
@@ -78,6 +78,8 @@
     std::uint64_t m_call = 0;
     /// When the running read of all items was begun.
     common::time_point m_read_at;
+    /// All items are being read; the listener has not got them yet.
+    bool m_reading = false;
     bool m_failing = false;
     bool m_last_call_failed = false;
     bool m_stopped = false;
--- a/tests/fakes/fake_shared_store.h
+++ b/tests/fakes/fake_shared_store.h
@@ -38,6 +38,8 @@
     unsigned renewals = 0;
     /// Maximum number of events in the answer to a watch.
     std::size_t page_events = 100'000;
+    /// Maximum number of items in a page of a range.
+    std::size_t page_items = 100'000;
 
     void read(const std::string& key, dispatch::store_completion complete) override {
         dispatch::store_result result;
@@ -61,9 +63,14 @@
         dispatch::store_result result;
         result.status = dispatch::store_status::ok;
         for (const auto& [key, stored] : m_items) {
-            if (key.starts_with(prefix) && key > after) {
-                result.items.push_back(stored.item);
+            if (!key.starts_with(prefix) || key <= after) {
+                continue;
             }
+            if (result.items.size() == page_items) {
+                result.more = true;
+                break;
+            }
+            result.items.push_back(stored.item);
         }
         result.revision = m_revision;
         answer(std::move(complete), std::move(result));
--- a/tests/unit/service/prefix_watcher_test.cpp
+++ b/tests/unit/service/prefix_watcher_test.cpp
@@ -82,6 +82,28 @@
     late.watcher->stop();
 }
 
+// Pattern: outage of the store, dropped history. Guards against a read that is abandoned between
+// two pages: the watch went on from the first page, so that the changes of the dropped history were
+// never delivered, among them cancellations and the owner's key.
+BOOST_AUTO_TEST_CASE(a_restart_between_two_pages_reads_all_items) {
+    put("p/a", "1");
+    put("p/b", "1");
+    put("p/c", "1");
+    store.drop_history();
+    store.page_items = 1;
+    store.delay = 40ms;
+    watcher->start_after(1, clock.now());
+    // The refused watch takes 40 ms, the first page 40 ms more.
+    run_for(100ms);
+    BOOST_REQUIRE(snapshots == 0);
+    watcher->restart();
+    BOOST_TEST(run_until([&] { return known.size() == 3U; }, 1s));
+    BOOST_TEST(snapshots == 1);
+    put("p/a", "2");
+    BOOST_TEST(run_until([&] { return known["p/a"] == "2"; }, 1s));
+    watcher->stop();
+}
+
 // Pattern: paused process, busy event loop. Guards against a call whose answer was not handled in
 // time being taken for an outage of the store, in which old information is used.
 BOOST_AUTO_TEST_CASE(a_failure_that_is_handled_late_shows_no_outage) {
