End a term when the owner reads that its key does not exist

An owner whose key was revoked, and which was paused, went on giving orders until a worker refused its fence or its watch was answered, although the store had told it that the key is gone.

Cause: after a pause the owner reads its key before it decides. The answer 404 has no body and so no revision; owner_election took it for information that is older than what it knew, ignored it, and counted the reading as a confirmation. The answer to the renewal does not help, because the store may renew the lease of a revoked key. The fake store gave a revision with this answer, which the client of the real one cannot do, so that no test saw it.

The reading is sent within the term, so that it is newer than all that led to the term: the owner now takes the key for removed and ends. It may then claim again. The fake store gives no revision with this answer any more.

--- a/source/core/service/owner_election.cpp
+++ b/source/core/service/owner_election.cpp
@@ -308,7 +308,10 @@
         if (result.status == store_status::ok && !result.items.empty()) {
             self->on_item(result.items.front(), result.revision);
         } else if (result.status == store_status::not_found) {
-            self->on_item(std::nullopt, result.revision);
+            // The answer has no revision. The read was sent in this term, so that it is newer than
+            // all that is known of the key.
+            self->on_item(std::nullopt, self->m_known_at);
+            return;
         } else {
             self->record_failure(sent_at);
             return;
--- a/tests/fakes/fake_shared_store.h
+++ b/tests/fakes/fake_shared_store.h
@@ -53,8 +53,9 @@
                                                   : dispatch::store_status::ok;
         if (position != m_items.end()) {
             result.items.push_back(position->second.item);
+            // A refusal has no body from which a client could read the store's revision.
+            result.revision = m_revision;
         }
-        result.revision = m_revision;
         answer(std::move(complete), std::move(result));
     }
 
--- a/tests/unit/service/owner_election_test.cpp
+++ b/tests/unit/service/owner_election_test.cpp
@@ -174,6 +174,24 @@
     BOOST_TEST(a.lost.size() == 1U);
 }
 
+// Pattern: paused process, revoked key, silent watch. Guards against an owner that goes on although
+// the store has told it that its key is gone: the lease of a revoked key is still renewed.
+BOOST_AUTO_TEST_CASE(an_owner_that_reads_that_its_key_is_gone_is_lost) {
+    candidate a(*this, "a", 1);
+    BOOST_REQUIRE(run_until([&] { return a.won.size() == 1; }));
+    run_for(50ms);
+    store.limit_watch_answers(std::string(owner_key), 0);
+    store.remove(std::string(owner_key));
+    std::this_thread::sleep_for(1300ms);
+    BOOST_TEST(!a.election->may_act());
+    run_for(20ms);
+    BOOST_REQUIRE(a.lost.size() == 1U);
+    BOOST_TEST(a.lost[0] == "key_removed");
+    // The key is free, so that the node may claim it in a new term.
+    BOOST_REQUIRE(run_until([&] { return a.won.size() == 2; }, 1s));
+    BOOST_TEST(a.won[1] > a.won[0]);
+}
+
 // Pattern: paused process. Guards against an owner that stays idle although its key was never
 // replaced.
 BOOST_AUTO_TEST_CASE(an_owner_that_still_has_its_key_goes_on_after_a_pause) {
