Replace the key of an earlier process only if its address is the same

Two live processes of one node took the ownership from each other without a pause: 2,480 terms of one of them in half a second, in which nothing can be placed.

Cause: a key with the own node's name and another process number was replaced at once, because "that process has ended". This is certain only when the process has the same address: http_server binds with SO_REUSEADDR and without SO_REUSEPORT, so that no second process can listen on a port before the first has closed it, also while that one is paused, and node_application::start() binds all ports before the election begins. The settings file may change while a process runs or is in its grace time; a process with other ports then starts beside it. No task could run twice by this: a successor's fence and its waiting do not depend on how the key was freed.

A key with another address is now treated as that of another node: it is replaced when it is gone, or when its port refuses connections.

Evidence: a_process_with_another_port_is_not_replaced_at_once failed with the figure above; the test of a restarted process with the same address stays as it was.

--- a/source/core/service/owner_election.cpp
+++ b/source/core/service/owner_election.cpp
@@ -121,24 +121,22 @@
 }
 
 void owner_election::schedule_claim_if_vacant() {
-    // A key of an earlier process of this node can be replaced at once: that process has ended.
-    const bool left_by_earlier_process =
-        m_owner && m_owner->node == m_settings.node && m_owner->process != m_settings.process;
-    const bool own_key = m_owner && m_owner->node == m_settings.node && !left_by_earlier_process;
+    const bool own_key =
+        m_owner && m_owner->node == m_settings.node && m_owner->process == m_settings.process;
     if (!m_owner_key_read || !m_candidate || m_claim_pending || m_is_owner || m_stopping ||
-        own_key || owned_by_other_node()) {
+        own_key || owned_by_other_process()) {
         return;
     }
     m_claim_pending = true;
     const auto delay =
-        left_by_earlier_process
+        left_by_earlier_process()
             ? common::duration(0)
             : m_settings.claim_delay + common::duration(m_rng.below(max_claim_jitter_us));
     m_loop.post_after(delay, [self = shared_from_this()] { self->claim(); });
 }
 
 void owner_election::claim() {
-    if (owned_by_other_node() || m_stopping) {
+    if (owned_by_other_process() || m_stopping) {
         m_claim_pending = false;
         return;
     }
@@ -155,8 +153,22 @@
     });
 }
 
-bool owner_election::owned_by_other_node() const {
-    return m_owner && m_owner->node != m_settings.node && m_owner->fence != m_ended_fence;
+bool owner_election::owned_by_other_process() const {
+    if (!m_owner || m_owner->fence == m_ended_fence) {
+        return false;
+    }
+    if (m_owner->node != m_settings.node) {
+        return true;
+    }
+    return m_owner->process != m_settings.process && !left_by_earlier_process();
+}
+
+// A key of an earlier process of this node can be replaced at once if that process has ended. It
+// has when this process listens on its address, which only one process at a time can do. A process
+// with other settings may still run, and two such processes would replace each other without end.
+bool owner_election::left_by_earlier_process() const {
+    return m_owner && m_owner->node == m_settings.node && m_owner->process != m_settings.process &&
+           m_owner->address == m_settings.address;
 }
 
 void owner_election::on_owner_suspected(const owner_record& owner, bool ended) {
@@ -176,7 +188,7 @@
 }
 
 void owner_election::commit_claim(std::uint64_t lease, common::time_point opened_at) {
-    if (owned_by_other_node() || m_stopping) {
+    if (owned_by_other_process() || m_stopping) {
         // Another node has claimed the ownership while the lease was being opened.
         m_claim_pending = false;
         m_store.end_lease(lease, [](const store_result&) {});
--- a/source/core/service/owner_election.h
+++ b/source/core/service/owner_election.h
@@ -77,7 +77,8 @@
 private:
     /// The owner key at the store's given revision; older information is ignored.
     void on_item(const std::optional<dispatch::store_item>& item, std::uint64_t at);
-    [[nodiscard]] bool owned_by_other_node() const;
+    [[nodiscard]] bool owned_by_other_process() const;
+    [[nodiscard]] bool left_by_earlier_process() const;
     void schedule_claim_if_vacant();
     void claim();
     void commit_claim(std::uint64_t lease, common::time_point opened_at);
--- a/tests/unit/service/owner_election_test.cpp
+++ b/tests/unit/service/owner_election_test.cpp
@@ -18,7 +18,8 @@
 constexpr auto* successor_record = R"({"node":"b","process":2,"address":"127.0.0.1:1"})";
 
 struct candidate {
-    candidate(service_fixture& f, const std::string& node, std::uint64_t process) {
+    candidate(service_fixture& f, const std::string& node, std::uint64_t process,
+              std::uint16_t port = 1) {
         owner_election::listener receiver;
         receiver.on_elected = [this](const owner_record& owner) { won.push_back(owner.fence); };
         receiver.on_ownership_lost = [this](std::string_view reason) { lost.emplace_back(reason); };
@@ -27,7 +28,7 @@
         election_settings settings;
         settings.node = node;
         settings.process = process;
-        settings.address = {"127.0.0.1", 1};
+        settings.address = {"127.0.0.1", port};
         election = std::make_shared<owner_election>(f.store, f.loop, settings, std::move(receiver));
         election->start();
         election->set_candidate(true);
@@ -95,6 +96,20 @@
     BOOST_TEST(restarted.won[0] > a.won[0]);
 }
 
+// Pattern: changed settings. Guards against two processes of one node that take the ownership from
+// each other without end: only a process with the same port has certainly ended.
+BOOST_AUTO_TEST_CASE(a_process_with_another_port_is_not_replaced_at_once) {
+    candidate a(*this, "a", 1, 1);
+    BOOST_REQUIRE(run_until([&] { return a.won.size() == 1; }));
+    candidate other(*this, "a", 2, 2);
+    run_for(500ms);
+    BOOST_TEST(other.won.empty());
+    BOOST_TEST(a.lost.empty());
+    BOOST_TEST(a.won.size() == 1U);
+    a.election->resign([] {});
+    BOOST_TEST(run_until([&] { return other.won.size() == 1; }, 1s));
+}
+
 // Guards against about a second without an owner when the store is unreachable from the owner's
 // node only: the owner must notice this before its lease expires, to release its key through
 // another node.
