Refuse a relayed list of a worker whose clock is out of range

A relayed answer with a clock near the largest integer made the owner add the lease and the validity of starts to it, which overflows. The client that reads the answers of workers refuses such a clock; the reader of the same answer from another node took any integer. It now has the same range, so that the poll counts as unanswered.

Evidence: malformed_messages_are_format_errors accepted negative clocks and the largest ones.

--- a/source/core/service/peer_messages.cpp
+++ b/source/core/service/peer_messages.cpp
@@ -19,6 +19,18 @@
     return std::chrono::milliseconds(object.at(key).to_number<std::uint32_t>());
 }
 
+// Clocks of workers count milliseconds since 1970 or since their start; sums with a value within
+// this range do not overflow.
+constexpr std::int64_t max_clock_ms = std::int64_t{1} << 50U;
+
+std::int64_t read_clock(const json::object& object, json::string_view key) {
+    const auto value = object.at(key).to_number<std::int64_t>();
+    if (value < 0 || value > max_clock_ms) {
+        throw common::format_error("field '" + std::string(key) + "' is out of range");
+    }
+    return value;
+}
+
 json::array write_run(const run_key& run) {
     return {run.task.job, run.task.occurrence, run.task.step, run.task.index, run.run};
 }
@@ -185,8 +197,8 @@
         const auto& object = value.as_object();
         poll_result result;
         result.status = order_status_names.value(json::value_to<std::string>(object.at("status")));
-        result.clock_ms = object.at("clock").to_number<std::int64_t>();
-        result.start_time_ms = object.at("start_time_ms").to_number<std::int64_t>();
+        result.clock_ms = read_clock(object, "clock");
+        result.start_time_ms = read_clock(object, "start_time_ms");
         for (const auto& entry : object.at("running").as_array()) {
             const auto& row = entry.as_array();
             result.running.push_back({read_run(row.at(0).as_array()),
--- a/tests/unit/service/peer_messages_test.cpp
+++ b/tests/unit/service/peer_messages_test.cpp
@@ -90,6 +90,18 @@
           R"({"next":1,"changes":[],"pending":{"q":1},"pending_age_ms":-1,"held_ms":1})"}) {
         BOOST_CHECK_THROW(static_cast<void>(read_changes_response(text)), common::error);
     }
+    const auto poll_result_with = [](const std::string& clock, const std::string& start_time) {
+        return R"({"status":"accepted","clock":)" + clock + R"(,"start_time_ms":)" + start_time +
+               R"(,"running":[],"ended":[]})";
+    };
+    BOOST_CHECK_NO_THROW(static_cast<void>(read_poll_result(poll_result_with("1", "1"))));
+    // Sums with a clock of the worker would overflow.
+    for (const auto* number : {"-1", "9223372036854775807", "-9223372036854775808", "1e300"}) {
+        BOOST_CHECK_THROW(static_cast<void>(read_poll_result(poll_result_with(number, "1"))),
+                          common::error);
+        BOOST_CHECK_THROW(static_cast<void>(read_poll_result(poll_result_with("1", number))),
+                          common::error);
+    }
     for (const auto* text :
          {"", "{}", "{\"node\":1}", "{\"node\":\"n\",\"address\":\"x\",\"fence\":1,\"after\":0}"}) {
         BOOST_CHECK_THROW(static_cast<void>(read_changes_request(text)), common::error);
