Limit the expected time of a relayed call of the advice service

A message with an odd "expected_ms" made the node compute with it: times three as a floating-point number converted to an integer that cannot hold it, which is undefined, or a negative limit. With a large one within the range, a call without an answer kept its connection for weeks.

The message is now written and read in peer_messages, as the others are. A time that is negative, not whole or above one minute is refused as malformed; the owner writes at most one minute, so that a slow advice service is not taken for a malformed message.

--- a/source/core/service/peer_exchange.cpp
+++ b/source/core/service/peer_exchange.cpp
@@ -39,10 +39,6 @@
 constexpr double advice_timeout_factor = 3.0;
 constexpr auto advice_timeout_slack = std::chrono::milliseconds(900);
 
-net::http_request post(std::string path, const json::object& body) {
-    return net::json_post(std::move(path), json::serialize(body));
-}
-
 json::object write_advice(const advice_result& result) {
     json::array granted;
     for (const auto& grant : result.granted) {
@@ -361,16 +357,8 @@
 }
 
 void peer_exchange::serve_advice(const net::http_request& request, net::http_reply reply) {
-    const auto value = json::parse(request.body);
-    const auto& object = value.as_object();
-    advice_request call;
-    call.step.job = json::value_to<std::string>(object.at("job"));
-    call.step.occurrence = object.at("occurrence").to_number<std::uint32_t>();
-    call.step.step = object.at("step").to_number<std::uint32_t>();
-    call.workers = json::value_to<std::vector<std::string>>(object.at("workers"));
-    const auto expected =
-        std::chrono::milliseconds(object.at("expected_ms").to_number<std::int64_t>());
-    m_env.advice.ask(call, advice_timeout(expected),
+    const auto call = read_advice_call(request.body);
+    m_env.advice.ask(call.request, advice_timeout(call.expected),
                      [reply = std::move(reply)](const advice_result& result) {
                          reply(net::json_response(200, json::serialize(write_advice(result))));
                      });
@@ -389,12 +377,7 @@
         return;
     }
     const auto to = position->second.address;
-    m_env.client.send(to,
-                      post("/peer/advice", {{"job", request.step.job},
-                                            {"occurrence", request.step.occurrence},
-                                            {"step", request.step.step},
-                                            {"expected_ms", common::to_milliseconds(expected)},
-                                            {"workers", json::value_from(request.workers)}}),
+    m_env.client.send(to, net::json_post("/peer/advice", write_advice_call({request, expected})),
                       advice_timeout(expected),
                       [this, to, complete = std::move(complete)](const net::http_result& answer) {
                           if (std::holds_alternative<net::http_failure>(answer)) {
--- a/source/core/service/peer_messages.cpp
+++ b/source/core/service/peer_messages.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
+
 namespace buckthornspar::service {
 
 using namespace dispatch;
@@ -31,6 +33,10 @@
     return value;
 }
 
+// Calls of the advice service take seconds. A call that is never answered keeps its connection for
+// a multiple of the time that the message names.
+constexpr common::duration max_expected_time = std::chrono::minutes(1);
+
 json::array write_run(const run_key& run) {
     return {run.task.job, run.task.occurrence, run.task.step, run.task.index, run.run};
 }
@@ -174,6 +180,33 @@
     });
 }
 
+std::string write_advice_call(const relayed_advice_call& call) {
+    const auto& step = call.request.step;
+    const auto expected = std::min(call.expected, max_expected_time);
+    return json::serialize(json::object{{"job", step.job},
+                                        {"occurrence", step.occurrence},
+                                        {"step", step.step},
+                                        {"expected_ms", common::to_milliseconds(expected)},
+                                        {"workers", json::value_from(call.request.workers)}});
+}
+
+relayed_advice_call read_advice_call(std::string_view text) {
+    return common::read_document("request to call the advice service", [&] {
+        const auto value = parse(text);
+        const auto& object = value.as_object();
+        relayed_advice_call call;
+        call.request.step.job = json::value_to<std::string>(object.at("job"));
+        call.request.step.occurrence = object.at("occurrence").to_number<std::uint32_t>();
+        call.request.step.step = object.at("step").to_number<std::uint32_t>();
+        call.request.workers = json::value_to<std::vector<std::string>>(object.at("workers"));
+        call.expected = read_ms(object, "expected_ms");
+        if (call.expected > max_expected_time) {
+            throw common::format_error("field 'expected_ms' is out of range");
+        }
+        return call;
+    });
+}
+
 std::string write_poll_result(const poll_result& result) {
     json::array running;
     for (const auto& entry : result.running) {
--- a/source/core/service/peer_messages.h
+++ b/source/core/service/peer_messages.h
@@ -64,6 +64,13 @@
     dispatch::poll_order order;
 };
 
+/// Request to call the advice service for the owner.
+struct relayed_advice_call {
+    dispatch::advice_request request;
+    /// Expected duration of the call, from which its time limit follows.
+    common::duration expected{0};
+};
+
 /// JSON formats. The readers throw common::error.
 [[nodiscard]] std::string write_changes_request(const changes_request& request);
 [[nodiscard]] changes_request read_changes_request(std::string_view text);
@@ -75,6 +82,8 @@
 [[nodiscard]] dispatch::job_state read_state_response(std::string_view text);
 [[nodiscard]] std::string write_worker_poll_request(const worker_poll_request& request);
 [[nodiscard]] worker_poll_request read_worker_poll_request(std::string_view text);
+[[nodiscard]] std::string write_advice_call(const relayed_advice_call& call);
+[[nodiscard]] relayed_advice_call read_advice_call(std::string_view text);
 [[nodiscard]] std::string write_poll_result(const dispatch::poll_result& result);
 [[nodiscard]] dispatch::poll_result read_poll_result(std::string_view text);
 
--- a/tests/unit/service/peer_exchange_test.cpp
+++ b/tests/unit/service/peer_exchange_test.cpp
@@ -172,6 +172,19 @@
     BOOST_TEST(response->status == 400U);
 }
 
+// Guards against a time limit that overflows, and against a call without an answer that keeps its
+// connection for good: the time comes from the message.
+BOOST_DATA_TEST_CASE_F(exchange_fixture, an_odd_time_limit_of_an_advice_call_is_refused,
+                       boost::unit_test::data::make({"-1", "-9223372036854775808", "4294967295",
+                                                     "9223372036854775807", "1e300", "0.5"}),
+                       expected) {
+    const auto response = owner.call(
+        "/peer/advice", R"({"job":"a","occurrence":0,"step":0,"workers":["w"],"expected_ms":)" +
+                            std::string(expected) + "}");
+    BOOST_REQUIRE(response.has_value());
+    BOOST_TEST(response->status == 400U);
+}
+
 // Guards against a node that repeats its request without a pause while the owner's responses cannot
 // be read, which takes the processor time of both.
 BOOST_AUTO_TEST_CASE(a_malformed_response_is_not_asked_for_again_at_once) {
