--- a/tests/unit/platform/clients_test.cpp
+++ b/tests/unit/platform/clients_test.cpp
@@ -202,6 +202,41 @@
     BOOST_TEST((commit(200, "").status == store_status::unknown));
 }
 
+// Guards against a revision that cannot be one: a watch after the largest number brings no change
+// ever again, and a read without a revision is followed by a watch that misses changes.
+BOOST_AUTO_TEST_CASE(odd_revisions_are_no_answer) {
+    using dispatch::store_status;
+    for (const std::string body :
+         {R"({"items":[],"more_pages":false,"as_of":-1})", R"({"items":[],"more_pages":false})",
+          R"({"items":[{"key":"a","value":"","revision":-2,"created":2}],"as_of":9})"}) {
+        BOOST_TEST_CONTEXT(body) {
+            peer.answer = net::json_response(200, body);
+            const auto result = wait<dispatch::store_result>(
+                [&](auto done) { store.range("", "", std::move(done)); });
+            BOOST_TEST((result.status == store_status::unknown));
+        }
+    }
+    for (const std::string body :
+         {R"({"events":[],"as_of":-1})",
+          R"({"events":[{"key":"a","revision":-5,"removed":true}],"as_of":9})"}) {
+        BOOST_TEST_CONTEXT(body) {
+            peer.answer = net::json_response(200, body);
+            const auto result = wait<dispatch::store_result>(
+                [&](auto done) { store.watch("", 1, 10ms, std::move(done)); });
+            BOOST_TEST((result.status == store_status::unknown));
+        }
+    }
+    for (const std::string body : {R"({"revision":-1})", "{}"}) {
+        BOOST_TEST_CONTEXT(body) {
+            peer.answer = net::json_response(200, body);
+            const auto result = wait<dispatch::store_result>([&](auto done) {
+                store.commit({{}, {{"k", "v", 0}}, {}}, std::move(done));
+            });
+            BOOST_TEST((result.status == store_status::unknown));
+        }
+    }
+}
+
 // Guards against an unreadable value that hides the other keys of the answer.
 BOOST_AUTO_TEST_CASE(an_unreadable_value_does_not_hide_other_keys) {
     peer.answer = net::json_response(
