--- a/source/core/service/peer_exchange.cpp
+++ b/source/core/service/peer_exchange.cpp
@@ -39,10 +39,6 @@
 constexpr double advice_timeout_factor = 3.0;
 constexpr auto advice_timeout_slack = std::chrono::milliseconds(900);
 
-net::http_request post(std::string path, const json::object& body) {
-    return net::json_post(std::move(path), json::serialize(body));
-}
-
 json::object write_advice(const advice_result& result) {
     json::array granted;
     for (const auto& grant : result.granted) {
@@ -279,6 +275,14 @@
         });
 }
 
+void peer_exchange::poll_later() {
+    m_env.loop.post_after(poll_retry, [this] {
+        if (m_owner && !m_polling) {
+            poll();
+        }
+    });
+}
+
 void peer_exchange::report_suspected_owner(common::time_point sent_at,
                                            const net::http_result& answer) {
     const auto* const failure = std::get_if<net::http_failure>(&answer);
@@ -313,11 +317,7 @@
         if (m_owner && m_owner->fence == fence) {
             report_suspected_owner(sent_at, answer);
         }
-        m_env.loop.post_after(poll_retry, [this] {
-            if (m_owner && !m_polling) {
-                poll();
-            }
-        });
+        poll_later();
         return;
     }
     const auto now = m_env.clock.now();
@@ -350,21 +350,15 @@
     } catch (const std::exception& e) {
         log_event(severity::warning, "peer_answer_unreadable", {{"reason", e.what()}});
         m_position = 0;
+        poll_later();
+        return;
     }
     poll();
 }
 
 void peer_exchange::serve_advice(const net::http_request& request, net::http_reply reply) {
-    const auto value = json::parse(request.body);
-    const auto& object = value.as_object();
-    advice_request call;
-    call.step.job = json::value_to<std::string>(object.at("job"));
-    call.step.occurrence = object.at("occurrence").to_number<std::uint32_t>();
-    call.step.step = object.at("step").to_number<std::uint32_t>();
-    call.workers = json::value_to<std::vector<std::string>>(object.at("workers"));
-    const auto expected =
-        std::chrono::milliseconds(object.at("expected_ms").to_number<std::int64_t>());
-    m_env.advice.ask(call, advice_timeout(expected),
+    const auto call = read_advice_call(request.body);
+    m_env.advice.ask(call.request, advice_timeout(call.expected),
                      [reply = std::move(reply)](const advice_result& result) {
                          reply(net::json_response(200, json::serialize(write_advice(result))));
                      });
@@ -383,12 +377,7 @@
         return;
     }
     const auto to = position->second.address;
-    m_env.client.send(to,
-                      post("/peer/advice", {{"job", request.step.job},
-                                            {"occurrence", request.step.occurrence},
-                                            {"step", request.step.step},
-                                            {"expected_ms", common::to_milliseconds(expected)},
-                                            {"workers", json::value_from(request.workers)}}),
+    m_env.client.send(to, net::json_post("/peer/advice", write_advice_call({request, expected})),
                       advice_timeout(expected),
                       [this, to, complete = std::move(complete)](const net::http_result& answer) {
                           if (std::holds_alternative<net::http_failure>(answer)) {
--- a/tests/fakes/fake_shared_store.h
+++ b/tests/fakes/fake_shared_store.h
@@ -38,6 +38,8 @@
     unsigned renewals = 0;
     /// Maximum number of events in the answer to a watch.
     std::size_t page_events = 100'000;
+    /// Maximum number of items in a page of a range.
+    std::size_t page_items = 100'000;
 
     void read(const std::string& key, dispatch::store_completion complete) override {
         dispatch::store_result result;
@@ -51,8 +53,9 @@
                                                   : dispatch::store_status::ok;
         if (position != m_items.end()) {
             result.items.push_back(position->second.item);
+            // A refusal has no body from which a client could read the store's revision.
+            result.revision = m_revision;
         }
-        result.revision = m_revision;
         answer(std::move(complete), std::move(result));
     }
 
@@ -61,9 +64,14 @@
         dispatch::store_result result;
         result.status = dispatch::store_status::ok;
         for (const auto& [key, stored] : m_items) {
-            if (key.starts_with(prefix) && key > after) {
-                result.items.push_back(stored.item);
+            if (!key.starts_with(prefix) || key <= after) {
+                continue;
+            }
+            if (result.items.size() == page_items) {
+                result.more = true;
+                break;
             }
+            result.items.push_back(stored.item);
         }
         result.revision = m_revision;
         answer(std::move(complete), std::move(result));
--- a/tests/unit/service/owner_election_test.cpp
+++ b/tests/unit/service/owner_election_test.cpp
@@ -18,7 +18,8 @@
 constexpr auto* successor_record = R"({"node":"b","process":2,"address":"127.0.0.1:1"})";
 
 struct candidate {
-    candidate(service_fixture& f, const std::string& node, std::uint64_t process) {
+    candidate(service_fixture& f, const std::string& node, std::uint64_t process,
+              std::uint16_t port = 1) {
         owner_election::listener receiver;
         receiver.on_elected = [this](const owner_record& owner) { won.push_back(owner.fence); };
         receiver.on_ownership_lost = [this](std::string_view reason) { lost.emplace_back(reason); };
@@ -27,7 +28,7 @@
         election_settings settings;
         settings.node = node;
         settings.process = process;
-        settings.address = {"127.0.0.1", 1};
+        settings.address = {"127.0.0.1", port};
         election = std::make_shared<owner_election>(f.store, f.loop, settings, std::move(receiver));
         election->start();
         election->set_candidate(true);
@@ -95,6 +96,20 @@
     BOOST_TEST(restarted.won[0] > a.won[0]);
 }
 
+// Pattern: changed settings. Guards against two processes of one node that take the ownership from
+// each other without end: only a process with the same port has certainly ended.
+BOOST_AUTO_TEST_CASE(a_process_with_another_port_is_not_replaced_at_once) {
+    candidate a(*this, "a", 1, 1);
+    BOOST_REQUIRE(run_until([&] { return a.won.size() == 1; }));
+    candidate other(*this, "a", 2, 2);
+    run_for(500ms);
+    BOOST_TEST(other.won.empty());
+    BOOST_TEST(a.lost.empty());
+    BOOST_TEST(a.won.size() == 1U);
+    a.election->resign([] {});
+    BOOST_TEST(run_until([&] { return other.won.size() == 1; }, 1s));
+}
+
 // Guards against about a second without an owner when the store is unreachable from the owner's
 // node only: the owner must notice this before its lease expires, to release its key through
 // another node.
@@ -174,6 +189,24 @@
     BOOST_TEST(a.lost.size() == 1U);
 }
 
+// Pattern: paused process, revoked key, silent watch. Guards against an owner that goes on although
+// the store has told it that its key is gone: the lease of a revoked key is still renewed.
+BOOST_AUTO_TEST_CASE(an_owner_that_reads_that_its_key_is_gone_is_lost) {
+    candidate a(*this, "a", 1);
+    BOOST_REQUIRE(run_until([&] { return a.won.size() == 1; }));
+    run_for(50ms);
+    store.limit_watch_answers(std::string(owner_key), 0);
+    store.remove(std::string(owner_key));
+    std::this_thread::sleep_for(1300ms);
+    BOOST_TEST(!a.election->may_act());
+    run_for(20ms);
+    BOOST_REQUIRE(a.lost.size() == 1U);
+    BOOST_TEST(a.lost[0] == "key_removed");
+    // The key is free, so that the node may claim it in a new term.
+    BOOST_REQUIRE(run_until([&] { return a.won.size() == 2; }, 1s));
+    BOOST_TEST(a.won[1] > a.won[0]);
+}
+
 // Pattern: paused process. Guards against an owner that stays idle although its key was never
 // replaced.
 BOOST_AUTO_TEST_CASE(an_owner_that_still_has_its_key_goes_on_after_a_pause) {
