Give up silent workers only while the owner's key is seen

What callers would see: a task runs on two workers at once, or starts again although its run has ended as done and a successor has stored that.

Cause: an owner took its own last grant, and a peer that could not reach the worker either, for the end of the worker's runs. An owner that is cut off from the store with most of the workers keeps its authority, while a successor on the other side adopts the worker, renews its leases and stores its ends.

Change: runs of a silent worker end for an owner only when the store has shown its key after the end of the leases that it granted: then no successor can have renewed them before. While the store does not answer, tasks of silent workers wait.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -312,7 +312,8 @@
 // Silence towards this owner alone does not show that a worker is dead: the owner's link may be
 // slow, and runs of the worker may have succeeded. Their tasks wait for a sign from another source.
 bool dispatcher::is_dead(const worker_entry& worker, common::time_point now) const {
-    if (worker.reachable) {
+    // While another node may be the owner, it may have renewed the leases.
+    if (worker.reachable || m_key_seen_at < worker.lease_end) {
         return false;
     }
     const bool removed = !worker.listed && now > worker.unlisted_since + m_settings.unlisted_grace;
@@ -370,7 +371,7 @@
 }
 
 bool dispatcher::may_renew(common::time_point now) {
-    return has_authority(now) || (m_key_seen_at && now < *m_key_seen_at + m_settings.key_validity);
+    return has_authority(now) || now < m_key_seen_at + m_settings.key_validity;
 }
 
 void dispatcher::send_polls(common::time_point now) {
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -336,7 +336,7 @@
     std::uint64_t m_next_call = 1;
     std::size_t m_pending_starts = 0;
     std::size_t m_requesting_nodes = 0;
-    std::optional<common::time_point> m_key_seen_at;
+    common::time_point m_key_seen_at;
     common::time_point m_list_known_until;
     common::time_point m_cancels_known_until;
     common::time_point m_drains_known_until;
--- a/source/core/dispatch/dispatcher_recovery.cpp
+++ b/source/core/dispatch/dispatcher_recovery.cpp
@@ -42,6 +42,7 @@
                            const std::string& recorded_workers) {
     m_fence = fence;
     m_taken_over_at = now;
+    m_key_seen_at = now;
     worker_record record;
     try {
         record = read_worker_record(recorded_workers);
--- a/tests/unit/dispatch/dispatch_fixture.h
+++ b/tests/unit/dispatch/dispatch_fixture.h
@@ -78,6 +78,9 @@
         for (int round = 0; round < 20; ++round) {
             engine.on_list_known(now);
             engine.on_changes_known(now - cancels_age, now - drains_age);
+            if (!key_hidden) {
+                engine.on_key_seen(now);
+            }
             engine.on_time(now);
             const auto actions = engine.take_actions();
             if (actions.empty()) {
@@ -188,6 +191,8 @@
     /// How long ago the last known cancellation or report of draining can have been accepted.
     common::duration cancels_age{0};
     common::duration drains_age{0};
+    /// The store does not show the owner's key.
+    bool key_hidden = false;
     /// When true, the test itself ends stopped runs; otherwise they end at once.
     bool stops_take_time = false;
 
--- a/tests/unit/dispatch/worker_loss_test.cpp
+++ b/tests/unit/dispatch/worker_loss_test.cpp
@@ -54,8 +54,8 @@
     BOOST_TEST(f.take_starts().empty());
 }
 
-// Guards against two concurrent runs of a task: a former owner that still reaches a few workers keeps
-// their runs alive while its successor waits for the end of their leases (issue 36).
+// Guards against two concurrent runs of a task: a former owner that still reaches a few workers
+// keeps their runs alive while its successor waits for the end of their leases (issue 36).
 BOOST_AUTO_TEST_CASE(an_owner_without_authority_renews_no_lease) {
     dispatch_fixture f;
     f.engine.on_queues({dispatch_fixture::plain_queue()});
@@ -66,6 +66,7 @@
     for (const auto* const other : {"w1", "w2", "w3"}) {
         f.unreachable[other] = other != worker;
     }
+    f.key_hidden = true;
     f.advance(dispatcher_settings().authority);
     f.polls.clear();
     f.advance(1s);
@@ -78,6 +79,25 @@
     BOOST_TEST(renewals == 0);
 }
 
+// Guards against two concurrent runs of a task: an owner that is cut off from the store with most
+// of the workers gives up a worker whose leases its successor renews.
+BOOST_AUTO_TEST_CASE(a_silent_worker_is_not_given_up_before_the_key_is_seen_again) {
+    dispatch_fixture f;
+    f.engine.on_queues({dispatch_fixture::plain_queue()});
+    f.become_owner({"w1", "w2", "w3", "w4", "w5"});
+    f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 11);
+    f.run_until_idle();
+    const auto worker = f.take_starts().at(0).worker;
+    f.unreachable[worker] = true;
+    f.through_peer[worker] = dispatch_fixture::peer_view::silent;
+    f.key_hidden = true;
+    f.advance(10s);
+    BOOST_TEST(f.starts.empty());
+    f.key_hidden = false;
+    f.advance(1s);
+    BOOST_TEST(f.starts.size() == 1U);
+}
+
 // Guards against losing all work when most of the workers fail at once: while the store shows the
 // owner's key, no successor can exist.
 BOOST_AUTO_TEST_CASE(an_owner_whose_key_is_seen_renews_leases_without_a_majority) {
@@ -90,6 +110,7 @@
     for (const auto* const other : {"w1", "w2", "w3"}) {
         f.unreachable[other] = other != worker;
     }
+    f.key_hidden = true;
     f.advance(dispatcher_settings().authority);
     f.engine.on_key_seen(f.now);
     f.polls.clear();
