Wait for silent workers until the former owner cannot have authority

What callers would see: tasks run on two workers at once.

Cause: a successor without a majority counted the end of the former leases from its take-over, removed the silent workers after 6.2 s, and then had a majority of the others. A former owner that is cut off from the store with most of the workers had one too, without an end.

Change: an owner that has not seen its key for 30 s has no authority, even with a majority. A successor without a majority therefore removes the workers that it waits for after 30 s + 1 s + lease. Alternatives: waiting for good loses the jobs of workers that are gone; the short wait runs them twice. The price is a wait of 35 s when most workers and the owner are lost at once, and no placement in an outage of the store after 30 s.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -283,7 +283,7 @@
     if (m_quorum_outdated) {
         update_quorum();
     }
-    return m_authority.is_held(now);
+    return m_authority.is_held(now) && now < m_key_seen_at + m_settings.key_absence;
 }
 
 void dispatcher::update_quorum() {
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -24,6 +24,10 @@
     /// An owner sends orders only while a majority of the workers has accepted its fence within
     /// this time. Longer than poll_wait, so that one slow response does not suspend the owner.
     common::duration authority = std::chrono::milliseconds(2000);
+    /// An owner that the store has not shown its key for this time has no authority, so that the
+    /// orders of a former owner with most of the workers end. Longer than usual outages of the
+    /// store, in which work goes on.
+    common::duration key_absence = std::chrono::seconds(30);
     /// An owner also renews leases while the store has shown its key within this time. At most half
     /// of authority, because a watch may report changes up to one second late.
     common::duration key_validity = std::chrono::milliseconds(1000);
--- a/source/core/dispatch/dispatcher_recovery.cpp
+++ b/source/core/dispatch/dispatcher_recovery.cpp
@@ -143,13 +143,14 @@
 }
 
 // A former owner that has lost its majority sends no orders after its authority has expired. Runs
-// that it started or renewed until then end with their lease. Without a majority of its own, this
-// owner counts from its take-over, so that workers that are gone do not hold up their jobs for
-// good.
+// that it started or renewed until then end with their lease. While this owner has no majority, the
+// former one may have one; its authority then ends because it does not see its key.
 bool dispatcher::former_leases_over(common::time_point now) const {
     const auto lease = m_settings.leases.lease;
-    const auto since = m_majority_at.value_or(m_taken_over_at);
-    return now > since + m_settings.authority + lease + lease / 20;
+    const auto authority_end =
+        m_majority_at ? *m_majority_at + m_settings.authority
+                      : m_taken_over_at + m_settings.key_absence + m_settings.key_validity;
+    return now > authority_end + lease + lease / 20;
 }
 
 void dispatcher::check_recovery(common::time_point now) {
--- a/tests/unit/dispatch/recovery_test.cpp
+++ b/tests/unit/dispatch/recovery_test.cpp
@@ -117,6 +117,28 @@
     BOOST_TEST(f.worker_record.find("w3") == std::string::npos);
 }
 
+// Guards against two owners with a majority each: most of the workers have no entry and answer only
+// the former owner, and without them its successor would have a majority of the others. Also guards
+// against waiting for them for good.
+BOOST_AUTO_TEST_CASE(removed_workers_do_not_make_a_majority_of_the_others) {
+    dispatch_fixture f;
+    f.engine.on_queues({dispatch_fixture::plain_queue()});
+    for (const auto* const id : {"w1", "w2", "w3"}) {
+        f.unreachable[id] = true;
+    }
+    f.engine.on_worker(f.now, dispatch_fixture::report("w4"));
+    f.engine.on_worker(f.now, dispatch_fixture::report("w5"));
+    f.engine.take_over(f.now, 10, record_of({"w1", "w2", "w3", "w4", "w5"}));
+    f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 5);
+    f.save();
+    f.advance(dispatcher_settings().key_absence + lease_settings().lease);
+    BOOST_TEST(f.starts.empty());
+    f.advance(2s);
+    f.save();
+    f.advance(1s);
+    BOOST_TEST(f.starts.size() == 1U);
+}
+
 // Guards against losing ended runs: a save round that began before a worker restart is written
 // after it, as after an outage of the store, while the new incarnation numbers its ended runs from
 // 1 again.
