Wait for workers that have listed only a part of their ends

A worker lists at most 500 ended runs in a response. A new owner took a worker for known with the first list.

The new owner counts a worker as answered for the recovery only with a list below the limit. The first ends are saved meanwhile, so that the next poll brings the rest. A worker that falls silent meanwhile is waited for until its lease has ended. A cut list still counts for the majority, since it shows the fence.

The fakes of the worker in the unit tests and in the emulation now cut their lists as workers do.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -464,17 +464,20 @@
         // The lists are as good as from a direct poll, but orders would not arrive.
         ++worker->poll_failures;
     } else {
-        m_workers_dirty |= !worker->reachable || m_unresponsive_workers.contains(call.order.worker);
+        m_workers_dirty |= !worker->reachable;
         worker->reachable = true;
         worker->poll_failures = 0;
     }
-    if (!worker->known) {
+    if (!worker->answered) {
         log_adoption(now, *worker, result, call.through_peer);
     }
-    worker->adopted = true;
-    worker->known = true;
-    m_unadopted.erase(call.order.worker);
-    m_unresponsive_workers.erase(call.order.worker);
+    worker->answered = true;
+    if (!result.may_omit_ends()) {
+        worker->adopted = true;
+        worker->known = true;
+        m_unadopted.erase(call.order.worker);
+        m_workers_dirty |= m_unresponsive_workers.erase(call.order.worker) > 0;
+    }
     m_authority.record_acceptance(call.order.worker, sent_at);
     for (const auto& reported : result.ended) {
         handle_ended_run(now, *worker, reported);
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -174,6 +174,10 @@
     [[nodiscard]] bool is_waited_for(const std::string& worker) const {
         return m_unadopted.contains(worker) || m_unresponsive_workers.contains(worker);
     }
+    /// One of the workers has listed only some of its ended runs, and none of its runs can have
+    /// ended with its lease since.
+    [[nodiscard]] bool is_any_partly_listed(common::time_point now,
+                                            const std::set<std::string>& workers) const;
     void skip_possible_run_numbers(job_entry& job) const;
     void log_adoption(common::time_point now, const worker_entry& worker, const poll_result& result,
                       bool through_peer) const;
--- a/source/core/dispatch/dispatcher_recovery.cpp
+++ b/source/core/dispatch/dispatcher_recovery.cpp
@@ -151,6 +151,18 @@
     return now > since + m_settings.authority + lease + lease / 20;
 }
 
+// The wait for former leases does not cover these workers: their runs ended by themselves, and the
+// lease that this owner renews keeps the ends valid. A worker whose lease has lapsed is no longer
+// waited for.
+bool dispatcher::is_any_partly_listed(common::time_point now,
+                                      const std::set<std::string>& workers) const {
+    return std::any_of(workers.begin(), workers.end(), [&](const std::string& id) {
+        const auto* const worker = m_workers.find(id);
+        return worker != nullptr && worker->answered && !worker->adopted &&
+               (worker->reachable || now <= worker->lease_end);
+    });
+}
+
 void dispatcher::check_recovery(common::time_point now) {
     if (m_recovered && m_jobs_on_unresponsive_workers.empty()) {
         return;
@@ -159,7 +171,8 @@
         m_majority_at = now;
     }
     const bool lapsed = m_majority_at && former_leases_over(now);
-    if (!m_recovered && m_term_recorded && (m_unadopted.empty() || lapsed)) {
+    if (!m_recovered && m_term_recorded &&
+        (m_unadopted.empty() || (lapsed && !is_any_partly_listed(now, m_unadopted)))) {
         m_recovered = true;
         m_replan_needed = true;
         note_all_waiting();
@@ -181,7 +194,8 @@
         m_unadopted.clear();
     }
     if (m_recovered && !m_jobs_on_unresponsive_workers.empty() &&
-        (m_unresponsive_workers.empty() || lapsed)) {
+        (m_unresponsive_workers.empty() ||
+         (lapsed && !is_any_partly_listed(now, m_unresponsive_workers)))) {
         for (const auto& id : m_jobs_on_unresponsive_workers) {
             if (const auto job = m_jobs.find(id); job != m_jobs.end()) {
                 skip_possible_run_numbers(job->second);
--- a/source/core/dispatch/dispatcher_runs.cpp
+++ b/source/core/dispatch/dispatcher_runs.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-// A list of this length may be truncated and omit further ended runs.
-constexpr std::size_t max_listed_ends = 500;
 // Delay before a task whose start was refused is placed again, so that a transient cause can pass.
 constexpr auto refused_start_delay = std::chrono::milliseconds(60);
 // The other members of a gang end by themselves within this time after the first one.
@@ -432,7 +430,7 @@
 
 void dispatcher::handle_vanished_runs(common::time_point now, worker_entry& worker,
                                       const poll_result& result) {
-    if (result.ended.size() >= max_listed_ends) {
+    if (result.may_omit_ends()) {
         return;
     }
     std::set<run_key> listed;
--- a/source/core/dispatch/worker_link.h
+++ b/source/core/dispatch/worker_link.h
@@ -115,6 +115,9 @@
     std::int64_t clock_ms = 0;
 };
 
+/// Number of ended runs that a worker lists at most in one response.
+inline constexpr std::size_t max_listed_ends = 500;
+
 struct poll_result {
     order_status status = order_status::no_answer;
     /// Another node has polled the worker as well and got no response either.
@@ -123,6 +126,10 @@
     std::int64_t start_time_ms = 0;
     std::vector<running_run> running;
     std::vector<ended_run> ended;
+
+    /// The list of ended runs has the maximum length. The rest of them follows once ends_saved has
+    /// passed these.
+    [[nodiscard]] bool may_omit_ends() const { return ended.size() >= max_listed_ends; }
 };
 
 /// Sends orders to workers. Each call is sent at most once and completes exactly once, after the
--- a/source/core/dispatch/worker_registry.h
+++ b/source/core/dispatch/worker_registry.h
@@ -86,8 +86,9 @@
     bool described = true;
 
     /// The current incarnation of the worker has answered a poll under the owner's fence.
+    bool answered = false;
+    /// Such an answer had a complete list of ended runs, so that all runs of the worker are known.
     bool adopted = false;
-    /// The worker has answered such a poll at some time, so that all its runs are known.
     bool known = false;
     bool reachable = true;
     common::time_point last_contact;
--- a/source/core/emulation/emulated_fleet.cpp
+++ b/source/core/emulation/emulated_fleet.cpp
@@ -191,7 +191,9 @@
     for (const auto& [run, live] : worker.runs) {
         result.running.push_back({run, live.checkpoint, live.percent()});
     }
-    result.ended = worker.ends;
+    const auto listed = std::min(worker.ends.size(), dispatch::max_listed_ends);
+    result.ended.assign(worker.ends.begin(),
+                        worker.ends.begin() + static_cast<std::ptrdiff_t>(listed));
     return result;
 }
 
--- a/tests/unit/dispatch/dispatch_fixture.h
+++ b/tests/unit/dispatch/dispatch_fixture.h
@@ -230,7 +230,9 @@
             std::erase_if(runs, [&call](const ended_run& item) {
                 return item.number <= call.order.ends_saved;
             });
-            result.ended = runs;
+            runs.size() > max_listed_ends
+                ? result.ended.assign(runs.begin(), runs.begin() + max_listed_ends)
+                : result.ended.assign(runs.begin(), runs.end());
         }
         engine.on_poll_result(now, call, now, result);
     }
--- a/tests/unit/dispatch/recovery_test.cpp
+++ b/tests/unit/dispatch/recovery_test.cpp
@@ -117,6 +117,56 @@
     BOOST_TEST(f.worker_record.find("w3") == std::string::npos);
 }
 
+// Guards against a second start of a task that has succeeded: its end is in the rest of a list that
+// a worker cuts off, and the commits after which the worker lists the rest are slow (issue 36).
+BOOST_AUTO_TEST_CASE(a_worker_is_waited_for_until_it_has_listed_all_its_ends) {
+    dispatch_fixture f;
+    f.engine.on_queues({dispatch_fixture::plain_queue()});
+    for (std::uint32_t i = 0; i < max_listed_ends; ++i) {
+        f.end_run("w1", {{"removed", 0, 0, i}, 1}, run_end::succeeded);
+    }
+    f.end_run("w1", {task, 1}, run_end::succeeded);
+    f.engine.on_worker(f.now, dispatch_fixture::report("w1"));
+    f.engine.on_worker(f.now, dispatch_fixture::report("w2"));
+    f.engine.take_over(f.now, 10, two_workers);
+    f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 5);
+    f.save();
+    f.run_until_idle();
+    // This commit is answered after the leases of the former owner have ended.
+    BOOST_REQUIRE(f.engine.next_save().has_value());
+    f.advance(dispatcher_settings().authority + 2 * lease_settings().lease);
+    BOOST_TEST(f.starts.empty());
+    f.engine.on_saved(f.now);
+    f.advance(dispatcher_settings().idle_poll_interval);
+    f.save();
+    BOOST_TEST(f.starts.empty());
+    BOOST_TEST(f.engine.recovered());
+    BOOST_TEST(!f.engine.jobs().contains("a"));
+}
+
+// Guards against a recovery that never ends: a worker falls silent after it has listed a part of
+// its ended runs.
+BOOST_AUTO_TEST_CASE(
+    a_worker_that_falls_silent_with_unlisted_ends_is_waited_for_until_its_lease_ends) {
+    dispatch_fixture f;
+    f.engine.on_queues({dispatch_fixture::plain_queue()});
+    for (std::uint32_t i = 0; i <= max_listed_ends; ++i) {
+        f.end_run("w1", {{"removed", 0, 0, i}, 1}, run_end::succeeded);
+    }
+    for (const auto* const id : {"w1", "w2", "w3"}) {
+        f.engine.on_worker(f.now, dispatch_fixture::report(id));
+    }
+    f.engine.take_over(f.now, 10, record_of({"w1", "w2", "w3"}));
+    f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 5);
+    f.save();
+    f.run_until_idle();
+    f.unreachable["w1"] = true;
+    f.advance(lease_settings().lease);
+    BOOST_TEST(f.starts.empty());
+    f.advance(dispatcher_settings().authority + 2s);
+    BOOST_TEST(f.starts.size() == 1U);
+}
+
 // Guards against losing ended runs: a save round that began before a worker restart is written
 // after it, as after an outage of the store, while the new incarnation numbers its ended runs from
 // 1 again.
