Assume a full lease when a worker first answers a new owner

A new owner counted the leases of its predecessor from its take-over only. A worker that first answers later has obeyed the predecessor until then, which may have renewed its lease just before.

The first answer of a worker raises the end of its lease to a full lease from then on. No later renewal of the predecessor takes effect, because the worker has seen the higher fence.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -469,6 +469,8 @@
         worker->poll_failures = 0;
     }
     if (!worker->answered) {
+        // Until now the worker obeyed a former owner, which may just have renewed its lease.
+        m_workers.assume_lease(*worker, now);
         log_adoption(now, *worker, result, call.through_peer);
     }
     worker->answered = true;
--- a/tests/unit/dispatch/dispatch_fixture.h
+++ b/tests/unit/dispatch/dispatch_fixture.h
@@ -75,21 +75,23 @@
 
     /// Responds to polls with the lists in `running` and `ended` until no more actions are due.
     void run_until_idle() {
-        for (int round = 0; round < 20; ++round) {
-            engine.on_list_known(now);
-            engine.on_changes_known(now - cancels_age, now - drains_age);
-            engine.on_time(now);
-            const auto actions = engine.take_actions();
-            if (actions.empty()) {
-                return;
-            }
-            for (const auto& action : actions) {
-                handle_action(action);
-            }
+        for (int round = 0; round < 20 && run_one_round(); ++round) {
             now += std::chrono::milliseconds(5);
         }
     }
 
+    /// Handles the actions that are due now. Returns false when there are none.
+    bool run_one_round() {
+        engine.on_list_known(now);
+        engine.on_changes_known(now - cancels_age, now - drains_age);
+        engine.on_time(now);
+        const auto actions = engine.take_actions();
+        for (const auto& action : actions) {
+            handle_action(action);
+        }
+        return !actions.empty();
+    }
+
     void advance(common::duration by, common::duration step = std::chrono::milliseconds(50)) {
         const auto end = now + by;
         while (now < end) {
--- a/tests/unit/dispatch/recovery_test.cpp
+++ b/tests/unit/dispatch/recovery_test.cpp
@@ -144,6 +144,35 @@
     BOOST_TEST(!f.engine.jobs().contains("a"));
 }
 
+// Guards against two concurrent runs of a task: a worker first answers seconds after the take-over,
+// and its former owner renewed its lease just before (issue 36).
+BOOST_AUTO_TEST_CASE(an_adopted_worker_has_a_full_lease_from_its_first_answer) {
+    dispatch_fixture f;
+    f.engine.on_queues({dispatch_fixture::plain_queue()});
+    f.running["w1"] = {{{task, 1}, "", 50}};
+    f.unreachable["w1"] = true;
+    for (const auto* const id : {"w1", "w2", "w3"}) {
+        f.engine.on_worker(f.now, dispatch_fixture::report(id));
+    }
+    f.engine.take_over(f.now, 10, record_of({"w1", "w2", "w3"}));
+    f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 5);
+    f.save();
+    // Until now the former owner renews the lease. Only one poll of this owner arrives.
+    f.advance(dispatcher_settings().authority);
+    f.unreachable["w1"] = false;
+    f.polls.clear();
+    while (std::none_of(f.polls.begin(), f.polls.end(),
+                        [](const poll_order& poll) { return poll.worker == "w1"; })) {
+        f.now += 5ms;
+        f.run_one_round();
+    }
+    const auto answered_at = f.now;
+    f.unreachable["w1"] = true;
+    const auto* const worker = f.engine.workers().find("w1");
+    BOOST_TEST(worker->answered);
+    BOOST_TEST((worker->lease_end >= answered_at + lease_settings().lease - 50ms));
+}
+
 // Guards against a recovery that never ends: a worker falls silent after it has listed a part of
 // its ended runs.
 BOOST_AUTO_TEST_CASE(
