Count on the longest lease after a restart of a worker

The end of a lease is a time on the worker's clock. A poll in transit while the worker restarts carries a time of the former clock, far ahead of the new one, and the new incarnation shortens it to the longest lease (6 s by default) instead of the 4 s that the owner asks for.

The owner remembers until when an order with a lease may arrive at the next incarnation: an order without an answer within 12 s, and the poll whose answer shows the restart until that answer. It counts on the longest lease for the worker's runs from then on, also when the order is delayed. A successor does not know this; therefore nothing is started on the worker until the longest lease from an order that arrived within its time limit ends no later than the leases that are granted now: 2.1 s after the answer, or 3.6 s after the sending of an unanswered order. A worker whose orders have all been answered is used at once.

Weighed and not taken: - asking for the longest lease always: lost tasks would start again 2 s later in all cases; - a successor that waits for the longest lease: 2 s more for each change of owner with a silent worker; - using the worker only after 12 s of delay: it would be missing about 9 s longer after a usual crash; - a higher fence for the new incarnation, from the revision of the owner's last commit: it would also end late orders, but needs a fence for each worker in all calls. What remains: a poll that is carried out 2 to 12 s late at the next incarnation, and a change of owner within 6 s of it, with a successor that does not reach this worker.

Evidence: a_restarted_worker_is_used_once_no_lease_outlasts_the_grants and a_poll_that_shows_a_restart_may_have_granted_the_longest_lease fail (two checks each) without the longest lease and the pause, and all of test_dispatch passes with them.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -322,6 +322,7 @@
 }
 
 void dispatcher::check_workers(common::time_point now) {
+    m_workers.forget_open_orders(now);
     std::vector<std::string> removable;
     for (auto& [id, worker] : m_workers.all()) {
         const bool lease_over = now > worker.lease_end && is_dead(worker, now);
@@ -392,7 +393,8 @@
         // still finds out whether this owner has been replaced.
         const bool answers =
             worker->reachable || (call.through_peer && worker->answers_through_peer);
-        if (answers && permitted) {
+        worker->poll_renews = answers && permitted;
+        if (worker->poll_renews) {
             call.order.valid_until_ms = m_workers.grant_lease(*worker, now);
         } else if (answers) {
             m_counters.get("renewals_withheld_total").add();
@@ -414,6 +416,9 @@
         return;
     }
     worker->poll_pending = false;
+    if (result.status == order_status::no_answer && call.order.valid_until_ms != 0) {
+        m_workers.note_open_lease(call.order.worker, sent_at);
+    }
     if (result.status != order_status::accepted) {
         if (result.status == order_status::stale_fence) {
             m_actions.emplace_back(fenced{call.order.worker});
@@ -453,6 +458,9 @@
                       {{"worker", call.order.worker}, {"born_ms", result.start_time_ms}});
             handle_worker_restart(now, call.order.worker, change);
             m_unreported_runs_possible |= m_unadopted.contains(call.order.worker);
+            if (call.order.valid_until_ms != 0) {
+                m_workers.assume_longest_lease(*worker, now);
+            }
         }
     }
     m_workers.update_clock(*worker, now, result.clock_ms);
--- a/source/core/dispatch/dispatcher_plan.cpp
+++ b/source/core/dispatch/dispatcher_plan.cpp
@@ -46,7 +46,8 @@
     const bool listed = worker.listed || now < worker.unlisted_since + m_settings.unlisted_grace;
     return listed && worker.described && worker.adopted && worker.reachable &&
            !worker.report.draining && now >= worker.excluded_until &&
-           now >= worker.isolated_until && m_recorded_workers.contains(worker.report.id);
+           now >= worker.stale_lease_until && now >= worker.isolated_until &&
+           m_recorded_workers.contains(worker.report.id);
 }
 
 std::vector<worker_free_capacity> dispatcher::collect_free_capacities(common::time_point now) {
--- a/source/core/dispatch/dispatcher_runs.cpp
+++ b/source/core/dispatch/dispatcher_runs.cpp
@@ -54,6 +54,7 @@
     }
     if (result.status == order_status::no_answer) {
         ++placed.unanswered_orders;
+        m_workers.note_open_lease(order.worker, now);
         if (placed.phase == run_phase::running || placed.phase == run_phase::stopping) {
             return;
         }
--- a/source/core/dispatch/worker_registry.cpp
+++ b/source/core/dispatch/worker_registry.cpp
@@ -57,6 +57,7 @@
         }
         worker_entry reset;
         reset.slot = worker.slot;
+        assume_stale_lease(now, worker, reset);
         reset.runs = std::move(worker.runs);
         reset.allocated = worker.allocated;
         reset.pending_suspects = std::move(worker.pending_suspects);
@@ -124,11 +125,57 @@
     }
 }
 
+common::duration worker_registry::longest(common::duration lease) const {
+    return common::duration(static_cast<common::duration::rep>(
+        static_cast<double>(lease.count()) * (1.0 + 1.5 * m_settings.clock_drift)));
+}
+
 void worker_registry::extend_lease_end(worker_entry& worker, common::time_point now,
                                        common::duration lease) const {
-    const auto longest = common::duration(static_cast<common::duration::rep>(
-        static_cast<double>(lease.count()) * (1.0 + 1.5 * m_settings.clock_drift)));
-    worker.lease_end = std::max(worker.lease_end, now + longest);
+    worker.lease_end = std::max(worker.lease_end, now + longest(lease));
+}
+
+void worker_registry::note_open_lease(const std::string& worker, common::time_point sent_at) {
+    auto& sent = m_open_orders[worker].lease_sent_at;
+    sent = std::max(sent.value_or(sent_at), sent_at);
+}
+
+void worker_registry::forget_open_orders(common::time_point now) {
+    std::erase_if(m_open_orders, [&](const auto& entry) {
+        const auto& sent = entry.second.lease_sent_at;
+        return !sent || now > *sent + m_settings.order_delay;
+    });
+}
+
+// The end of a lease on the clock of the former incarnation is far ahead of the new clock, so that
+// the new incarnation takes it for the longest lease. The owner counts on that until no such order
+// can arrive any more. A successor counts on the usual lease only; therefore nothing is started
+// while a lease from an order without an unusual delay may outlast the usual one.
+void worker_registry::assume_stale_lease(common::time_point now, const worker_entry& former,
+                                         worker_entry& worker) {
+    const auto& id = former.report.id;
+    const bool start_pending =
+        std::any_of(former.runs.begin(), former.runs.end(), [](const auto& entry) {
+            return entry.second.phase == run_phase::ordered && !entry.second.uncertain;
+        });
+    if ((former.poll_pending && former.poll_renews) || start_pending) {
+        note_open_lease(id, now);
+    }
+    const auto open = m_open_orders.find(id);
+    if (open == m_open_orders.end() || !open->second.lease_sent_at) {
+        return;
+    }
+    const auto sent_at = *open->second.lease_sent_at;
+    assume_longest_lease(worker, sent_at + m_settings.call_limit);
+    extend_lease_end(worker, sent_at + m_settings.order_delay, m_settings.max_lease);
+}
+
+void worker_registry::assume_longest_lease(worker_entry& worker,
+                                           common::time_point arrived_at) const {
+    extend_lease_end(worker, arrived_at, m_settings.max_lease);
+    worker.stale_lease_until =
+        std::max(worker.stale_lease_until,
+                 arrived_at + longest(m_settings.max_lease) - longest(m_settings.lease));
 }
 
 std::int64_t worker_registry::grant_lease(worker_entry& worker, common::time_point now) const {
--- a/source/core/dispatch/worker_registry.h
+++ b/source/core/dispatch/worker_registry.h
@@ -98,11 +98,16 @@
     common::time_point clock_at;
     /// Latest possible end of the lease of the worker's runs.
     common::time_point lease_end;
+    /// Nothing is started before this time, because a lease that was meant for the former
+    /// incarnation may outlast those that are granted now.
+    common::time_point stale_lease_until;
 
     std::uint64_t ends_received = 0;
     std::uint64_t ends_saved = 0;
 
     bool poll_pending = false;
+    /// The pending poll carries a lease.
+    bool poll_renews = false;
     std::uint64_t poll_call = 0;
     unsigned poll_failures = 0;
     /// When the first of the failed polls failed.
@@ -144,6 +149,12 @@
     /// The worker refuses a start after this time, so that an order that is delayed by seconds has
     /// no effect.
     common::duration start_validity = std::chrono::milliseconds(1500);
+    /// Longest lease that a worker takes; it shortens longer ones.
+    common::duration max_lease = std::chrono::milliseconds(6000);
+    /// A call without a response arrives within this time, unless the platform delays it.
+    common::duration call_limit = std::chrono::milliseconds(1500);
+    /// The platform carries out delayed calls within this time.
+    common::duration order_delay = std::chrono::seconds(12);
 };
 
 /// All workers and their runs. A run occupies capacity from its start order until the worker lists
@@ -192,6 +203,14 @@
     void assume_lease(worker_entry& worker, common::time_point now) const {
         extend_lease_end(worker, now, m_settings.lease);
     }
+    /// The worker received the end of a lease on the clock of its former incarnation until this
+    /// time.
+    void assume_longest_lease(worker_entry& worker, common::time_point arrived_at) const;
+    /// An order with the end of a lease was sent to the worker and has not been answered, so that
+    /// its next incarnation may receive it.
+    void note_open_lease(const std::string& worker, common::time_point sent_at);
+    /// Forgets the open orders that can no longer arrive.
+    void forget_open_orders(common::time_point now);
     /// Time on the worker's clock after which it refuses a start ordered now with this validity.
     /// Raises lease_end accordingly.
     [[nodiscard]] std::int64_t grant_start_validity(worker_entry& worker, common::time_point now,
@@ -208,8 +227,19 @@
 private:
     void extend_lease_end(worker_entry& worker, common::time_point now,
                           common::duration lease) const;
+    [[nodiscard]] common::duration longest(common::duration lease) const;
+    void assume_stale_lease(common::time_point now, const worker_entry& former,
+                            worker_entry& worker);
+
+    /// Orders that the next incarnation of a worker may receive.
+    struct open_orders {
+        /// When the latest one with the end of a lease was sent.
+        std::optional<common::time_point> lease_sent_at;
+    };
 
     lease_settings m_settings;
+    /// By worker, also for workers that have been removed and may be back under the same id.
+    std::map<std::string, open_orders> m_open_orders;
     std::map<std::string, worker_entry> m_workers;
     std::vector<worker_entry*> m_slots;
 };
--- a/source/core/service/node_application.cpp
+++ b/source/core/service/node_application.cpp
@@ -167,6 +167,7 @@
 owner_environment node_application::make_owner_environment() {
     dispatch::dispatcher_settings dispatcher;
     dispatcher.leases.lease = std::min<common::duration>(m_settings.lease, preferred_lease);
+    dispatcher.leases.max_lease = m_settings.lease;
     dispatcher.cancel_bound = m_settings.cancel_bound;
     dispatcher.drain_bound = m_settings.drain_bound;
     dispatcher.order = dispatch::placement_order_names.value(m_settings.order);
--- a/tests/unit/dispatch/worker_loss_test.cpp
+++ b/tests/unit/dispatch/worker_loss_test.cpp
@@ -127,6 +127,57 @@
     BOOST_TEST(starts[0].run.run == 2U);
 }
 
+// Guards against two concurrent runs of a task: a poll in transit at a restart carries the end of a
+// lease on the former clock, which the new incarnation takes for its longest lease. Runs started
+// there would outlast the leases that the owner and its successor count on (issue 36).
+BOOST_AUTO_TEST_CASE(a_restarted_worker_is_used_once_no_lease_outlasts_the_grants) {
+    dispatcher_settings settings;
+    settings.leases.lease = 4s;
+    dispatch_fixture f(settings);
+    f.engine.on_queues({dispatch_fixture::plain_queue()});
+    f.become_owner({"w1"});
+    f.unreachable["w1"] = true;
+    f.advance(dispatcher_settings().idle_poll_interval + 100ms);
+    const auto renewal = std::find_if(f.polls.rbegin(), f.polls.rend(), [](const poll_order& poll) {
+        return poll.valid_until_ms > 0;
+    });
+    BOOST_REQUIRE((renewal != f.polls.rend()));
+    f.unreachable["w1"] = false;
+    f.crash_worker("w1");
+    const auto restarted_at = f.now;
+    f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 11);
+    f.advance(2s);
+    BOOST_TEST(f.starts.empty());
+    // A delayed poll may still arrive after that; the owner itself counts on its lease.
+    BOOST_TEST((f.engine.workers().find("w1")->lease_end > restarted_at + 16s));
+    f.advance(2s);
+    BOOST_TEST(f.starts.size() == 1U);
+}
+
+// Guards against the same when the poll in transit is the one that shows the restart.
+BOOST_AUTO_TEST_CASE(a_poll_that_shows_a_restart_may_have_granted_the_longest_lease) {
+    dispatcher_settings settings;
+    settings.leases.lease = 4s;
+    dispatch_fixture f(settings);
+    f.engine.on_queues({dispatch_fixture::plain_queue()});
+    f.become_owner({"w1"});
+    f.start_time_ms = 2000;
+    f.polls.clear();
+    while (f.polls.empty()) {
+        f.now += 5ms;
+        f.run_one_round();
+    }
+    BOOST_TEST(f.polls.back().valid_until_ms > 0);
+    f.report_from("w1");
+    f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 11);
+    const auto longest = settings.leases.max_lease;
+    BOOST_TEST((f.engine.workers().find("w1")->lease_end >= f.now + longest));
+    f.advance(longest - settings.leases.lease - 100ms);
+    BOOST_TEST(f.starts.empty());
+    f.advance(500ms);
+    BOOST_TEST(f.starts.size() == 1U);
+}
+
 // Guards against a worker that is never used again: it restarts after it was draining, and a poll
 // shows the restart before its entry in the instance list does.
 BOOST_AUTO_TEST_CASE(a_worker_that_restarts_after_draining_is_used_again) {
