Stop open start orders of released runs in the next incarnation

A start order without an answer may arrive 2 to 12 s late. When its worker has restarted meanwhile, the new incarnation executes it: the validity is a time of the former clock. The owner sent a stop only for the runs that it still had on the worker. check_workers removed them at the end of the lease, before the worker was back, and the same held for runs that had been listed as ended, had vanished, or whose worker had been removed.

The registry now keeps the open start orders of a run when it is released, by worker and also beyond the removal of the worker, until they can no longer arrive. When the worker is back, they are placed as uncertain runs: they keep their capacity and are stopped until a stop has been answered, after which the worker rejects these runs. Their tasks, and the current run of a gang, do not depend on them, and a crash under them counts for nothing. The memory is bounded by the starts of 12 s that have no answer.

A successor does not know these orders, and the record of workers is unchanged. It needs none of them once an incarnation has answered it, because they have a lower fence. What remains, for both: an order that arrives after the restart and before the first stop or poll is executed until it is stopped. Holding the task back for 12 s after each crash under an unanswered start was weighed and not taken.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -77,6 +77,9 @@
                    {"cpu_milli", report.capacity.cpu_milli},
                    {"free_cpu_milli", m_workers.find(report.id)->free().cpu_milli}});
     }
+    if (change.added) {
+        stop_open_starts(now, report.id);
+    }
     if (change.added || change.restarted) {
         schedule_poll(*m_workers.find(report.id), now);
     }
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -203,6 +203,8 @@
                                    std::string_view reason);
     void request_stop(common::time_point now, const std::string& worker, const run_key& run);
     void stop_gang(common::time_point now, job_entry& job, const task_key& task);
+    /// Stops the runs of which orders may still arrive at a worker that is back after its removal.
+    void stop_open_starts(common::time_point now, const std::string& worker);
     void check_stops(common::time_point now);
     void handle_worker_restart(common::time_point now, const std::string& worker,
                                const worker_registry::update& change);
--- a/source/core/dispatch/dispatcher_plan.cpp
+++ b/source/core/dispatch/dispatcher_plan.cpp
@@ -322,6 +322,8 @@
 
     auto& placed = m_workers.place(worker, run, spec.allocation(), now);
     placed.start_valid_until_ms = order.valid_until_ms;
+    placed.open_orders = 1;
+    placed.last_order_at = now;
     placed.expected_end = now + std::chrono::milliseconds(spec.estimate_ms);
     describe_run(now, placed, job, planned.task);
     step.set_current(planned.task.index, {worker.report.id, planned.run});
--- a/source/core/dispatch/dispatcher_runs.cpp
+++ b/source/core/dispatch/dispatcher_runs.cpp
@@ -36,6 +36,9 @@
         return;
     }
     placed_run& placed = position->second;
+    if (result.status != order_status::no_answer && placed.open_orders > 0) {
+        --placed.open_orders;
+    }
     if (result.status == order_status::accepted) {
         if (placed.phase != run_phase::stopping) {
             placed.phase = run_phase::running;
@@ -66,6 +69,8 @@
             repeated.valid_until_ms = grant_start_validity(*worker, now);
             placed.start_valid_until_ms =
                 std::max(placed.start_valid_until_ms, repeated.valid_until_ms);
+            ++placed.open_orders;
+            placed.last_order_at = now;
             m_counters.get("start_repeats_total").add();
             send_start(std::move(repeated));
         }
@@ -153,7 +158,8 @@
 }
 
 // A start that was sent before a restart may be executed by the new incarnation, which has the same
-// id. Only a response of the new incarnation to a stop rules this out.
+// id. Only a response of the new incarnation to a stop rules this out. This also holds for runs
+// that have been released meanwhile.
 void dispatcher::handle_worker_restart(common::time_point now, const std::string& id,
                                        const worker_registry::update& change) {
     auto& worker = *m_workers.find(id);
@@ -164,6 +170,7 @@
     }
     // The new incarnation numbers its ended runs from 1 again.
     m_save_round_ends.erase(id);
+    static_cast<void>(m_workers.place_open_starts(worker, now));
     for (auto& [run, placed] : worker.runs) {
         placed.stop_sent_at = now;
         m_pending_stops.emplace(id, run);
@@ -171,6 +178,15 @@
     }
 }
 
+void dispatcher::stop_open_starts(common::time_point now, const std::string& id) {
+    auto& worker = *m_workers.find(id);
+    for (const auto& run : m_workers.place_open_starts(worker, now)) {
+        worker.runs.at(run).stop_sent_at = now;
+        m_pending_stops.emplace(id, run);
+        m_actions.emplace_back(stop_order{id, run, m_fence});
+    }
+}
+
 void dispatcher::check_stops(common::time_point now) {
     for (auto position = m_pending_stops.begin(); position != m_pending_stops.end();) {
         auto* const worker = m_workers.find(position->first);
@@ -451,10 +467,18 @@
             vanished.push_back({run, placed.checkpoint});
         }
     }
+    std::vector<run_key> abandoned;
     for (const auto& run : vanished) {
-        m_workers_dirty |= worker.runs.at(run.run).uncertain;
+        const auto& placed = worker.runs.at(run.run);
+        m_workers_dirty |= placed.uncertain;
+        if (placed.abandoned) {
+            abandoned.push_back(run.run);
+        }
         m_workers.release(worker, run.run);
     }
+    std::erase_if(vanished, [&abandoned](const lost_run& run) {
+        return std::find(abandoned.begin(), abandoned.end(), run.run) != abandoned.end();
+    });
     handle_lost_runs(now, worker.report.id, vanished, "not_listed");
 }
 
--- a/source/core/dispatch/worker_registry.cpp
+++ b/source/core/dispatch/worker_registry.cpp
@@ -141,10 +141,16 @@
 }
 
 void worker_registry::forget_open_orders(common::time_point now) {
-    std::erase_if(m_open_orders, [&](const auto& entry) {
-        const auto& sent = entry.second.lease_sent_at;
-        return !sent || now > *sent + m_settings.order_delay;
-    });
+    const auto oldest = now - m_settings.order_delay;
+    for (auto position = m_open_orders.begin(); position != m_open_orders.end();) {
+        auto& [starts, lease_sent_at] = position->second;
+        std::erase_if(starts, [&](const auto& start) { return start.second.sent_at < oldest; });
+        if (lease_sent_at && *lease_sent_at < oldest) {
+            lease_sent_at.reset();
+        }
+        const bool empty = starts.empty() && !lease_sent_at;
+        position = empty ? m_open_orders.erase(position) : std::next(position);
+    }
 }
 
 // The end of a lease on the clock of the former incarnation is far ahead of the new clock, so that
@@ -156,7 +162,7 @@
     const auto& id = former.report.id;
     const bool start_pending =
         std::any_of(former.runs.begin(), former.runs.end(), [](const auto& entry) {
-            return entry.second.phase == run_phase::ordered && !entry.second.uncertain;
+            return entry.second.open_orders > entry.second.unanswered_orders;
         });
     if ((former.poll_pending && former.poll_renews) || start_pending) {
         note_open_lease(id, now);
@@ -211,10 +217,46 @@
     if (position == worker.runs.end()) {
         return;
     }
+    note_open_start(worker, run, position->second);
     worker.allocated -= position->second.demand;
     worker.runs.erase(position);
 }
 
+void worker_registry::note_open_start(const worker_entry& worker, const run_key& run,
+                                      const placed_run& placed) {
+    if (placed.open_orders > 0) {
+        m_open_orders[worker.report.id].starts[run] = {placed.demand, placed.last_order_at,
+                                                       placed.open_orders};
+    }
+}
+
+std::vector<run_key> worker_registry::place_open_starts(worker_entry& worker,
+                                                        common::time_point now) {
+    std::vector<run_key> placed_runs;
+    const auto open = m_open_orders.find(worker.report.id);
+    if (open == m_open_orders.end()) {
+        return placed_runs;
+    }
+    for (const auto& [run, start] : std::exchange(open->second.starts, {})) {
+        if (now > start.sent_at + m_settings.order_delay || worker.runs.contains(run)) {
+            continue;
+        }
+        const auto last_start_at = worker.last_start_at;
+        auto& placed = place(worker, run, start.demand, now);
+        worker.last_start_at = last_start_at;
+        placed.phase = run_phase::stopping;
+        placed.uncertain = true;
+        placed.abandoned = true;
+        placed.crash_counted = true;
+        placed.start_valid_until_ms = std::numeric_limits<std::int64_t>::max();
+        placed.open_orders = start.orders;
+        placed.unanswered_orders = start.orders;
+        placed.last_order_at = start.sent_at;
+        placed_runs.push_back(run);
+    }
+    return placed_runs;
+}
+
 bool worker_entry::has_uncertain_runs() const {
     return std::any_of(runs.begin(), runs.end(),
                        [](const auto& entry) { return entry.second.uncertain; });
@@ -227,8 +269,11 @@
 std::vector<lost_run> worker_registry::remove_runs(worker_entry& worker) {
     std::vector<lost_run> lost;
     lost.reserve(worker.runs.size());
-    for (const auto& entry : worker.runs) {
-        lost.push_back({entry.first, entry.second.checkpoint});
+    for (const auto& [run, placed] : worker.runs) {
+        note_open_start(worker, run, placed);
+        if (!placed.abandoned) {
+            lost.push_back({run, placed.checkpoint});
+        }
     }
     worker.runs.clear();
     worker.allocated = {};
--- a/source/core/dispatch/worker_registry.h
+++ b/source/core/dispatch/worker_registry.h
@@ -39,6 +39,13 @@
     bool uncertain = false;
     /// Unanswered orders of this start; each may still be executed.
     unsigned unanswered_orders = 0;
+    /// Orders of this start that have no answer yet, with or without an end of the call; each may
+    /// still arrive. The last one was sent at last_order_at.
+    unsigned open_orders = 0;
+    common::time_point last_order_at;
+    /// The task no longer depends on this run. Only the stop matters, which keeps the worker from
+    /// executing an order that arrives late.
+    bool abandoned = false;
     /// The crash of the worker under this run has been counted.
     bool crash_counted = false;
     /// Completed share of the work in percent, and when it last rose.
@@ -209,6 +216,9 @@
     /// An order with the end of a lease was sent to the worker and has not been answered, so that
     /// its next incarnation may receive it.
     void note_open_lease(const std::string& worker, common::time_point sent_at);
+    /// Places the runs of the worker that have been released while orders of them may still arrive,
+    /// so that they are stopped in the current incarnation. Returns them.
+    std::vector<run_key> place_open_starts(worker_entry& worker, common::time_point now);
     /// Forgets the open orders that can no longer arrive.
     void forget_open_orders(common::time_point now);
     /// Time on the worker's clock after which it refuses a start ordered now with this validity.
@@ -219,7 +229,8 @@
     placed_run& place(worker_entry& worker, const run_key& run, const placement::resources& demand,
                       common::time_point now);
     void release(worker_entry& worker, const run_key& run);
-    /// Removes and returns all runs of a worker that has lost them, which frees their capacity.
+    /// Removes all runs of a worker that has lost them, which frees their capacity, and returns
+    /// those that their tasks depend on.
     [[nodiscard]] std::vector<lost_run> remove_runs(worker_entry& worker);
 
     [[nodiscard]] const lease_settings& settings() const { return m_settings; }
@@ -228,11 +239,19 @@
     void extend_lease_end(worker_entry& worker, common::time_point now,
                           common::duration lease) const;
     [[nodiscard]] common::duration longest(common::duration lease) const;
+    void note_open_start(const worker_entry& worker, const run_key& run, const placed_run& placed);
     void assume_stale_lease(common::time_point now, const worker_entry& former,
                             worker_entry& worker);
 
+    struct open_start {
+        placement::resources demand;
+        common::time_point sent_at;
+        unsigned orders = 0;
+    };
     /// Orders that the next incarnation of a worker may receive.
     struct open_orders {
+        /// Start orders of runs that have been released.
+        std::map<run_key, open_start> starts;
         /// When the latest one with the end of a lease was sent.
         std::optional<common::time_point> lease_sent_at;
     };
--- a/tests/unit/dispatch/worker_loss_test.cpp
+++ b/tests/unit/dispatch/worker_loss_test.cpp
@@ -178,6 +178,75 @@
     BOOST_TEST(f.starts.size() == 1U);
 }
 
+// Guards against two concurrent runs of a task: the worker crashes after the repetition of a start
+// has arrived, its lease ends and the task runs elsewhere. The first order arrives seconds late, at
+// the next incarnation under the same id (review case 1).
+BOOST_AUTO_TEST_CASE(an_open_start_of_a_lost_worker_is_stopped_in_its_next_incarnation) {
+    for (const bool removed : {false, true}) {
+        dispatch_fixture f;
+        f.accept_starts = false;
+        f.engine.on_queues({dispatch_fixture::plain_queue()});
+        f.become_owner({"w1", "w2", "w3"});
+        f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 11);
+        f.run_until_idle();
+        const auto first = f.take_starts().at(0);
+        f.accept_starts = true;
+        f.now += 400ms;
+        f.engine.on_start_result(f.now, first, {order_status::no_answer, 0});
+        f.run_until_idle();
+        BOOST_REQUIRE(f.take_starts().size() == 1U);
+        f.unreachable[first.worker] = true;
+        if (removed) {
+            f.engine.on_worker_unlisted(f.now, first.worker);
+        }
+        f.advance(lease_settings().lease + 2s);
+        const auto second = f.take_starts();
+        BOOST_REQUIRE(second.size() == 1U);
+        BOOST_TEST(second[0].worker != first.worker);
+        BOOST_TEST((f.engine.workers().find(first.worker) == nullptr) == removed);
+        f.stops.clear();
+        f.unreachable[first.worker] = false;
+        f.crash_worker(first.worker);
+        f.advance(100ms);
+        BOOST_REQUIRE(f.stops.size() == 1U);
+        BOOST_TEST(f.stops[0].worker == first.worker);
+        BOOST_TEST((f.stops[0].run == first.run));
+        // The stop leaves the run that is at work alone, and is not repeated once it was answered.
+        f.advance(2s);
+        BOOST_TEST(f.stops.size() == 1U);
+        BOOST_TEST(f.is_running(second[0].worker, second[0].run));
+        BOOST_TEST(f.take_starts().empty());
+        BOOST_TEST(f.engine.workers().find(first.worker)->runs.empty());
+    }
+}
+
+// Guards against two runs of a task: an end is listed while an order of the run may still arrive,
+// and the worker restarts. Also guards against keeping open orders for good.
+BOOST_AUTO_TEST_CASE(an_open_start_of_an_ended_run_is_stopped_until_it_cannot_arrive) {
+    for (const auto pause : {500ms, 13'000ms}) {
+        dispatch_fixture f;
+        f.accept_starts = false;
+        f.engine.on_queues({dispatch_fixture::plain_queue()});
+        f.become_owner({"w1"});
+        f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 11);
+        f.run_until_idle();
+        const auto first = f.take_starts().at(0);
+        f.accept_starts = true;
+        f.now += 400ms;
+        f.engine.on_start_result(f.now, first, {order_status::no_answer, 0});
+        f.run_until_idle();
+        f.end_run("w1", first.run, run_end::succeeded);
+        f.advance(100ms);
+        f.save();
+        f.advance(pause);
+        f.stops.clear();
+        f.crash_worker("w1");
+        f.advance(100ms);
+        const bool may_arrive = pause < lease_settings().order_delay;
+        BOOST_TEST(f.stops.size() == (may_arrive ? 1U : 0U));
+    }
+}
+
 // Guards against a worker that is never used again: it restarts after it was draining, and a poll
 // shows the restart before its entry in the instance list does.
 BOOST_AUTO_TEST_CASE(a_worker_that_restarts_after_draining_is_used_again) {
