--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -77,6 +77,9 @@
                    {"cpu_milli", report.capacity.cpu_milli},
                    {"free_cpu_milli", m_workers.find(report.id)->free().cpu_milli}});
     }
+    if (change.added) {
+        stop_open_starts(now, report.id);
+    }
     if (change.added || change.restarted) {
         schedule_poll(*m_workers.find(report.id), now);
     }
@@ -323,6 +326,7 @@
 }
 
 void dispatcher::check_workers(common::time_point now) {
+    m_workers.forget_open_orders(now);
     std::vector<std::string> removable;
     for (auto& [id, worker] : m_workers.all()) {
         const bool lease_over = now > worker.lease_end && is_dead(worker, now);
@@ -393,7 +397,8 @@
         // still finds out whether this owner has been replaced.
         const bool answers =
             worker->reachable || (call.through_peer && worker->answers_through_peer);
-        if (answers && permitted) {
+        worker->poll_renews = answers && permitted;
+        if (worker->poll_renews) {
             call.order.valid_until_ms = m_workers.grant_lease(*worker, now);
         } else if (answers) {
             m_counters.get("renewals_withheld_total").add();
@@ -415,6 +420,9 @@
         return;
     }
     worker->poll_pending = false;
+    if (result.status == order_status::no_answer && call.order.valid_until_ms != 0) {
+        m_workers.note_open_lease(call.order.worker, sent_at);
+    }
     if (result.status != order_status::accepted) {
         if (result.status == order_status::stale_fence) {
             m_actions.emplace_back(fenced{call.order.worker});
@@ -454,6 +462,9 @@
                       {{"worker", call.order.worker}, {"born_ms", result.start_time_ms}});
             handle_worker_restart(now, call.order.worker, change);
             m_unreported_runs_possible |= m_unadopted.contains(call.order.worker);
+            if (call.order.valid_until_ms != 0) {
+                m_workers.assume_longest_lease(*worker, now);
+            }
         }
     }
     m_workers.update_clock(*worker, now, result.clock_ms);
@@ -465,17 +476,22 @@
         // The lists are as good as from a direct poll, but orders would not arrive.
         ++worker->poll_failures;
     } else {
-        m_workers_dirty |= !worker->reachable || m_unresponsive_workers.contains(call.order.worker);
+        m_workers_dirty |= !worker->reachable;
         worker->reachable = true;
         worker->poll_failures = 0;
     }
-    if (!worker->known) {
+    if (!worker->answered) {
+        // Until now the worker obeyed a former owner, which may just have renewed its lease.
+        m_workers.assume_lease(*worker, now);
         log_adoption(now, *worker, result, call.through_peer);
     }
-    worker->adopted = true;
-    worker->known = true;
-    m_unadopted.erase(call.order.worker);
-    m_unresponsive_workers.erase(call.order.worker);
+    worker->answered = true;
+    if (!result.may_omit_ends()) {
+        worker->adopted = true;
+        worker->known = true;
+        m_unadopted.erase(call.order.worker);
+        m_workers_dirty |= m_unresponsive_workers.erase(call.order.worker) > 0;
+    }
     m_authority.record_acceptance(call.order.worker, sent_at);
     for (const auto& reported : result.ended) {
         handle_ended_run(now, *worker, reported);
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -178,6 +178,10 @@
     [[nodiscard]] bool is_waited_for(const std::string& worker) const {
         return m_unadopted.contains(worker) || m_unresponsive_workers.contains(worker);
     }
+    /// One of the workers has listed only some of its ended runs, and none of its runs can have
+    /// ended with its lease since.
+    [[nodiscard]] bool is_any_partly_listed(common::time_point now,
+                                            const std::set<std::string>& workers) const;
     void skip_possible_run_numbers(job_entry& job) const;
     void log_adoption(common::time_point now, const worker_entry& worker, const poll_result& result,
                       bool through_peer) const;
@@ -203,6 +207,8 @@
                                    std::string_view reason);
     void request_stop(common::time_point now, const std::string& worker, const run_key& run);
     void stop_gang(common::time_point now, job_entry& job, const task_key& task);
+    /// Stops the runs of which orders may still arrive at a worker that is back after its removal.
+    void stop_open_starts(common::time_point now, const std::string& worker);
     void check_stops(common::time_point now);
     void handle_worker_restart(common::time_point now, const std::string& worker,
                                const worker_registry::update& change);
--- a/source/core/dispatch/dispatcher_plan.cpp
+++ b/source/core/dispatch/dispatcher_plan.cpp
@@ -46,7 +46,8 @@
     const bool listed = worker.listed || now < worker.unlisted_since + m_settings.unlisted_grace;
     return listed && worker.described && worker.adopted && worker.reachable &&
            !worker.report.draining && now >= worker.excluded_until &&
-           now >= worker.isolated_until && m_recorded_workers.contains(worker.report.id);
+           now >= worker.stale_lease_until && now >= worker.isolated_until &&
+           m_recorded_workers.contains(worker.report.id);
 }
 
 std::vector<worker_free_capacity> dispatcher::collect_free_capacities(common::time_point now) {
@@ -321,6 +322,8 @@
 
     auto& placed = m_workers.place(worker, run, spec.allocation(), now);
     placed.start_valid_until_ms = order.valid_until_ms;
+    placed.open_orders = 1;
+    placed.last_order_at = now;
     placed.expected_end = now + std::chrono::milliseconds(spec.estimate_ms);
     describe_run(now, placed, job, planned.task);
     step.set_current(planned.task.index, {worker.report.id, planned.run});
--- a/tests/unit/dispatch/dispatch_fixture.h
+++ b/tests/unit/dispatch/dispatch_fixture.h
@@ -75,24 +75,26 @@
 
     /// Responds to polls with the lists in `running` and `ended` until no more actions are due.
     void run_until_idle() {
-        for (int round = 0; round < 20; ++round) {
-            engine.on_list_known(now);
-            engine.on_changes_known(now - cancels_age, now - drains_age);
-            if (!key_hidden) {
-                engine.on_key_seen(now);
-            }
-            engine.on_time(now);
-            const auto actions = engine.take_actions();
-            if (actions.empty()) {
-                return;
-            }
-            for (const auto& action : actions) {
-                handle_action(action);
-            }
+        for (int round = 0; round < 20 && run_one_round(); ++round) {
             now += std::chrono::milliseconds(5);
         }
     }
 
+    /// Handles the actions that are due now. Returns false when there are none.
+    bool run_one_round() {
+        engine.on_list_known(now);
+        engine.on_changes_known(now - cancels_age, now - drains_age);
+        if (!key_hidden) {
+            engine.on_key_seen(now);
+        }
+        engine.on_time(now);
+        const auto actions = engine.take_actions();
+        for (const auto& action : actions) {
+            handle_action(action);
+        }
+        return !actions.empty();
+    }
+
     void advance(common::duration by, common::duration step = std::chrono::milliseconds(50)) {
         const auto end = now + by;
         while (now < end) {
@@ -235,7 +237,9 @@
             std::erase_if(runs, [&call](const ended_run& item) {
                 return item.number <= call.order.ends_saved;
             });
-            result.ended = runs;
+            runs.size() > max_listed_ends
+                ? result.ended.assign(runs.begin(), runs.begin() + max_listed_ends)
+                : result.ended.assign(runs.begin(), runs.end());
         }
         engine.on_poll_result(now, call, now, result);
     }
--- a/tests/unit/dispatch/recovery_test.cpp
+++ b/tests/unit/dispatch/recovery_test.cpp
@@ -139,6 +139,85 @@
     BOOST_TEST(f.starts.size() == 1U);
 }
 
+// Guards against a second start of a task that has succeeded: its end is in the rest of a list that
+// a worker cuts off, and the commits after which the worker lists the rest are slow (issue 36).
+BOOST_AUTO_TEST_CASE(a_worker_is_waited_for_until_it_has_listed_all_its_ends) {
+    dispatch_fixture f;
+    f.engine.on_queues({dispatch_fixture::plain_queue()});
+    for (std::uint32_t i = 0; i < max_listed_ends; ++i) {
+        f.end_run("w1", {{"removed", 0, 0, i}, 1}, run_end::succeeded);
+    }
+    f.end_run("w1", {task, 1}, run_end::succeeded);
+    f.engine.on_worker(f.now, dispatch_fixture::report("w1"));
+    f.engine.on_worker(f.now, dispatch_fixture::report("w2"));
+    f.engine.take_over(f.now, 10, two_workers);
+    f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 5);
+    f.save();
+    f.run_until_idle();
+    // This commit is answered after the leases of the former owner have ended.
+    BOOST_REQUIRE(f.engine.next_save().has_value());
+    f.advance(dispatcher_settings().authority + 2 * lease_settings().lease);
+    BOOST_TEST(f.starts.empty());
+    f.engine.on_saved(f.now);
+    f.advance(dispatcher_settings().idle_poll_interval);
+    f.save();
+    BOOST_TEST(f.starts.empty());
+    BOOST_TEST(f.engine.recovered());
+    BOOST_TEST(!f.engine.jobs().contains("a"));
+}
+
+// Guards against two concurrent runs of a task: a worker first answers seconds after the take-over,
+// and its former owner renewed its lease just before (issue 36).
+BOOST_AUTO_TEST_CASE(an_adopted_worker_has_a_full_lease_from_its_first_answer) {
+    dispatch_fixture f;
+    f.engine.on_queues({dispatch_fixture::plain_queue()});
+    f.running["w1"] = {{{task, 1}, "", 50}};
+    f.unreachable["w1"] = true;
+    for (const auto* const id : {"w1", "w2", "w3"}) {
+        f.engine.on_worker(f.now, dispatch_fixture::report(id));
+    }
+    f.engine.take_over(f.now, 10, record_of({"w1", "w2", "w3"}));
+    f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 5);
+    f.save();
+    // Until now the former owner renews the lease. Only one poll of this owner arrives.
+    f.advance(dispatcher_settings().authority);
+    f.unreachable["w1"] = false;
+    f.polls.clear();
+    while (std::none_of(f.polls.begin(), f.polls.end(),
+                        [](const poll_order& poll) { return poll.worker == "w1"; })) {
+        f.now += 5ms;
+        f.run_one_round();
+    }
+    const auto answered_at = f.now;
+    f.unreachable["w1"] = true;
+    const auto* const worker = f.engine.workers().find("w1");
+    BOOST_TEST(worker->answered);
+    BOOST_TEST((worker->lease_end >= answered_at + lease_settings().lease - 50ms));
+}
+
+// Guards against a recovery that never ends: a worker falls silent after it has listed a part of
+// its ended runs.
+BOOST_AUTO_TEST_CASE(
+    a_worker_that_falls_silent_with_unlisted_ends_is_waited_for_until_its_lease_ends) {
+    dispatch_fixture f;
+    f.engine.on_queues({dispatch_fixture::plain_queue()});
+    for (std::uint32_t i = 0; i <= max_listed_ends; ++i) {
+        f.end_run("w1", {{"removed", 0, 0, i}, 1}, run_end::succeeded);
+    }
+    for (const auto* const id : {"w1", "w2", "w3"}) {
+        f.engine.on_worker(f.now, dispatch_fixture::report(id));
+    }
+    f.engine.take_over(f.now, 10, record_of({"w1", "w2", "w3"}));
+    f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 5);
+    f.save();
+    f.run_until_idle();
+    f.unreachable["w1"] = true;
+    f.advance(lease_settings().lease);
+    BOOST_TEST(f.starts.empty());
+    f.advance(dispatcher_settings().authority + 2s);
+    BOOST_TEST(f.starts.size() == 1U);
+}
+
 // Guards against losing ended runs: a save round that began before a worker restart is written
 // after it, as after an outage of the store, while the new incarnation numbers its ended runs from
 // 1 again.
