End the lease of a claim whose outcome is unknown before the next claim

A claim without an answer may be carried out while the next one is being made. The node then owned the service with a key that was bound to the first lease, and renewed the second: it lost the key within 1.2 s, and each node had to take over from it again.

Before it claims again, the node now ends the lease of the claim that was not answered. The store refuses a key whose lease has ended (404), so that the late claim has no effect; if it has been carried out meanwhile without the watch showing it, its key goes with the lease. The fake store refuses such keys as well.

--- a/source/core/service/owner_election.cpp
+++ b/source/core/service/owner_election.cpp
@@ -199,7 +199,7 @@
     dispatch::store_commit change;
     change.expect.push_back({std::string(owner_key), m_revision});
     change.put.push_back({std::string(owner_key), write_owner(m_settings), lease});
-    m_store.commit(change, [self = shared_from_this()](const store_result& result) {
+    m_store.commit(change, [self = shared_from_this(), lease](const store_result& result) {
         if (result.status == store_status::ok) {
             // The watch may deliver the key before or after this answer. The ownership follows from
             // the key, whichever comes first.
@@ -214,7 +214,13 @@
             return;
         }
         // Without an answer the claim may still have succeeded; the watch then delivers the key.
-        self->m_loop.post_after(claim_retry_delay, [self] {
+        const bool open = result.status == store_status::unknown;
+        self->m_loop.post_after(claim_retry_delay, [self, lease, open] {
+            if (open && !self->m_is_owner) {
+                // The next claim has a lease of its own, and only that one would be renewed. The
+                // store refuses a key with a lease that has ended.
+                self->m_store.end_lease(lease, [](const store_result&) {});
+            }
             self->m_claim_pending = false;
             self->schedule_claim_if_vacant();
         });
--- a/tests/fakes/fake_shared_store.h
+++ b/tests/fakes/fake_shared_store.h
@@ -159,6 +159,11 @@
         if (result.status == dispatch::store_status::conflict) {
             return result;
         }
+        for (const auto& row : change.put) {
+            if (row.lease != 0 && !m_leases.contains(row.lease)) {
+                return {dispatch::store_status::not_found, {}, {}, false, 0, 0};
+            }
+        }
         ++m_revision;
         for (const auto& row : change.put) {
             auto& stored = m_items[row.key];
--- a/tests/unit/service/owner_election_test.cpp
+++ b/tests/unit/service/owner_election_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <functional>
+#include <optional>
 #include <thread>
 
 using namespace buckthornspar;
@@ -110,6 +111,26 @@
     BOOST_TEST(run_until([&] { return other.won.size() == 1; }, 1s));
 }
 
+// Pattern: late write. Guards against an owner whose key has another lease than the one that it
+// renews: a claim without an answer was carried out while the next one was being made.
+BOOST_AUTO_TEST_CASE(a_claim_that_is_carried_out_late_makes_no_owner) {
+    store.leases_expire = true;
+    std::optional<dispatch::store_commit> late;
+    store.on_commit = [&](const dispatch::store_commit& change) {
+        if (!late) {
+            late = change;
+            return dispatch::store_status::unknown;
+        }
+        store.apply(*late);
+        return dispatch::store_status::ok;
+    };
+    candidate a(*this, "a", 1);
+    BOOST_REQUIRE(run_until([&] { return a.won.size() == 1; }));
+    run_for(2s);
+    BOOST_TEST(a.lost.empty());
+    BOOST_TEST(a.won.size() == 1U);
+}
+
 // Guards against about a second without an owner when the store is unreachable from the owner's
 // node only: the owner must notice this before its lease expires, to release its key through
 // another node.
