Let a late report about a former term not end the next one

An owner that the store turns away has another node remove its key. When its own watch shows the removal first and it is elected again, the other node's late answer ended the new term, although its key stayed in the store: nobody owned the service until the lease was over (1.2 s).

Cause: owner_election::mark_lost() ended whichever term it found. The reports of the controller and of the other node now name the fence that they are about. A failed task of the event loop still ends the term, whichever it is.

Evidence: with a mark_lost() that ignores the fence, a_report_about_a_former_term_does_not_end_the_next_one lost the second term.

--- a/source/core/service/node_application.cpp
+++ b/source/core/service/node_application.cpp
@@ -164,7 +164,7 @@
     return m_controller ? m_controller->pending() : std::nullopt;
 }
 
-owner_environment node_application::make_owner_environment() {
+owner_environment node_application::make_owner_environment(std::uint64_t fence) {
     dispatch::dispatcher_settings dispatcher;
     dispatcher.leases.lease = std::min<common::duration>(m_settings.lease, preferred_lease);
     dispatcher.cancel_bound = m_settings.cancel_bound;
@@ -191,9 +191,9 @@
                 m_peers.poll_worker(worker, order, std::move(complete));
             },
             [this] { return m_election->may_act(); },
-            [this](std::string_view reason) {
+            [this, fence](std::string_view reason) {
                 if (m_election) {
-                    m_election->mark_lost(reason);
+                    m_election->mark_lost(reason, fence);
                 }
             },
             [this] { m_peers.notify_peers(); }};
@@ -287,7 +287,8 @@
 void node_application::on_elected(const owner_record& owner) {
     m_peers.set_followed_owner(std::nullopt);
     m_peers.set_owned_fence(owner.fence);
-    m_controller = std::make_shared<owner_controller>(make_owner_environment(), owner.fence);
+    m_controller =
+        std::make_shared<owner_controller>(make_owner_environment(owner.fence), owner.fence);
     m_controller->on_peer_seen(m_settings.id);
     m_controller->begin(m_configuration->queues());
 }
@@ -303,7 +304,7 @@
     m_relay.commit(change, [this, fence = owner.fence](const dispatch::store_result& result) {
         if (result.status == dispatch::store_status::ok) {
             log_event(severity::warning, "owner_handed_over", {{"fence", fence}});
-            m_election->mark_lost("store_unreachable");
+            m_election->mark_lost("store_unreachable", fence);
         }
     });
 }
--- a/source/core/service/node_application.h
+++ b/source/core/service/node_application.h
@@ -65,7 +65,7 @@
     void tick();
     [[nodiscard]] bool ready() const;
     [[nodiscard]] std::optional<pending_report> owner_pending() const;
-    [[nodiscard]] owner_environment make_owner_environment();
+    [[nodiscard]] owner_environment make_owner_environment(std::uint64_t fence);
     [[nodiscard]] peer_exchange::environment make_peer_environment();
     [[nodiscard]] caller_api::environment make_caller_environment();
 
--- a/source/core/service/owner_election.cpp
+++ b/source/core/service/owner_election.cpp
@@ -350,6 +350,12 @@
     m_listener.on_ownership_lost(reason);
 }
 
+void owner_election::mark_lost(std::string_view reason, std::uint64_t fence) {
+    if (fence == m_won_fence) {
+        mark_lost(reason);
+    }
+}
+
 void owner_election::resign(std::function<void()> complete) {
     m_stopping = true;
     if (m_watcher) {
--- a/source/core/service/owner_election.h
+++ b/source/core/service/owner_election.h
@@ -55,9 +55,11 @@
                    listener receiver);
 
     void start();
-    /// Gives up the ownership locally: the owner key has changed, or a worker has accepted a higher
-    /// fence.
+    /// Gives up the ownership locally, whichever term it is.
     void mark_lost(std::string_view reason);
+    /// The term with this fence is over: the owner key has changed, or a worker has accepted a
+    /// higher fence. A later term of this node goes on.
+    void mark_lost(std::string_view reason, std::uint64_t fence);
     /// The owner reports that it has resigned: the owner key is read again. With ended, its process
     /// has certainly ended and its key is replaced without waiting for the lease to expire.
     void on_owner_suspected(const owner_record& owner, bool ended);
--- a/tests/unit/service/owner_election_test.cpp
+++ b/tests/unit/service/owner_election_test.cpp
@@ -131,6 +131,20 @@
     BOOST_TEST(a.won.size() == 1U);
 }
 
+// Guards against a report about a former term, for example the late answer of another node that has
+// removed its key, which ends the next term of the same node.
+BOOST_AUTO_TEST_CASE(a_report_about_a_former_term_does_not_end_the_next_one) {
+    candidate a(*this, "a", 1);
+    BOOST_REQUIRE(run_until([&] { return a.won.size() == 1; }));
+    store.remove(std::string(owner_key));
+    BOOST_REQUIRE(run_until([&] { return a.won.size() == 2; }));
+    a.election->mark_lost("store_unreachable", a.won[0]);
+    BOOST_TEST(a.election->is_owner());
+    BOOST_TEST(a.lost.size() == 1U);
+    a.election->mark_lost("store_unreachable", a.won[1]);
+    BOOST_TEST(!a.election->is_owner());
+}
+
 // Guards against about a second without an owner when the store is unreachable from the owner's
 // node only: the owner must notice this before its lease expires, to release its key through
 // another node.
