Refuse a task name with text behind its last number

The list of a worker with such a name was read as one that names another task, so that the run was adopted for a task that does not run there. The list now counts as unreadable, and so as unanswered.

--- a/tests/unit/platform/clients_test.cpp
+++ b/tests/unit/platform/clients_test.cpp
@@ -164,6 +164,10 @@
 BOOST_AUTO_TEST_CASE(an_unreadable_list_counts_as_no_answer) {
     for (const std::string body :
          {R"({"clock_ms":1,"running":[["x",2,"c",41]],"ended":[]})",
+          R"({"clock_ms":1,"running":[["a.0.0.0x",2,"c",41]],"ended":[]})",
+          R"({"clock_ms":1,"running":[["a.0.0.4294967296",2,"c",41]],"ended":[]})",
+          R"({"clock_ms":1,"running":[["a.0.0.0",4294967296,"c",41]],"ended":[]})",
+          R"({"clock_ms":1,"running":[["a.0.0.0",-2,"c",41]],"ended":[]})",
           R"({"clock_ms":1,"running":[[1]],"ended":[]})",
           R"({"clock_ms":1,"running":{},"ended":[]})",
           R"({"clock_ms":1,"running":[],"ended":[[1,"a.0.0.0",1,"vanished",""]]})", "[]"}) {
