Test changes between the pages of a read after lost history

The test keeps two properties that hold today: a job that ends after the page that has it was read is not started again, because the directory keeps its final state longer than any read takes, and a job whose cancellation falls between the pages is cancelled, because the watch continues from the revision of the first page.

--- a/tests/unit/service/owner_controller_test.cpp
+++ b/tests/unit/service/owner_controller_test.cpp
@@ -445,6 +445,36 @@
     BOOST_TEST((directory.state_of("b") == dispatch::job_state::cancelled));
 }
 
+// Pattern: dropped history, pages that are no snapshot. Guards against a job that runs again
+// because it ended after the page that still has it was read (TWICE), and against one that runs
+// although it was cancelled after the page of the cancellations was read (UNASKED).
+BOOST_AUTO_TEST_CASE(changes_between_the_pages_of_a_new_read_are_not_lost) {
+    become_owner(3);
+    submit("a", 1000);
+    submit("b", 60'000);
+    submit("c", 1000);
+    BOOST_REQUIRE(run_until([&] { return starts_of("a") == 1 && starts_of("c") == 1; }));
+    run_for(100ms);
+    store.fail_watches = true;
+    store.apply({{}, {{std::string(active_prefix) + "other", "", 0}}, {}});
+    run_for(700ms);
+    store.drop_history();
+    store.page_items = 1;
+    store.delay = 30ms;
+    store.fail_watches = false;
+    const auto first = *std::find_if(platform.link.starts.begin(), platform.link.starts.end(),
+                                     [](const auto& order) { return order.run.task.job == "a"; });
+    platform.link.end_run(first.worker, first.run, dispatch::run_end::succeeded);
+    BOOST_REQUIRE(run_until([&] { return !store.has(job_key("a")); }, 2s));
+    store.apply({{}, {{cancel_key("b"), "{}", 0}}, {}});
+    run_for(1500ms);
+    BOOST_TEST(starts_of("a") == 1U);
+    BOOST_TEST((directory.state_of("a") == dispatch::job_state::completed));
+    BOOST_TEST((directory.state_of("b") == dispatch::job_state::cancelled));
+    BOOST_TEST(starts_of("c") == 1U);
+    BOOST_TEST(lost.empty());
+}
+
 // Guards against an owner that plans with the former configuration for its whole term, because the
 // configuration changed while it read the jobs.
 BOOST_AUTO_TEST_CASE(a_configuration_that_changes_while_a_new_owner_loads_takes_effect) {
