Make the test of changes between pages end the job after its page was read

The job could end before the new read began, so that the test did not show what it is for. It now waits for the first page, which has only the job that ends.

--- a/tests/fakes/fake_shared_store.h
+++ b/tests/fakes/fake_shared_store.h
@@ -36,6 +36,8 @@
     /// Leases that are not renewed in time end with their keys.
     bool leases_expire = false;
     unsigned renewals = 0;
+    /// Number of pages of ranges that were read.
+    unsigned ranges = 0;
     /// Maximum number of events in the answer to a watch.
     std::size_t page_events = 100'000;
     /// Maximum number of items in a page of a range.
@@ -61,6 +63,7 @@
 
     void range(const std::string& prefix, const std::string& after,
                dispatch::store_completion complete) override {
+        ++ranges;
         dispatch::store_result result;
         result.status = dispatch::store_status::ok;
         for (const auto& [key, stored] : m_items) {
--- a/tests/unit/service/owner_controller_test.cpp
+++ b/tests/unit/service/owner_controller_test.cpp
@@ -462,11 +462,15 @@
     store.page_items = 1;
     store.delay = 30ms;
     store.fail_watches = false;
+    // The first page, which has no key but that of the job, has been read.
+    const auto ranges = store.ranges;
+    BOOST_REQUIRE(run_until([&] { return store.ranges > ranges; }, 2s));
     const auto first = *std::find_if(platform.link.starts.begin(), platform.link.starts.end(),
                                      [](const auto& order) { return order.run.task.job == "a"; });
     platform.link.end_run(first.worker, first.run, dispatch::run_end::succeeded);
-    BOOST_REQUIRE(run_until([&] { return !store.has(job_key("a")); }, 2s));
     store.apply({{}, {{cancel_key("b"), "{}", 0}}, {}});
+    BOOST_REQUIRE(run_until([&] { return !store.has(job_key("a")); }, 2s));
+    BOOST_REQUIRE(store.ranges < ranges + 5);
     run_for(1500ms);
     BOOST_TEST(starts_of("a") == 1U);
     BOOST_TEST((directory.state_of("a") == dispatch::job_state::completed));
