--- a/tests/fakes/fake_shared_store.h
+++ b/tests/fakes/fake_shared_store.h
@@ -36,6 +36,8 @@
     /// Leases that are not renewed in time end with their keys.
     bool leases_expire = false;
     unsigned renewals = 0;
+    /// Number of pages of ranges that were read.
+    unsigned ranges = 0;
     /// Maximum number of events in the answer to a watch.
     std::size_t page_events = 100'000;
     /// Maximum number of items in a page of a range.
@@ -61,6 +63,7 @@
 
     void range(const std::string& prefix, const std::string& after,
                dispatch::store_completion complete) override {
+        ++ranges;
         dispatch::store_result result;
         result.status = dispatch::store_status::ok;
         for (const auto& [key, stored] : m_items) {
@@ -159,6 +162,11 @@
         if (result.status == dispatch::store_status::conflict) {
             return result;
         }
+        for (const auto& row : change.put) {
+            if (row.lease != 0 && !m_leases.contains(row.lease)) {
+                return {dispatch::store_status::not_found, {}, {}, false, 0, 0};
+            }
+        }
         ++m_revision;
         for (const auto& row : change.put) {
             auto& stored = m_items[row.key];
