Close inherited sockets in the programs that tests start

Cause: Asio opens sockets without close-on-exec. A program that a test starts inherits those of the test's own servers: a connection that the test closes stays open, and a port that it closes cannot be bound again while the program runs.

Change: child_process closes all other handles in the child. An absolute path is taken as it is, so that the program of another build can be started.

--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -2,9 +2,11 @@
 
 #include <boost/process/args.hpp>
 #include <boost/process/child.hpp>
+#include <boost/process/handles.hpp>
 #include <boost/process/io.hpp>
 
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 #include <stdexcept>
@@ -27,8 +29,11 @@
     : m_state(std::make_unique<state>()) {
     m_state->program = program;
     m_state->log_path = log_path;
-    m_state->child = bp::child(std::string(BTS_BIN_DIR) + "/" + program, bp::args(arguments),
-                               (bp::std_out & bp::std_err) > log_path, bp::std_in < bp::null);
+    // Sockets of this process that the child inherits would stay open when this process closes
+    // them.
+    m_state->child =
+        bp::child((std::filesystem::path(BTS_BIN_DIR) / program).string(), bp::args(arguments),
+                  (bp::std_out & bp::std_err) > log_path, bp::std_in < bp::null, bp::limit_handles);
 }
 
 child_process::~child_process() {
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -9,8 +9,8 @@
 
 namespace buckthornspar::process_test {
 
-/// A program under test, started from the build's bin directory. Its output goes to a log file. The
-/// destructor kills it.
+/// A program under test, started from the build's bin directory or, with an absolute path, from
+/// there. Its output goes to a log file. The destructor kills it.
 class child_process {
 public:
     child_process(const std::string& program, const std::vector<std::string>& arguments,
