Soak real nodes under drawn faults

There was no soak of real nodes in the repository.

Change: bts-soak runs buckthornspar-node processes with stand-ins of the store, the workers and the clients in its own process. Each node reaches the store, each worker and each other node by an address of its own, so that links are cut one by one. Faults come from a seed, in series or overlapping: partitions of the owner with a part of the workers (whose entries end, or stay), cuts and outages of the store, paused and killed owners, silent and restarted workers, revoked keys, calls that are lost or executed late.

--- /dev/null
+++ b/tests/soak/leased_worker.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "core/net/http_server.h"
+#include "soak/lossy_calls.h"
+#include "soak/soak_log.h"
+#include "soak/twice_check.h"
+
+#include <boost/json/fwd.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace buckthornspar::soak {
+
+class link_board;
+class platform_store;
+
+/// What the workers of a soak share.
+struct worker_environment {
+    platform_store& store;
+    link_board& links;
+    twice_check& check;
+    soak_log& log;
+    lossy_calls& calls;
+    /// Brings all workers up to the present time, so that a start is compared with runs that still
+    /// go on.
+    std::function<void()> advance_all;
+};
+
+struct worker_settings {
+    std::string id;
+    std::string service;
+    std::string rack;
+    std::int64_t cpu = 16'000;
+    std::int64_t memory_mb = 32'768;
+    /// Speed of the worker's clock; it may be 2 % slow.
+    double clock_rate = 1.0;
+};
+
+/// Stand-in for a worker of the platform: runs tasks under a lease, lists runs and ends, and writes
+/// its entry in the instance list while it reaches the store. The payload of a job says how long
+/// its tasks work ("work_ms=N") and up to which run they fail ("fails=N"). All functions run on the
+/// loop's thread.
+class leased_worker {
+public:
+    leased_worker(worker_environment environment, worker_settings settings);
+
+    /// Handles a call of the node.
+    void handle(const std::string& node, const net::http_request& request,
+                const net::http_reply& reply);
+
+    /// Ends the runs that are over and writes the entry when it is due. Called periodically.
+    void tick();
+    void advance();
+
+    void crash();
+    /// Starts again with the same id, a new start time and a new clock.
+    void restart();
+    [[nodiscard]] bool is_up() const { return m_up; }
+    [[nodiscard]] const std::string& id() const { return m_settings.id; }
+    [[nodiscard]] std::string key() const { return "servers/" + m_settings.id; }
+
+private:
+    struct active_run {
+        run_event event;
+        std::int64_t work_ms = 0;
+        std::int64_t done_at_ms = 0;
+        bool fails = false;
+    };
+    struct ended_run {
+        std::uint64_t number = 0;
+        run_event event;
+        std::string how;
+    };
+    struct waiting_poll {
+        std::int64_t until_ms = 0;
+        net::http_reply reply;
+    };
+
+    void serve(const net::http_request& request, const net::http_reply& reply);
+    [[nodiscard]] net::http_response start(const boost::json::object& body);
+    [[nodiscard]] net::http_response stop(const boost::json::object& body);
+    void poll(const boost::json::object& body, const net::http_reply& reply);
+    void add_run(const boost::json::object& body, const std::string& task, std::uint32_t run);
+    [[nodiscard]] bool accept_fence(const boost::json::object& body);
+    void acknowledge(std::uint64_t last_seen);
+    void extend_lease(std::int64_t until_clock_ms);
+    void end_run(const std::string& task, const std::string& how, std::int64_t at_ms);
+    void end_due_runs(std::int64_t until_ms);
+    void answer_polls();
+    void write_entry();
+    void expire_entry();
+    [[nodiscard]] std::int64_t clock_ms() const;
+    [[nodiscard]] net::http_response accepted() const;
+    [[nodiscard]] net::http_response refused(const char* reason) const;
+    [[nodiscard]] net::http_response lists() const;
+
+    worker_environment m_env;
+    worker_settings m_settings;
+    bool m_up = false;
+    std::int64_t m_born_ms = 0;
+    std::int64_t m_started_at_ms = 0;
+    std::uint64_t m_sequence = 0;
+    std::uint64_t m_fence = 0;
+    /// End of the lease in milliseconds of now_ms(); 0 when there has been none.
+    std::int64_t m_lease_ends_at_ms = 0;
+    bool m_lapsed = true;
+    std::uint64_t m_last_end = 0;
+    std::int64_t m_next_entry_ms = 0;
+    std::int64_t m_entry_written_ms = 0;
+    bool m_listed = false;
+    std::map<std::string, active_run> m_running;
+    std::deque<ended_run> m_ends;
+    std::map<std::string, std::uint32_t> m_highest_ended;
+    std::list<waiting_poll> m_polls;
+};
+
+} // namespace buckthornspar::soak
