Begin the faults of a soak when the workers are full

Cause: the first partition began 4 s after the clients, when the workers that it cut off had few runs or none.

--- a/tests/soak/fault_schedule.cpp
+++ b/tests/soak/fault_schedule.cpp
@@ -16,8 +16,9 @@
      "silent-workers", "worker-crashes", "key-revoked", "store-calls-lost", "worker-calls-lost"}};
 constexpr common::name_table<fault_pace, 2> pace_names{"pace", {"series", "overlapping"}};
 
-/// Time for the first jobs to run before the first fault.
-constexpr std::int64_t first_fault_ms = 4000;
+/// Time before the first fault in which the clients fill all workers. A partition of workers
+/// without runs shows nothing.
+constexpr std::int64_t first_fault_ms = 8000;
 /// Time after the last fault in which the ends of the former runs are acknowledged.
 constexpr std::int64_t calm_end_ms = 7000;
 
