Name the ended task after its run is removed in the soak's worker

Cause: leased_worker::end_run used the name of the task after the entry that holds it was removed, when a lease lapsed. The record named such tasks with stray bytes, and the worker forgot the number of the lapsed run, so that it could have accepted the same run again.

Change: the entry is kept until the end of the function.

--- a/tests/soak/leased_worker.cpp
+++ b/tests/soak/leased_worker.cpp
@@ -216,14 +216,15 @@
 }
 
 void leased_worker::end_run(const std::string& task, const std::string& how, std::int64_t at_ms) {
-    auto event = m_running.at(task).event;
+    // The name may be that of the entry, which is removed here.
+    const auto entry = m_running.extract(task);
+    auto event = entry.mapped().event;
     event.at_ms = at_ms;
-    m_running.erase(task);
     m_ends.push_back({++m_last_end, event, how});
-    auto& highest = m_highest_ended[task];
+    auto& highest = m_highest_ended[event.task];
     highest = std::max(highest, event.run);
-    m_env.log.write("end " + task + " run " + std::to_string(event.run) + " on " + id() + " " +
-                    how + " at " + std::to_string(at_ms) + " ms");
+    m_env.log.write("end " + event.task + " run " + std::to_string(event.run) + " on " + id() +
+                    " " + how + " at " + std::to_string(at_ms) + " ms");
     m_env.check.end(event, how == "done");
 }
 
