Take runs of a silent worker for lost only while the store shows the key

An owner that is cut off from the store, but keeps a majority of the workers, stays in authority. It does not reach another worker, takes the runs there for lost when the lease has ended, and starts their tasks again. Its successor polls that worker, renews the lease and stores the ends that it lists, also before it has a majority.

check_workers() now takes runs for lost only when the store has shown the owner's key later than the end of the lease: until then no successor can have polled the worker, and what its runs had reached lapsed with the lease. The price: tasks of workers that are lost in an outage of the store wait for the end of the outage.

The fixture shows the key to the owner unless a test says otherwise, as the service does.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -324,7 +324,10 @@
 void dispatcher::check_workers(common::time_point now) {
     std::vector<std::string> removable;
     for (auto& [id, worker] : m_workers.all()) {
-        const bool lease_over = now > worker.lease_end && is_dead(worker, now);
+        // A successor that this owner does not know of may have polled the worker before its lease
+        // ended, and have stored what the worker reported.
+        const bool own = m_key_seen_at && *m_key_seen_at > worker.lease_end;
+        const bool lease_over = now > worker.lease_end && own && is_dead(worker, now);
         if (lease_over && !worker.runs.empty()) {
             log_event(severity::warning, "worker_lost",
                       {{"worker", id}, {"runs", worker.runs.size()}});
--- a/tests/unit/dispatch/dispatch_fixture.h
+++ b/tests/unit/dispatch/dispatch_fixture.h
@@ -77,6 +77,9 @@
     void run_until_idle() {
         for (int round = 0; round < 20; ++round) {
             engine.on_list_known(now);
+            if (key_seen) {
+                engine.on_key_seen(now);
+            }
             engine.on_changes_known(now - cancels_age, now - drains_age);
             engine.on_time(now);
             const auto actions = engine.take_actions();
@@ -181,6 +184,8 @@
     std::map<std::string, std::string> stored;
     std::string worker_record;
     bool accept_starts = true;
+    /// The store goes on to show the owner's key.
+    bool key_seen = true;
     /// Incarnation (start time) that all workers report in polls.
     std::int64_t start_time_ms = 1000;
     /// Workers that report another incarnation.
--- a/tests/unit/dispatch/worker_loss_test.cpp
+++ b/tests/unit/dispatch/worker_loss_test.cpp
@@ -54,6 +54,27 @@
     BOOST_TEST(f.take_starts().empty());
 }
 
+// Guards against a second run of a task that has succeeded: an owner that is cut off from the store
+// and from a worker takes its runs for lost, while a successor polls the worker and stores their
+// ends (issue 36).
+BOOST_AUTO_TEST_CASE(runs_of_a_silent_worker_are_not_lost_while_a_successor_may_exist) {
+    dispatch_fixture f;
+    f.engine.on_queues({dispatch_fixture::plain_queue()});
+    f.become_owner({"w1", "w2", "w3"});
+    f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 11);
+    f.run_until_idle();
+    const auto worker = f.take_starts().at(0).worker;
+    f.unreachable[worker] = true;
+    f.through_peer[worker] = dispatch_fixture::peer_view::silent;
+    f.key_seen = false;
+    f.advance(10s);
+    BOOST_TEST(f.engine.has_authority(f.now));
+    BOOST_TEST(f.take_starts().empty());
+    f.key_seen = true;
+    f.advance(500ms);
+    BOOST_TEST(f.take_starts().size() == 1U);
+}
+
 // Guards against two concurrent runs of a task: a former owner that still reaches a few workers
 // keeps their runs alive while its successor waits for the end of their leases (issue 36). Expected
 // to fail, see KNOWN-RED.txt.
@@ -68,6 +89,7 @@
     for (const auto* const other : {"w1", "w2", "w3"}) {
         f.unreachable[other] = other != worker;
     }
+    f.key_seen = false;
     f.advance(dispatcher_settings().authority);
     f.polls.clear();
     f.advance(1s);
@@ -93,7 +115,7 @@
         f.unreachable[other] = other != worker;
     }
     f.advance(dispatcher_settings().authority);
-    f.engine.on_key_seen(f.now);
+    f.key_seen = false;
     f.polls.clear();
     f.advance(500ms);
     const auto is_renewal = [](const poll_order& poll) { return poll.valid_until_ms > 0; };
