Count a restarted worker only when the key is seen after its restart

The acceptance of an incarnation that is noticed during the term, or of a worker that was removed and is back while the stored record still has it, counts only when the store has shown the owner's key later than the notice: no successor had claimed until then, so that no fence was forgotten.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -82,6 +82,9 @@
                    {"cpu_milli", report.capacity.cpu_milli},
                    {"free_cpu_milli", m_workers.find(report.id)->free().cpu_milli}});
     }
+    if (change.restarted || (change.added && counts_towards_quorum(report.id))) {
+        m_unconfirmed_incarnations[report.id] = now;
+    }
     if (change.added || change.restarted) {
         schedule_poll(*m_workers.find(report.id), now);
     }
@@ -296,14 +299,32 @@
     return m_authority.is_held(now);
 }
 
-// The majorities of an owner and its successor have a worker in common only when both count over the
-// same set: that of the stored record. Until the store has answered, either record may be the one
-// that a successor reads.
+// The majorities of an owner and its successor have a worker in common only when both count over
+// the same set: that of the stored record. Until the store has answered, either record may be the
+// one that a successor reads.
 void dispatcher::update_quorum() {
     m_quorum_outdated = false;
     m_authority.set_quorums(m_stored_quorum, m_pending_quorum.value_or(m_stored_quorum));
 }
 
+bool dispatcher::counts_towards_quorum(const std::string& worker) const {
+    return m_stored_quorum.contains(worker) ||
+           (m_pending_quorum && m_pending_quorum->contains(worker));
+}
+
+// A restarted worker has forgotten all fences, also that of a successor. None existed while the
+// store showed this owner's key.
+void dispatcher::record_acceptance(const std::string& worker, common::time_point sent_at) {
+    const auto noticed = m_unconfirmed_incarnations.find(worker);
+    if (noticed != m_unconfirmed_incarnations.end()) {
+        if (!m_key_seen_at || *m_key_seen_at <= noticed->second) {
+            return;
+        }
+        m_unconfirmed_incarnations.erase(noticed);
+    }
+    m_authority.record_acceptance(worker, sent_at);
+}
+
 void dispatcher::note_answer(common::time_point now, const std::string& worker) {
     if (!m_proven_workers.insert(worker).second || m_record_due) {
         return;
@@ -381,6 +402,7 @@
         m_unresponsive_workers.erase(id);
         // Workers that are gone must not keep the successor of their owner from its majority.
         m_former_quorum.erase(id);
+        m_unconfirmed_incarnations.erase(id);
         m_workers_dirty |= m_proven_workers.erase(id) > 0;
     }
 }
@@ -471,6 +493,7 @@
         worker->listed = listed;
         if (change.restarted) {
             worker->described = false;
+            m_unconfirmed_incarnations[call.order.worker] = now;
             log_event(severity::info, "worker_restarted",
                       {{"worker", call.order.worker}, {"born_ms", result.start_time_ms}});
             handle_worker_restart(now, call.order.worker, change);
@@ -498,7 +521,7 @@
     m_unadopted.erase(call.order.worker);
     m_unresponsive_workers.erase(call.order.worker);
     note_answer(now, call.order.worker);
-    m_authority.record_acceptance(call.order.worker, sent_at);
+    record_acceptance(call.order.worker, sent_at);
     for (const auto& reported : result.ended) {
         handle_ended_run(now, *worker, reported);
     }
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -22,7 +22,8 @@
 struct dispatcher_settings {
     lease_settings leases;
     /// An owner sends orders only while a majority of the recorded workers has accepted its fence
-    /// within this time. Longer than poll_wait, so that one slow response does not suspend the owner.
+    /// within this time. Longer than poll_wait, so that one slow response does not suspend the
+    /// owner.
     common::duration authority = std::chrono::milliseconds(2000);
     /// An owner also renews leases while the store has shown its key within this time. At most half
     /// of authority, because a watch may report changes up to one second late.
@@ -149,6 +150,8 @@
     void check_workers(common::time_point now);
     [[nodiscard]] bool is_dead(const worker_entry& worker, common::time_point now) const;
     void update_quorum();
+    [[nodiscard]] bool counts_towards_quorum(const std::string& worker) const;
+    void record_acceptance(const std::string& worker, common::time_point sent_at);
     /// A worker has answered a poll, so that it may enter the record.
     void note_answer(common::time_point now, const std::string& worker);
     /// Logs that the authority has been won or lost since the last call.
@@ -274,6 +277,9 @@
     /// needed. A successor counts over the same ones.
     std::set<std::string> m_stored_quorum;
     std::optional<std::set<std::string>> m_pending_quorum;
+    /// Workers that have begun a new incarnation during the term, by when it was noticed. They do
+    /// not count before the store has shown the owner's key later than that.
+    std::map<std::string, common::time_point> m_unconfirmed_incarnations;
     /// The sets have changed since the authority was told.
     bool m_quorum_outdated = true;
     bool m_authority_logged = false;
--- a/tests/unit/dispatch/recovery_test.cpp
+++ b/tests/unit/dispatch/recovery_test.cpp
@@ -304,8 +304,8 @@
 }
 
 // Guards against two owners that start the same task: an owner that knows of workers which a later
-// owner's record will contain counts over them before the store does, or the other way round, so that
-// the two majorities have no worker in common (issue 36).
+// owner's record will contain counts over them before the store does, or the other way round, so
+// that the two majorities have no worker in common (issue 36).
 BOOST_AUTO_TEST_CASE(the_majority_is_counted_over_the_stored_record) {
     dispatch_fixture f;
     f.engine.on_queues({dispatch_fixture::plain_queue()});
@@ -343,8 +343,8 @@
 }
 
 // Guards against two owners that start the same task when there are three owners: the second one,
-// without a majority of the workers of the first one, stores a record with many new workers, and the
-// third one counts only over these.
+// without a majority of the workers of the first one, stores a record with many new workers, and
+// the third one counts only over these.
 BOOST_AUTO_TEST_CASE(a_record_keeps_the_quorum_of_an_owner_that_may_still_have_authority) {
     dispatch_fixture f;
     f.engine.on_queues({dispatch_fixture::plain_queue()});
@@ -373,6 +373,40 @@
     BOOST_TEST((read_worker_record(g.worker_record).quorum_or_all().size() == 7U));
 }
 
+// Guards against two owners with a majority each: workers that have accepted a successor's fence
+// restart and forget it, and accept the former owner again (issue 36).
+BOOST_AUTO_TEST_CASE(a_restarted_worker_counts_once_the_key_has_been_seen_after_it) {
+    dispatch_fixture f;
+    f.engine.on_queues({dispatch_fixture::plain_queue()});
+    f.become_owner({"w1", "w2", "w3"});
+    f.unreachable["w1"] = true;
+    f.key_seen = false;
+    f.crash_worker("w2");
+    f.advance(3s);
+    BOOST_TEST(!f.engine.has_authority(f.now));
+    f.key_seen = true;
+    f.advance(dispatcher_settings().idle_poll_interval + 100ms);
+    BOOST_TEST(f.engine.has_authority(f.now));
+}
+
+// Guards against the same fault with a worker that is removed and listed again.
+BOOST_AUTO_TEST_CASE(a_worker_that_is_back_counts_once_the_key_has_been_seen_after_it) {
+    dispatch_fixture f;
+    f.engine.on_queues({dispatch_fixture::plain_queue()});
+    f.become_owner({"w1", "w2", "w3"});
+    f.unreachable["w1"] = true;
+    f.unreachable["w2"] = true;
+    f.engine.on_worker_unlisted(f.now, "w2");
+    f.advance(10s);
+    BOOST_REQUIRE(f.engine.workers().find("w2") == nullptr);
+    // The store has not taken the record without the worker yet.
+    f.key_seen = false;
+    f.unreachable["w2"] = false;
+    f.crash_worker("w2");
+    f.advance(3s);
+    BOOST_TEST(!f.engine.has_authority(f.now));
+}
+
 // Guards against an owner that never starts anything: entries of another writer, as many as there
 // are workers, never answer (issue 33).
 BOOST_AUTO_TEST_CASE(entries_that_never_answer_do_not_count) {
@@ -402,9 +436,9 @@
             f.save();
         }
     }
-    const auto written =
-        std::count_if(f.saves.begin(), f.saves.end(),
-                      [](const save_batch& batch) { return !batch.workers.empty(); });
+    const auto written = std::count_if(f.saves.begin(), f.saves.end(), [](const save_batch& batch) {
+        return !batch.workers.empty();
+    });
     BOOST_TEST(written < 100);
 }
 
