--- a/tests/unit/dispatch/dispatch_fixture.h
+++ b/tests/unit/dispatch/dispatch_fixture.h
@@ -69,8 +69,17 @@
             engine.on_worker(now, report(id));
         }
         engine.take_over(now, fence, record);
+        settle();
+    }
+
+    /// Stores the record of the workers that answer polls.
+    void settle() {
+        save();
+        advance(std::chrono::milliseconds(50), std::chrono::milliseconds(10));
         save();
         run_until_idle();
+        // Plans have a distance in time; the next event is planned at once.
+        now += std::chrono::milliseconds(10);
     }
 
     /// Responds to polls with the lists in `running` and `ended` until no more actions are due.
@@ -84,7 +93,7 @@
     bool run_one_round() {
         engine.on_list_known(now);
         engine.on_changes_known(now - cancels_age, now - drains_age);
-        if (!key_hidden) {
+        if (key_seen) {
             engine.on_key_seen(now);
         }
         engine.on_time(now);
@@ -186,6 +195,8 @@
     std::map<std::string, std::string> stored;
     std::string worker_record;
     bool accept_starts = true;
+    /// The store goes on to show the owner's key.
+    bool key_seen = true;
     /// Incarnation (start time) that all workers report in polls.
     std::int64_t start_time_ms = 1000;
     /// Workers that report another incarnation.
@@ -193,8 +204,6 @@
     /// How long ago the last known cancellation or report of draining can have been accepted.
     common::duration cancels_age{0};
     common::duration drains_age{0};
-    /// The store does not show the owner's key.
-    bool key_hidden = false;
     /// When true, the test itself ends stopped runs; otherwise they end at once.
     bool stops_take_time = false;
 
