Close inherited handles of a child without allocating memory

Cause: bp::limit_handles reads a directory between fork and exec. Under the address sanitizer a soak hung in its first fork, because another thread held the allocator's lock.

Change: all handles from 3 on are marked close-on-exec with one system call.

Measured: process_standin and process_ctl pass.

--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -2,9 +2,13 @@
 
 #include <boost/process/args.hpp>
 #include <boost/process/child.hpp>
-#include <boost/process/handles.hpp>
+#include <boost/process/extend.hpp>
 #include <boost/process/io.hpp>
 
+#include <unistd.h>
+
+#include <linux/close_range.h>
+
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -18,6 +22,18 @@
 namespace bp = boost::process;
 using namespace std::chrono_literals;
 
+namespace {
+
+// Sockets of this process that the child inherits would stay open when this process closes them.
+// Between fork and exec the child must not allocate memory, because another thread may have held
+// the allocator's lock; bp::limit_handles does, and deadlocks under the address sanitizer.
+constexpr auto close_inherited_handles = [](auto& /*executor*/) {
+    constexpr unsigned first_handle = 3;
+    close_range(first_handle, ~0U, CLOSE_RANGE_CLOEXEC);
+};
+
+} // namespace
+
 struct child_process::state {
     std::string program;
     std::string log_path;
@@ -33,7 +49,8 @@
     // them.
     m_state->child =
         bp::child((std::filesystem::path(BTS_BIN_DIR) / program).string(), bp::args(arguments),
-                  (bp::std_out & bp::std_err) > log_path, bp::std_in < bp::null, bp::limit_handles);
+                  (bp::std_out & bp::std_err) > log_path, bp::std_in < bp::null,
+                  bp::extend::on_exec_setup(close_inherited_handles));
 }
 
 child_process::~child_process() {
