Tell successors that runs of workers given up may exist

What callers would see: a task starts again although its run has ended as done (TWICE).

Cause: an owner that gives up a worker skips the numbers of runs that may exist there, in its memory only. If it ends before it starts the task, its successor finds a record without that worker, takes all runs for known and uses a number again. When the worker returns, the end of its run is counted as that of the other run, whose end as done is then passed over.

Change: the record of workers says that unreported runs may exist; every later owner then numbers its runs from its own range. The flag is also set when workers that the former owner did not reach are given up.

--- a/source/core/dispatch/dispatcher_recovery.cpp
+++ b/source/core/dispatch/dispatcher_recovery.cpp
@@ -55,6 +55,7 @@
         }
     }
     m_term = record.term + 1;
+    m_unreported_runs_possible |= record.unreported_runs;
     m_former_quorum = record.quorum_or_all();
     m_stored_quorum = m_former_quorum;
     for (const auto& report : record.workers) {
@@ -102,6 +103,7 @@
 worker_record dispatcher::make_worker_record() const {
     worker_record record;
     record.term = m_term;
+    record.unreported_runs = m_unreported_runs_possible;
     for (const auto& [id, worker] : m_workers.all()) {
         if (is_recordable(worker)) {
             record.workers.push_back(worker.report);
@@ -226,6 +228,7 @@
                   {{"unanswered", m_unresponsive_workers.size()},
                    {"unanswered_workers", list_names(m_unresponsive_workers)},
                    {"jobs", m_jobs_on_unresponsive_workers.size()}});
+        m_unreported_runs_possible |= !m_unresponsive_workers.empty();
         m_unresponsive_workers.clear();
         m_jobs_on_unresponsive_workers.clear();
         note_all_waiting();
--- a/source/core/dispatch/worker_record.cpp
+++ b/source/core/dispatch/worker_record.cpp
@@ -36,6 +36,9 @@
                           {"workers", std::move(workers)},
                           {"silent", json::value_from(record.unresponsive_workers)},
                           {"silent_jobs", json::value_from(record.jobs_on_unresponsive_workers)}};
+    if (record.unreported_runs) {
+        document["unreported_runs"] = true;
+    }
     if (record.quorum) {
         document["quorum"] = json::value_from(*record.quorum);
     }
@@ -62,7 +65,10 @@
         record.unresponsive_workers = json::value_to<std::set<std::string>>(value.at("silent"));
         record.jobs_on_unresponsive_workers =
             json::value_to<std::set<std::string>>(value.at("silent_jobs"));
-        // Absent in the records of earlier versions.
+        // These are absent in the records of earlier versions.
+        if (const auto* const unreported = value.as_object().if_contains("unreported_runs")) {
+            record.unreported_runs = unreported->as_bool();
+        }
         if (const auto* const quorum = value.as_object().if_contains("quorum")) {
             record.quorum = json::value_to<std::set<std::string>>(*quorum);
             const auto all = ids_of(record.workers);
--- a/source/core/dispatch/worker_record.h
+++ b/source/core/dispatch/worker_record.h
@@ -24,6 +24,8 @@
     /// runs there.
     std::set<std::string> unresponsive_workers;
     std::set<std::string> jobs_on_unresponsive_workers;
+    /// Runs that no worker has reported may exist, of any earlier term: a worker was given up.
+    bool unreported_runs = false;
     /// Workers from the list above of which a majority is needed in place of all of them: those of
     /// the former owner's record, as long as that owner may still have its majority.
     std::optional<std::set<std::string>> quorum;
--- a/tests/unit/dispatch/recovery_test.cpp
+++ b/tests/unit/dispatch/recovery_test.cpp
@@ -264,6 +264,67 @@
     BOOST_TEST(first_run(1) != first_run(2));
 }
 
+// Guards against a run number that two owners use for different runs: the owner between them gave
+// up the worker of the first run and started nothing. When that worker returns, the end of the
+// first run is stored as that of the second one, and the next owner passes over the end of the
+// second run as done.
+BOOST_AUTO_TEST_CASE(a_run_number_of_a_worker_given_up_two_owners_ago_is_not_reused) {
+    dispatch_fixture between;
+    between.engine.on_queues({dispatch_fixture::plain_queue()});
+    between.unreachable["w2"] = true;
+    between.engine.on_worker(between.now, dispatch_fixture::report("w1", 500));
+    between.engine.on_worker(between.now, dispatch_fixture::report("w3", 500));
+    between.engine.take_over(between.now, 10, record_of({"w1", "w2", "w3"}));
+    between.engine.on_job(between.now, dispatch_fixture::job("a", 1, 1000), {}, 5);
+    between.save();
+    for (int i = 0; i < 100; ++i) {
+        between.advance(100ms);
+        between.save();
+    }
+    BOOST_TEST(between.starts.empty());
+
+    dispatch_fixture f;
+    f.now = between.now;
+    f.engine.on_queues({dispatch_fixture::plain_queue()});
+    f.engine.on_worker(f.now, dispatch_fixture::report("w1"));
+    f.engine.on_worker(f.now, dispatch_fixture::report("w3", 500));
+    BOOST_REQUIRE(between.worker_record.find("w2") == std::string::npos);
+    f.engine.take_over(f.now, 20, between.worker_record);
+    f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000),
+                    between.stored.contains("a") ? read_progress("a", between.stored.at("a"))
+                                                 : job_progress{},
+                    5);
+    f.save();
+    f.advance(8s);
+    f.save();
+    BOOST_TEST(f.starts.size() == 1U);
+
+    f.end_run("w2", {task, 1}, run_end::lapsed);
+    f.report_from("w2");
+    for (int i = 0; i < 30; ++i) {
+        f.advance(100ms);
+        f.save();
+    }
+    BOOST_TEST(f.starts.size() == 1U);
+
+    dispatch_fixture last;
+    last.now = f.now;
+    last.engine.on_queues({dispatch_fixture::plain_queue()});
+    last.running = f.running;
+    last.end_numbers = f.end_numbers;
+    last.end_run("w1", f.starts.at(0).run, run_end::succeeded);
+    last.engine.on_worker(last.now, dispatch_fixture::report("w1"));
+    last.engine.on_worker(last.now, dispatch_fixture::report("w2"));
+    last.engine.on_worker(last.now, dispatch_fixture::report("w3", 500));
+    last.engine.take_over(last.now, 30, f.worker_record);
+    last.engine.on_job(
+        last.now, dispatch_fixture::job("a", 1, 1000),
+        f.stored.contains("a") ? read_progress("a", f.stored.at("a")) : job_progress{}, 5);
+    last.save();
+    last.advance(8s);
+    BOOST_TEST(last.starts.empty());
+}
+
 // Guards against two concurrent runs of a task when a worker that is missing from the instance list
 // still answers polls.
 BOOST_AUTO_TEST_CASE(an_unlisted_worker_that_answers_keeps_its_runs) {
