Let the memory tests save the ends that a worker lists in parts

Cause: the fixture lists at most 500 ended runs a poll, as workers do. Two memory tests let the owner read once and then checked the records of up to 20,000 ended runs.

Change: they read and save until no end is listed. The checks are unchanged.

--- a/tests/unit/dispatch/memory_test.cpp
+++ b/tests/unit/dispatch/memory_test.cpp
@@ -25,6 +25,18 @@
         engine.on_queues({plain_queue()});
         become_owner({"w1", "w2"});
     }
+
+    /// Lets the owner read and save all ended runs, of which a worker lists only some at a time.
+    void save_all_ends() {
+        const auto any_listed = [this] {
+            return std::any_of(ended.begin(), ended.end(),
+                               [](const auto& entry) { return !entry.second.empty(); });
+        };
+        do {
+            advance(400ms);
+            save();
+        } while (any_listed());
+    }
 };
 
 constexpr std::int64_t unix_now_ms = 1'800'000'000'000;
@@ -236,8 +248,7 @@
                 std::string(64, 'c') + std::to_string(order.run.task.index));
     }
     engine.drain();
-    advance(1s);
-    save();
+    save_all_ends();
     const auto& record = stored.at("a");
     BOOST_TEST(record.size() <= std::size_t{1} << 20U);
     const auto known = read_progress("a", record);
@@ -266,9 +277,8 @@
                 std::string(500, 'c') + std::to_string(order.run.task.index));
     }
     engine.drain();
-    advance(1s);
     saves.clear();
-    save();
+    save_all_ends();
     std::size_t records = 0;
     for (const auto& batch : saves) {
         std::size_t bytes = 0;
