Keep the settings of a queue with its accepted jobs

Cause: an owner keeps the settings of dropped queues in memory only. A successor knows the queues of the present configuration and plans nothing for jobs of others. Class: state that accepted work needs, held by one process.

The record of a job now carries the settings of its queue at the acceptance. An owner that has never had a configuration with the queue takes them from the job that was accepted last; a configuration goes before a record.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -53,6 +53,7 @@
     for (const auto& queue : queues) {
         // Removed queues are kept, because their accepted jobs are still executed.
         m_queues[queue.name] = queue;
+        m_unconfigured_queues.erase(queue.name);
     }
     note_all_waiting();
     m_replan_needed = true;
@@ -113,6 +114,8 @@
         return;
     }
     auto job = make_job(spec, progress, revision, now);
+    job.spec.accepted_queue.reset();
+    keep_accepted_queue(spec, revision);
     const auto state = job.state;
     m_queued_by_queue[spec.queue] += state == job_state::queued ? 1 : 0;
     m_scheduled_job_count += spec.schedule.repeats > 0 ? 1 : 0;
@@ -126,6 +129,24 @@
     }
 }
 
+void dispatcher::keep_accepted_queue(const job_spec& spec, std::uint64_t revision) {
+    if (!spec.accepted_queue) {
+        return;
+    }
+    const auto [queue, added] = m_queues.try_emplace(spec.queue, *spec.accepted_queue);
+    if (added) {
+        m_unconfigured_queues[spec.queue] = revision;
+        // Jobs of earlier versions, whose records have no settings.
+        note_all_waiting();
+        return;
+    }
+    const auto from = m_unconfigured_queues.find(spec.queue);
+    if (from != m_unconfigured_queues.end() && from->second < revision) {
+        from->second = revision;
+        queue->second = *spec.accepted_queue;
+    }
+}
+
 void dispatcher::on_cancel(common::time_point now, const std::string& id) {
     const auto position = m_jobs.find(id);
     if (position == m_jobs.end()) {
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -271,6 +271,9 @@
     void send_start(start_order order);
     void renew_tickets_of_broken_gang(common::time_point now, job_entry& job, const task_key& task);
     [[nodiscard]] const queue_settings* queue_of(const job_spec& spec) const;
+    /// Executes the jobs of a queue that no configuration of the term had by the settings at the
+    /// acceptance of the latest one.
+    void keep_accepted_queue(const job_spec& spec, std::uint64_t revision);
     /// Target time from acceptance to completion of the job; 0 when its queue is unknown.
     [[nodiscard]] std::int64_t objective_ms(const job_entry& job) const;
     /// Sets the properties of the run that come from its job.
@@ -294,6 +297,8 @@
     bool m_quorum_outdated = true;
     bool m_authority_logged = false;
     std::map<std::string, queue_settings> m_queues;
+    /// Queues known from accepted jobs only, by the revision of the latest of these.
+    std::map<std::string, std::uint64_t> m_unconfigured_queues;
     std::map<std::string, job_entry> m_jobs;
     /// Number of the jobs that have a schedule.
     std::size_t m_scheduled_job_count = 0;
--- a/source/core/dispatch/job.h
+++ b/source/core/dispatch/job.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -60,6 +61,26 @@
     bool operator==(const schedule_spec&) const = default;
 };
 
+/// Settings of a queue in the operators' configuration.
+struct queue_settings {
+    std::string name;
+    std::string service;
+    /// 0 is the most urgent.
+    int priority = 0;
+    std::uint32_t max_attempts = 1;
+    /// The completion objective of a job is slack_factor times its critical path plus target_ms.
+    double slack_factor = 1.0;
+    std::int64_t target_ms = 0;
+    /// The queue's policy allows a step only on workers for which the advice service grants a
+    /// ticket. A call takes ticket_base_ms plus ticket_per_worker_ms for each named worker.
+    bool needs_tickets = false;
+    double ticket_base_ms = 0.0;
+    double ticket_per_worker_ms = 0.0;
+    std::int64_t ticket_valid_ms = 0;
+
+    bool operator==(const queue_settings&) const = default;
+};
+
 /// A job as its customer submitted it.
 struct job_spec {
     std::string id;
@@ -72,6 +93,9 @@
     std::int64_t accepted_ms = 0;
     /// Node that accepted the job and shows its state to the customer; empty when unknown.
     std::string accepted_by;
+    /// Settings of the queue at the acceptance, by which the job is executed when the configuration
+    /// no longer has the queue; null in records of earlier versions.
+    std::shared_ptr<const queue_settings> accepted_queue;
 
     /// Number of times that the steps run.
     [[nodiscard]] std::uint32_t occurrence_count() const {
@@ -102,24 +126,6 @@
 /// Formats the key for logs as job.occurrence.step.index.
 [[nodiscard]] std::string to_string(const task_key& task);
 
-/// Settings of a queue in the operators' configuration.
-struct queue_settings {
-    std::string name;
-    std::string service;
-    /// 0 is the most urgent.
-    int priority = 0;
-    std::uint32_t max_attempts = 1;
-    /// The completion objective of a job is slack_factor times its critical path plus target_ms.
-    double slack_factor = 1.0;
-    std::int64_t target_ms = 0;
-    /// The queue's policy allows a step only on workers for which the advice service grants a
-    /// ticket. A call takes ticket_base_ms plus ticket_per_worker_ms for each named worker.
-    bool needs_tickets = false;
-    double ticket_base_ms = 0.0;
-    double ticket_per_worker_ms = 0.0;
-    std::int64_t ticket_valid_ms = 0;
-};
-
 } // namespace buckthornspar::dispatch
 
 template <>
--- a/source/core/dispatch/progress.cpp
+++ b/source/core/dispatch/progress.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <memory>
 
 namespace buckthornspar::dispatch {
 
@@ -103,6 +104,38 @@
     return step;
 }
 
+json::object queue_to_json(const queue_settings& queue) {
+    json::object object;
+    put(object, "service", queue.service);
+    put(object, "priority", std::int64_t{queue.priority});
+    put(object, "max_attempts", std::int64_t{queue.max_attempts});
+    object["slack_factor"] = queue.slack_factor;
+    put(object, "target_ms", queue.target_ms);
+    if (queue.needs_tickets) {
+        object["ticket_base_ms"] = queue.ticket_base_ms;
+        object["ticket_per_worker_ms"] = queue.ticket_per_worker_ms;
+        object["ticket_valid_ms"] = queue.ticket_valid_ms;
+    }
+    return object;
+}
+
+queue_settings queue_from_json(const std::string& name, const json::object& object) {
+    queue_settings queue;
+    queue.name = name;
+    queue.service = text_of(object, "service");
+    queue.priority = static_cast<int>(number_of(object, "priority"));
+    queue.max_attempts = static_cast<std::uint32_t>(number_of(object, "max_attempts"));
+    queue.slack_factor = object.at("slack_factor").to_number<double>();
+    queue.target_ms = number_of(object, "target_ms");
+    queue.needs_tickets = object.contains("ticket_valid_ms");
+    if (queue.needs_tickets) {
+        queue.ticket_base_ms = object.at("ticket_base_ms").to_number<double>();
+        queue.ticket_per_worker_ms = object.at("ticket_per_worker_ms").to_number<double>();
+        queue.ticket_valid_ms = number_of(object, "ticket_valid_ms");
+    }
+    return queue;
+}
+
 // Ranges as a flat list of their first and last numbers.
 json::array ranges_to_json(const common::number_set& numbers) {
     json::array bounds;
@@ -225,6 +258,9 @@
     object["payload"] = job.payload;
     put(object, "accepted_ms", job.accepted_ms);
     put(object, "accepted_by", job.accepted_by);
+    if (job.accepted_queue) {
+        object["queue_settings"] = queue_to_json(*job.accepted_queue);
+    }
     put(object, "repeats", std::int64_t{job.schedule.repeats});
     put(object, "first_ms", job.schedule.first_ms);
     put(object, "interval_ms", job.schedule.interval_ms);
@@ -245,6 +281,10 @@
         job.payload = text_of(object, "payload");
         job.accepted_ms = number_of(object, "accepted_ms");
         job.accepted_by = text_of(object, "accepted_by");
+        if (const auto* const queue = object.if_contains("queue_settings")) {
+            job.accepted_queue = std::make_shared<const queue_settings>(
+                queue_from_json(job.queue, queue->as_object()));
+        }
         job.schedule.repeats = static_cast<std::uint32_t>(number_of(object, "repeats"));
         job.schedule.first_ms = number_of(object, "first_ms");
         job.schedule.interval_ms = number_of(object, "interval_ms");
--- a/source/core/service/caller_api.cpp
+++ b/source/core/service/caller_api.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <memory>
 #include <utility>
 
 namespace buckthornspar::service {
@@ -115,7 +116,7 @@
     }
     switch (request.method) {
     case net::http_method::post:
-        submit(current, request.body);
+        submit(current, request.body, route->queue);
         return;
     case net::http_method::get:
         query(current);
@@ -130,7 +131,7 @@
            "refused", "method_not_allowed");
 }
 
-void caller_api::submit(const call& request, const std::string& body) {
+void caller_api::submit(const call& request, const std::string& body, const queue_settings& queue) {
     job_spec job;
     try {
         job = m_env.format.read_submission(body);
@@ -138,6 +139,7 @@
         job.queue = request.queue;
         job.accepted_ms = common::wall_clock_ms();
         job.accepted_by = m_env.node;
+        job.accepted_queue = std::make_shared<const queue_settings>(queue);
         check_submission(job);
     } catch (const common::error& e) {
         answer(request, net::error_response(400, e.type(), e.what()), "refused", "invalid_job");
--- a/source/core/service/caller_api.h
+++ b/source/core/service/caller_api.h
@@ -52,7 +52,8 @@
         net::http_reply reply;
     };
 
-    void submit(const call& request, const std::string& body);
+    void submit(const call& request, const std::string& body,
+                const dispatch::queue_settings& queue);
     void store_job(const call& request, const dispatch::job_spec& job, std::int64_t memory);
     /// Answers the submission of a job for which there is no memory. It may be the repeat of one
     /// that was accepted.
--- a/tests/unit/service/caller_api_test.cpp
+++ b/tests/unit/service/caller_api_test.cpp
@@ -206,6 +206,22 @@
     BOOST_TEST(call(net::http_method::post, "/jobs/c").status == 503U);
 }
 
+// Guards against jobs that stop at a change of owner after the operator has dropped their route:
+// only their records can tell a successor how they are executed.
+BOOST_AUTO_TEST_CASE(an_accepted_job_keeps_the_settings_of_its_queue) {
+    admission.set_headroom(1 << 20);
+    configuration->routes[0].queue.service = "planner";
+    configuration->routes[0].queue.max_attempts = 4;
+    configuration->routes[0].queue.slack_factor = 2.5;
+    configuration->routes[0].queue.needs_tickets = true;
+    configuration->routes[0].queue.ticket_base_ms = 410.5;
+    configuration->routes[0].queue.ticket_valid_ms = 2500;
+    BOOST_TEST(call(net::http_method::post, "/jobs/a").status == 200U);
+    const auto stored = dispatch::read_job(store.value_of(job_key("a")));
+    BOOST_REQUIRE(stored.accepted_queue);
+    BOOST_TEST((*stored.accepted_queue == configuration->routes[0].queue));
+}
+
 // Guards against jobs that no node can hold or execute, which were accepted and never ran.
 BOOST_AUTO_TEST_CASE(jobs_that_cannot_be_held_are_refused) {
     admission.set_headroom(1 << 24);
--- a/tests/unit/service/owner_controller_test.cpp
+++ b/tests/unit/service/owner_controller_test.cpp
@@ -506,6 +506,25 @@
     BOOST_TEST(run_until([&] { return starts_of("a") == 1; }, 1s));
 }
 
+// Guards against accepted jobs that no owner starts: the operator has dropped their route, and the
+// owner that knew its settings has been replaced.
+BOOST_AUTO_TEST_CASE(a_successor_starts_jobs_of_a_dropped_queue) {
+    dispatch::queue_settings dropped;
+    dropped.name = "dropped";
+    dropped.service = "planner";
+    dropped.max_attempts = 2;
+    for (const auto* const id : {"a", "b"}) {
+        dispatch::job_spec spec;
+        spec.id = id;
+        spec.queue = dropped.name;
+        spec.accepted_queue = std::make_shared<const dispatch::queue_settings>(dropped);
+        spec.steps.emplace_back().demand = {1000, 100, 0};
+        store.apply({{}, {{job_key(id), dispatch::write_job(spec), 0}}, {}});
+    }
+    become_owner(3);
+    BOOST_TEST(run_until([&] { return starts_of("a") == 1 && starts_of("b") == 1; }, 1s));
+}
+
 // Guards against tasks that run again because another writer has damaged the record of their
 // progress: the job was taken for a new one.
 BOOST_AUTO_TEST_CASE(a_job_whose_progress_cannot_be_read_is_not_run) {
