Log why waiting work is not started and why a job has failed

The logs could not tell the hypotheses apart: nothing named the jobs that wait or the reason.

The owner logs a line a second with the number of waiting steps by cause (recovery, unknown queue, delay, suspicion, limit of starts, tickets, capacity), and a bounded number of lines that name a waiting step. The answer to a ticket request has the time that it took and how many others are pending; a request without an answer has a line. A job that fails has a line with the counts and, for crashes, what showed that the worker had crashed.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -399,7 +399,7 @@
                    {"fence", m_fence},
                    {"answered", worker.known ? 1 : 0},
                    {"term_ms", common::to_milliseconds(now - m_taken_over_at)}});
-        confirm_crash(now, worker);
+        confirm_crash(now, worker, "removed");
         m_workers.erase(id);
         m_unreported_runs_possible |= m_unadopted.erase(id) > 0;
         m_unresponsive_workers.erase(id);
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -6,6 +6,7 @@
 #include "core/dispatch/dispatch_actions.h"
 #include "core/dispatch/job_entry.h"
 #include "core/dispatch/step_planner.h"
+#include "core/dispatch/waiting_report.h"
 #include "core/dispatch/waiting_steps.h"
 #include "core/dispatch/worker_record.h"
 #include "core/dispatch/worker_registry.h"
@@ -144,6 +145,13 @@
     [[nodiscard]] bool recovered() const { return m_recovered; }
     /// Starts without a response.
     [[nodiscard]] std::size_t pending_starts() const { return m_pending_starts; }
+    /// Ticket requests without a response.
+    [[nodiscard]] std::size_t pending_ticket_requests() const { return m_advice_calls.size(); }
+    /// Steps that the last plan examined and did not place, and jobs that no plan examines, by
+    /// cause.
+    [[nodiscard]] wait_counts waiting() const;
+    /// Time until which starts are permitted by what is known of cancellations and draining.
+    [[nodiscard]] common::time_point starts_permitted_until() const;
     /// Number of jobs by queue of which no task has started.
     [[nodiscard]] const std::map<std::string, std::size_t>& pending_by_queue() const {
         return m_queued_by_queue;
@@ -226,7 +234,8 @@
     void count_crash(common::time_point now, worker_entry& worker, common::time_point crashed_at);
     [[nodiscard]] bool has_common_cause(const worker_entry& worker,
                                         common::time_point crashed_at) const;
-    void confirm_crash(common::time_point now, worker_entry& worker);
+    /// The evidence is for the log: what has shown that the worker is not only silent.
+    void confirm_crash(common::time_point now, worker_entry& worker, std::string_view evidence);
     [[nodiscard]] bool may_give_up(const task_state& task, const suspected_run& last) const;
     void withdraw_crash(const std::vector<suspected_run>& suspects, bool confirmed);
     /// A worker that was taken for crashed is back in the same incarnation.
@@ -261,9 +270,9 @@
     void mark_ready(common::time_point now, const job_entry& job, std::uint32_t step,
                     step_state& state);
     void execute_plan(common::time_point now, const plan_result& plan);
-    /// End of the time within which workers may begin starts that are decided with the present
-    /// information.
-    [[nodiscard]] common::time_point starts_permitted_until() const;
+    /// The plan has placed nothing of the step. Absent: all its waiting tasks are delayed.
+    void note_blocked(common::time_point now, const task_key& key,
+                      const std::optional<waiting_step>& step, const step_planner& planner);
     [[nodiscard]] bool may_start(common::time_point now) const;
     [[nodiscard]] std::int64_t grant_start_validity(worker_entry& worker, common::time_point now);
     void start_task(common::time_point now, const planned_start& planned);
@@ -307,7 +316,13 @@
     std::set<std::pair<std::int64_t, std::string>> m_scheduled_jobs;
     /// Jobs whose cancel request was read before the job itself.
     std::set<std::string> m_cancels_before_job;
-    std::map<std::uint64_t, task_key> m_advice_calls;
+    struct pending_advice {
+        task_key step;
+        common::time_point asked_at;
+    };
+    std::map<std::uint64_t, pending_advice> m_advice_calls;
+    wait_counts m_blocked_steps;
+    wait_log_limiter m_wait_log;
     std::vector<dispatch_action> m_actions;
 
     std::uint64_t m_fence = 0;
--- a/source/core/dispatch/dispatcher_crashes.cpp
+++ b/source/core/dispatch/dispatcher_crashes.cpp
@@ -110,7 +110,8 @@
            task.all_crashes() - task.pending_crashes >= limits.ambiguous_limit;
 }
 
-void dispatcher::confirm_crash(common::time_point now, worker_entry& worker) {
+void dispatcher::confirm_crash(common::time_point now, worker_entry& worker,
+                               std::string_view evidence) {
     auto suspects = std::exchange(worker.pending_suspects, {});
     for (const auto& suspect : suspects) {
         const auto [job, task] = find_open_task(suspect.run);
@@ -121,6 +122,15 @@
         m_replan_needed = true;
         if (may_give_up(*task, suspect)) {
             m_counters.get("tasks_given_up_total", "reason", "crashed_workers").add();
+            log_event(severity::warning, "task_given_up",
+                      {{"task", to_string(suspect.run.task)},
+                       {"run", suspect.run.run},
+                       {"worker", worker.report.id},
+                       {"evidence", evidence},
+                       {"attributed", suspect.attributed ? 1 : 0},
+                       {"crashes", task->progress.crashes},
+                       {"possible_crashes", task->progress.possible_crashes},
+                       {"failures", task->progress.failures}});
             end_job(now, *job, job_state::failed, "crashed_workers");
         }
     }
--- a/source/core/dispatch/dispatcher_plan.cpp
+++ b/source/core/dispatch/dispatcher_plan.cpp
@@ -223,6 +223,7 @@
 
 void dispatcher::plan(common::time_point now) {
     order_waiting_steps(now);
+    m_blocked_steps = {};
     if (m_waiting.empty()) {
         return;
     }
@@ -240,6 +241,9 @@
         const auto step = find_startable(now, position->step);
         planned += step ? 1U : 0U;
         const bool placed = step && planner.plan(*step);
+        if (!placed) {
+            note_blocked(now, position->step, step, planner);
+        }
         scan.report(placed ? waiting_scan::outcome::placed : waiting_scan::outcome::blocked);
     }
     m_counters.get("plan_steps_examined_total").add(static_cast<std::int64_t>(examined));
@@ -256,6 +260,50 @@
     execute_plan(now, result);
 }
 
+void dispatcher::note_blocked(common::time_point now, const task_key& key,
+                              const std::optional<waiting_step>& step,
+                              const step_planner& planner) {
+    const auto& state = *m_jobs.at(key.job).find_step(key);
+    const auto& own = state.tasks.own();
+    const bool suspected = std::any_of(own.begin(), own.end(), [](const auto& task) {
+        return !task.second.current && task.second.is_suspected();
+    });
+    const auto cause = step        ? planner.cause_of_wait(*step)
+                       : suspected ? wait_cause::suspected
+                                   : wait_cause::delayed;
+    m_blocked_steps.add(cause);
+    const auto since = state.ready_since.value_or(now);
+    if (!state.any_current() && m_wait_log.admit(key, since, now)) {
+        const auto& granted = state.tickets.granted;
+        const auto valid =
+            std::count_if(granted.begin(), granted.end(),
+                          [now](const ticket_state& ticket) { return ticket.expires > now; });
+        log_event(severity::info, "step_waits",
+                  {{"step", to_string(key)},
+                   {"cause", wait_cause_names.name(cause)},
+                   {"waited_ms", common::to_milliseconds(now - since)},
+                   {"last_run", state.last_run()},
+                   {"calls", state.tickets.calls.size()},
+                   {"granted", granted.size()},
+                   {"valid", valid}});
+    }
+}
+
+wait_counts dispatcher::waiting() const {
+    auto counts = m_blocked_steps;
+    for (const auto& [id, job] : m_jobs) {
+        if (is_final(job.state)) {
+            continue;
+        }
+        if (queue_of(job.spec) == nullptr) {
+            counts.add(wait_cause::unknown_queue);
+        } else if (may_have_unreported_runs(job)) {
+            counts.add(wait_cause::recovery);
+        }
+    }
+    return counts;
+}
+
 void dispatcher::execute_plan(common::time_point now, const plan_result& plan) {
     for (const auto& planned : plan.starts) {
         start_task(now, planned);
@@ -371,7 +419,7 @@
                                      planned_request.queue->ticket_per_worker_ms *
                                          static_cast<double>(planned_request.workers.size()));
     tickets.calls[call.id] = planned_request.workers;
-    m_advice_calls[call.id] = planned_request.step;
+    m_advice_calls[call.id] = {planned_request.step, now};
     m_counters.get("advice_calls_total", "reason", planned_request.reason).add();
     log_event(severity::info, "tickets_asked",
               {{"step", to_string(planned_request.step)},
@@ -428,7 +476,7 @@
     if (asked == m_advice_calls.end()) {
         return;
     }
-    const auto step_key = asked->second;
+    const auto [step_key, asked_at] = asked->second;
     m_advice_calls.erase(asked);
     const auto job = m_jobs.find(step_key.job);
     if (job == m_jobs.end()) {
@@ -445,6 +493,10 @@
     }
     m_replan_needed = true;
     if (!result.answered) {
+        log_event(severity::info, "tickets_not_answered",
+                  {{"step", to_string(step_key)},
+                   {"busy", result.busy ? 1 : 0},
+                   {"took_ms", common::to_milliseconds(now - asked_at)}});
         tickets.not_before = now + advice_retry;
         return;
     }
@@ -461,7 +513,9 @@
     log_event(severity::info, "tickets_granted",
               {{"step", to_string(step_key)},
                {"asked", named.mapped().size()},
-               {"granted", result.granted.size()}});
+               {"granted", result.granted.size()},
+               {"took_ms", common::to_milliseconds(now - asked_at)},
+               {"others_pending", m_advice_calls.size()}});
 }
 
 } // namespace buckthornspar::dispatch
--- a/source/core/dispatch/dispatcher_runs.cpp
+++ b/source/core/dispatch/dispatcher_runs.cpp
@@ -166,7 +166,7 @@
     m_workers_dirty = true;
     if (!change.was_draining) {
         count_crash(now, worker, change.was_silent_since.value_or(now));
-        confirm_crash(now, worker);
+        confirm_crash(now, worker, "restarted");
     }
     // The new incarnation numbers its ended runs from 1 again.
     m_save_round_ends.erase(id);
@@ -437,6 +437,12 @@
     const auto failures =
         job.spec_of(task).gang ? job.find_step(task)->failures() : state.progress.failures;
     if (queue != nullptr && failures >= queue->max_attempts) {
+        log_event(severity::info, "attempts_exhausted",
+                  {{"task", to_string(task)},
+                   {"failures", state.progress.failures},
+                   {"step_failures", job.find_step(task)->failures()},
+                   {"last_run", state.progress.last_run},
+                   {"limit", queue->max_attempts}});
         end_job(now, job, job_state::failed, "attempts_exhausted");
         return;
     }
--- a/source/core/dispatch/step_planner.cpp
+++ b/source/core/dispatch/step_planner.cpp
@@ -34,6 +34,28 @@
     return m_plan.result.starts.size() > before;
 }
 
+wait_cause step_planner::cause_of_wait(const waiting_step& step) const {
+    if (!m_plan.may_start(1)) {
+        return wait_cause::start_limit;
+    }
+    if (step.state->tasks[step.first_task].is_suspected()) {
+        return wait_cause::suspected;
+    }
+    std::int64_t room = 0;
+    std::int64_t room_with_tickets = 0;
+    for (const auto& c : m_plan.candidates) {
+        const auto tasks =
+            std::min(count_fitting_tasks(m_plan.demand, m_plan.available_capacity(step, c.worker)),
+                     m_plan.remaining_tasks_on(step, c.worker));
+        room += tasks;
+        room_with_tickets += m_plan.is_valid(c) ? tasks : 0;
+    }
+    const std::int64_t wanted = step.spec->gang ? std::int64_t{step.spec->count} : 1;
+    const bool no_answer = step.queue->needs_tickets && step.state->tickets.asked.empty();
+    return no_answer || (room >= wanted && room_with_tickets < wanted) ? wait_cause::tickets
+                                                                       : wait_cause::capacity;
+}
+
 void step_planner::plan_tasks(const waiting_step& step) {
     const auto& tasks = step.state->tasks;
     for (auto index = step.first_task; index < tasks.size(); index = tasks.next_open(index + 1)) {
--- a/source/core/dispatch/step_planner.h
+++ b/source/core/dispatch/step_planner.h
@@ -3,6 +3,7 @@
 #include "core/dispatch/capacity_fit.h"
 #include "core/dispatch/plan_state.h"
 #include "core/dispatch/ticket_planner.h"
+#include "core/dispatch/waiting_report.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -28,6 +29,8 @@
 
     /// Returns whether tasks of the step were placed.
     bool plan(const waiting_step& step);
+    /// Why nothing of the step was placed; the step is that of the last call of plan().
+    [[nodiscard]] wait_cause cause_of_wait(const waiting_step& step) const;
     [[nodiscard]] plan_result take() { return std::move(m_plan.result); }
 
 private:
--- a/source/core/service/owner_controller.cpp
+++ b/source/core/service/owner_controller.cpp
@@ -187,8 +187,9 @@
     m_store_down = down;
 }
 
-// One line a second, from the owner only: it shows whether a late decision was made with late input
-// (ages of the watches), behind a busy event loop (delay), or because planning took long.
+// A line or two a second, from the owner only. They show whether a late decision was made with late
+// input (ages of the watches), behind a busy event loop (delay), or because planning took long, and
+// why the work that waits is not started.
 void owner_controller::report_load(common::time_point now) {
     const auto load = m_load.take(now);
     m_env.counters.get("owner_loop_delay_ms").set(common::to_milliseconds(load.max_delay));
@@ -205,6 +206,16 @@
                {"jobs", m_dispatcher.jobs().size()},
                {"job_memory_kb", m_dispatcher.job_memory() / 1024},
                {"pending_starts", m_dispatcher.pending_starts()}});
+    const auto waiting = m_dispatcher.waiting();
+    if (waiting.total() > 0) {
+        log_event(
+            severity::info, "owner_waits",
+            {{"causes", waiting.describe()},
+             {"authority", m_dispatcher.has_authority(now) ? 1 : 0},
+             {"permitted_ms", common::to_milliseconds(m_dispatcher.starts_permitted_until() - now)},
+             {"recovered", m_dispatcher.recovered() ? 1 : 0},
+             {"ticket_requests", m_dispatcher.pending_ticket_requests()}});
+    }
 }
 
 void owner_controller::schedule_wakeup(common::time_point due) {
