Ask for advice only what the nodes can be answered at once

Cause: the requests of all waiting steps were made at once and waited for one another, because the advice service handles one call at a time for each node. With a backlog an answer came later than the room and the other tickets that it was meant for lasted, so that the step asked again. Class: congestion collapse, work that expires before it can be used and is asked for without a bound.

The balancer tells how many calls the nodes could begin now, and a plan makes no more requests than that, in placement order; requests in advance or for a wider choice come behind those of steps with room. A gang reserves room only while a request of its own is under way, on the workers that it names. A step that asks for tickets leaves the room that earlier steps ask for to them.

--- a/source/core/dispatch/dispatch_actions.h
+++ b/source/core/dispatch/dispatch_actions.h
@@ -3,7 +3,9 @@
 #include "core/dispatch/job.h"
 #include "core/dispatch/worker_link.h"
 
+#include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <variant>
 #include <vector>
@@ -19,6 +21,17 @@
     int priority = 0;
 };
 
+/// Calls to the advice service that are expected to take longer than this count as long.
+inline constexpr common::duration long_advice_call = std::chrono::milliseconds(250);
+
+/// Number of calls to the advice service that nodes could begin now. A request beyond it would
+/// wait, and would name workers that have room now rather than when it is answered.
+struct advice_slots {
+    std::size_t calls = std::numeric_limits<std::size_t>::max();
+    /// How many of these may be long.
+    std::size_t long_calls = std::numeric_limits<std::size_t>::max();
+};
+
 struct poll_call {
     std::uint64_t id = 0;
     poll_order order;
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -129,6 +129,8 @@
     /// Number of nodes that send ticket requests; the advice service processes one request of each
     /// at a time.
     void set_requesting_nodes(std::size_t count) { m_requesting_nodes = count; }
+    /// Ticket requests that these nodes could begin now.
+    void set_advice_slots(const advice_slots& slots) { m_advice_slots = slots; }
 
     /// Planned shutdown of the owner: no new starts.
     void drain() { m_draining = true; }
@@ -388,6 +390,7 @@
     std::uint64_t m_next_call = 1;
     std::size_t m_pending_starts = 0;
     std::size_t m_requesting_nodes = 0;
+    advice_slots m_advice_slots;
     common::time_point m_key_seen_at;
     common::time_point m_list_known_until;
     common::time_point m_cancels_known_until;
--- a/source/core/dispatch/dispatcher_plan.cpp
+++ b/source/core/dispatch/dispatcher_plan.cpp
@@ -212,6 +212,7 @@
     if (m_settings.max_pending_starts > 0) {
         limits.max_pending_starts = m_settings.max_pending_starts;
     }
+    limits.advice = m_advice_slots;
     if (m_requesting_nodes > 0) {
         const auto most =
             std::max<std::size_t>(1, m_requesting_nodes * optional_request_percent / 100);
--- a/source/core/dispatch/plan_state.cpp
+++ b/source/core/dispatch/plan_state.cpp
@@ -20,7 +20,8 @@
     : capacities(std::move(free_capacities)),
       reservations(capacities.size()),
       limits(plan_limits),
-      now(time) {}
+      now(time),
+      requested(capacities.size()) {}
 
 const std::vector<bool>& plan_state::workers_of(const std::string& service) {
     const auto [position, added] = m_services.try_emplace(service);
--- a/source/core/dispatch/plan_state.h
+++ b/source/core/dispatch/plan_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/common/clock.h"
+#include "core/dispatch/dispatch_actions.h"
 #include "core/dispatch/step_order.h"
 #include "core/dispatch/worker_registry.h"
 
@@ -43,7 +44,9 @@
     /// Starts that await a response.
     std::size_t pending_starts = 0;
     std::size_t max_pending_starts = std::numeric_limits<std::size_t>::max();
-    /// Ticket requests that may be sent in advance or to widen a choice. Others are not limited.
+    /// Ticket requests that may be sent, and those of them that may be sent in advance or to widen
+    /// a choice.
+    advice_slots advice;
     std::size_t optional_requests = std::numeric_limits<std::size_t>::max();
     /// A suspected task starts only on workers that responded this long after their last start.
     common::duration suspect_distance{0};
@@ -122,6 +125,8 @@
     plan_result result;
     /// Workers that receive a start of this plan.
     std::set<worker_slot> started;
+    /// Room for which tickets have been requested for tasks of the steps planned so far, by slot.
+    std::vector<placement::resources> requested;
 
     // The selected step.
     placement::resources demand;
--- a/source/core/dispatch/step_planner.cpp
+++ b/source/core/dispatch/step_planner.cpp
@@ -21,6 +21,14 @@
 // Time within which a worker ends a stopped run.
 constexpr common::duration stop_time = std::chrono::milliseconds(900);
 
+std::vector<worker_slot> workers_of(const tasks_by_worker& tasks) {
+    std::vector<worker_slot> workers;
+    for (const auto& entry : tasks) {
+        workers.push_back(entry.first);
+    }
+    return workers;
+}
+
 } // namespace
 
 bool step_planner::plan(const waiting_step& step) {
@@ -34,6 +42,11 @@
     return m_plan.result.starts.size() > before;
 }
 
+plan_result step_planner::take() {
+    m_tickets.add_deferred_requests();
+    return std::move(m_plan.result);
+}
+
 wait_cause step_planner::cause_of_wait(const waiting_step& step) const {
     if (!m_plan.may_start(1)) {
         return wait_cause::start_limit;
@@ -147,13 +160,13 @@
 // Workers for all tasks of the gang, those that hold most members first; empty when the gang does
 // not fit.
 template <typename CapacityOf>
-tasks_by_worker step_planner::fit_gang(const waiting_step& step, bool with_valid_ticket,
+tasks_by_worker step_planner::fit_gang(const waiting_step& step, ticket_need need,
                                        const std::string* rack, CapacityOf capacity_at) const {
     tasks_by_worker fitting;
     std::int64_t sum = 0;
     for (const auto& c : m_plan.candidates) {
         if ((rack != nullptr && m_plan.capacities[c.worker].worker->report.rack != *rack) ||
-            (with_valid_ticket && !m_plan.is_valid(c))) {
+            !may_use(step, c, need)) {
             continue;
         }
         const auto task_count = std::min(count_fitting_tasks(m_plan.demand, capacity_at(c.worker)),
@@ -169,10 +182,23 @@
     return allocate_tasks(std::move(fitting), step.spec->count);
 }
 
+bool step_planner::may_use(const waiting_step& step, const worker_candidate& c,
+                           ticket_need need) const {
+    if (need == ticket_need::granted || m_plan.is_valid(c)) {
+        return true;
+    }
+    const auto& calls = step.state->tickets.calls;
+    return need == ticket_need::requested &&
+           std::any_of(calls.begin(), calls.end(), [&c](const auto& call) {
+               const auto& named = call.second;
+               return std::find(named.begin(), named.end(), c.worker) != named.end();
+           });
+}
+
 // Places the gang in one rack if it prefers that and one rack has enough free capacity, otherwise
 // anywhere.
 template <typename CapacityOf>
-tasks_by_worker step_planner::place_gang(const waiting_step& step, bool with_valid_ticket,
+tasks_by_worker step_planner::place_gang(const waiting_step& step, ticket_need need,
                                          CapacityOf capacity_at) const {
     if (step.spec->same_rack) {
         std::set<std::string> racks;
@@ -180,13 +206,13 @@
             racks.insert(m_plan.capacities[c.worker].worker->report.rack);
         }
         for (const auto& rack : racks) {
-            auto found = fit_gang(step, with_valid_ticket, &rack, capacity_at);
+            auto found = fit_gang(step, need, &rack, capacity_at);
             if (!found.empty()) {
                 return found;
             }
         }
     }
-    return fit_gang(step, with_valid_ticket, nullptr, capacity_at);
+    return fit_gang(step, need, nullptr, capacity_at);
 }
 
 void step_planner::plan_gang(const waiting_step& step) {
@@ -220,7 +246,7 @@
 // ended; false when it does not fit.
 bool step_planner::plan_fitting_gang(const waiting_step& step) {
     const auto available_now = [&](worker_slot w) { return m_plan.available_capacity(step, w); };
-    const auto ready = place_gang(step, true, available_now);
+    const auto ready = place_gang(step, ticket_need::valid, available_now);
     if (!ready.empty()) {
         if (m_plan.may_start(step.spec->count)) {
             start_gang(step, ready);
@@ -229,25 +255,35 @@
         }
         return true;
     }
-    // The free capacity is reserved while missing or expired tickets are requested.
-    const auto fitting = place_gang(step, false, available_now);
+    // The free capacity is reserved while missing or expired tickets are requested, but not while
+    // the request waits for other requests to be answered.
+    if (!step.state->tickets.calls.empty()) {
+        const auto expected = place_gang(step, ticket_need::requested, available_now);
+        if (!expected.empty()) {
+            reserve_now(expected);
+            return true;
+        }
+    }
+    const auto fitting = place_gang(step, ticket_need::granted, available_now);
     if (!fitting.empty()) {
-        m_tickets.renew_for_gang(step, reserve_now(fitting));
+        if (m_tickets.renew_for_gang(step, workers_of(fitting))) {
+            reserve_now(fitting);
+        }
         return true;
     }
     return reserve_after_stops(step);
 }
 
 bool step_planner::reserve_after_stops(const waiting_step& step) {
-    const auto soon = place_gang(step, false, [&](worker_slot w) {
+    const auto soon = place_gang(step, ticket_need::granted, [&](worker_slot w) {
         return m_plan.available_capacity(step, w) + m_plan.capacities[w].stopping;
     });
     if (soon.empty()) {
         return false;
     }
-    auto named = reserve_now(soon);
+    reserve_now(soon);
     if (!has_valid_tickets(step, soon, stop_time)) {
-        m_tickets.renew_for_gang(step, std::move(named));
+        m_tickets.renew_for_gang(step, workers_of(soon));
     }
     return true;
 }
@@ -329,14 +365,11 @@
 }
 
 // Reserves free capacity for a gang that starts as soon as its tickets or the limit of pending
-// starts permit; returns the workers.
-std::vector<worker_slot> step_planner::reserve_now(const tasks_by_worker& workers) {
-    std::vector<worker_slot> named;
+// starts permit.
+void step_planner::reserve_now(const tasks_by_worker& workers) {
     for (const auto& [w, task_count] : workers) {
         m_plan.reservations[w].push_back({m_plan.demand * task_count, m_plan.now});
-        named.push_back(w);
     }
-    return named;
 }
 
 // Reserves capacity for a planned start at the earliest time at which the runs that are expected to
@@ -392,13 +425,11 @@
 void step_planner::reserve_capacity(const waiting_step& step, const tasks_by_worker& workers,
                                     common::time_point at) {
     ++m_reserved_gangs;
-    std::vector<worker_slot> named;
     for (const auto& [w, task_count] : workers) {
         m_plan.reservations[w].push_back({m_plan.demand * task_count, at});
-        named.push_back(w);
     }
     if (!has_valid_tickets(step, workers, ticket_margin)) {
-        m_tickets.request_ahead(step, std::move(named), at);
+        m_tickets.request_ahead(step, workers_of(workers), at);
     }
 }
 
--- a/source/core/dispatch/step_planner.h
+++ b/source/core/dispatch/step_planner.h
@@ -31,7 +31,7 @@
     bool plan(const waiting_step& step);
     /// Why nothing of the step was placed; the step is that of the last call of plan().
     [[nodiscard]] wait_cause cause_of_wait(const waiting_step& step) const;
-    [[nodiscard]] plan_result take() { return std::move(m_plan.result); }
+    [[nodiscard]] plan_result take();
 
 private:
     void plan_tasks(const waiting_step& step);
@@ -44,12 +44,20 @@
     /// Reserves the capacity on which the gang fits once the stopped runs have ended; false when it
     /// does not fit.
     bool reserve_after_stops(const waiting_step& step);
+    /// Which workers a gang may be placed on, besides those without a need for tickets.
+    enum class ticket_need {
+        valid,     ///< with a valid ticket
+        requested, ///< also those that a request under way names
+        granted,   ///< all that have ever been granted
+    };
     template <typename CapacityOf>
-    [[nodiscard]] tasks_by_worker fit_gang(const waiting_step& step, bool with_valid_ticket,
+    [[nodiscard]] tasks_by_worker fit_gang(const waiting_step& step, ticket_need need,
                                            const std::string* rack, CapacityOf capacity_at) const;
     template <typename CapacityOf>
-    [[nodiscard]] tasks_by_worker place_gang(const waiting_step& step, bool with_valid_ticket,
+    [[nodiscard]] tasks_by_worker place_gang(const waiting_step& step, ticket_need need,
                                              CapacityOf capacity_at) const;
+    [[nodiscard]] bool may_use(const waiting_step& step, const worker_candidate& c,
+                               ticket_need need) const;
     [[nodiscard]] bool has_valid_tickets(const waiting_step& step, const tasks_by_worker& workers,
                                          common::duration margin) const;
     /// Upper bound of the number of tasks that fit once all stopped runs have ended, and those
@@ -58,7 +66,7 @@
     [[nodiscard]] const placement::resources& preemptible_capacity(worker_slot w, int priority);
     bool preempt_for_gang(const waiting_step& step);
     void start_gang(const waiting_step& step, const tasks_by_worker& workers);
-    std::vector<worker_slot> reserve_now(const tasks_by_worker& workers);
+    void reserve_now(const tasks_by_worker& workers);
     void reserve_capacity_for_gang(const waiting_step& step);
     void reserve_capacity(const waiting_step& step, const tasks_by_worker& workers,
                           common::time_point at);
--- a/source/core/dispatch/ticket_planner.cpp
+++ b/source/core/dispatch/ticket_planner.cpp
@@ -50,6 +50,9 @@
 
 void ticket_planner::request_for_tasks(const waiting_step& step) {
     if (!may_request(step)) {
+        for (const auto& call : step.state->tickets.calls) {
+            claim_room(step, call.second);
+        }
         return;
     }
     if (step.state->tickets.asked.empty()) {
@@ -58,13 +61,16 @@
     }
     std::vector<worker_slot> renew;
     for (const auto& c : m_plan.candidates) {
-        if (!m_plan.is_valid(c) && m_plan.demand.fits(m_plan.available_capacity(step, c.worker)) &&
+        const auto room = m_plan.available_capacity(step, c.worker) - m_plan.requested[c.worker];
+        if (!m_plan.is_valid(c) && m_plan.demand.fits(room) &&
             m_plan.remaining_tasks_on(step, c.worker) > 0) {
             renew.push_back(c.worker);
         }
     }
     if (!renew.empty()) {
-        add_requests(step, renew, "renew");
+        if (add_requests(step, renew, "renew")) {
+            claim_room(step, m_plan.result.ticket_requests.back().workers);
+        }
     } else if (!m_plan.has_eligible_workers) {
         request_from_unasked(step, "more");
     }
@@ -84,11 +90,35 @@
     return result;
 }
 
+void ticket_planner::claim_room(const waiting_step& step, const std::vector<worker_slot>& workers) {
+    const auto& state = *step.state;
+    auto waiting = std::int64_t{state.tasks.size()} - state.succeeded - state.placed;
+    for (const auto w : workers) {
+        if (waiting <= 0 || w >= m_plan.requested.size()) {
+            return;
+        }
+        if (m_plan.capacities[w].worker == nullptr) {
+            continue;
+        }
+        const auto room = m_plan.available_capacity(step, w) - m_plan.requested[w];
+        const auto tasks = std::min({count_fitting_tasks(m_plan.demand, room),
+                                     m_plan.remaining_tasks_on(step, w), waiting});
+        if (tasks > 0) {
+            m_plan.requested[w] += m_plan.demand * tasks;
+            waiting -= tasks;
+        }
+    }
+}
+
 // Requests tickets for the workers with the most free processor capacity.
-void ticket_planner::add_requests(const waiting_step& step, std::vector<worker_slot> workers,
+bool ticket_planner::add_requests(const waiting_step& step, std::vector<worker_slot> workers,
                                   std::string_view reason, std::size_t calls) {
-    if (workers.empty()) {
-        return;
+    auto& slots = m_plan.limits.advice;
+    const auto named_by_one = std::min(workers.size(), max_workers_per_call(step));
+    const bool is_long = call_time(step, named_by_one) > long_advice_call;
+    calls = std::min({calls, slots.calls, is_long ? slots.long_calls : slots.calls});
+    if (workers.empty() || calls == 0) {
+        return false;
     }
     const auto& capacities = m_plan.capacities;
     const auto count = std::min(workers.size(), max_workers_per_call(step) * calls);
@@ -104,16 +134,28 @@
             named.push_back(workers[i]);
         }
         m_plan.result.ticket_requests.push_back({step.step, step.queue, std::move(named), reason});
+        --slots.calls;
+        slots.long_calls -= is_long ? 1 : 0;
     }
+    return true;
 }
 
-void ticket_planner::add_optional_requests(const waiting_step& step,
-                                           std::vector<worker_slot> workers,
-                                           std::string_view reason, std::size_t calls) {
-    const auto before = m_plan.result.ticket_requests.size();
-    add_requests(step, std::move(workers), reason,
-                 std::min(calls, m_plan.limits.optional_requests));
-    m_plan.limits.optional_requests -= m_plan.result.ticket_requests.size() - before;
+// Steps with room for their tasks come first, also when they are less urgent: their tickets are
+// used as soon as they arrive.
+void ticket_planner::defer_requests(const waiting_step& step, std::vector<worker_slot> workers,
+                                    std::string_view reason, std::size_t calls) {
+    calls = std::min(calls, m_plan.limits.optional_requests);
+    if (calls == 0 || workers.empty()) {
+        return;
+    }
+    m_plan.limits.optional_requests -= calls;
+    m_deferred.push_back({step, std::move(workers), reason, calls});
+}
+
+void ticket_planner::add_deferred_requests() {
+    for (auto& request : std::exchange(m_deferred, {})) {
+        add_requests(request.step, std::move(request.workers), request.reason, request.calls);
+    }
 }
 
 // A gang needs many granted workers at the same time, so they are named in concurrent calls by
@@ -153,7 +195,7 @@
     if (expiring.empty()) {
         return false;
     }
-    add_optional_requests(step, std::move(expiring), "fresh", 1);
+    defer_requests(step, std::move(expiring), "fresh", 1);
     return true;
 }
 
@@ -177,7 +219,7 @@
         static_cast<std::size_t>(std::max<std::int64_t>(1, missing) * workers_named_per_grant);
     const auto calls =
         std::clamp<std::size_t>(1 + named / max_workers_per_call(step), 1, max_parallel_calls);
-    add_optional_requests(step, std::move(free), "free", calls);
+    defer_requests(step, std::move(free), "free", calls);
 }
 
 void ticket_planner::request_for_blocked_gang(const waiting_step& step) {
@@ -199,9 +241,9 @@
            gang_capacity_factor * static_cast<std::int64_t>(step.spec->count);
 }
 
-void ticket_planner::renew_for_gang(const waiting_step& step, std::vector<worker_slot> workers) {
+bool ticket_planner::renew_for_gang(const waiting_step& step, std::vector<worker_slot> workers) {
     if (!may_request(step)) {
-        return;
+        return false;
     }
     const auto max_spare = std::max(min_spare_renewals, workers.size() / spare_renewals_divisor);
     std::size_t spare = 0;
@@ -215,14 +257,14 @@
             ++spare;
         }
     }
-    add_requests(step, std::move(workers), "renew");
+    return add_requests(step, std::move(workers), "renew");
 }
 
 void ticket_planner::request_ahead(const waiting_step& step, std::vector<worker_slot> workers,
                                    common::time_point start) {
     const auto call = call_time(step, workers.size());
     if (may_request(step) && start < m_plan.now + call + early_request_margin) {
-        add_optional_requests(step, std::move(workers), "ahead", 1);
+        defer_requests(step, std::move(workers), "ahead", 1);
     }
 }
 
--- a/source/core/dispatch/ticket_planner.h
+++ b/source/core/dispatch/ticket_planner.h
@@ -22,24 +22,39 @@
     void request_from_unasked(const waiting_step& step, std::string_view reason);
     /// Requests what a blocked gang needs to start as soon as it fits.
     void request_for_blocked_gang(const waiting_step& step);
-    /// Requests new tickets on the workers on which a gang is planned, and on some others.
-    void renew_for_gang(const waiting_step& step, std::vector<worker_slot> workers);
+    /// Requests new tickets on the workers on which a gang is planned, and on some others. Returns
+    /// whether the request could be made.
+    bool renew_for_gang(const waiting_step& step, std::vector<worker_slot> workers);
     /// Requests the tickets for a planned start so that they arrive when the capacity is free.
     void request_ahead(const waiting_step& step, std::vector<worker_slot> workers,
                        common::time_point start);
+    /// Adds the optional requests, as far as the other requests of the plan have left slots.
+    void add_deferred_requests();
 
 private:
+    struct deferred_request {
+        waiting_step step;
+        std::vector<worker_slot> workers;
+        std::string_view reason;
+        std::size_t calls = 1;
+    };
+
     [[nodiscard]] bool is_unasked(const waiting_step& step, worker_slot w) const;
     [[nodiscard]] std::vector<worker_slot> unasked(const waiting_step& step) const;
-    void add_requests(const waiting_step& step, std::vector<worker_slot> workers,
+    /// Returns whether at least one call could be made.
+    bool add_requests(const waiting_step& step, std::vector<worker_slot> workers,
                       std::string_view reason, std::size_t calls = 1);
-    void add_optional_requests(const waiting_step& step, std::vector<worker_slot> workers,
-                               std::string_view reason, std::size_t calls);
+    void defer_requests(const waiting_step& step, std::vector<worker_slot> workers,
+                        std::string_view reason, std::size_t calls);
+    /// Leaves the room that the step has requested tickets for to it when further steps request
+    /// theirs.
+    void claim_room(const waiting_step& step, const std::vector<worker_slot>& workers);
     bool renew_expiring(const waiting_step& step);
     void request_from_free(const waiting_step& step);
     [[nodiscard]] bool has_sufficient_capacity(const waiting_step& step) const;
 
     plan_state& m_plan;
+    std::vector<deferred_request> m_deferred;
 };
 
 } // namespace buckthornspar::dispatch
