Do not count a silent worker as crashed by its tasks

Cause: a worker that had not answered until the lease of its runs ended, and then left the instance list or began a new incarnation, was taken for crashed by the tasks that it had started last. A worker that is cut off from the nodes and the store looks just so. Two such losses gave a job up. Besides, a cut from many workers made all their tasks suspected, which start one by one. Class: silence taken for proof.

A loss counts as a crash only if the connection was refused when the worker became unreachable, or if its new incarnation shows before it was unreachable.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -398,7 +398,9 @@
                       {{"worker", id}, {"runs", worker.runs.size()}});
             worker.adopted = false;
             if (!worker.report.draining) {
-                count_crash(now, worker, worker.silent_since);
+                count_crash(now, worker, worker.silent_since,
+                            worker.connection_refused ? loss_evidence::refused
+                                                      : loss_evidence::silent);
             }
             handle_lost_runs(now, id, m_workers.remove_runs(worker), "lease_over");
             m_workers_dirty = true;
@@ -420,7 +422,7 @@
                    {"fence", m_fence},
                    {"answered", worker.known ? 1 : 0},
                    {"term_ms", common::to_milliseconds(now - m_taken_over_at)}});
-        confirm_crash(now, worker, "removed");
+        confirm_crash(now, worker, loss_evidence::removed);
         m_workers.erase(id);
         m_unreported_runs_possible |= m_unadopted.erase(id) > 0;
         m_unresponsive_workers.erase(id);
@@ -498,6 +500,10 @@
             worker->silent_since = now;
         }
         worker->silence_confirmed |= result.silence_confirmed;
+        if (!call.through_peer) {
+            worker->connection_refused = result.status == order_status::not_sent &&
+                                         now < sent_at + m_settings.crashes.refusal_time;
+        }
         worker->answers_through_peer &= !call.through_peer;
         if (worker->poll_failures < m_settings.unreachable_after_polls) {
             schedule_poll(*worker, now);
@@ -542,6 +548,7 @@
     worker->last_contact = now;
     withdraw_crash(std::exchange(worker->pending_suspects, {}), false);
     worker->silence_confirmed = false;
+    worker->connection_refused = false;
     worker->answers_through_peer = call.through_peer;
     if (call.through_peer) {
         // The lists are as good as from a direct poll, but orders would not arrive.
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -233,11 +233,11 @@
     void update_exclusion(common::time_point now, worker_entry& worker, run_end how);
 
     // dispatcher_crashes.cpp
-    void count_crash(common::time_point now, worker_entry& worker, common::time_point crashed_at);
-    [[nodiscard]] bool has_common_cause(const worker_entry& worker,
-                                        common::time_point crashed_at) const;
-    /// The evidence is for the log: what has shown that the worker is not only silent.
-    void confirm_crash(common::time_point now, worker_entry& worker, std::string_view evidence);
+    void count_crash(common::time_point now, worker_entry& worker, common::time_point crashed_at,
+                     loss_evidence evidence);
+    [[nodiscard]] bool has_common_cause(const worker_entry& worker, common::time_point crashed_at,
+                                        common::duration window) const;
+    void confirm_crash(common::time_point now, worker_entry& worker, loss_evidence evidence);
     [[nodiscard]] bool may_give_up(const task_state& task, const suspected_run& last) const;
     void withdraw_crash(const std::vector<suspected_run>& suspects, bool confirmed);
     /// A worker that was taken for crashed is back in the same incarnation.
--- a/source/core/dispatch/dispatcher_crashes.cpp
+++ b/source/core/dispatch/dispatcher_crashes.cpp
@@ -24,6 +24,12 @@
     return text;
 }
 
+std::uint32_t& count_of(task_progress& progress, const suspected_run& suspect) {
+    return suspect.silent      ? progress.silent_losses
+           : suspect.confirmed ? progress.crashes
+                               : progress.possible_crashes;
+}
+
 bool is_one_job(const std::vector<run_key>& runs) {
     return std::all_of(runs.begin(), runs.end(), [&runs](const run_key& run) {
         return run.task.job == runs.front().task.job;
@@ -45,11 +51,20 @@
 }
 
 // The runs of the worker are lost. Whether it has crashed shows its next incarnation, or its
-// removal; until then it may only be silent, and the tasks are not given up.
+// removal after it refused connections; until then it may only be silent, and the tasks are not
+// given up. A worker that leaves the list without such a sign may have been cut off from all nodes
+// and the store.
 void dispatcher::count_crash(common::time_point now, worker_entry& worker,
-                             common::time_point crashed_at) {
-    const auto suspects = attribute_crash(worker.runs, crashed_at, m_settings.crashes);
-    const bool one_cause = is_one_job(suspects) && !has_common_cause(worker, crashed_at);
+                             common::time_point crashed_at, loss_evidence evidence) {
+    const auto& settings = m_settings.crashes;
+    const bool silent = evidence == loss_evidence::silent;
+    auto suspects = attribute_crash(worker.runs, crashed_at, settings);
+    if (silent && has_common_cause(worker, crashed_at, settings.silence_window)) {
+        // Suspected tasks start one by one; hundreds of them would stand after a network partition.
+        suspects.clear();
+    }
+    const bool one_cause =
+        is_one_job(suspects) && !has_common_cause(worker, crashed_at, settings.common_cause_window);
     const auto run_age = suspects.empty() ? common::duration(0)
                                           : crashed_at - worker.runs.at(suspects[0]).ordered_at;
     m_counters.get("worker_crashes_total", "suspects", suspects.empty() ? "none" : "some").add();
@@ -59,6 +74,7 @@
                {"suspects", suspects.size()},
                {"run_age_ms", common::to_milliseconds(run_age)},
                {"silent_ms", common::to_milliseconds(now - crashed_at)},
+               {"evidence", loss_evidence_names.name(evidence)},
                {"tasks", describe(suspects)}});
     for (auto& entry : worker.runs) {
         entry.second.crash_counted = true;
@@ -76,10 +92,11 @@
         const bool attributed =
             one_cause && crashed_at <= placed.ordered_at + m_settings.crashes.isolation;
         if (placed.confirmed || placed.started_as_suspect) {
-            ++(placed.confirmed ? task->progress.crashes : task->progress.possible_crashes);
-            ++task->pending_crashes;
+            const suspected_run suspect{run, attributed, placed.confirmed, silent};
+            ++count_of(task->progress, suspect);
+            task->pending_crashes += silent ? 0 : 1;
             mark_dirty(*job);
-            worker.pending_suspects.push_back({run, attributed, placed.confirmed});
+            worker.pending_suspects.push_back(suspect);
         }
         log_event(severity::warning, "task_suspected",
                   {{"task", to_string(run.task)},
@@ -89,8 +106,8 @@
     }
 }
 
-bool dispatcher::has_common_cause(const worker_entry& worker, common::time_point crashed_at) const {
-    const auto window = m_settings.crashes.common_cause_window;
+bool dispatcher::has_common_cause(const worker_entry& worker, common::time_point crashed_at,
+                                  common::duration window) const {
     std::size_t others = 0;
     for (const auto& [id, other] : m_workers.all()) {
         const bool together = other.poll_failures > 0 &&
@@ -107,18 +124,21 @@
         task.progress.crashes - std::min(task.progress.crashes, task.pending_crashes);
     const bool attributed = last.attributed && last.confirmed;
     return certain >= (attributed ? limits.attributed_limit : limits.ambiguous_limit) ||
-           task.all_crashes() - task.pending_crashes >= limits.ambiguous_limit;
+           task.likely_crashes() - task.pending_crashes >= limits.ambiguous_limit ||
+           task.all_crashes() - task.pending_crashes >= limits.silence_limit;
 }
 
 void dispatcher::confirm_crash(common::time_point now, worker_entry& worker,
-                               std::string_view evidence) {
+                               loss_evidence evidence) {
     auto suspects = std::exchange(worker.pending_suspects, {});
     for (const auto& suspect : suspects) {
         const auto [job, task] = find_open_task(suspect.run);
         if (task == nullptr) {
             continue;
         }
-        task->pending_crashes -= std::min(1U, task->pending_crashes);
+        if (!suspect.silent) {
+            task->pending_crashes -= std::min(1U, task->pending_crashes);
+        }
         m_replan_needed = true;
         if (may_give_up(*task, suspect)) {
             m_counters.get("tasks_given_up_total", "reason", "crashed_workers").add();
@@ -126,10 +146,11 @@
                       {{"task", to_string(suspect.run.task)},
                        {"run", suspect.run.run},
                        {"worker", worker.report.id},
-                       {"evidence", evidence},
+                       {"evidence", loss_evidence_names.name(evidence)},
                        {"attributed", suspect.attributed ? 1 : 0},
                        {"crashes", task->progress.crashes},
                        {"possible_crashes", task->progress.possible_crashes},
+                       {"silent_losses", task->progress.silent_losses},
                        {"failures", task->progress.failures}});
             end_job(now, *job, job_state::failed, "crashed_workers");
         }
@@ -146,14 +167,11 @@
     for (const auto& suspect : suspects) {
         const auto [job, task] = find_open_task(suspect.run);
         // A run that a worker survived has cleared the task meanwhile.
-        auto* const count = task == nullptr     ? nullptr
-                            : suspect.confirmed ? &task->progress.crashes
-                                                : &task->progress.possible_crashes;
-        if (count == nullptr || *count == 0) {
+        if (task == nullptr || count_of(task->progress, suspect) == 0) {
             continue;
         }
-        --*count;
-        if (!confirmed) {
+        --count_of(task->progress, suspect);
+        if (!confirmed && !suspect.silent) {
             task->pending_crashes -= std::min(1U, task->pending_crashes);
         }
         mark_dirty(*job);
@@ -183,6 +201,7 @@
         state.suspected = false;
         state.progress.crashes = 0;
         state.progress.possible_crashes = 0;
+        state.progress.silent_losses = 0;
         state.pending_crashes = 0;
         mark_dirty(job);
     }
--- a/source/core/dispatch/dispatcher_runs.cpp
+++ b/source/core/dispatch/dispatcher_runs.cpp
@@ -165,8 +165,9 @@
     auto& worker = *m_workers.find(id);
     m_workers_dirty = true;
     if (!change.was_draining) {
-        count_crash(now, worker, change.was_silent_since.value_or(now));
-        confirm_crash(now, worker, "restarted");
+        count_crash(now, worker, change.was_silent_since.value_or(now),
+                    change.was_cut_off ? loss_evidence::silent : loss_evidence::restarted);
+        confirm_crash(now, worker, loss_evidence::restarted);
     }
     // The new incarnation numbers its ended runs from 1 again.
     m_save_round_ends.erase(id);
@@ -428,19 +429,19 @@
 void dispatcher::handle_task_failure(common::time_point now, job_entry& job, const task_key& task,
                                      const std::string& worker) {
     auto& state = job.edit(task);
-    ++state.progress.failures;
+    auto& step = *job.find_step(task);
     state.failed_on.insert(worker);
+    ++state.progress.failures;
     if (job.spec_of(task).long_running) {
         return;
     }
     const auto* const queue = queue_of(job.spec);
-    const auto failures =
-        job.spec_of(task).gang ? job.find_step(task)->failures() : state.progress.failures;
+    const auto failures = job.spec_of(task).gang ? step.failures() : state.progress.failures;
     if (queue != nullptr && failures >= queue->max_attempts) {
         log_event(severity::info, "attempts_exhausted",
                   {{"task", to_string(task)},
                    {"failures", state.progress.failures},
-                   {"step_failures", job.find_step(task)->failures()},
+                   {"step_failures", step.failures()},
                    {"last_run", state.progress.last_run},
                    {"limit", queue->max_attempts}});
         end_job(now, job, job_state::failed, "attempts_exhausted");
--- a/source/core/dispatch/job_entry.cpp
+++ b/source/core/dispatch/job_entry.cpp
@@ -131,7 +131,7 @@
         return false;
     }
     // The job may end as soon as the last crash is certain.
-    if (task.pending_crashes > 0 && task.all_crashes() >= crash_limit) {
+    if (task.pending_crashes > 0 && task.likely_crashes() >= crash_limit) {
         return false;
     }
     return spec.gang || probe_passed || now >= probe_until;
--- a/source/core/dispatch/progress.cpp
+++ b/source/core/dispatch/progress.cpp
@@ -177,9 +177,12 @@
                         task.checkpoint,
                         task.crashes,
                         task.possible_crashes};
-        if (count > 1) {
+        if (count > 1 || task.silent_losses > 0) {
             row.push_back(count);
         }
+        if (task.silent_losses > 0) {
+            row.push_back(task.silent_losses);
+        }
         rows.push_back(std::move(row));
     }
     return rows;
@@ -197,6 +200,9 @@
         task.crashes = row.at(8).to_number<std::uint32_t>();
         task.possible_crashes = row.at(9).to_number<std::uint32_t>();
     }
+    if (row.size() > 11) {
+        task.silent_losses = row.at(11).to_number<std::uint32_t>();
+    }
     return task;
 }
 
--- a/source/core/dispatch/progress.h
+++ b/source/core/dispatch/progress.h
@@ -27,6 +27,9 @@
     /// The same for workers that had not confirmed the start of the suspected task, so that they
     /// may have crashed before.
     std::uint32_t possible_crashes = 0;
+    /// The same for workers that became silent without a proof that they crashed; they may have
+    /// been cut off.
+    std::uint32_t silent_losses = 0;
     std::string checkpoint;
 
     bool operator==(const task_progress&) const = default;
--- a/source/core/dispatch/task_table.h
+++ b/source/core/dispatch/task_table.h
@@ -31,7 +31,7 @@
     [[nodiscard]] bool may_start(common::time_point now) const {
         return !progress.succeeded && !current && now >= not_before;
     }
-    /// Part of all_crashes() for which it is not certain yet that the worker has crashed.
+    /// Part of likely_crashes() for which it is not certain yet that the worker has crashed.
     std::uint32_t pending_crashes = 0;
     /// Value of all_crashes() that the store holds, and that the pending batch contains.
     std::uint32_t crashes_stored = 0;
@@ -40,9 +40,12 @@
     /// A worker crashed that had not confirmed the start of the task.
     bool suspected = false;
 
-    [[nodiscard]] std::uint32_t all_crashes() const {
+    [[nodiscard]] std::uint32_t likely_crashes() const {
         return progress.crashes + progress.possible_crashes;
     }
+    [[nodiscard]] std::uint32_t all_crashes() const {
+        return likely_crashes() + progress.silent_losses;
+    }
     /// The task may have crashed a worker.
     [[nodiscard]] bool is_suspected() const { return suspected || all_crashes() > 0; }
 };
--- a/source/core/dispatch/worker_registry.cpp
+++ b/source/core/dispatch/worker_registry.cpp
@@ -55,6 +55,7 @@
         if (worker.poll_failures > 0) {
             result.was_silent_since = worker.silent_since;
         }
+        result.was_cut_off = !worker.reachable && !worker.connection_refused;
         worker_entry reset;
         reset.slot = worker.slot;
         assume_stale_lease(now, worker, reset);
--- a/source/core/dispatch/worker_registry.h
+++ b/source/core/dispatch/worker_registry.h
@@ -73,6 +73,8 @@
     bool attributed = false;
     /// The worker had confirmed the run.
     bool confirmed = false;
+    /// Nothing but the worker's silence speaks for a crash.
+    bool silent = false;
 };
 
 /// A run that ended without a report, with the last reported checkpoint.
@@ -121,6 +123,8 @@
     unsigned poll_failures = 0;
     /// When the first of the failed polls failed.
     common::time_point silent_since;
+    /// The last direct poll failed because the connection was refused.
+    bool connection_refused = false;
     /// Another node could not reach the worker either since its last response.
     bool silence_confirmed = false;
     /// The last poll through another node was answered, while direct polls were not.
@@ -182,6 +186,8 @@
         /// State of the former incarnation of a restarted worker.
         bool was_draining = false;
         std::optional<common::time_point> was_silent_since;
+        /// It had become unreachable without refusing connections.
+        bool was_cut_off = false;
     };
     /// A restart of the worker makes its runs uncertain.
     update upsert(common::time_point now, const worker_report& report);
--- a/source/core/emulation/emulated_fleet.h
+++ b/source/core/emulation/emulated_fleet.h
@@ -53,6 +53,8 @@
     common::time_point capacity_changed_at;
 
     bool up = true;
+    /// While the worker is down, its machine refuses connections; otherwise it does not answer.
+    bool refuses_connections = false;
     double speed = 1.0;
     /// All runs that start while this is set fail.
     bool fails = false;
--- a/source/core/emulation/emulated_platform.cpp
+++ b/source/core/emulation/emulated_platform.cpp
@@ -56,6 +56,7 @@
     m_fleet.advance(now());
     for (const auto& id : m_fleet.workers_to_crash(now())) {
         crash_worker(id, m_settings.crash_length);
+        m_fleet.find(id)->refuses_connections = true;
     }
     answer_polls();
     for (auto& former : m_replaced_owners) {
@@ -446,6 +447,13 @@
                                       queued, receiver_at_sending] {
         const auto* const worker = m_fleet.find(id);
         if (worker == nullptr || !worker->up) {
+            if (worker != nullptr && worker->refuses_connections) {
+                m_events.after(delay(), [finish] {
+                    Result refused;
+                    refused.status = dispatch::order_status::not_sent;
+                    finish(std::move(refused));
+                });
+            }
             return;
         }
         if (queued.count() > 0 && worker->report.start_time_ms != receiver_at_sending) {
@@ -495,7 +503,8 @@
         order.fence, order.worker, poll_slack,
         [this, order](common::time_point time) { return m_fleet.poll(time, order); },
         [complete = std::move(complete)](dispatch::poll_result result) {
-            result.silence_confirmed = result.status == dispatch::order_status::no_answer;
+            result.silence_confirmed = result.status == dispatch::order_status::no_answer ||
+                                       result.status == dispatch::order_status::not_sent;
             complete(std::move(result));
         },
         true);
@@ -550,7 +559,8 @@
         const auto& worker = *m_fleet.find(poll.order.worker);
         const bool unreachable = !worker.up || now() < m_links[poll.order.worker].cut_until ||
                                  is_separated(poll.order.fence, poll.order.worker, false);
-        if (unreachable && now() >= poll.until + poll_slack) {
+        const bool reset = !worker.up && worker.refuses_connections;
+        if (reset || (unreachable && now() >= poll.until + poll_slack)) {
             poll.complete({});
         } else if (!unreachable && (now() >= poll.until || !worker.ends.empty())) {
             answer_poll(poll);
--- a/tests/unit/dispatch/crashes_test.cpp
+++ b/tests/unit/dispatch/crashes_test.cpp
@@ -307,6 +307,97 @@
     BOOST_TEST(!f.final_state("a").has_value());
 }
 
+// Guards against jobs shown as failed without enough failures (LOST): the worker is cut off from
+// the nodes and the store, so that it leaves the list while it lives. Then it crashes once.
+BOOST_AUTO_TEST_CASE(a_worker_that_is_cut_off_and_removed_has_not_crashed) {
+    crash_fixture f({"w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8"});
+    f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 11);
+    for (std::size_t i = 1; i <= 2; ++i) {
+        f.play(500ms);
+        BOOST_REQUIRE(f.starts_of_job("a") == i);
+        const auto worker = f.starts_of.at({"a", 0, 0, 0}).back();
+        f.unreachable[worker] = true;
+        f.through_peer[worker] = dispatch_fixture::peer_view::silent;
+        f.play(4500ms);
+        f.engine.on_worker_unlisted(f.now, worker);
+        f.play(4500ms);
+        BOOST_TEST(f.engine.workers().find(worker) == nullptr);
+    }
+    BOOST_TEST(!f.final_state("a").has_value());
+    f.crash_worker(f.starts_of.at({"a", 0, 0, 0}).back());
+    f.play(3s);
+    BOOST_TEST(!f.final_state("a").has_value());
+    BOOST_TEST(f.starts_of_job("a") == 4U);
+}
+
+// Guards against the same when the worker restarts after it was cut off: its runs may have ended
+// before the crash.
+BOOST_AUTO_TEST_CASE(a_restart_of_a_worker_that_was_cut_off_is_no_crash_of_its_runs) {
+    crash_fixture f;
+    f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 11);
+    for (std::size_t i = 1; i <= 3; ++i) {
+        f.play(100ms);
+        BOOST_REQUIRE(f.starts_of_job("a") == i);
+        const auto worker = f.starts_of.at({"a", 0, 0, 0}).back();
+        f.unreachable[worker] = true;
+        f.play(2s);
+        f.unreachable[worker] = false;
+        f.crash_worker(worker);
+        f.play(2s);
+    }
+    BOOST_TEST(!f.final_state("a").has_value());
+    BOOST_TEST(f.starts_of_job("a") == 4U);
+}
+
+// Guards against deadly tasks that are not found: a process that has ended refuses connections.
+BOOST_AUTO_TEST_CASE(a_removed_worker_that_refused_connections_has_crashed) {
+    crash_fixture f({"w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8"});
+    f.unreachable_status = order_status::not_sent;
+    f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 11);
+    for (std::size_t i = 1; i <= 2; ++i) {
+        while (f.starts_of_job("a") < i) {
+            f.play(10ms);
+        }
+        f.play(100ms);
+        const auto worker = f.starts_of.at({"a", 0, 0, 0}).back();
+        f.unreachable[worker] = true;
+        f.through_peer[worker] = dispatch_fixture::peer_view::silent;
+        f.engine.on_worker_unlisted(f.now, worker);
+    }
+    f.play(9s);
+    BOOST_TEST((f.final_state("a") == job_state::failed));
+}
+
+// Guards against hundreds of suspected tasks, which start one by one, after a cut from many
+// workers.
+BOOST_AUTO_TEST_CASE(tasks_of_workers_that_fall_silent_together_are_not_suspected) {
+    std::vector<std::string> ids;
+    for (int i = 0; i < 12; ++i) {
+        ids.push_back("w" + std::to_string(i));
+    }
+    crash_fixture f(ids);
+    f.engine.on_job(f.now, dispatch_fixture::job("a", 12, 40'000), {}, 11);
+    f.play(100ms);
+    BOOST_REQUIRE(f.starts_of_job("a") == 12U);
+    for (std::size_t i = 0; i < 5; ++i) {
+        f.unreachable[ids[i]] = true;
+        f.through_peer[ids[i]] = dispatch_fixture::peer_view::silent;
+        f.play(200ms);
+    }
+    f.play(6s);
+    for (std::size_t i = 0; i < 5; ++i) {
+        f.running[ids[i]].clear();
+    }
+    for (std::size_t i = 5; i < 12; ++i) {
+        const auto runs = f.running[ids[i]];
+        for (const auto& item : runs) {
+            f.end_run(ids[i], item.run, run_end::succeeded);
+        }
+    }
+    f.play(1s);
+    BOOST_TEST(f.starts_of_job("a") == 17U);
+}
+
 // Guards against missing a crash that shows only after the lease: the worker is back late as a new
 // incarnation, or it is gone for good.
 BOOST_AUTO_TEST_CASE(a_worker_that_vanishes_under_a_task_counts_as_crashed) {
--- a/tests/unit/dispatch/dispatch_fixture.h
+++ b/tests/unit/dispatch/dispatch_fixture.h
@@ -182,6 +182,8 @@
     std::map<std::string, std::vector<ended_run>> ended;
     std::map<std::string, std::uint64_t> end_numbers;
     std::map<std::string, bool> unreachable;
+    /// How polls of an unreachable worker end.
+    order_status unreachable_status = order_status::no_answer;
     /// What polls of an unreachable worker through another node yield.
     enum class peer_view { no_peer, silent, answers };
     std::map<std::string, peer_view> through_peer;
@@ -235,6 +237,7 @@
     void respond(const poll_call& call) {
         polls.push_back(call.order);
         poll_result result;
+        result.status = unreachable_status;
         const auto view = call.through_peer ? through_peer[call.order.worker] : peer_view::no_peer;
         result.silence_confirmed = view == peer_view::silent;
         if (!unreachable[call.order.worker] || view == peer_view::answers) {
