Count members of a gang that fail in one run as one attempt

Cause: the failures of a gang were the sum over its members. Two members that fail in the same run, as on workers that fail all that they start, counted as two attempts. Class: one event counted by several parties.

A failed end of a member counts once for the run of the gang. The last counted run is kept in memory: a successor that reads the end of the second member counts it again.

Measured: members_that_fail_together_are_one_failed_attempt fails without the change and passes with it; test_dispatch and test_dispatch_scenarios pass.

--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -218,7 +218,7 @@
                         run_end how, const std::string& checkpoint);
     void handle_task_success(common::time_point now, job_entry& job, const task_key& task);
     void handle_task_failure(common::time_point now, job_entry& job, const task_key& task,
-                             const std::string& worker);
+                             std::uint32_t run, const std::string& worker);
     void handle_start_not_executed(common::time_point now, worker_entry& worker, const run_key& run,
                                    std::string_view reason);
     void request_stop(common::time_point now, const std::string& worker, const run_key& run);
--- a/source/core/dispatch/dispatcher_runs.cpp
+++ b/source/core/dispatch/dispatcher_runs.cpp
@@ -2,6 +2,7 @@
 #include "core/dispatch/dispatcher.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace buckthornspar::dispatch {
 
@@ -392,7 +393,7 @@
         return;
     }
     if (how == run_end::failed) {
-        handle_task_failure(now, job, run.task, worker);
+        handle_task_failure(now, job, run.task, run.run, worker);
     }
     if (!step.any_current()) {
         step.gang_run = 0;
@@ -427,11 +428,14 @@
 }
 
 void dispatcher::handle_task_failure(common::time_point now, job_entry& job, const task_key& task,
-                                     const std::string& worker) {
+                                     std::uint32_t run, const std::string& worker) {
     auto& state = job.edit(task);
     auto& step = *job.find_step(task);
     state.failed_on.insert(worker);
-    ++state.progress.failures;
+    // Members that fail in the same run are one failed attempt of the gang.
+    if (!job.spec_of(task).gang || std::exchange(step.failed_gang_run, run) != run) {
+        ++state.progress.failures;
+    }
     if (job.spec_of(task).long_running) {
         return;
     }
--- a/source/core/dispatch/job_entry.h
+++ b/source/core/dispatch/job_entry.h
@@ -42,6 +42,8 @@
     std::uint32_t placed = 0;
     /// Run number that the members of a gang share; 0 while no member is placed.
     std::uint32_t gang_run = 0;
+    /// Last run of the gang that has been counted as failed.
+    std::uint32_t failed_gang_run = 0;
     common::time_point gang_since;
     std::string gang_checkpoint;
     step_tickets tickets;
--- a/tests/unit/dispatch/crashes_test.cpp
+++ b/tests/unit/dispatch/crashes_test.cpp
@@ -404,6 +404,26 @@
     BOOST_TEST(f.starts_of_job("a") == 17U);
 }
 
+// Guards against a gang that is given up too early: members that fail in the same run are one
+// failed attempt of the gang.
+BOOST_AUTO_TEST_CASE(members_that_fail_together_are_one_failed_attempt) {
+    crash_fixture f;
+    auto spec = dispatch_fixture::job("a", 3, 40000);
+    spec.steps[0].gang = true;
+    f.engine.on_job(f.now, spec, {}, 11);
+    for (int attempt = 1; attempt <= 3; ++attempt) {
+        f.play(500ms);
+        BOOST_TEST(!f.final_state("a").has_value());
+        for (const auto& [worker, runs] : std::map(f.running)) {
+            for (const auto& item : runs) {
+                f.end_run(worker, item.run, run_end::failed);
+            }
+        }
+        f.play(5s);
+    }
+    BOOST_TEST((f.final_state("a") == job_state::failed));
+}
+
 // Guards against missing a crash that shows only after the lease: the worker is back late as a new
 // incarnation, or it is gone for good.
 BOOST_AUTO_TEST_CASE(a_worker_that_vanishes_under_a_task_counts_as_crashed) {
