Preempt runs only for gangs that can get their tickets

A gang preempts runs only when it has tickets for enough workers, has asked for them, or can ask now.

--- a/source/core/dispatch/plan_state.cpp
+++ b/source/core/dispatch/plan_state.cpp
@@ -123,11 +123,15 @@
     return std::max<std::int64_t>(0, std::int64_t{step.spec->max_per_worker} - present);
 }
 
+std::int64_t plan_state::capacity_in_tasks(const waiting_step& step, worker_slot w) const {
+    return std::min(count_fitting_tasks(demand, capacities[w].worker->report.capacity),
+                    remaining_tasks_on(step, w));
+}
+
 std::int64_t plan_state::total_task_capacity(const waiting_step& step) const {
     std::int64_t tasks = 0;
     for (const auto& c : candidates) {
-        tasks += std::min(count_fitting_tasks(demand, capacities[c.worker].worker->report.capacity),
-                          remaining_tasks_on(step, c.worker));
+        tasks += capacity_in_tasks(step, c.worker);
     }
     return tasks;
 }
--- a/source/core/dispatch/plan_state.h
+++ b/source/core/dispatch/plan_state.h
@@ -108,6 +108,8 @@
                                                           worker_slot w) const;
     /// Number of tasks of the step that the worker may still receive.
     [[nodiscard]] std::int64_t remaining_tasks_on(const waiting_step& step, worker_slot w) const;
+    /// Number of tasks of the step that fit on the worker when it is empty.
+    [[nodiscard]] std::int64_t capacity_in_tasks(const waiting_step& step, worker_slot w) const;
     /// Number of tasks of the step that fit on the candidates when these are empty.
     [[nodiscard]] std::int64_t total_task_capacity(const waiting_step& step) const;
     /// Whether this many further starts may be sent together. A gang that exceeds the limit by
--- a/source/core/dispatch/step_planner.cpp
+++ b/source/core/dispatch/step_planner.cpp
@@ -234,7 +234,7 @@
         return;
     }
     if (m_plan.limits.preemption && m_plan.result.preemptions.empty() &&
-        most_fitting_tasks(step, true) >= count && preempt_for_gang(step) &&
+        most_fitting_tasks(step, true) >= count && can_use_room(step) && preempt_for_gang(step) &&
         reserve_after_stops(step)) {
         return;
     }
@@ -288,6 +288,20 @@
     return true;
 }
 
+// Runs that are stopped for a gang without the tickets for their room are stopped for nothing.
+bool step_planner::can_use_room(const waiting_step& step) const {
+    if (m_tickets.may_request(step) && m_tickets.has_slot(step)) {
+        return true;
+    }
+    std::int64_t tasks = 0;
+    for (const auto& c : m_plan.candidates) {
+        if (may_use(step, c, ticket_need::requested)) {
+            tasks += m_plan.capacity_in_tasks(step, c.worker);
+        }
+    }
+    return tasks >= static_cast<std::int64_t>(step.spec->count);
+}
+
 std::int64_t step_planner::most_fitting_tasks(const waiting_step& step, bool preempting) {
     std::int64_t tasks = 0;
     for (const auto& c : m_plan.candidates) {
--- a/source/core/dispatch/step_planner.h
+++ b/source/core/dispatch/step_planner.h
@@ -64,6 +64,8 @@
     /// that the step may preempt as well.
     [[nodiscard]] std::int64_t most_fitting_tasks(const waiting_step& step, bool preempting);
     [[nodiscard]] const placement::resources& preemptible_capacity(worker_slot w, int priority);
+    /// Whether the gang has tickets for enough workers, or can ask for them now.
+    [[nodiscard]] bool can_use_room(const waiting_step& step) const;
     bool preempt_for_gang(const waiting_step& step);
     void start_gang(const waiting_step& step, const tasks_by_worker& workers);
     void reserve_now(const tasks_by_worker& workers);
--- a/source/core/dispatch/ticket_planner.cpp
+++ b/source/core/dispatch/ticket_planner.cpp
@@ -48,6 +48,12 @@
     return step.queue->needs_tickets && tickets.calls.empty() && m_plan.now >= tickets.not_before;
 }
 
+bool ticket_planner::has_slot(const waiting_step& step) const {
+    const auto named = std::min(m_plan.candidates.size(), max_workers_per_call(step));
+    const auto& slots = m_plan.limits.advice;
+    return slots.calls > 0 && (call_time(step, named) <= long_advice_call || slots.long_calls > 0);
+}
+
 void ticket_planner::request_for_tasks(const waiting_step& step) {
     if (!may_request(step)) {
         for (const auto& call : step.state->tickets.calls) {
--- a/source/core/dispatch/ticket_planner.h
+++ b/source/core/dispatch/ticket_planner.h
@@ -15,6 +15,8 @@
     explicit ticket_planner(plan_state& plan) : m_plan(plan) {}
 
     [[nodiscard]] bool may_request(const waiting_step& step) const;
+    /// Whether a node could begin a call for all candidates of the step now.
+    [[nodiscard]] bool has_slot(const waiting_step& step) const;
     /// Requests the first tickets of a step whose tasks are placed one by one, renews them where
     /// there is room, or widens the choice when no worker was granted.
     void request_for_tasks(const waiting_step& step);
