Reserve nodes for short calls only among those that are answered

Gangs got no advice while the nodes that may take long calls did not reach the service: a failed node stays in the list now and went on to count, so that the nodes reserved for short calls stayed so.

The share is taken of the nodes without failures.

--- a/source/core/service/advice_balancer.cpp
+++ b/source/core/service/advice_balancer.cpp
@@ -87,15 +87,20 @@
     return true;
 }
 
+// Nodes that the service does not answer take no calls, so that they must not count.
 std::size_t advice_balancer::short_only_count() const {
-    return m_nodes.size() < 2 ? 0 : std::max<std::size_t>(1, m_nodes.size() / short_only_divisor);
+    const auto answered = static_cast<std::size_t>(
+        std::count_if(m_nodes.begin(), m_nodes.end(),
+                      [](const auto& node) { return node.second.failures == 0; }));
+    return answered < 2 ? 0 : std::max<std::size_t>(1, answered / short_only_divisor);
 }
 
 dispatch::advice_slots advice_balancer::free_slots(common::time_point now) const {
     dispatch::advice_slots slots{0, 0};
+    const auto short_only = short_only_count();
     std::size_t index = 0;
     for (const auto& [node, state] : m_nodes) {
-        const bool reserved = index++ < short_only_count();
+        const bool reserved = state.failures == 0 && index++ < short_only;
         if (state.may_call(now)) {
             slots.calls += max_calls_per_node - state.calls.size();
             slots.long_calls += reserved || state.has_long_call() ? 0 : 1;
@@ -116,7 +121,7 @@
     std::tuple<bool, common::time_point> best_score;
     std::size_t index = 0;
     for (const auto& [node, state] : m_nodes) {
-        const bool reserved = index++ < short_only;
+        const bool reserved = state.failures == 0 && index++ < short_only;
         if (!state.may_call(now) || (takes_long && (reserved || state.has_long_call()))) {
             continue;
         }
--- a/source/core/service/advice_balancer.h
+++ b/source/core/service/advice_balancer.h
@@ -59,7 +59,7 @@
         [[nodiscard]] bool may_call(common::time_point now) const;
     };
 
-    /// Number of nodes, the first ones, that take no long calls.
+    /// Number of nodes that take no long calls: the first of those without failures.
     [[nodiscard]] std::size_t short_only_count() const;
     [[nodiscard]] std::string best_node(const dispatch::advice_call& call,
                                         common::time_point now) const;
--- a/tests/unit/service/advice_balancer_test.cpp
+++ b/tests/unit/service/advice_balancer_test.cpp
@@ -121,6 +121,23 @@
     BOOST_TEST((pause >= 4s));
 }
 
+// Guards against gangs that stand because the nodes that may take long calls do not reach the
+// service, while one that is reserved for short calls does.
+BOOST_AUTO_TEST_CASE(a_reserved_node_takes_long_calls_when_the_others_are_not_answered) {
+    advice_balancer two;
+    two.add_node("a");
+    two.add_node("b");
+    two.submit(call(1, 900ms));
+    const auto taken = two.take_ready(now);
+    BOOST_REQUIRE(taken.size() == 1U);
+    BOOST_TEST(taken[0].node == "b");
+    now += 2s;
+    BOOST_TEST(two.fail("b", taken[0].call, now));
+    const auto moved = two.take_ready(now);
+    BOOST_REQUIRE(moved.size() == 1U);
+    BOOST_TEST(moved[0].node == "a");
+}
+
 // Guards against requests that wait behind others until what they ask for is of no use.
 BOOST_AUTO_TEST_CASE(free_slots_are_the_calls_that_can_begin_now) {
     const auto all = balancer.free_slots(now);
