Hold the room of the first gangs that no node can ask for

A gang whose tickets had expired lost its room to narrow work whenever all nodes were busy, so that it could wait for good. The first three such gangs of a plan hold their room. Requests of broken gangs were made besides the bound on requests and took the slots of all others; they count against the slots now, and a gang without one asks with the next plan.

--- a/source/core/dispatch/dispatcher_plan.cpp
+++ b/source/core/dispatch/dispatcher_plan.cpp
@@ -419,6 +419,10 @@
     call.expected = duration_from_ms(planned_request.queue->ticket_base_ms +
                                      planned_request.queue->ticket_per_worker_ms *
                                          static_cast<double>(planned_request.workers.size()));
+    m_advice_slots.calls -= std::min<std::size_t>(m_advice_slots.calls, 1);
+    if (call.expected > long_advice_call) {
+        m_advice_slots.long_calls -= std::min<std::size_t>(m_advice_slots.long_calls, 1);
+    }
     tickets.calls[call.id] = planned_request.workers;
     m_advice_calls[call.id] = {planned_request.step, now};
     m_counters.get("advice_calls_total", "reason", planned_request.reason).add();
@@ -437,7 +441,8 @@
                                               const task_key& task) {
     const auto* const queue = queue_of(job.spec);
     auto& step = *job.find_step(task);
-    if (queue == nullptr || !queue->needs_tickets || !step.tickets.calls.empty()) {
+    if (queue == nullptr || !queue->needs_tickets || !step.tickets.calls.empty() ||
+        now < step.tickets.not_before) {
         return;
     }
     ticket_request request;
@@ -466,7 +471,12 @@
             request.workers.push_back(grant.worker);
         }
     }
-    if (!request.workers.empty()) {
+    const auto call_time =
+        duration_from_ms(queue->ticket_base_ms +
+                         queue->ticket_per_worker_ms * static_cast<double>(request.workers.size()));
+    const bool has_slot = m_advice_slots.calls > 0 &&
+                          (call_time <= long_advice_call || m_advice_slots.long_calls > 0);
+    if (!request.workers.empty() && has_slot) {
         send_ticket_request(now, request);
     }
 }
--- a/source/core/dispatch/step_planner.cpp
+++ b/source/core/dispatch/step_planner.cpp
@@ -16,6 +16,8 @@
 // Maximum number of blocked gangs with reservations. Reservations for more of them would leave the
 // workers idle.
 constexpr std::size_t max_reserved_gangs = 3;
+// Maximum number of gangs that hold room for which no node can request tickets now.
+constexpr std::size_t max_unasked_gangs = 3;
 // A run that has exceeded its estimate is expected to end this much later than now.
 constexpr auto overrun_allowance = std::chrono::milliseconds(700);
 // Time within which a worker ends a stopped run.
@@ -255,8 +257,8 @@
         }
         return true;
     }
-    // The free capacity is reserved while missing or expired tickets are requested, but not while
-    // the request waits for other requests to be answered.
+    // The free capacity is reserved while missing or expired tickets are requested. Of the gangs
+    // that no node can ask for now, only the first ones hold theirs.
     if (!step.state->tickets.calls.empty()) {
         const auto expected = place_gang(step, ticket_need::requested, available_now);
         if (!expected.empty()) {
@@ -266,7 +268,8 @@
     }
     const auto fitting = place_gang(step, ticket_need::granted, available_now);
     if (!fitting.empty()) {
-        if (m_tickets.renew_for_gang(step, workers_of(fitting))) {
+        if (m_tickets.renew_for_gang(step, workers_of(fitting)) ||
+            m_unasked_gangs++ < max_unasked_gangs) {
             reserve_now(fitting);
         }
         return true;
--- a/source/core/dispatch/step_planner.h
+++ b/source/core/dispatch/step_planner.h
@@ -76,6 +76,7 @@
     plan_state m_plan;
     ticket_planner m_tickets{m_plan};
     std::size_t m_reserved_gangs = 0;
+    std::size_t m_unasked_gangs = 0;
     /// The step of the suspected task that was planned last.
     std::optional<task_key> m_probed_step;
     /// Sum of the runs on each worker that work of a priority may preempt, by slot.
--- a/tests/unit/dispatch/tickets_test.cpp
+++ b/tests/unit/dispatch/tickets_test.cpp
@@ -276,4 +276,69 @@
     BOOST_TEST(take_starts().size() == 3U);
 }
 
+// Guards against a gang that never starts beside a stream of narrow tasks without tickets (LOST):
+// each time that its room is free, all nodes are busy with calls for others.
+BOOST_AUTO_TEST_CASE(room_of_a_fitting_gang_is_kept_while_no_node_can_ask) {
+    auto urgent = ticket_queue();
+    urgent.priority = 0;
+    engine.on_queues({urgent, plain_queue("q")});
+    submit(job("busy", 4, 60000));
+    grant({"w1", "w2", "w3", "w4"});
+    const auto busy = take_starts();
+    BOOST_REQUIRE(busy.size() == 4U);
+    auto spec = job("g", 2, 60000);
+    spec.steps[0].gang = true;
+    submit(spec);
+    grant({"w1", "w2"});
+    engine.set_advice_slots({0, 0});
+    advance(2s);
+    const auto narrow = job("s", 40, 6000, "q");
+    engine.on_job(now, narrow, {}, 12);
+    advance(100ms);
+    for (const auto& order : busy) {
+        end_run(order.worker, order.run, run_end::succeeded);
+    }
+    static_cast<void>(take_starts());
+    advance(100ms, 10ms);
+    std::size_t on_gang_workers = 0;
+    for (const auto& order : take_starts()) {
+        on_gang_workers +=
+            order.run.task.job == "s" && (order.worker == "w1" || order.worker == "w2");
+    }
+    BOOST_TEST(on_gang_workers == 0U);
+    // A node is free 0.1 s later.
+    engine.set_advice_slots({4, 4});
+    advance(50ms, 10ms);
+    if (!advice.empty() && advice.back().request.step.job == "g") {
+        grant({"w1", "w2"});
+    }
+    advance(100ms, 10ms);
+    const auto later = take_starts();
+    BOOST_TEST(std::count_if(later.begin(), later.end(),
+                             [](const auto& order) { return order.run.task.job == "g"; }) == 2);
+}
+
+// Guards against requests that wait for one another when many gangs break at once: they were made
+// besides the bound of a plan.
+BOOST_AUTO_TEST_CASE(broken_gangs_ask_no_more_than_nodes_can_begin) {
+    for (int i = 0; i < 10; ++i) {
+        auto spec = job("g" + std::to_string(i), 4, 6000);
+        spec.steps[0].gang = true;
+        spec.steps[0].max_per_worker = 1;
+        submit(spec);
+        grant({"w1", "w2", "w3", "w4"});
+    }
+    const auto started = take_starts();
+    BOOST_REQUIRE(started.size() == 40U);
+    engine.set_advice_slots({1, 1});
+    const auto asked = advice.size();
+    for (const auto& order : started) {
+        if (order.worker == "w1") {
+            end_run("w1", order.run, run_end::failed);
+        }
+    }
+    advance(100ms, 10ms);
+    BOOST_TEST(advice.size() - asked <= 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
