Judge a loss by what the worker did when it became unreachable

Each poll overwrote whether the worker had refused connections: a worker that was cut off counted as crashed when one poll met the closed port of its later restart, and one that refused at first counted as silent when its machine then booted. The answer that made it unreachable decides now. The number of stored crashes was not lowered with the counts, so that new crashes passed for stored.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -500,10 +500,6 @@
             worker->silent_since = now;
         }
         worker->silence_confirmed |= result.silence_confirmed;
-        if (!call.through_peer) {
-            worker->connection_refused = result.status == order_status::not_sent &&
-                                         now < sent_at + m_settings.crashes.refusal_time;
-        }
         worker->answers_through_peer &= !call.through_peer;
         if (worker->poll_failures < m_settings.unreachable_after_polls) {
             schedule_poll(*worker, now);
@@ -513,6 +509,9 @@
             log_event(severity::warning, "worker_unreachable",
                       {{"worker", call.order.worker},
                        {"status", order_status_names.name(result.status)}});
+            // What later polls meet may come from a restart behind a cut.
+            worker->connection_refused = result.status == order_status::not_sent &&
+                                         now < sent_at + m_settings.crashes.refusal_time;
         }
         m_workers_dirty |= worker->reachable;
         worker->reachable = false;
--- a/source/core/dispatch/dispatcher_crashes.cpp
+++ b/source/core/dispatch/dispatcher_crashes.cpp
@@ -171,6 +171,7 @@
             continue;
         }
         --count_of(task->progress, suspect);
+        task->crashes_stored = std::min(task->crashes_stored, task->all_crashes());
         if (!confirmed && !suspect.silent) {
             task->pending_crashes -= std::min(1U, task->pending_crashes);
         }
@@ -202,6 +203,7 @@
         state.progress.crashes = 0;
         state.progress.possible_crashes = 0;
         state.progress.silent_losses = 0;
+        state.crashes_stored = 0;
         state.pending_crashes = 0;
         mark_dirty(job);
     }
--- a/source/core/dispatch/worker_registry.h
+++ b/source/core/dispatch/worker_registry.h
@@ -123,7 +123,7 @@
     unsigned poll_failures = 0;
     /// When the first of the failed polls failed.
     common::time_point silent_since;
-    /// The last direct poll failed because the connection was refused.
+    /// The worker refused connections when it became unreachable.
     bool connection_refused = false;
     /// Another node could not reach the worker either since its last response.
     bool silence_confirmed = false;
--- a/tests/unit/dispatch/crashes_test.cpp
+++ b/tests/unit/dispatch/crashes_test.cpp
@@ -465,4 +465,98 @@
     }
 }
 
+// Guards against crashes that a successor does not know, because the store still held the counts of
+// crashes that had been cleared.
+BOOST_AUTO_TEST_CASE(new_crashes_after_clearing_are_not_taken_for_stored) {
+    dispatcher_settings settings;
+    settings.crashes.attributed_limit = 9;
+    settings.crashes.ambiguous_limit = 9;
+    settings.crashes.silence_limit = 9;
+    crash_fixture f({"w1", "w2", "w3", "w4"}, settings);
+    f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 11);
+    for (int crash = 0; crash < 3; ++crash) {
+        f.advance(2s);
+        f.save();
+        const auto starts = f.take_starts();
+        BOOST_REQUIRE(starts.size() == 1U);
+        f.crash_worker(starts[0].worker);
+        f.run_until_idle();
+        f.save();
+    }
+    f.advance(2s);
+    f.save();
+    auto starts = f.take_starts();
+    BOOST_REQUIRE(starts.size() == 1U);
+    BOOST_TEST(stored_progress(f, "a").tasks.at({"a", 0, 0, 0}).crashes == 3U);
+    for (int i = 0; i < 12; ++i) {
+        f.advance(1s);
+        f.save();
+    }
+    const auto progress = stored_progress(f, "a");
+    BOOST_TEST((!progress.tasks.contains({"a", 0, 0, 0}) ||
+                progress.tasks.at({"a", 0, 0, 0}).crashes == 0U));
+    // From here on, the store does not answer.
+    std::size_t unstored_starts = 0;
+    for (int i = 0; i < 5; ++i) {
+        f.crash_worker(starts[0].worker);
+        f.advance(3s);
+        starts = f.take_starts();
+        if (starts.empty()) {
+            break;
+        }
+        ++unstored_starts;
+    }
+    // The run of the first crash is too old to be its cause.
+    BOOST_TEST(unstored_starts <= 2U);
+}
+
+// Guards against silence that counts as a crash: the worker was cut off and restarts later, and one
+// poll meets its closed port.
+BOOST_AUTO_TEST_CASE(a_refusal_during_a_later_restart_is_no_crash_of_the_runs) {
+    crash_fixture f;
+    f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 11);
+    for (int i = 0; i < 4 && !f.final_state("a"); ++i) {
+        f.advance(3s, 10ms);
+        f.save();
+        const auto starts = f.take_starts();
+        if (starts.empty()) {
+            break;
+        }
+        const auto& w = starts.back().worker;
+        f.unreachable[w] = true;
+        f.advance(3s, 10ms);
+        f.unreachable_status = order_status::not_sent;
+        f.advance(1s, 10ms);
+        f.unreachable_status = order_status::no_answer;
+        f.unreachable[w] = false;
+        f.crash_worker(w);
+        f.advance(100ms, 10ms);
+        f.save();
+    }
+    BOOST_TEST(!f.final_state("a"));
+}
+
+// Guards against a crash that is taken for silence: the worker refuses connections at first, and
+// does not answer while its machine boots.
+BOOST_AUTO_TEST_CASE(a_refusal_when_the_worker_became_unreachable_counts) {
+    crash_fixture f;
+    f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 11);
+    f.advance(50ms, 10ms);
+    const auto starts = f.take_starts();
+    BOOST_REQUIRE(starts.size() == 1U);
+    const auto& w = starts[0].worker;
+    f.unreachable[w] = true;
+    f.unreachable_status = order_status::not_sent;
+    f.advance(500ms, 10ms);
+    f.unreachable_status = order_status::no_answer;
+    f.advance(1s, 10ms);
+    f.unreachable[w] = false;
+    f.crash_worker(w);
+    f.advance(100ms, 10ms);
+    f.save();
+    const auto progress = stored_progress(f, "a");
+    BOOST_REQUIRE(progress.tasks.contains({"a", 0, 0, 0}));
+    BOOST_TEST(progress.tasks.at({"a", 0, 0, 0}).crashes == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
