Close idle connections before a retry can take one

Cause: when a store call times out, http_kv_store closes the idle connections to the store, because the same silence may have ended them too. http_client::close_idle() posted a task for that, which Asio queues behind the running completion. A retry from within the completion (send() dispatches), or by a thread that the completion has woken, comes before the task and takes an idle connection. config-3 had up to three connections to the store when the link became silent (from the code: it also tries to write version 1). Its watch ended 3.6 s after it was sent, and the retry got no answer on one of the others. The instance list, store_relay and peer_exchange use the function in the same way. Ruled out: the stand-ins (new connections work after the heal), the back-off (a call that timed out is sent again at once) and the time limit of the watch (3.6 s, kept in the runs with the new log lines). Change: close_idle() dispatches, so that on the loop's thread the connections are closed when it returns. The config process logs store_lost and store_regained; its log had nothing between the silence and the next version. Evidence: retry_in_the_completion_of_a_timed_out_call_uses_a_new_connection and retry_on_another_thread_after_a_time_out_uses_a_new_connection failed before the change in each of 3 runs, and pass. Unit tests of store and net pass, also with the thread sanitizer; those of store with the address and undefined behaviour sanitizers.

--- a/source/core/net/http_client.cpp
+++ b/source/core/net/http_client.cpp
@@ -307,7 +307,9 @@
 }
 
 void http_client::close_idle(const endpoint& to) {
-    asio::post(m_state->context, [s = m_state, to] { s->pools[to].idle.clear(); });
+    // A posted task would run only after the current one, so that a retry from within a completion,
+    // or by a thread that the completion has woken, could still take one of these connections.
+    asio::dispatch(m_state->context, [s = m_state, to] { s->pools[to].idle.clear(); });
 }
 
 std::string_view to_string(http_failure_kind kind) {
--- a/source/core/net/http_client.h
+++ b/source/core/net/http_client.h
@@ -59,7 +59,9 @@
     /// Completes the request with http_failure_kind::cancelled unless it has already completed.
     void cancel(std::uint64_t id);
 
-    /// Closes all idle connections to the endpoint, for example when they may be broken.
+    /// Closes all idle connections to the endpoint, for example when they may be broken. On the
+    /// loop's thread they are closed when the function returns; after a call from another thread,
+    /// requests that this thread sends later do not use them.
     void close_idle(const endpoint& to);
 
     struct state;
--- a/source/programs/buckthornspar-config/config_service_thread.cpp
+++ b/source/programs/buckthornspar-config/config_service_thread.cpp
@@ -1,5 +1,7 @@
 #include "config_service_thread.h"
 
+#include "core/common/logging.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -88,6 +90,7 @@
 void config_service_thread::process_event(common::time_point now, event e) {
     if (auto* const result = std::get_if<store_response>(&e)) {
         m_service.on_response(now, result->call, result->response);
+        log_store_change();
     } else if (auto* const call = std::get_if<submission>(&e)) {
         const std::uint64_t ticket = m_next_ticket++;
         m_callbacks.emplace(ticket, std::move(call->complete));
@@ -120,6 +123,16 @@
     });
 }
 
+void config_service_thread::log_store_change() {
+    if (m_service.store_available() == m_store_available) {
+        return;
+    }
+    m_store_available = m_service.store_available();
+    common::log_event(m_store_available ? common::severity::info : common::severity::warning,
+                      m_store_available ? "store_regained" : "store_lost",
+                      {{"version", m_service.history().version()}});
+}
+
 void config_service_thread::complete_reads(common::time_point now) {
     const bool behind = m_service.history().version() < m_hooks.known_version();
     if (!m_reads.empty() && behind && now >= m_next_refresh) {
--- a/source/programs/buckthornspar-config/config_service_thread.h
+++ b/source/programs/buckthornspar-config/config_service_thread.h
@@ -75,6 +75,7 @@
     void process_event(common::time_point now, event e);
     void run_actions();
     void call_store(const store::store_call& call);
+    void log_store_change();
     void complete_reads(common::time_point now);
     void update_watcher(common::time_point now);
     [[nodiscard]] bool push_call(event e);
@@ -93,6 +94,7 @@
     common::time_point m_started{};
     common::time_point m_next_refresh{};
     bool m_watching = false;
+    bool m_store_available = true;
     std::atomic<std::size_t> m_open_calls{0};
     std::atomic<bool> m_loaded{false};
     std::atomic<bool> m_stopping{false};
--- a/tests/unit/store/http_kv_store_test.cpp
+++ b/tests/unit/store/http_kv_store_test.cpp
@@ -5,11 +5,14 @@
 #include "core/net/event_loop.h"
 #include "core/net/http_server.h"
 #include "core/store/consul_format.h"
+#include "standins/relay.h"
 
 #include <boost/test/unit_test.hpp>
 
+#include <functional>
 #include <future>
 #include <string>
+#include <thread>
 
 using namespace buckthornspar;
 using namespace buckthornspar::store;
@@ -72,6 +75,63 @@
     std::unique_ptr<kv_store> kv;
 };
 
+/// A store behind a link that can become silent.
+struct link_fixture : store_fixture {
+    link_fixture() {
+        on_loop([&] {
+            link = std::make_unique<standins::relay>(
+                loop, net::endpoint{"127.0.0.1", server.port()}, 0ms);
+        });
+        kv_store_context linked = context(link->address().port);
+        linked.timeout = 1s;
+        kv = kv_store_registry::instance().make("http", linked);
+    }
+
+    void on_loop(const std::function<void()>& task) {
+        std::promise<void> done;
+        loop.post([&] {
+            task();
+            done.set_value();
+        });
+        done.get_future().get();
+    }
+
+    void wait_for_request() {
+        bool arrived = false;
+        while (!arrived) {
+            on_loop([&] { arrived = !handler.target.empty(); });
+        }
+    }
+
+    /// Lets a watch time out whose link was silent for a moment while a second connection was
+    /// idle. run executes the retry in the completion of the watch. Returns the result of the
+    /// retry.
+    kv_response retry_after_silence(const std::function<void(const std::function<void()>&)>& run) {
+        std::promise<kv_response> retried;
+        kv_status watched = kv_status::ok;
+        on_loop([&] { handler.withhold_response = true; });
+        kv->submit({kv_operation::watch, "a", "", 0, 9, 20ms}, [&](const kv_response& r) {
+            watched = r.status;
+            run([&] {
+                kv->submit({kv_operation::get, "a", "", 0, 0, 0ms},
+                           [&](kv_response response) { retried.set_value(std::move(response)); });
+            });
+        });
+        wait_for_request();
+        on_loop([&] { handler.withhold_response = false; });
+        BOOST_TEST((call(kv_operation::get, 200, "[]").status == kv_status::ok));
+        on_loop([&] {
+            link->set_state(standins::relay_state::silent);
+            link->set_state(standins::relay_state::open);
+        });
+        kv_response response = retried.get_future().get();
+        BOOST_TEST((watched == kv_status::unavailable));
+        return response;
+    }
+
+    std::unique_ptr<standins::relay> link;
+};
+
 const std::string one_entry = R"([{"Key":"a b/c","Value":"aGVsbG8=","ModifyIndex":12,"Flags":0}])";
 
 } // namespace
@@ -129,6 +189,23 @@
     }
 }
 
+// Guards against a retry on an idle connection that the same silence has made useless, so that it
+// takes a second time-out until the store is reached.
+BOOST_FIXTURE_TEST_CASE(retry_in_the_completion_of_a_timed_out_call_uses_a_new_connection,
+                        link_fixture) {
+    const auto response = retry_after_silence([](const auto& submit) { submit(); });
+    BOOST_TEST((response.status == kv_status::ok));
+}
+
+// Like the case above. The config process retries on its own thread, which may run before the
+// completion has returned.
+BOOST_FIXTURE_TEST_CASE(retry_on_another_thread_after_a_time_out_uses_a_new_connection,
+                        link_fixture) {
+    const auto response =
+        retry_after_silence([](const auto& submit) { std::thread(submit).join(); });
+    BOOST_TEST((response.status == kv_status::ok));
+}
+
 // Guards against corrupted values: base64 text ends in zero, one or two '=' characters, depending
 // on the length of the value.
 BOOST_AUTO_TEST_CASE(base64_is_decoded) {
