Print the violations of each rule of the soak by themselves

Cause: in a trial with changed stand-ins (the advice never answers, workers list done ends as failed) 274 violations of TWICE and LOST shared one list of 20 lines, so that none of LOST was printed. Change: up to 20 lines and a count for each rule.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -122,23 +122,28 @@
     faults.end_all();
 }
 
+void print_violations(std::string_view rule, const std::vector<std::string>& violations) {
+    for (std::size_t i = 0; i < std::min(violations.size(), max_printed_violations); ++i) {
+        std::cout << rule << ": " << violations[i] << "\n";
+    }
+}
+
 // A run without work or without faults shows nothing.
 verdict judge(soak_cluster& cluster, const fault_injector& faults) {
     verdict result = verdict::held;
     cluster.on_loop([&] {
         const auto& check = cluster.check();
-        auto violations = check.violations();
+        const auto& twice = check.violations();
         const auto& lost = cluster.lost().violations();
-        violations.insert(violations.end(), lost.begin(), lost.end());
-        for (std::size_t i = 0; i < std::min(violations.size(), max_printed_violations); ++i) {
-            std::cout << violations[i] << "\n";
-        }
+        print_violations("TWICE", twice);
+        print_violations("LOST", lost);
         std::cout << cluster.accepted_jobs() << " jobs accepted, "
                   << cluster.lost().open_jobs().size() << " open at the end, " << check.starts()
                   << " starts, " << check.acknowledged_ends() << " ends acknowledged, "
-                  << faults.applied() << " faults, " << violations.size()
-                  << " violations, loop late by up to " << cluster.max_loop_delay_ms() << " ms\n";
-        if (!violations.empty()) {
+                  << faults.applied() << " faults, " << twice.size() << " violations of TWICE, "
+                  << lost.size() << " of LOST, loop late by up to " << cluster.max_loop_delay_ms()
+                  << " ms\n";
+        if (!twice.empty() || !lost.empty()) {
             result = verdict::broken;
         } else if (check.acknowledged_ends() == 0 || faults.applied() == 0 || is_stopped) {
             result = verdict::not_run;
