--- a/source/core/net/http_client.h
+++ b/source/core/net/http_client.h
@@ -59,9 +59,7 @@
     /// Completes the request with http_failure_kind::cancelled unless it has already completed.
     void cancel(std::uint64_t id);
 
-    /// Closes all idle connections to the endpoint, for example when they may be broken. On the
-    /// loop's thread they are closed when the function returns; after a call from another thread,
-    /// requests that this thread sends later do not use them.
+    /// Closes all idle connections to the endpoint, for example when they may be broken.
     void close_idle(const endpoint& to);
 
     struct state;
