Exclude at most a third of the workers for failed runs

Cause: three failed runs in a row exclude a worker, whatever fails on the other workers. Class: a fault attributed to the wrong party.

At most a third of the workers, and at least one, is excluded at a time; exclusions_withheld_total counts the others.

Measured: failing_jobs_do_not_exclude_all_workers fails before (0 of 4 tasks started) and passes; test_dispatch passes.

--- a/source/core/dispatch/dispatcher_runs.cpp
+++ b/source/core/dispatch/dispatcher_runs.cpp
@@ -18,6 +18,8 @@
 // More than any worker has. The actual capacity is unknown while the worker is not listed.
 constexpr placement::resources unknown_demand{std::int64_t{1} << 40, std::int64_t{1} << 40, 0};
 constexpr unsigned max_exclusion_doublings = 3;
+// At most one worker in this many is excluded for failed runs at the same time.
+constexpr std::size_t exclusion_divisor = 3;
 constexpr unsigned max_start_repeats = 3;
 
 } // namespace
@@ -349,6 +351,16 @@
         now < worker.excluded_until) {
         return;
     }
+    // Runs that fail on many workers at once are themselves at fault. Without workers all other
+    // work would stand as well.
+    const auto excluded = static_cast<std::size_t>(
+        std::count_if(m_workers.all().begin(), m_workers.all().end(), [now](const auto& entry) {
+            return entry.second.exclusions > 0 && now < entry.second.excluded_until;
+        }));
+    if (excluded >= std::max<std::size_t>(1, m_workers.all().size() / exclusion_divisor)) {
+        m_counters.get("exclusions_withheld_total").add();
+        return;
+    }
     const auto doublings = std::min(worker.exclusions++, max_exclusion_doublings);
     worker.excluded_until = now + m_settings.exclusion * (1U << doublings);
     log_event(severity::warning, "worker_excluded",
--- a/tests/unit/dispatch/crashes_test.cpp
+++ b/tests/unit/dispatch/crashes_test.cpp
@@ -378,6 +378,7 @@
 // workers.
 BOOST_AUTO_TEST_CASE(tasks_of_workers_that_fall_silent_together_are_not_suspected) {
     std::vector<std::string> ids;
+    ids.reserve(12);
     for (int i = 0; i < 12; ++i) {
         ids.push_back("w" + std::to_string(i));
     }
--- a/tests/unit/dispatch/worker_loss_test.cpp
+++ b/tests/unit/dispatch/worker_loss_test.cpp
@@ -481,4 +481,34 @@
     BOOST_TEST(starts[0].worker != worker);
 }
 
+// Guards against work that stands although workers are free (LOST): while the tasks of some jobs
+// failed wherever they started, all workers were excluded.
+BOOST_AUTO_TEST_CASE(failing_jobs_do_not_exclude_all_workers) {
+    dispatch_fixture f;
+    auto queue = dispatch_fixture::plain_queue();
+    queue.max_attempts = 100;
+    f.engine.on_queues({queue});
+    f.become_owner({"w1", "w2", "w3", "w4", "w5", "w6"});
+    f.engine.on_job(f.now, dispatch_fixture::job("bad", 30, 10'000), {}, 11);
+    for (int round = 0; round < 60; ++round) {
+        f.advance(50ms, 10ms);
+        for (const auto& order : f.take_starts()) {
+            f.end_run(order.worker, order.run, run_end::failed);
+        }
+        f.save();
+    }
+    f.engine.on_job(f.now, dispatch_fixture::job("good", 4, 10'000), {}, 12);
+    std::size_t good = 0;
+    for (int round = 0; round < 20; ++round) {
+        f.advance(50ms, 10ms);
+        for (const auto& order : f.take_starts()) {
+            good += order.run.task.job == "good" ? 1 : 0;
+            f.end_run(order.worker, order.run,
+                      order.run.task.job == "good" ? run_end::succeeded : run_end::failed);
+        }
+        f.save();
+    }
+    BOOST_TEST(good == 4U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
