Compute the time and the slot of an advice call in one place

The expected time of a call was computed in three places, and the choice between short and long slots in four, in the planner of tickets and in the dispatcher. Both use advice_calls.h now. The fixture of crashes_test has functions for a silent worker and for the worker of the last start, which its tests repeated.

--- a/source/core/dispatch/dispatcher_plan.cpp
+++ b/source/core/dispatch/dispatcher_plan.cpp
@@ -1,4 +1,5 @@
 #include "core/common/logging.h"
+#include "core/dispatch/advice_calls.h"
 #include "core/dispatch/dispatcher.h"
 
 #include <algorithm>
@@ -30,11 +31,6 @@
 constexpr std::size_t max_idle_steps_per_job = 256;
 constexpr std::size_t max_idle_steps = 8192;
 
-common::duration duration_from_ms(double ms) {
-    return std::chrono::duration_cast<common::duration>(
-        std::chrono::duration<double, std::milli>(ms));
-}
-
 } // namespace
 
 const queue_settings* dispatcher::queue_of(const job_spec& spec) const {
@@ -416,13 +412,8 @@
         call.request.workers.push_back(m_workers.at(slot)->report.id);
     }
     call.priority = planned_request.queue->priority;
-    call.expected = duration_from_ms(planned_request.queue->ticket_base_ms +
-                                     planned_request.queue->ticket_per_worker_ms *
-                                         static_cast<double>(planned_request.workers.size()));
-    m_advice_slots.calls -= std::min<std::size_t>(m_advice_slots.calls, 1);
-    if (call.expected > long_advice_call) {
-        m_advice_slots.long_calls -= std::min<std::size_t>(m_advice_slots.long_calls, 1);
-    }
+    call.expected = advice_time(*planned_request.queue, planned_request.workers.size());
+    take_slot(m_advice_slots, call.expected);
     tickets.calls[call.id] = planned_request.workers;
     m_advice_calls[call.id] = {planned_request.step, now};
     m_counters.get("advice_calls_total", "reason", planned_request.reason).add();
@@ -471,11 +462,8 @@
             request.workers.push_back(grant.worker);
         }
     }
-    const auto call_time =
-        duration_from_ms(queue->ticket_base_ms +
-                         queue->ticket_per_worker_ms * static_cast<double>(request.workers.size()));
-    const bool has_slot = m_advice_slots.calls > 0 &&
-                          (call_time <= long_advice_call || m_advice_slots.long_calls > 0);
+    const bool has_slot =
+        permitted_calls(m_advice_slots, advice_time(*queue, request.workers.size())) > 0;
     if (!request.workers.empty() && has_slot) {
         send_ticket_request(now, request);
     }
--- a/source/core/dispatch/ticket_planner.cpp
+++ b/source/core/dispatch/ticket_planner.cpp
@@ -1,5 +1,6 @@
 #include "core/dispatch/ticket_planner.h"
 
+#include "core/dispatch/advice_calls.h"
 #include "core/dispatch/capacity_fit.h"
 
 #include <algorithm>
@@ -30,12 +31,6 @@
 // the service.
 constexpr std::size_t max_parallel_calls = 3;
 
-common::duration call_time(const waiting_step& step, std::size_t workers) {
-    return std::chrono::duration_cast<common::duration>(std::chrono::duration<double, std::milli>(
-        step.queue->ticket_base_ms +
-        step.queue->ticket_per_worker_ms * static_cast<double>(workers)));
-}
-
 std::size_t max_workers_per_call(const waiting_step& step) {
     return step.queue->ticket_per_worker_ms > slow_advice_ms ? max_slow_advice_workers
                                                              : max_advice_workers;
@@ -50,8 +45,7 @@
 
 bool ticket_planner::has_slot(const waiting_step& step) const {
     const auto named = std::min(m_plan.candidates.size(), max_workers_per_call(step));
-    const auto& slots = m_plan.limits.advice;
-    return slots.calls > 0 && (call_time(step, named) <= long_advice_call || slots.long_calls > 0);
+    return permitted_calls(m_plan.limits.advice, advice_time(*step.queue, named)) > 0;
 }
 
 void ticket_planner::request_for_tasks(const waiting_step& step) {
@@ -121,8 +115,8 @@
                                   std::string_view reason, std::size_t calls) {
     auto& slots = m_plan.limits.advice;
     const auto named_by_one = std::min(workers.size(), max_workers_per_call(step));
-    const bool is_long = call_time(step, named_by_one) > long_advice_call;
-    calls = std::min({calls, slots.calls, is_long ? slots.long_calls : slots.calls});
+    const auto expected = advice_time(*step.queue, named_by_one);
+    calls = std::min(calls, permitted_calls(slots, expected));
     if (workers.empty() || calls == 0) {
         return false;
     }
@@ -140,8 +134,7 @@
             named.push_back(workers[i]);
         }
         m_plan.result.ticket_requests.push_back({step.step, step.queue, std::move(named), reason});
-        --slots.calls;
-        slots.long_calls -= is_long ? 1 : 0;
+        take_slot(slots, expected);
     }
     return true;
 }
@@ -191,7 +184,7 @@
 // capacity would be reserved, and idle, while the tickets are requested.
 bool ticket_planner::renew_expiring(const waiting_step& step) {
     const auto named_most = std::min(m_plan.candidates.size(), max_workers_per_call(step));
-    const auto expiry = m_plan.now + call_time(step, named_most) + early_request_margin;
+    const auto expiry = m_plan.now + advice_time(*step.queue, named_most) + early_request_margin;
     std::vector<worker_slot> expiring;
     for (const auto& c : m_plan.candidates) {
         if (c.ticket != nullptr && c.ticket->expires < expiry) {
@@ -268,7 +261,7 @@
 
 void ticket_planner::request_ahead(const waiting_step& step, std::vector<worker_slot> workers,
                                    common::time_point start) {
-    const auto call = call_time(step, workers.size());
+    const auto call = advice_time(*step.queue, workers.size());
     if (may_request(step) && start < m_plan.now + call + early_request_margin) {
         defer_requests(step, std::move(workers), "ahead", 1);
     }
--- a/tests/unit/dispatch/crashes_test.cpp
+++ b/tests/unit/dispatch/crashes_test.cpp
@@ -62,6 +62,15 @@
         return sum;
     }
 
+    /// Worker of the last start of the first task of job "a".
+    [[nodiscard]] std::string last_worker() const { return starts_of.at({"a", 0, 0, 0}).back(); }
+
+    /// The worker answers neither the owner nor a peer.
+    void silence(const std::string& worker) {
+        unreachable[worker] = true;
+        through_peer[worker] = peer_view::silent;
+    }
+
     void succeed(const task_key& task) {
         for (const auto& [worker, runs] : std::map(running)) {
             for (const auto& item : runs) {
@@ -233,7 +242,7 @@
         if (i % 2 == 0) {
             f.play(12s);
         }
-        f.crash_worker(f.starts_of.at({"a", 0, 0, 0}).back());
+        f.crash_worker(f.last_worker());
         f.play(500ms);
     }
     BOOST_TEST(!f.final_state("a").has_value());
@@ -259,8 +268,7 @@
         }
         BOOST_REQUIRE(crashed.size() == 6U);
         for (const auto& id : crashed) {
-            f.unreachable[id] = true;
-            f.through_peer[id] = dispatch_fixture::peer_view::silent;
+            f.silence(id);
             f.engine.on_worker_unlisted(f.now, id);
         }
         f.play(9s);
@@ -278,7 +286,7 @@
     for (std::size_t i = 1; i <= 4; ++i) {
         f.play(500ms);
         BOOST_REQUIRE(f.starts_of_job("a") == i);
-        const auto worker = f.starts_of.at({"a", 0, 0, 0}).back();
+        const auto worker = f.last_worker();
         auto leaving = dispatch_fixture::report(worker);
         leaving.start_time_ms = f.incarnation_of(worker);
         leaving.draining = true;
@@ -300,9 +308,8 @@
         while (f.starts_of_job("a") < i) {
             f.play(10ms);
         }
-        const auto worker = f.starts_of.at({"a", 0, 0, 0}).back();
-        f.unreachable[worker] = true;
-        f.through_peer[worker] = dispatch_fixture::peer_view::silent;
+        const auto worker = f.last_worker();
+        f.silence(worker);
         while (f.starts_of_job("a") < i + 1) {
             f.play(10ms);
         }
@@ -321,16 +328,15 @@
     for (std::size_t i = 1; i <= 2; ++i) {
         f.play(500ms);
         BOOST_REQUIRE(f.starts_of_job("a") == i);
-        const auto worker = f.starts_of.at({"a", 0, 0, 0}).back();
-        f.unreachable[worker] = true;
-        f.through_peer[worker] = dispatch_fixture::peer_view::silent;
+        const auto worker = f.last_worker();
+        f.silence(worker);
         f.play(4500ms);
         f.engine.on_worker_unlisted(f.now, worker);
         f.play(4500ms);
         BOOST_TEST(f.engine.workers().find(worker) == nullptr);
     }
     BOOST_TEST(!f.final_state("a").has_value());
-    f.crash_worker(f.starts_of.at({"a", 0, 0, 0}).back());
+    f.crash_worker(f.last_worker());
     f.play(3s);
     BOOST_TEST(!f.final_state("a").has_value());
     BOOST_TEST(f.starts_of_job("a") == 4U);
@@ -344,7 +350,7 @@
     for (std::size_t i = 1; i <= 3; ++i) {
         f.play(100ms);
         BOOST_REQUIRE(f.starts_of_job("a") == i);
-        const auto worker = f.starts_of.at({"a", 0, 0, 0}).back();
+        const auto worker = f.last_worker();
         f.unreachable[worker] = true;
         f.play(2s);
         f.unreachable[worker] = false;
@@ -365,9 +371,8 @@
             f.play(10ms);
         }
         f.play(100ms);
-        const auto worker = f.starts_of.at({"a", 0, 0, 0}).back();
-        f.unreachable[worker] = true;
-        f.through_peer[worker] = dispatch_fixture::peer_view::silent;
+        const auto worker = f.last_worker();
+        f.silence(worker);
         f.engine.on_worker_unlisted(f.now, worker);
     }
     f.play(9s);
@@ -387,8 +392,7 @@
     f.play(100ms);
     BOOST_REQUIRE(f.starts_of_job("a") == 12U);
     for (std::size_t i = 0; i < 5; ++i) {
-        f.unreachable[ids[i]] = true;
-        f.through_peer[ids[i]] = dispatch_fixture::peer_view::silent;
+        f.silence(ids[i]);
         f.play(200ms);
     }
     f.play(6s);
@@ -434,9 +438,8 @@
         for (std::size_t i = 1; i <= max_starts + 1 && !f.final_state("a"); ++i) {
             f.play(500ms);
             BOOST_REQUIRE(f.starts_of_job("a") == i);
-            const auto worker = f.starts_of.at({"a", 0, 0, 0}).back();
-            f.unreachable[worker] = true;
-            f.through_peer[worker] = dispatch_fixture::peer_view::silent;
+            const auto worker = f.last_worker();
+            f.silence(worker);
             f.play(4500ms);
             f.engine.on_worker_unlisted(f.now, worker);
             f.play(4500ms);
