--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -316,39 +316,6 @@
     m_save_round_ends.clear();
 }
 
-bool dispatcher::has_authority(common::time_point now) {
-    if (m_quorum_outdated) {
-        update_quorum();
-    }
-    return m_authority.is_held(now) && now < m_key_seen_at + m_settings.key_absence;
-}
-
-// The majorities of an owner and its successor have a worker in common only when both count over
-// the same set: that of the stored record. Until the store has answered, either record may be the
-// one that a successor reads.
-void dispatcher::update_quorum() {
-    m_quorum_outdated = false;
-    m_authority.set_quorums(m_stored_quorum, m_pending_quorum.value_or(m_stored_quorum));
-}
-
-bool dispatcher::counts_towards_quorum(const std::string& worker) const {
-    return m_stored_quorum.contains(worker) ||
-           (m_pending_quorum && m_pending_quorum->contains(worker));
-}
-
-// A restarted worker has forgotten all fences, also that of a successor. None existed while the
-// store showed this owner's key.
-void dispatcher::record_acceptance(const std::string& worker, common::time_point sent_at) {
-    const auto noticed = m_unconfirmed_incarnations.find(worker);
-    if (noticed != m_unconfirmed_incarnations.end()) {
-        if (m_key_seen_at <= noticed->second) {
-            return;
-        }
-        m_unconfirmed_incarnations.erase(noticed);
-    }
-    m_authority.record_acceptance(worker, sent_at);
-}
-
 void dispatcher::note_answer(common::time_point now, const std::string& worker) {
     if (!m_proven_workers.insert(worker).second || m_record_due) {
         return;
@@ -357,23 +324,6 @@
                    record_delay_per_worker * static_cast<std::int64_t>(m_workers.all().size());
 }
 
-void dispatcher::log_authority_change(common::time_point now) {
-    const bool held = has_authority(now);
-    if (held == m_authority_logged) {
-        return;
-    }
-    m_authority_logged = held;
-    std::size_t reachable = 0;
-    for (const auto& entry : m_workers.all()) {
-        reachable += entry.second.adopted && entry.second.reachable ? 1U : 0U;
-    }
-    log_event(held ? severity::info : severity::warning, held ? "authority_held" : "authority_lost",
-              {{"fence", m_fence},
-               {"reachable", reachable},
-               {"workers", m_workers.all().size()},
-               {"quorum", m_stored_quorum.size()}});
-}
-
 // Silence towards this owner alone does not show that a worker is dead: the owner's link may be
 // slow, and runs of the worker may have succeeded. Their tasks wait for a sign from another source.
 bool dispatcher::is_dead(const worker_entry& worker, common::time_point now) const {
@@ -439,10 +389,6 @@
     }
 }
 
-bool dispatcher::may_renew(common::time_point now) {
-    return has_authority(now) || now < m_key_seen_at + m_settings.key_validity;
-}
-
 void dispatcher::send_polls(common::time_point now) {
     const bool permitted = may_renew(now);
     for (const auto slot : m_polls_due.take_due(now)) {
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -163,13 +163,8 @@
     // dispatcher.cpp
     void check_workers(common::time_point now);
     [[nodiscard]] bool is_dead(const worker_entry& worker, common::time_point now) const;
-    void update_quorum();
-    [[nodiscard]] bool counts_towards_quorum(const std::string& worker) const;
-    void record_acceptance(const std::string& worker, common::time_point sent_at);
     /// A worker has answered a poll, so that it may enter the record.
     void note_answer(common::time_point now, const std::string& worker);
-    /// Logs that the authority has been won or lost since the last call.
-    void log_authority_change(common::time_point now);
     void end_job(common::time_point now, job_entry& job, job_state state, std::string_view reason);
     void mark_dirty(const job_entry& job) { m_dirty_jobs.insert(job.spec.id); }
     void mark_running(job_entry& job);
@@ -177,18 +172,25 @@
     void mark_started(job_entry& job, const task_key& task);
     void send_polls(common::time_point now);
     void schedule_poll(worker_entry& worker, common::time_point due);
-    /// No successor can have waited for the end of leases that are granted now.
-    [[nodiscard]] bool may_renew(common::time_point now);
     struct batch_size {
         std::size_t rows = 0;
         std::size_t bytes = 0;
     };
     void fill_batch(save_batch& batch, batch_size& size, bool final);
 
-    // dispatcher_recovery.cpp
-    void check_recovery(common::time_point now);
+    // dispatcher_authority.cpp
+    void update_quorum();
+    [[nodiscard]] bool counts_towards_quorum(const std::string& worker) const;
+    void record_acceptance(const std::string& worker, common::time_point sent_at);
+    /// Logs that the authority has been won or lost since the last call.
+    void log_authority_change(common::time_point now);
+    /// No successor can have waited for the end of leases that are granted now.
+    [[nodiscard]] bool may_renew(common::time_point now);
     /// The leases that a former owner may have granted have ended.
     [[nodiscard]] bool former_leases_over(common::time_point now) const;
+
+    // dispatcher_recovery.cpp
+    void check_recovery(common::time_point now);
     /// The worker may hold runs of a former owner that no list has shown.
     [[nodiscard]] bool is_waited_for(const std::string& worker) const {
         return m_unadopted.contains(worker) || m_unresponsive_workers.contains(worker);
--- a/source/core/dispatch/dispatcher_recovery.cpp
+++ b/source/core/dispatch/dispatcher_recovery.cpp
@@ -160,17 +160,6 @@
     job.possible_runs = std::max(job.possible_runs, m_term * runs_per_term);
 }
 
-// A former owner that has lost its majority sends no orders after its authority has expired. Runs
-// that it started or renewed until then end with their lease. While this owner has no majority, the
-// former one may have one; its authority then ends because it does not see its key.
-bool dispatcher::former_leases_over(common::time_point now) const {
-    const auto lease = m_settings.leases.lease;
-    const auto authority_end =
-        m_majority_at ? *m_majority_at + m_settings.authority
-                      : m_taken_over_at + m_settings.key_absence + m_settings.key_validity;
-    return now > authority_end + lease + lease / 20;
-}
-
 // The wait for former leases does not cover these workers: their runs ended by themselves, and the
 // lease that this owner renews keeps the ends valid. A worker whose lease has lapsed is no longer
 // waited for.
