Warn when an owner has no authority or waits for silent workers

authority_missing and recovery_waits are warnings, the first after 3 s and then every 5 s; owner_waits is a warning when nothing has been started for 5 s. The gauges owner_quorum_accepted and owner_quorum_workers show the majority. No decision depends on them.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -544,7 +544,7 @@
     if (m_record_due && now >= *m_record_due) {
         m_workers_dirty = true;
     }
-    log_authority_change(now);
+    log_authority(now);
     check_recovery(now);
     if ((m_replan_needed && now >= m_next_plan) || now >= m_next_plan + max_plan_interval) {
         m_replan_needed = false;
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -142,6 +142,8 @@
     [[nodiscard]] const worker_registry& workers() const { return m_workers; }
     [[nodiscard]] std::uint64_t fence() const { return m_fence; }
     [[nodiscard]] bool has_authority(common::time_point now);
+    /// Workers whose majority the authority needs, and those that have accepted the fence.
+    [[nodiscard]] scheduling::authority::reach quorum_reach(common::time_point now);
     /// False until every worker that may hold runs of a former owner has answered a poll, or those
     /// runs have certainly ended.
     [[nodiscard]] bool recovered() const { return m_recovered; }
@@ -152,6 +154,8 @@
     /// Steps that the last plan examined and did not place, and jobs that no plan examines, by
     /// cause.
     [[nodiscard]] wait_counts waiting() const;
+    /// Nothing has been started for 5 s.
+    [[nodiscard]] bool is_stalled(common::time_point now) const;
     /// Time until which starts are permitted by what is known of cancellations and draining.
     [[nodiscard]] common::time_point starts_permitted_until() const;
     /// Number of jobs by queue of which no task has started.
@@ -182,8 +186,8 @@
     void update_quorum();
     [[nodiscard]] bool counts_towards_quorum(const std::string& worker) const;
     void record_acceptance(const std::string& worker, common::time_point sent_at);
-    /// Logs that the authority has been won or lost since the last call.
-    void log_authority_change(common::time_point now);
+    /// Logs that the authority has been won or lost since the last call, or that it is missing.
+    void log_authority(common::time_point now);
     /// No successor can have waited for the end of leases that are granted now.
     [[nodiscard]] bool may_renew(common::time_point now);
     /// The leases that a former owner may have granted have ended.
@@ -191,6 +195,8 @@
 
     // dispatcher_recovery.cpp
     void check_recovery(common::time_point now);
+    /// Logs that jobs of the former owner wait for workers that do not answer.
+    void log_recovery(common::time_point now);
     /// The worker may hold runs of a former owner that no list has shown.
     [[nodiscard]] bool is_waited_for(const std::string& worker) const {
         return m_unadopted.contains(worker) || m_unresponsive_workers.contains(worker);
@@ -309,6 +315,9 @@
     /// The sets have changed since the authority was told.
     bool m_quorum_outdated = true;
     bool m_authority_logged = false;
+    /// The take-over, or when the authority was lost later.
+    common::time_point m_without_authority_since;
+    lasting_state_log m_missing_authority_log;
     std::map<std::string, queue_settings> m_queues;
     /// Queues known from accepted jobs only, by the revision of the latest of these.
     std::map<std::string, std::uint64_t> m_unconfigured_queues;
@@ -345,6 +354,7 @@
     /// runs there.
     std::set<std::string> m_unresponsive_workers;
     std::set<std::string> m_jobs_on_unresponsive_workers;
+    lasting_state_log m_recovery_log;
     /// A worker that may have held runs never answered, or has restarted since it held them.
     bool m_unreported_runs_possible = false;
     common::time_point m_taken_over_at;
@@ -391,6 +401,8 @@
 
     std::uint64_t m_next_call = 1;
     std::size_t m_pending_starts = 0;
+    /// The take-over, or the last start since then.
+    common::time_point m_last_start_at;
     std::size_t m_requesting_nodes = 0;
     advice_slots m_advice_slots;
     common::time_point m_key_seen_at;
--- a/source/core/dispatch/dispatcher_authority.cpp
+++ b/source/core/dispatch/dispatcher_authority.cpp
@@ -1,6 +1,9 @@
 #include "core/common/logging.h"
 #include "core/dispatch/dispatcher.h"
 
+#include <algorithm>
+#include <string_view>
+
 namespace buckthornspar::dispatch {
 
 using common::log_event;
@@ -13,6 +16,13 @@
     return m_authority.is_held(now) && now < m_key_seen_at + m_settings.key_absence;
 }
 
+scheduling::authority::reach dispatcher::quorum_reach(common::time_point now) {
+    if (m_quorum_outdated) {
+        update_quorum();
+    }
+    return m_authority.smaller_reach(now);
+}
+
 // The majorities of an owner and its successor have a worker in common only when both count over
 // the same set: that of the stored record. Until the store has answered, either record may be the
 // one that a successor reads.
@@ -39,21 +49,35 @@
     m_authority.record_acceptance(worker, sent_at);
 }
 
-void dispatcher::log_authority_change(common::time_point now) {
+void dispatcher::log_authority(common::time_point now) {
     const bool held = has_authority(now);
-    if (held == m_authority_logged) {
+    const bool changed = held != m_authority_logged;
+    if (changed) {
+        m_authority_logged = held;
+        m_without_authority_since = now;
+    }
+    const bool missing =
+        !held && !m_jobs.empty() && m_missing_authority_log.is_due(m_without_authority_since, now);
+    if (!changed && !missing) {
         return;
     }
-    m_authority_logged = held;
-    std::size_t reachable = 0;
-    for (const auto& entry : m_workers.all()) {
-        reachable += entry.second.adopted && entry.second.reachable ? 1U : 0U;
+    const auto reachable =
+        std::count_if(m_workers.all().begin(), m_workers.all().end(), [](const auto& entry) {
+            return entry.second.adopted && entry.second.reachable;
+        });
+    const auto reach = quorum_reach(now);
+    std::string_view event = "authority_missing";
+    if (changed) {
+        event = held ? "authority_held" : "authority_lost";
     }
-    log_event(held ? severity::info : severity::warning, held ? "authority_held" : "authority_lost",
+    log_event(held ? severity::info : severity::warning, event,
               {{"fence", m_fence},
                {"reachable", reachable},
                {"workers", m_workers.all().size()},
-               {"quorum", m_stored_quorum.size()}});
+               {"accepted", reach.accepted},
+               {"quorum", reach.workers},
+               {"jobs", m_jobs.size()},
+               {"term_ms", common::to_milliseconds(now - m_taken_over_at)}});
 }
 
 bool dispatcher::may_renew(common::time_point now) {
--- a/source/core/dispatch/dispatcher_plan.cpp
+++ b/source/core/dispatch/dispatcher_plan.cpp
@@ -24,6 +24,7 @@
 constexpr auto start_bound_margin = std::chrono::milliseconds(100);
 // Starts with less validity than this would often reach their workers too late.
 constexpr auto min_start_validity = std::chrono::milliseconds(500);
+constexpr auto stalled_after = std::chrono::seconds(5);
 // Shortest time between two plans that may preempt runs; the search costs processor time.
 constexpr auto preemption_interval = std::chrono::milliseconds(40);
 // Steps of open occurrences without a run, of one job and of all: they bound the memory of
@@ -286,6 +287,10 @@
     }
 }
 
+bool dispatcher::is_stalled(common::time_point now) const {
+    return now > m_last_start_at + stalled_after;
+}
+
 wait_counts dispatcher::waiting() const {
     auto counts = m_blocked_steps;
     for (const auto& [id, job] : m_jobs) {
@@ -384,6 +389,7 @@
         step.gang_since = now;
     }
     m_counters.get("starts_total").add();
+    m_last_start_at = now;
     log_event(severity::info, "start",
               {{"task", to_string(planned.task)},
                {"run", planned.run},
--- a/source/core/dispatch/dispatcher_recovery.cpp
+++ b/source/core/dispatch/dispatcher_recovery.cpp
@@ -43,6 +43,8 @@
     m_fence = fence;
     m_taken_over_at = now;
     m_key_seen_at = now;
+    m_without_authority_since = now;
+    m_last_start_at = now;
     worker_record record;
     try {
         record = read_worker_record(recorded_workers);
@@ -172,6 +174,23 @@
     });
 }
 
+void dispatcher::log_recovery(common::time_point now) {
+    if (m_jobs.empty() || !m_recovery_log.is_due(m_taken_over_at, now)) {
+        return;
+    }
+    log_event(
+        severity::warning, "recovery_waits",
+        {{"fence", m_fence},
+         {"unadopted", m_unadopted.size()},
+         {"unadopted_workers", list_names(m_unadopted)},
+         {"silent", m_unresponsive_workers.size()},
+         {"silent_workers", list_names(m_unresponsive_workers)},
+         {"jobs", m_jobs.size()},
+         {"jobs_on_silent", m_jobs_on_unresponsive_workers.size()},
+         {"term_ms", common::to_milliseconds(now - m_taken_over_at)},
+         {"majority_ms", m_majority_at ? common::to_milliseconds(now - *m_majority_at) : -1}});
+}
+
 void dispatcher::check_recovery(common::time_point now) {
     if (!m_majority_at && has_authority(now)) {
         m_majority_at = now;
@@ -182,6 +201,7 @@
     if (m_recovered && m_jobs_on_unresponsive_workers.empty()) {
         return;
     }
+    log_recovery(now);
     const bool lapsed = m_majority_at && former_leases_over(now);
     if (!m_recovered && m_term_recorded &&
         (m_unadopted.empty() || (lapsed && !is_any_partly_listed(now, m_unadopted)))) {
--- a/source/core/dispatch/waiting_report.cpp
+++ b/source/core/dispatch/waiting_report.cpp
@@ -11,6 +11,8 @@
 constexpr auto line_interval = std::chrono::seconds(2);
 constexpr auto window = std::chrono::seconds(1);
 constexpr std::size_t max_lines_per_window = 12;
+constexpr auto lasting_after = std::chrono::seconds(3);
+constexpr auto lasting_interval = std::chrono::seconds(5);
 
 } // namespace
 
@@ -49,4 +51,12 @@
     return true;
 }
 
+bool lasting_state_log::is_due(common::time_point since, common::time_point now) {
+    if (now < since + lasting_after || now < m_next_line) {
+        return false;
+    }
+    m_next_line = now + lasting_interval;
+    return true;
+}
+
 } // namespace buckthornspar::dispatch
--- a/source/core/dispatch/waiting_report.h
+++ b/source/core/dispatch/waiting_report.h
@@ -57,4 +57,14 @@
     std::size_t m_lines_in_window = 0;
 };
 
+/// Selects the moments at which a state that should not last is logged: first once it has lasted
+/// for 3 s, then every 5 s.
+class lasting_state_log {
+public:
+    [[nodiscard]] bool is_due(common::time_point since, common::time_point now);
+
+private:
+    common::time_point m_next_line;
+};
+
 } // namespace buckthornspar::dispatch
--- a/source/core/scheduling/authority.cpp
+++ b/source/core/scheduling/authority.cpp
@@ -23,14 +23,27 @@
     m_valid_until.set(worker, known + m_validity);
 }
 
-bool authority::is_held(common::time_point now) {
+void authority::expire(common::time_point now) {
     for (const auto& worker : m_valid_until.take_due(now)) {
         count(worker, -1);
     }
+}
+
+bool authority::is_held(common::time_point now) {
+    expire(now);
     return std::all_of(m_quorums.begin(), m_quorums.end(),
                        [](const quorum& set) { return set.recent * 2 > set.workers.size(); });
 }
 
+authority::reach authority::smaller_reach(common::time_point now) {
+    expire(now);
+    const auto& smaller = *std::min_element(
+        m_quorums.begin(), m_quorums.end(), [](const quorum& one, const quorum& other) {
+            return one.recent * other.workers.size() < other.recent * one.workers.size();
+        });
+    return {smaller.recent, smaller.workers.size()};
+}
+
 void authority::clear() {
     m_accepted.clear();
     m_valid_until.clear();
--- a/source/core/scheduling/authority.h
+++ b/source/core/scheduling/authority.h
@@ -24,8 +24,16 @@
 
     void record_acceptance(const std::string& worker, common::time_point sent_at);
 
+    /// Workers of a set, and those of them with a valid acceptance.
+    struct reach {
+        std::size_t accepted = 0;
+        std::size_t workers = 0;
+    };
+
     /// The time must not decrease from one call to the next.
     [[nodiscard]] bool is_held(common::time_point now);
+    /// The reach in the set of which the smaller share has accepted; the time as in is_held().
+    [[nodiscard]] reach smaller_reach(common::time_point now);
 
     /// Removes all acceptances.
     void clear();
@@ -38,6 +46,7 @@
     };
 
     void count(const std::string& worker, int change);
+    void expire(common::time_point now);
 
     common::duration m_validity;
     std::array<quorum, 2> m_quorums;
--- a/source/core/service/owner_controller.cpp
+++ b/source/core/service/owner_controller.cpp
@@ -197,6 +197,9 @@
     const auto load = m_load.take(now);
     m_env.counters.get("owner_loop_delay_ms").set(common::to_milliseconds(load.max_delay));
     m_env.counters.get("owner_jobs_age_ms").set(common::to_milliseconds(m_active_watcher->age()));
+    const auto reach = m_dispatcher.quorum_reach(now);
+    m_env.counters.get("owner_quorum_workers").set(static_cast<std::int64_t>(reach.workers));
+    m_env.counters.get("owner_quorum_accepted").set(static_cast<std::int64_t>(reach.accepted));
     log_event(severity::info, "owner_load",
               {{"delay_ms", common::to_milliseconds(load.max_delay)},
                {"events", load.events},
@@ -212,7 +215,7 @@
     const auto waiting = m_dispatcher.waiting();
     if (waiting.total() > 0) {
         log_event(
-            severity::info, "owner_waits",
+            m_dispatcher.is_stalled(now) ? severity::warning : severity::info, "owner_waits",
             {{"causes", waiting.describe()},
              {"authority", m_dispatcher.has_authority(now) ? 1 : 0},
              {"permitted_ms", common::to_milliseconds(m_dispatcher.starts_permitted_until() - now)},
--- a/tests/unit/dispatch/waiting_report_test.cpp
+++ b/tests/unit/dispatch/waiting_report_test.cpp
@@ -73,4 +73,38 @@
     BOOST_TEST(!limiter.admit({"j", 0, 0, 0}, now, now + 3800ms));
 }
 
+// Guards against an owner that never has authority, or that waits for silent workers, without a
+// warning (issue 42), and against a line for each check.
+BOOST_AUTO_TEST_CASE(a_lasting_state_is_logged_after_a_while_and_then_in_intervals) {
+    lasting_state_log log;
+    const auto since = now;
+    BOOST_TEST(!log.is_due(since, since + 2900ms));
+    BOOST_TEST(log.is_due(since, since + 3s));
+    BOOST_TEST(!log.is_due(since, since + 7900ms));
+    BOOST_TEST(log.is_due(since, since + 8s));
+    BOOST_TEST(!log.is_due(since + 9s, since + 14s - 2100ms));
+}
+
+// Guards against an owner whose waiting work stands for long without a warning.
+BOOST_AUTO_TEST_CASE(an_owner_is_stalled_when_nothing_was_started_for_a_while) {
+    submit(job("wide", 1, 65'000));
+    BOOST_TEST(!engine.is_stalled(now));
+    advance(5s);
+    BOOST_TEST(engine.is_stalled(now));
+    submit(job("narrow", 1, 1000));
+    BOOST_REQUIRE(starts.size() == 1U);
+    BOOST_TEST(!engine.is_stalled(now));
+}
+
+// Guards against a reach that counts workers which are not in the stored record.
+BOOST_AUTO_TEST_CASE(the_reach_is_counted_over_the_stored_record) {
+    for (const auto* const id : {"w3", "w4", "w5"}) {
+        engine.on_worker(now, report(id));
+    }
+    unreachable["w2"] = true;
+    advance(3s);
+    BOOST_TEST(engine.quorum_reach(now).accepted == 1U);
+    BOOST_TEST(engine.quorum_reach(now).workers == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/scheduling/authority_test.cpp
+++ b/tests/unit/scheduling/authority_test.cpp
@@ -62,4 +62,16 @@
     BOOST_TEST(!a.is_held(at(seconds(2))));
 }
 
+// Guards against a report of a majority that the owner lacks in one of the two sets.
+BOOST_AUTO_TEST_CASE(the_smaller_reach_is_that_of_the_set_with_the_smaller_share) {
+    authority a(validity);
+    a.set_quorums({"w1", "w2"}, {"w1", "w2", "w3", "w4", "w5"});
+    a.record_acceptance("w1", at(seconds(1)));
+    a.record_acceptance("w3", at(seconds(2)));
+    BOOST_TEST(a.smaller_reach(at(seconds(2))).accepted == 2U);
+    BOOST_TEST(a.smaller_reach(at(seconds(2))).workers == 5U);
+    BOOST_TEST(a.smaller_reach(at(seconds(5))).accepted == 0U);
+    BOOST_TEST(a.smaller_reach(at(seconds(5))).workers == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
