Let an owner order by its key, and bound what a former majority may do

Cause: an owner needed a majority of the workers of the record it had read, for every start, for ending its recovery and for taking workers out of the record. Members that had left could only be taken out with the majority that they were needed for. The bound of 35 s in former_leases_over ended only the wait for single workers, and began again with each owner.

Change: an owner may order while the store has shown its key within 1 s, as it could renew leases before, so that no majority is needed while the store answers. A successor computes when the authority of its predecessors ends from the workers that accept its own fence: the others are all that a former owner can have. That end, in place of its own majority, ends the recovery and lets workers leave the record. So that it comes soon, a majority of three quarters or fewer keeps its authority for 4 s without a view of the key; the 30 s for outages of the store remain for a larger one.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -390,7 +390,7 @@
 }
 
 void dispatcher::send_polls(common::time_point now) {
-    const bool permitted = may_renew(now);
+    const bool permitted = may_order(now);
     for (const auto slot : m_polls_due.take_due(now)) {
         auto* const worker = m_workers.at(slot);
         if (worker == nullptr || worker->poll_pending) {
@@ -548,7 +548,7 @@
     check_recovery(now);
     if ((m_replan_needed && now >= m_next_plan) || now >= m_next_plan + max_plan_interval) {
         m_replan_needed = false;
-        if (!m_draining && has_authority(now)) {
+        if (!m_draining && may_order(now)) {
             if (may_start(now)) {
                 plan(now);
             } else {
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -22,16 +22,20 @@
 
 struct dispatcher_settings {
     lease_settings leases;
-    /// An owner sends orders only while a majority of the recorded workers has accepted its fence
-    /// within this time. Longer than poll_wait, so that one slow response does not suspend the
-    /// owner.
+    /// While the store does not show the owner its key, it sends orders only as long as a majority
+    /// of the recorded workers has accepted its fence within this time. Longer than poll_wait, so
+    /// that one slow response does not suspend the owner.
     common::duration authority = std::chrono::milliseconds(2000);
-    /// An owner that the store has not shown its key for this time has no authority, so that the
-    /// orders of a former owner with most of the workers end. Longer than usual outages of the
-    /// store, in which work goes on.
+    /// An owner that more than three quarters of the recorded workers accept has authority for this
+    /// time after the store has shown its key. Longer than usual outages of the store, in which
+    /// work goes on.
     common::duration key_absence = std::chrono::seconds(30);
-    /// An owner also renews leases while the store has shown its key within this time. At most half
-    /// of authority, because a watch may report changes up to one second late.
+    /// The same for an owner that a smaller majority accepts: a successor that reaches a quarter of
+    /// the workers need not wait for longer, in case that the others obey the former owner.
+    common::duration short_key_absence = std::chrono::seconds(4);
+    /// An owner sends orders without a majority as well while the store has shown its key within
+    /// this time. At most half of authority, because a watch may report changes up to one second
+    /// late.
     common::duration key_validity = std::chrono::milliseconds(1000);
     /// Longest time that a worker may hold a long poll open until another run ends. When the
     /// response to a poll is lost, ended runs stay unknown to the owner for this time.
@@ -141,6 +145,8 @@
     [[nodiscard]] std::int64_t job_memory() const { return m_job_memory; }
     [[nodiscard]] const worker_registry& workers() const { return m_workers; }
     [[nodiscard]] std::uint64_t fence() const { return m_fence; }
+    /// A majority of the recorded workers accepts the owner's orders, and the store has shown its
+    /// key within the time that their number allows.
     [[nodiscard]] bool has_authority(common::time_point now);
     /// Workers whose majority the authority needs, and those that have accepted the fence.
     [[nodiscard]] scheduling::authority::reach quorum_reach(common::time_point now);
@@ -188,8 +194,20 @@
     void record_acceptance(const std::string& worker, common::time_point sent_at);
     /// Logs that the authority has been won or lost since the last call, or that it is missing.
     void log_authority(common::time_point now);
-    /// No successor can have waited for the end of leases that are granted now.
-    [[nodiscard]] bool may_renew(common::time_point now);
+    /// The owner may send starts and renew leases: no successor can already count on the end of
+    /// such orders.
+    [[nodiscard]] bool may_order(common::time_point now);
+    /// How long an owner that so many of the recorded workers accept has authority after the store
+    /// has shown its key; 0 without a majority.
+    [[nodiscard]] common::duration allowed_key_absence(std::size_t accepting,
+                                                       std::size_t workers) const;
+    /// Brings forward the end of the former owners' authority by what is known now.
+    void update_former_authority_end(common::time_point now);
+    /// A successor that takes over from now on needs no majority of the workers that a former owner
+    /// counts over: it acts only after the end of that owner's authority.
+    [[nodiscard]] bool is_former_quorum_settled(common::time_point now) const {
+        return now + m_settings.authority >= m_former_authority_end;
+    }
     /// The leases that a former owner may have granted have ended.
     [[nodiscard]] bool former_leases_over(common::time_point now) const;
 
@@ -358,10 +376,12 @@
     /// A worker that may have held runs never answered, or has restarted since it held them.
     bool m_unreported_runs_possible = false;
     common::time_point m_taken_over_at;
-    /// When a majority of the workers in the record that was read had accepted the fence, and these
-    /// workers until then, without those that were removed since.
-    std::optional<common::time_point> m_majority_at;
+    /// No former owner has authority after this time.
+    common::time_point m_former_authority_end;
+    /// Workers of which former owners need a majority, without those that were removed since, and
+    /// whether they still have to be in the record.
     std::set<std::string> m_former_quorum;
+    bool m_keeps_former_quorum = false;
     /// Workers that have answered this owner or were in the record that was read. Others may be the
     /// entries of another writer.
     std::set<std::string> m_proven_workers;
--- a/source/core/dispatch/dispatcher_authority.cpp
+++ b/source/core/dispatch/dispatcher_authority.cpp
@@ -9,11 +9,25 @@
 using common::log_event;
 using common::severity;
 
+namespace {
+
+// The time on the slowest clock that is assumed.
+common::duration longest(common::duration time) {
+    return time + time / 20;
+}
+
+} // namespace
+
 bool dispatcher::has_authority(common::time_point now) {
-    if (m_quorum_outdated) {
-        update_quorum();
+    const auto reach = quorum_reach(now);
+    return now < m_key_seen_at + allowed_key_absence(reach.accepted, reach.workers);
+}
+
+common::duration dispatcher::allowed_key_absence(std::size_t accepting, std::size_t workers) const {
+    if (accepting * 2 <= workers) {
+        return {};
     }
-    return m_authority.is_held(now) && now < m_key_seen_at + m_settings.key_absence;
+    return accepting * 4 > workers * 3 ? m_settings.key_absence : m_settings.short_key_absence;
 }
 
 scheduling::authority::reach dispatcher::quorum_reach(common::time_point now) {
@@ -80,19 +94,28 @@
                {"term_ms", common::to_milliseconds(now - m_taken_over_at)}});
 }
 
-bool dispatcher::may_renew(common::time_point now) {
-    return has_authority(now) || now < m_key_seen_at + m_settings.key_validity;
+// A successor claims the key, so that the permission by the key ends for an owner whose workers are
+// gone as it does for one whose majority has accepted another fence. A quorum alone would leave no
+// owner with permission once the workers of the record are gone.
+bool dispatcher::may_order(common::time_point now) {
+    return now < m_key_seen_at + m_settings.key_validity || has_authority(now);
+}
+
+// The workers that accept this owner's fence refuse the orders of its predecessors, and what these
+// accepted before counts for no longer than the validity. The others may all obey one of them: then
+// its authority ends because it does not see its key.
+void dispatcher::update_former_authority_end(common::time_point now) {
+    const auto reach = quorum_reach(now);
+    const auto absence = allowed_key_absence(reach.workers - reach.accepted, reach.workers);
+    const auto key_unseen =
+        absence.count() == 0 ? now : m_taken_over_at + longest(absence) + m_settings.key_validity;
+    m_former_authority_end =
+        std::min(m_former_authority_end, std::max(now + m_settings.authority, key_unseen));
 }
 
-// A former owner that has lost its majority sends no orders after its authority has expired. Runs
-// that it started or renewed until then end with their lease. While this owner has no majority, the
-// former one may have one; its authority then ends because it does not see its key.
+// Runs that a former owner started or renewed at the end of its authority end with their lease.
 bool dispatcher::former_leases_over(common::time_point now) const {
-    const auto lease = m_settings.leases.lease;
-    const auto authority_end =
-        m_majority_at ? *m_majority_at + m_settings.authority
-                      : m_taken_over_at + m_settings.key_absence + m_settings.key_validity;
-    return now > authority_end + lease + lease / 20;
+    return now > m_former_authority_end + longest(m_settings.leases.lease);
 }
 
 } // namespace buckthornspar::dispatch
--- a/source/core/dispatch/dispatcher_recovery.cpp
+++ b/source/core/dispatch/dispatcher_recovery.cpp
@@ -60,6 +60,7 @@
     m_unreported_runs_possible |= record.unreported_runs;
     m_former_quorum = record.quorum_or_all();
     m_stored_quorum = m_former_quorum;
+    m_keeps_former_quorum = !m_former_quorum.empty();
     for (const auto& report : record.workers) {
         m_proven_workers.insert(report.id);
         const bool unresponsive = record.unresponsive_workers.contains(report.id);
@@ -85,6 +86,8 @@
     note_all_waiting();
     m_workers_dirty = true;
     m_quorum_outdated = true;
+    m_former_authority_end = common::time_point::max();
+    update_former_authority_end(now);
     log_event(severity::info, "owner_begins",
               {{"fence", fence},
                {"jobs", m_jobs.size()},
@@ -94,12 +97,12 @@
                {"jobs_on_silent", m_jobs_on_unresponsive_workers.size()}});
 }
 
-// Until this owner has a majority of the workers in the record that it read, its predecessor may
-// have one. The next successor needs it then, too, whatever workers this owner has recorded.
+// While a former owner may have a majority of the workers in the record that this owner read, the
+// next successor has to count over them, too, whatever workers this owner has recorded.
 bool dispatcher::is_recordable(const worker_entry& worker) const {
     const auto& id = worker.report.id;
     return m_proven_workers.contains(id) &&
-           (worker.may_hold_runs() || (!m_majority_at && m_former_quorum.contains(id)));
+           (worker.may_hold_runs() || (m_keeps_former_quorum && m_former_quorum.contains(id)));
 }
 
 worker_record dispatcher::make_worker_record() const {
@@ -127,9 +130,7 @@
     }
     record.jobs_on_unresponsive_workers.insert(m_jobs_on_unresponsive_workers.begin(),
                                                m_jobs_on_unresponsive_workers.end());
-    // An owner that read or stored an empty record has started nothing.
-    if (!m_majority_at && !m_former_quorum.empty() &&
-        record.workers.size() > m_former_quorum.size()) {
+    if (m_keeps_former_quorum && record.workers.size() > m_former_quorum.size()) {
         record.quorum = m_former_quorum;
     }
     return record;
@@ -178,31 +179,29 @@
     if (m_jobs.empty() || !m_recovery_log.is_due(m_taken_over_at, now)) {
         return;
     }
-    log_event(
-        severity::warning, "recovery_waits",
-        {{"fence", m_fence},
-         {"unadopted", m_unadopted.size()},
-         {"unadopted_workers", list_names(m_unadopted)},
-         {"silent", m_unresponsive_workers.size()},
-         {"silent_workers", list_names(m_unresponsive_workers)},
-         {"jobs", m_jobs.size()},
-         {"jobs_on_silent", m_jobs_on_unresponsive_workers.size()},
-         {"term_ms", common::to_milliseconds(now - m_taken_over_at)},
-         {"majority_ms", m_majority_at ? common::to_milliseconds(now - *m_majority_at) : -1}});
+    log_event(severity::warning, "recovery_waits",
+              {{"fence", m_fence},
+               {"unadopted", m_unadopted.size()},
+               {"unadopted_workers", list_names(m_unadopted)},
+               {"silent", m_unresponsive_workers.size()},
+               {"silent_workers", list_names(m_unresponsive_workers)},
+               {"jobs", m_jobs.size()},
+               {"jobs_on_silent", m_jobs_on_unresponsive_workers.size()},
+               {"term_ms", common::to_milliseconds(now - m_taken_over_at)},
+               {"former_end_ms", common::to_milliseconds(m_former_authority_end - now)}});
 }
 
 void dispatcher::check_recovery(common::time_point now) {
-    if (!m_majority_at && has_authority(now)) {
-        m_majority_at = now;
-        // The next record names no quorum of its own any more.
-        m_workers_dirty |=
-            !m_former_quorum.empty() && m_proven_workers.size() > m_former_quorum.size();
+    update_former_authority_end(now);
+    if (m_keeps_former_quorum && is_former_quorum_settled(now)) {
+        m_keeps_former_quorum = false;
+        m_workers_dirty = true;
     }
     if (m_recovered && m_jobs_on_unresponsive_workers.empty()) {
         return;
     }
     log_recovery(now);
-    const bool lapsed = m_majority_at && former_leases_over(now);
+    const bool lapsed = former_leases_over(now);
     if (!m_recovered && m_term_recorded &&
         (m_unadopted.empty() || (lapsed && !is_any_partly_listed(now, m_unadopted)))) {
         m_recovered = true;
@@ -214,15 +213,14 @@
                 skip_possible_run_numbers(entry.second);
             }
         }
-        log_event(
-            severity::info, "recovered",
-            {{"fence", m_fence},
-             {"unadopted", m_unadopted.size()},
-             {"unadopted_workers", list_names(m_unadopted)},
-             {"silent", m_unresponsive_workers.size()},
-             {"jobs", m_jobs.size()},
-             {"term_ms", common::to_milliseconds(now - m_taken_over_at)},
-             {"majority_ms", m_majority_at ? common::to_milliseconds(now - *m_majority_at) : -1}});
+        log_event(severity::info, "recovered",
+                  {{"fence", m_fence},
+                   {"unadopted", m_unadopted.size()},
+                   {"unadopted_workers", list_names(m_unadopted)},
+                   {"silent", m_unresponsive_workers.size()},
+                   {"jobs", m_jobs.size()},
+                   {"term_ms", common::to_milliseconds(now - m_taken_over_at)},
+                   {"former_end_ms", common::to_milliseconds(m_former_authority_end - now)}});
         m_unadopted.clear();
     }
     if (m_recovered && !m_jobs_on_unresponsive_workers.empty() &&
--- a/source/core/dispatch/dispatcher_runs.cpp
+++ b/source/core/dispatch/dispatcher_runs.cpp
@@ -65,7 +65,7 @@
             return;
         }
         placed.phase = run_phase::unanswered;
-        if (placed.unanswered_orders <= max_start_repeats && has_authority(now) && may_start(now) &&
+        if (placed.unanswered_orders <= max_start_repeats && may_order(now) && may_start(now) &&
             !worker->report.draining && m_jobs.contains(order.run.task.job)) {
             // Repeats the same run; the worker executes it at most once.
             auto repeated = order;
