Do not wait again for a worker that an owner has given up

Cause: when an owner had waited in vain for a silent worker, it forgot that the worker was silent. Its record then named the worker like any other one, and the next owner held all older jobs until the worker answered or the leases of the former owners were certainly over, counted anew from its own take-over.

Change: the worker stays recorded as unresponsive, with no jobs, until it answers. The owner starts nothing there before a record without that mark is stored, as with other unresponsive workers.

a_worker_that_an_owner_has_given_up_is_not_waited_for_again and a_silent_worker_that_is_settled_is_not_waited_for_again failed before; the third new test guards the start after the next record.

The wait of an owner that is replaced before it is over still begins again.

--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -213,6 +213,8 @@
 
     // dispatcher_recovery.cpp
     void check_recovery(common::time_point now);
+    /// Records the workers that have not answered as unresponsive, once none can hold runs.
+    void give_up_unadopted();
     /// Logs that jobs of the former owner wait for workers that do not answer.
     void log_recovery(common::time_point now);
     /// The worker may hold runs of a former owner that no list has shown.
@@ -368,8 +370,8 @@
     bool m_term_recorded = false;
     /// Workers that may hold runs of a former owner and have not answered yet.
     std::set<std::string> m_unadopted;
-    /// Workers that were already unresponsive under the former owner, and the jobs that may have
-    /// runs there.
+    /// Workers that were already unresponsive under the former owner or that this owner has given
+    /// up, until they answer, and the jobs that may have runs there.
     std::set<std::string> m_unresponsive_workers;
     std::set<std::string> m_jobs_on_unresponsive_workers;
     lasting_state_log m_recovery_log;
--- a/source/core/dispatch/dispatcher_recovery.cpp
+++ b/source/core/dispatch/dispatcher_recovery.cpp
@@ -191,6 +191,15 @@
                {"former_end_ms", common::to_milliseconds(m_former_authority_end - now)}});
 }
 
+// This owner starts nothing on a worker that has not answered it, so that no job can have runs
+// there any more. Its successors must not wait for the worker again: it may stay silent and listed,
+// and owners may change more often than such a wait takes.
+void dispatcher::give_up_unadopted() {
+    m_workers_dirty |= !m_unadopted.empty();
+    m_unresponsive_workers.merge(m_unadopted);
+    m_unadopted.clear();
+}
+
 void dispatcher::check_recovery(common::time_point now) {
     update_former_authority_end(now);
     if (m_keeps_former_quorum && is_former_quorum_settled(now)) {
@@ -221,7 +230,7 @@
                    {"jobs", m_jobs.size()},
                    {"term_ms", common::to_milliseconds(now - m_taken_over_at)},
                    {"former_end_ms", common::to_milliseconds(m_former_authority_end - now)}});
-        m_unadopted.clear();
+        give_up_unadopted();
     }
     if (m_recovered && !m_jobs_on_unresponsive_workers.empty() &&
         (m_unresponsive_workers.empty() ||
@@ -236,7 +245,6 @@
                    {"unanswered_workers", list_names(m_unresponsive_workers)},
                    {"jobs", m_jobs_on_unresponsive_workers.size()}});
         m_unreported_runs_possible |= !m_unresponsive_workers.empty();
-        m_unresponsive_workers.clear();
         m_jobs_on_unresponsive_workers.clear();
         note_all_waiting();
         m_workers_dirty = true;
--- /dev/null
+++ b/tests/unit/dispatch/silent_workers_test.cpp
@@ -0,0 +1,112 @@
+#include "unit/dispatch/dispatch_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+using namespace buckthornspar;
+using namespace buckthornspar::dispatch;
+using namespace buckthornspar::dispatch::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string record_of(const std::vector<std::string>& workers) {
+    worker_record record;
+    record.term = 1;
+    for (const auto& id : workers) {
+        record.workers.push_back(dispatch_fixture::report(id));
+    }
+    return write_worker_record(record);
+}
+
+/// An owner of the workers w1 to w3, which are all in the instance list. w3 does not answer.
+struct owner_with_silent_worker : dispatch_fixture {
+    owner_with_silent_worker(std::uint64_t fence, const std::string& record) {
+        engine.on_queues({plain_queue()});
+        unreachable["w3"] = true;
+        for (const auto* const id : {"w1", "w2", "w3"}) {
+            engine.on_worker(now, report(id));
+        }
+        engine.take_over(now, fence, record);
+    }
+
+    void advance_and_save(common::duration by) {
+        const auto end = now + by;
+        while (now < end) {
+            save();
+            advance(100ms);
+        }
+        save();
+    }
+
+    [[nodiscard]] bool has_started(const std::string& job) const {
+        return std::any_of(starts.begin(), starts.end(),
+                           [&job](const auto& order) { return order.run.task.job == job; });
+    }
+};
+
+/// Longer than an owner waits for one of three recorded workers.
+constexpr auto wait_is_over = 9s;
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(silent_workers_suite)
+
+// Guards against jobs that wait at each change of owner for the same worker, although an earlier
+// owner has waited for the end of its leases: with changes more often than that wait they are never
+// started (LOST, issue 42).
+BOOST_AUTO_TEST_CASE(a_worker_that_an_owner_has_given_up_is_not_waited_for_again) {
+    owner_with_silent_worker f(10, record_of({"w1", "w2", "w3"}));
+    f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 5);
+    f.advance_and_save(wait_is_over);
+    BOOST_REQUIRE(f.has_started("a"));
+
+    auto record = f.worker_record;
+    for (const std::uint64_t fence : {20U, 30U}) {
+        owner_with_silent_worker next(fence, record);
+        next.engine.on_job(next.now, dispatch_fixture::job("b", 1, 1000), {}, fence - 1);
+        next.advance_and_save(500ms);
+        BOOST_TEST(next.has_started("b"));
+        record = next.worker_record;
+    }
+}
+
+// Guards against the same for jobs that may have had runs on a worker that was already silent under
+// the former owner.
+BOOST_AUTO_TEST_CASE(a_silent_worker_that_is_settled_is_not_waited_for_again) {
+    auto record = read_worker_record(record_of({"w1", "w2", "w3"}));
+    record.unresponsive_workers = {"w3"};
+    record.jobs_on_unresponsive_workers = {"a"};
+    owner_with_silent_worker f(10, write_worker_record(record));
+    f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 5);
+    f.advance_and_save(wait_is_over);
+    BOOST_REQUIRE(f.has_started("a"));
+
+    owner_with_silent_worker next(20, f.worker_record);
+    next.engine.on_job(next.now, dispatch_fixture::job("b", 1, 1000), {}, 15);
+    next.advance_and_save(500ms);
+    BOOST_TEST(next.has_started("b"));
+}
+
+// Guards against runs that are unknown to a successor: a worker that was given up and answers later
+// receives no starts before a record is stored that makes the successor wait for it.
+BOOST_AUTO_TEST_CASE(a_worker_that_was_given_up_gets_no_start_before_the_next_record) {
+    owner_with_silent_worker f(10, record_of({"w1", "w2", "w3"}));
+    f.advance_and_save(wait_is_over);
+    f.unreachable["w3"] = false;
+    f.advance(1500ms);
+    f.engine.on_job(f.now, dispatch_fixture::job("a", 3, 40'000), {}, 11);
+    f.advance(100ms);
+    BOOST_TEST(f.starts.size() == 2U);
+    BOOST_TEST(std::none_of(f.starts.begin(), f.starts.end(),
+                            [](const auto& order) { return order.worker == "w3"; }));
+    f.save();
+    f.advance(100ms);
+    BOOST_TEST(f.starts.size() == 3U);
+    BOOST_TEST(!read_worker_record(f.worker_record).unresponsive_workers.contains("w3"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
