--- a/tests/unit/dispatch/silent_workers_test.cpp
+++ b/tests/unit/dispatch/silent_workers_test.cpp
@@ -109,4 +109,33 @@
     BOOST_TEST(!read_worker_record(f.worker_record).unresponsive_workers.contains("w3"));
 }
 
+// Guards against two concurrent runs of a task: the instance list shows the next incarnation of a
+// worker, and a start by the former owner that is under way begins there because it has not yet
+// answered the successor, whose fence would refuse it (issue 36). Also guards against waiting for
+// longer than for a worker that did not restart.
+BOOST_AUTO_TEST_CASE(a_listed_restart_does_not_end_the_wait_for_the_worker) {
+    auto silent = read_worker_record(record_of({"w1", "w2", "w3"}));
+    silent.unresponsive_workers = {"w3"};
+    silent.jobs_on_unresponsive_workers = {"a"};
+    for (const auto& record : {record_of({"w1", "w2", "w3"}), write_worker_record(silent)}) {
+        for (const bool answers : {true, false}) {
+            owner_with_silent_worker f(10, record);
+            f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 5);
+            f.advance_and_save(300ms);
+            f.crash_worker("w3");
+            f.advance_and_save(2s);
+            BOOST_TEST(f.starts.empty());
+            if (answers) {
+                f.unreachable["w3"] = false;
+                f.advance_and_save(1200ms);
+            } else {
+                f.advance_and_save(wait_is_over - 2300ms);
+            }
+            BOOST_REQUIRE(f.starts.size() == 1U);
+            // Nobody knows which runs the former incarnation had.
+            BOOST_TEST(f.starts[0].run.run > 1U);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
