Bound the wait for a worker that reports but does not answer

Tasks on a worker that its owner cannot reach, or that answers polls with errors only, waited for good although their lease was over, as long as the worker went on to write to the instance list and no other node could confirm its silence.

Cause: dispatcher::is_dead takes the silence of a worker for its death only with a sign from elsewhere: another node's poll, or a missing or old entry in the list. An owner without peers gets none, and neither does one whose peers get an error from the worker: the confirmation covers polls without an answer only.

Change: without a sign the worker counts as dead when its leases have been over for 30 s (silence_limit). As before, the store must have shown the owner's key since then. A run that succeeded there unseen may be repeated, as it may when another node confirms the silence: its lease has lapsed.

a_worker_that_only_reports_is_not_waited_for_without_a_bound failed before, with polls that are not answered and with answers of an unhealthy worker. The wait of 20 s that a_run_on_a_worker_that_still_reports_is_not_repeated asserts holds.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -326,7 +326,8 @@
 }
 
 // Silence towards this owner alone does not show that a worker is dead: the owner's link may be
-// slow, and runs of the worker may have succeeded. Their tasks wait for a sign from another source.
+// slow, and runs of the worker may have succeeded. Their tasks wait for a sign from another source,
+// but not for good: there may be no other node that could give one.
 bool dispatcher::is_dead(const worker_entry& worker, common::time_point now) const {
     // A successor that this owner does not know of may have polled the worker before its lease
     // ended, and have stored what the worker reported.
@@ -336,7 +337,8 @@
     const bool removed = !worker.listed && now > worker.unlisted_since + m_settings.unlisted_grace;
     const bool reports_stopped =
         m_list_known_until > worker.reported_at + m_settings.report_silence;
-    return worker.silence_confirmed || removed || reports_stopped;
+    const bool silent_too_long = now > worker.lease_end + m_settings.silence_limit;
+    return worker.silence_confirmed || removed || reports_stopped || silent_too_long;
 }
 
 void dispatcher::check_workers(common::time_point now) {
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -51,6 +51,10 @@
     /// A listed worker whose reports have stopped for this time is taken for dead. Workers report
     /// every 1.5 s.
     common::duration report_silence = std::chrono::milliseconds(3500);
+    /// A worker that does not answer the owner but goes on to report is taken for dead when the
+    /// leases there have been over for this time, also when no other node confirms its silence.
+    /// Longer than an owner's link is full as a rule.
+    common::duration silence_limit = std::chrono::seconds(30);
     /// A stop is sent again when the run has not ended within this time.
     common::duration stop_retry_interval = std::chrono::milliseconds(700);
     /// Consecutive failed runs of different tasks after which a worker is excluded from placement.
--- a/tests/unit/dispatch/worker_loss_test.cpp
+++ b/tests/unit/dispatch/worker_loss_test.cpp
@@ -481,6 +481,29 @@
     BOOST_TEST(starts[0].worker != worker);
 }
 
+// Guards against tasks that wait for good for a worker that reports to the instance list but does
+// not answer, or answers with an error, when no other node can confirm its silence (LOST, issue
+// 42).
+BOOST_AUTO_TEST_CASE(a_worker_that_only_reports_is_not_waited_for_without_a_bound) {
+    for (const auto status : {order_status::no_answer, order_status::unhealthy}) {
+        dispatch_fixture f;
+        f.engine.on_queues({dispatch_fixture::plain_queue()});
+        f.become_owner({"w1", "w2", "w3"});
+        f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 11);
+        f.run_until_idle();
+        const auto worker = f.take_starts().at(0).worker;
+        f.unreachable[worker] = true;
+        f.unreachable_status = status;
+        for (int second = 0; second < 45; ++second) {
+            f.advance(1s);
+            f.report_from(worker);
+        }
+        const auto starts = f.take_starts();
+        BOOST_REQUIRE(starts.size() == 1U);
+        BOOST_TEST(starts[0].worker != worker);
+    }
+}
+
 // Guards against work that stands although workers are free (LOST): while the tasks of some jobs
 // failed wherever they started, all workers were excluded.
 BOOST_AUTO_TEST_CASE(failing_jobs_do_not_exclude_all_workers) {
