--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -67,8 +67,9 @@
         log_event(severity::info, "worker_restarted",
                   {{"worker", report.id}, {"born_ms", report.start_time_ms}});
         handle_worker_restart(now, report.id, change);
-        m_unreported_runs_possible |= m_unadopted.erase(report.id) > 0;
-        m_unresponsive_workers.erase(report.id);
+        // Until the new incarnation has answered, it takes starts of the former owner that arrive
+        // late, so that it is still waited for.
+        m_unreported_runs_possible |= m_unadopted.contains(report.id);
     }
     if (change.draining_changed || change.added || !was_listed) {
         log_event(severity::info, "worker_listed",
@@ -325,7 +326,8 @@
 }
 
 // Silence towards this owner alone does not show that a worker is dead: the owner's link may be
-// slow, and runs of the worker may have succeeded. Their tasks wait for a sign from another source.
+// slow, and runs of the worker may have succeeded. Their tasks wait for a sign from another source,
+// but not for good: there may be no other node that could give one.
 bool dispatcher::is_dead(const worker_entry& worker, common::time_point now) const {
     // A successor that this owner does not know of may have polled the worker before its lease
     // ended, and have stored what the worker reported.
@@ -335,7 +337,8 @@
     const bool removed = !worker.listed && now > worker.unlisted_since + m_settings.unlisted_grace;
     const bool reports_stopped =
         m_list_known_until > worker.reported_at + m_settings.report_silence;
-    return worker.silence_confirmed || removed || reports_stopped;
+    const bool silent_too_long = now > worker.lease_end + m_settings.silence_limit;
+    return worker.silence_confirmed || removed || reports_stopped || silent_too_long;
 }
 
 void dispatcher::check_workers(common::time_point now) {
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -51,6 +51,10 @@
     /// A listed worker whose reports have stopped for this time is taken for dead. Workers report
     /// every 1.5 s.
     common::duration report_silence = std::chrono::milliseconds(3500);
+    /// A worker that does not answer the owner but goes on to report is taken for dead when the
+    /// leases there have been over for this time, also when no other node confirms its silence.
+    /// Longer than an owner's link is full as a rule.
+    common::duration silence_limit = std::chrono::seconds(30);
     /// A stop is sent again when the run has not ended within this time.
     common::duration stop_retry_interval = std::chrono::milliseconds(700);
     /// Consecutive failed runs of different tasks after which a worker is excluded from placement.
@@ -213,6 +217,8 @@
 
     // dispatcher_recovery.cpp
     void check_recovery(common::time_point now);
+    /// Records the workers that have not answered as unresponsive, once none can hold runs.
+    void give_up_unadopted();
     /// Logs that jobs of the former owner wait for workers that do not answer.
     void log_recovery(common::time_point now);
     /// The worker may hold runs of a former owner that no list has shown.
@@ -368,8 +374,8 @@
     bool m_term_recorded = false;
     /// Workers that may hold runs of a former owner and have not answered yet.
     std::set<std::string> m_unadopted;
-    /// Workers that were already unresponsive under the former owner, and the jobs that may have
-    /// runs there.
+    /// Workers that were already unresponsive under the former owner or that this owner has given
+    /// up, until they answer, and the jobs that may have runs there.
     std::set<std::string> m_unresponsive_workers;
     std::set<std::string> m_jobs_on_unresponsive_workers;
     lasting_state_log m_recovery_log;
