Log how many granted workers of a waiting step are usable

The line did not tell that only one of the granted workers was left. Change: `step_waits` has `usable`, the granted workers that may get starts now.

--- a/source/core/dispatch/dispatcher_plan.cpp
+++ b/source/core/dispatch/dispatcher_plan.cpp
@@ -276,6 +276,11 @@
         const auto valid =
             std::count_if(granted.begin(), granted.end(),
                           [now](const ticket_state& ticket) { return ticket.expires > now; });
+        const auto usable =
+            std::count_if(granted.begin(), granted.end(), [&](const ticket_state& ticket) {
+                const auto* const worker = m_workers.at(ticket.worker);
+                return worker != nullptr && is_usable(*worker, now);
+            });
         log_event(severity::info, "step_waits",
                   {{"step", to_string(key)},
                    {"cause", wait_cause_names.name(cause)},
@@ -283,6 +288,7 @@
                    {"last_run", state.last_run()},
                    {"calls", state.tickets.calls.size()},
                    {"granted", granted.size()},
+                   {"usable", usable},
                    {"valid", valid}});
     }
 }
