Ask about further workers when the granted ones of a task are full

Cause: a step whose tasks are placed one by one asked for tickets on workers that it had not named only when none of its granted workers was usable. One granted worker had survived the crash. It was kept full by more urgent work, so the steps that it was granted to waited for it and never asked about the replacements. The same held for steps that had asked while only a few workers were usable after the take-over. Change: a task without room on its granted workers asks about the unnamed workers that have room, in the order of placement and only for room that no earlier step has asked for. The request is counted under the reason "free", as that of a gang.

a_task_with_busy_granted_workers_asks_about_new_ones and waiting_tasks_ask_about_a_new_worker_only_for_its_room failed before. a_task_asks_about_no_busy_workers passed before and bounds the requests.

--- a/source/core/dispatch/ticket_planner.cpp
+++ b/source/core/dispatch/ticket_planner.cpp
@@ -60,22 +60,38 @@
         return;
     }
     std::vector<worker_slot> renew;
+    bool any_room = false;
     for (const auto& c : m_plan.candidates) {
-        const auto room = m_plan.available_capacity(step, c.worker) - m_plan.requested[c.worker];
-        if (!m_plan.is_valid(c) && m_plan.demand.fits(room) &&
-            m_plan.remaining_tasks_on(step, c.worker) > 0) {
-            renew.push_back(c.worker);
+        if (has_unclaimed_room(step, c.worker)) {
+            any_room = true;
+            if (!m_plan.is_valid(c)) {
+                renew.push_back(c.worker);
+            }
         }
     }
     if (!renew.empty()) {
-        if (add_requests(step, renew, "renew")) {
-            claim_room(step, m_plan.result.ticket_requests.back().workers);
-        }
+        request_and_claim(step, std::move(renew), "renew");
     } else if (!m_plan.has_eligible_workers) {
         request_from_unasked(step, "more");
+    } else if (!any_room && has_slot(step)) {
+        // Urgent work may keep the granted workers full for good, above all the few that are left
+        // when most of them have gone.
+        request_and_claim(step, unasked_with_room(step), "free");
+    }
+}
+
+void ticket_planner::request_and_claim(const waiting_step& step, std::vector<worker_slot> workers,
+                                       std::string_view reason) {
+    if (add_requests(step, std::move(workers), reason)) {
+        claim_room(step, m_plan.result.ticket_requests.back().workers);
     }
 }
 
+bool ticket_planner::has_unclaimed_room(const waiting_step& step, worker_slot w) const {
+    return m_plan.demand.fits(m_plan.available_capacity(step, w) - m_plan.requested[w]) &&
+           m_plan.remaining_tasks_on(step, w) > 0;
+}
+
 bool ticket_planner::is_unasked(const waiting_step& step, worker_slot w) const {
     return !step.state->tickets.was_asked(w) && m_plan.is_eligible(step, w);
 }
@@ -180,6 +196,17 @@
     add_requests(step, workers, reason, calls);
 }
 
+std::vector<worker_slot> ticket_planner::unasked_with_room(const waiting_step& step) const {
+    std::vector<worker_slot> result;
+    for (worker_slot w = 0; w < m_plan.capacities.size(); ++w) {
+        if (m_plan.demand.fits(m_plan.capacities[w].free) && is_unasked(step, w) &&
+            has_unclaimed_room(step, w)) {
+            result.push_back(w);
+        }
+    }
+    return result;
+}
+
 // Keeps the tickets of a blocked gang valid, so that it starts as soon as it fits. Otherwise the
 // capacity would be reserved, and idle, while the tickets are requested.
 bool ticket_planner::renew_expiring(const waiting_step& step) {
--- a/source/core/dispatch/ticket_planner.h
+++ b/source/core/dispatch/ticket_planner.h
@@ -18,7 +18,7 @@
     /// Whether a node could begin a call for all candidates of the step now.
     [[nodiscard]] bool has_slot(const waiting_step& step) const;
     /// Requests the first tickets of a step whose tasks are placed one by one, renews them where
-    /// there is room, or widens the choice when no worker was granted.
+    /// there is room, or widens the choice when no worker was granted or the granted ones are full.
     void request_for_tasks(const waiting_step& step);
     /// Requests tickets for workers that have not been named yet.
     void request_from_unasked(const waiting_step& step, std::string_view reason);
@@ -43,11 +43,17 @@
 
     [[nodiscard]] bool is_unasked(const waiting_step& step, worker_slot w) const;
     [[nodiscard]] std::vector<worker_slot> unasked(const waiting_step& step) const;
+    [[nodiscard]] std::vector<worker_slot> unasked_with_room(const waiting_step& step) const;
+    /// A task of the step fits on the worker beside what earlier steps of the plan have requested
+    /// tickets for.
+    [[nodiscard]] bool has_unclaimed_room(const waiting_step& step, worker_slot w) const;
     /// Returns whether at least one call could be made.
     bool add_requests(const waiting_step& step, std::vector<worker_slot> workers,
                       std::string_view reason, std::size_t calls = 1);
     void defer_requests(const waiting_step& step, std::vector<worker_slot> workers,
                         std::string_view reason, std::size_t calls);
+    void request_and_claim(const waiting_step& step, std::vector<worker_slot> workers,
+                           std::string_view reason);
     /// Leaves the room that the step has requested tickets for to it when further steps request
     /// theirs.
     void claim_room(const waiting_step& step, const std::vector<worker_slot>& workers);
--- a/tests/unit/dispatch/tickets_test.cpp
+++ b/tests/unit/dispatch/tickets_test.cpp
@@ -89,6 +89,62 @@
     BOOST_TEST(starts[0].ticket == "neww1");
 }
 
+// Pattern: most workers are replaced at once. Guards against tasks that wait forever for the few
+// granted workers that are left (LOST), which are kept full by others, beside workers with room.
+BOOST_AUTO_TEST_CASE(a_task_with_busy_granted_workers_asks_about_new_ones) {
+    submit(job("busy", 4, 40000));
+    grant({"w1", "w2", "w3", "w4"});
+    BOOST_REQUIRE(take_starts().size() == 4U);
+    submit(job("a", 1, 40000));
+    grant({"w1"});
+    advance(2s);
+    const auto asked = advice.size();
+    engine.on_worker(now, report("x1"));
+    engine.on_worker(now, report("x2"));
+    settle();
+    advance(100ms);
+    BOOST_REQUIRE(advice.size() == asked + 1);
+    BOOST_TEST(advice.back().request.step.job == "a");
+    BOOST_TEST((advice.back().request.workers == std::vector<std::string>{"x1", "x2"}));
+    grant({"x2"});
+    BOOST_REQUIRE(starts.size() == 1U);
+    BOOST_TEST(starts[0].worker == "x2");
+}
+
+// Guards against a request for each waiting task when one worker with room joins a busy fleet: the
+// tickets of all but the first would expire unused.
+BOOST_AUTO_TEST_CASE(waiting_tasks_ask_about_a_new_worker_only_for_its_room) {
+    submit(job("busy", 4, 40000));
+    grant({"w1", "w2", "w3", "w4"});
+    BOOST_REQUIRE(take_starts().size() == 4U);
+    for (const auto* id : {"a1", "a2", "a3"}) {
+        submit(job(id, 1, 40000));
+        grant({"w1"});
+    }
+    advance(2s);
+    const auto asked = advice.size();
+    engine.on_worker(now, report("x1"));
+    settle();
+    advance(100ms);
+    BOOST_REQUIRE(advice.size() == asked + 1);
+    BOOST_TEST(advice.back().request.step.job == "a1");
+}
+
+// Guards against requests for further workers while a granted one has room, and against requests
+// that no room can follow.
+BOOST_AUTO_TEST_CASE(a_task_asks_about_no_busy_workers) {
+    submit(job("busy", 4, 40000));
+    grant({"w1", "w2", "w3", "w4"});
+    BOOST_REQUIRE(take_starts().size() == 4U);
+    submit(job("a", 1, 40000));
+    grant({"w1"});
+    const auto asked = advice.size();
+    engine.on_worker(now, report("x1", 20000));
+    settle();
+    advance(2s);
+    BOOST_TEST(advice.size() == asked);
+}
+
 // Guards against a step that waits forever because its ticket request was lost.
 BOOST_AUTO_TEST_CASE(an_unanswered_ticket_request_is_repeated) {
     submit(job("a", 1, 1000));
