Record that runs of a silent worker that is gone may exist

Callers could see a task run again under a number that it had used before: the owner that counts ends by run number takes the end of one for that of the other, and a success that is missed is followed by another start.

Cause: a silent worker that has left the instance list is removed in check_workers, in the same moment in which check_recovery would have given it up. check_recovery records that unreported runs are possible, check_workers did so only for workers that were not recorded as silent. An owner that was lost before it had stored the affected jobs thus left no sign to the next one, which numbered its runs from 1.

Change: removing any worker that the recovery waits for sets the mark, which the next record stores together with the removal.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -374,7 +374,8 @@
                    {"term_ms", common::to_milliseconds(now - m_taken_over_at)}});
         confirm_crash(now, worker, loss_evidence::removed);
         m_workers.erase(id);
-        m_unreported_runs_possible |= m_unadopted.erase(id) > 0;
+        m_unreported_runs_possible |= is_waited_for(id);
+        m_unadopted.erase(id);
         m_unresponsive_workers.erase(id);
         // Workers that are gone must not keep the successor of their owner from its majority.
         m_former_quorum.erase(id);
--- a/tests/unit/dispatch/recovery_test.cpp
+++ b/tests/unit/dispatch/recovery_test.cpp
@@ -183,6 +183,29 @@
     BOOST_TEST(!f.engine.has_authority(f.now));
 }
 
+// Guards against a run number that is used twice: a successor's successor does not learn that runs
+// of a silent worker may exist that was given up because it has left the instance list (found by
+// seed 16581 of random_shares_pass).
+BOOST_AUTO_TEST_CASE(a_silent_worker_that_is_gone_is_recorded_as_a_cause_of_unreported_runs) {
+    worker_record record;
+    record.term = 1;
+    record.workers = {dispatch_fixture::report("w1"), dispatch_fixture::report("w2")};
+    record.unresponsive_workers = {"w2"};
+    record.jobs_on_unresponsive_workers = {"a"};
+    dispatch_fixture f;
+    f.engine.on_queues({dispatch_fixture::plain_queue()});
+    f.unreachable["w2"] = true;
+    f.engine.on_worker(f.now, dispatch_fixture::report("w1"));
+    f.engine.take_over(f.now, 10, write_worker_record(record));
+    f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 5);
+    f.save();
+    f.advance(10s);
+    BOOST_REQUIRE(f.starts.size() == 1U);
+    f.save();
+    BOOST_TEST(f.engine.workers().find("w2") == nullptr);
+    BOOST_TEST(read_worker_record(f.worker_record).unreported_runs);
+}
+
 // Guards against a second start of a task that has succeeded: its end is in the rest of a list that
 // a worker cuts off, and the commits after which the worker lists the rest are slow (issue 36).
 BOOST_AUTO_TEST_CASE(a_worker_is_waited_for_until_it_has_listed_all_its_ends) {
