Restart a lapsed task only when no successor can have renewed it

An owner in a shard could run a task a second time beside its successor. An owner without authority renews no leases, so that the end of a lease as it knows it comes soon. When a majority answered again, it took the lease for lapsed and started the task on another worker, although a successor had adopted the former worker and renewed the lease there; the owner's authority from the acceptances of the last 4 s had not ended yet.

Cause: the end of the leases that the owner has granted was taken for the end of the task. With a successor the worker has leases of another owner.

Change: the lapse is confirmed, and the task started elsewhere, when a majority has accepted the owner's epoch in messages sent after the end of the lease. A successor renews only with a majority, which has a worker in common with that one, and that worker then refuses the former owner: so no successor had renewed the lease by then. Tasks that are not started again (non-idempotent ones, and those of stopped jobs) are ended at the lapse as before.

--- a/source/core/scheduling/authority.cpp
+++ b/source/core/scheduling/authority.cpp
@@ -1,7 +1,9 @@
 #include "core/scheduling/authority.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
+#include <vector>
 
 namespace buckthornspar::scheduling {
 
@@ -44,6 +46,27 @@
     return {smaller.recent, smaller.workers.size()};
 }
 
+std::optional<common::time_point> authority::sole_majority_until() const {
+    auto until = common::time_point::max();
+    for (const auto& set : m_quorums) {
+        std::vector<common::time_point> accepted;
+        for (const auto& worker : set.workers) {
+            const auto position = m_accepted.find(worker);
+            if (position != m_accepted.end()) {
+                accepted.push_back(position->second);
+            }
+        }
+        const std::size_t majority = set.workers.size() / 2 + 1;
+        if (accepted.size() < majority) {
+            return std::nullopt;
+        }
+        const auto last = accepted.begin() + static_cast<std::ptrdiff_t>(majority - 1);
+        std::nth_element(accepted.begin(), last, accepted.end(), std::greater<>());
+        until = std::min(until, *last);
+    }
+    return until;
+}
+
 void authority::clear() {
     m_accepted.clear();
     m_valid_until.clear();
--- a/source/core/scheduling/authority.h
+++ b/source/core/scheduling/authority.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -35,6 +36,10 @@
     /// The reach in the set of which the smaller share has accepted; the time as in is_held().
     [[nodiscard]] reach smaller_reach(common::time_point now);
 
+    /// A majority of each set has accepted the epoch in requests sent at this time or later, so
+    /// that no higher epoch had a majority before it. Empty if no majority ever accepted it.
+    [[nodiscard]] std::optional<common::time_point> sole_majority_until() const;
+
     /// Removes all acceptances.
     void clear();
 
--- a/source/core/scheduling/shard_engine.cpp
+++ b/source/core/scheduling/shard_engine.cpp
@@ -348,7 +348,7 @@
             [&](const operation_completed& e) { m_runner.on_operation(now, e); },
             [&](const attempt_reported& e) { m_runner.on_attempt(now, e.worker, e.attempt); },
             [&](const usage_received& e) { m_runner.on_usage(now, e.worker, e.usage); },
-            [&](const leases_lapsed& e) { m_runner.on_lapsed(now, e.worker); },
+            [&](const leases_lapsed& e) { m_runner.on_lapsed(now, e); },
             [&](const worker_changed& e) { m_runner.on_worker_changed(now, e.worker); },
             [&](const epoch_fenced& e) {
                 m_known_epoch = std::max(m_known_epoch, e.accepted_epoch);
--- a/source/core/scheduling/task_runner.h
+++ b/source/core/scheduling/task_runner.h
@@ -128,7 +128,7 @@
     /// use more than the capacity of the worker.
     void on_usage(common::time_point now, const std::string& worker,
                   const std::vector<usage_report>& usage);
-    void on_lapsed(common::time_point now, const std::string& worker);
+    void on_lapsed(common::time_point now, const leases_lapsed& lapsed);
     void on_worker_changed(common::time_point now, const std::string& worker);
     /// Returns whether the tag belongs to an entry added by this object.
     bool on_written(common::time_point now, std::uint64_t tag);
--- a/source/core/scheduling/task_runner_attempts.cpp
+++ b/source/core/scheduling/task_runner_attempts.cpp
@@ -303,19 +303,23 @@
     m_fleet.acknowledge(worker, ended.attempt);
 }
 
-void task_runner::on_lapsed(common::time_point now, const std::string& worker) {
+/// A task that would be started again elsewhere stays with the worker until no successor can have
+/// renewed its lease.
+void task_runner::on_lapsed(common::time_point now, const leases_lapsed& lapsed) {
+    const std::string& worker = lapsed.worker;
     for (const auto& task : tasks_on(worker)) {
         const auto ref = find_task(task);
         if (!ref) {
             continue;
         }
         task_run& run = ref->run();
-        if (run.phase == task_phase::running) {
+        const bool certain = lapsed.confirmed || !ref->job->spec.idempotent || ref->job->stopping;
+        if (run.phase == task_phase::running && certain) {
             on_attempt_lost(now, *ref, "lapsed");
         } else if (run.phase == task_phase::starting) {
             if (m_fleet.remove_queued(worker, run.attempt)) {
                 on_not_started(now, *ref, "worker_unreachable");
-            } else {
+            } else if (certain) {
                 on_attempt_lost(now, *ref, "lapsed");
             }
         } else if (run.phase == task_phase::reserving || run.phase == task_phase::reserved) {
--- a/source/core/scheduling/worker_fleet.h
+++ b/source/core/scheduling/worker_fleet.h
@@ -85,9 +85,11 @@
     std::vector<usage_report> usage;
 };
 
-/// All leases granted to the worker have certainly expired.
+/// All leases granted to the worker by this owner have certainly expired. Reported again with
+/// confirmed set when it is certain that no successor had renewed them.
 struct leases_lapsed {
     std::string worker;
+    bool confirmed = false;
 };
 
 /// State, address or capacity of a worker has changed.
@@ -181,6 +183,8 @@
         common::time_point next_events;
         /// Lease end that was last reported as lapsed, so that each is reported only once.
         std::optional<common::time_point> lapsed_end;
+        std::optional<common::time_point> confirmed_end;
+        common::time_point next_confirmation_check;
 
         [[nodiscard]] bool present() const { return !gone && (listing || seen); }
     };
@@ -206,7 +210,8 @@
     /// Makes the next on_time() process the link.
     void mark_changed(const std::string& worker);
     void mark_all_changed();
-    void check_lease(common::time_point now, const std::string& worker, worker_link& link);
+    /// Reports the leases of changed links that have expired.
+    void check_leases(common::time_point now);
     [[nodiscard]] std::optional<common::time_point> due_time(const std::string& worker,
                                                              const worker_link& link) const;
     [[nodiscard]] common::duration backoff(unsigned failures) const;
--- a/source/core/scheduling/worker_fleet_time.cpp
+++ b/source/core/scheduling/worker_fleet_time.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr common::duration poll_end_margin = std::chrono::milliseconds(50);
+// A majority usually accepts the epoch with the next renewals, within one renewal period.
+constexpr common::duration confirmation_interval = std::chrono::milliseconds(200);
 constexpr common::duration min_events_wait = std::chrono::milliseconds(200);
 
 void earlier(std::optional<common::time_point>& next, common::time_point candidate) {
@@ -35,9 +37,7 @@
     for (const auto& worker : m_due.take_due(now)) {
         mark_changed(worker);
     }
-    for (const auto& worker : m_changed) {
-        check_lease(now, worker, m_links.at(worker));
-    }
+    check_leases(now);
     const bool authorised = has_authority(now);
     if (authorised && !m_had_authority) {
         mark_all_changed();
@@ -50,15 +50,33 @@
     }
 }
 
-void worker_fleet::check_lease(common::time_point now, const std::string& worker,
-                               worker_link& link) {
-    const auto end = m_leases.latest_end(worker);
-    if (!end || now < *end || link.lapsed_end == end) {
-        return;
+/// A successor that reaches the worker may have renewed the leases before their end. It renews only
+/// with a majority, so the end is confirmed once a majority has accepted this epoch after it.
+void worker_fleet::check_leases(common::time_point now) {
+    std::optional<common::time_point> sole_until;
+    for (const auto& worker : m_changed) {
+        worker_link& link = m_links.at(worker);
+        const auto end = m_leases.latest_end(worker);
+        if (!end || now < *end || link.confirmed_end == end) {
+            continue;
+        }
+        if (link.lapsed_end != end) {
+            link.lapsed_end = end;
+            m_events.emplace_back(leases_lapsed{worker, false});
+        } else if (now < link.next_confirmation_check) {
+            continue;
+        }
+        if (!sole_until) {
+            sole_until = m_authority.sole_majority_until().value_or(common::time_point::min());
+        }
+        if (*sole_until < *end) {
+            link.next_confirmation_check = now + confirmation_interval;
+            continue;
+        }
+        link.confirmed_end = end;
+        link.unconfirmed.clear();
+        m_events.emplace_back(leases_lapsed{worker, true});
     }
-    link.lapsed_end = end;
-    link.unconfirmed.clear();
-    m_events.emplace_back(leases_lapsed{worker});
 }
 
 /// Without authority the owner must not renew leases and sends adopt requests instead: they extend
@@ -142,6 +160,8 @@
     const auto end = m_leases.latest_end(worker);
     if (end && link.lapsed_end != end) {
         earlier(due, *end);
+    } else if (end && link.confirmed_end != end) {
+        earlier(due, link.next_confirmation_check);
     }
     return due;
 }
--- a/tests/unit/scheduling/authority_test.cpp
+++ b/tests/unit/scheduling/authority_test.cpp
@@ -74,4 +74,21 @@
     BOOST_TEST(a.smaller_reach(at(seconds(5))).workers == 2U);
 }
 
+// Guards against a time before which a higher epoch may have had a majority: too few acceptances,
+// or a later one counted for an earlier.
+BOOST_AUTO_TEST_CASE(sole_majority_ends_with_the_oldest_acceptance_of_the_newest_majority) {
+    authority a(validity);
+    a.set_quorums({"w1", "w2", "w3"}, {"w1", "w2", "w3"});
+    a.record_acceptance("w1", at(seconds(5)));
+    BOOST_TEST(!a.sole_majority_until().has_value());
+    a.record_acceptance("w2", at(seconds(3)));
+    BOOST_TEST((a.sole_majority_until() == at(seconds(3))));
+    a.record_acceptance("w3", at(seconds(4)));
+    BOOST_TEST((a.sole_majority_until() == at(seconds(4))));
+    a.set_quorums({"w1", "w2", "w3"}, {"w2", "w3"});
+    BOOST_TEST((a.sole_majority_until() == at(seconds(3))));
+    a.set_quorums({}, {"w1"});
+    BOOST_TEST(!a.sole_majority_until().has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/scheduling/worker_fleet_test.cpp
+++ b/tests/unit/scheduling/worker_fleet_test.cpp
@@ -32,6 +32,8 @@
         for (const auto& event : events) {
             if (const auto* const call = std::get_if<adopt_call>(&event)) {
                 adoptions[call->worker] = call->call;
+            } else if (const auto* const renewal = std::get_if<sync_call>(&event)) {
+                renewals[renewal->worker] = renewal->call;
             }
         }
     }
@@ -45,6 +47,12 @@
         step();
     }
 
+    void fail_renewal(const std::string& worker) {
+        fleet.on_sync(now, worker, renewals.at(worker),
+                      worker_error{worker_error_kind::no_answer, 0});
+        step();
+    }
+
     [[nodiscard]] std::size_t starts_sent_to(const std::string& worker) const {
         std::size_t sent = 0;
         for (const auto& event : events) {
@@ -59,6 +67,7 @@
     common::time_point now{milliseconds(1000)};
     std::vector<fleet_event> events;
     std::map<std::string, std::uint64_t> adoptions;
+    std::map<std::string, std::uint64_t> renewals;
 };
 
 } // namespace
@@ -97,4 +106,39 @@
     BOOST_TEST(lapses == 1U);
 }
 
+// Guards against a lapse that is taken for certain although a successor may have had a majority
+// before the end of the lease and renewed it, and against one that is never confirmed.
+BOOST_AUTO_TEST_CASE(lapse_is_confirmed_by_a_majority_after_the_end_of_the_lease) {
+    adopting_fleet f;
+    f.respond_to_adoption("w1");
+    f.respond_to_adoption("w2");
+    f.respond_to_adoption("w3");
+    const auto lapses = [&f](bool confirmed) {
+        return std::count_if(f.events.begin(), f.events.end(), [&](const fleet_event& event) {
+            const auto* const lapsed = std::get_if<leases_lapsed>(&event);
+            return lapsed != nullptr && lapsed->worker == "w1" && lapsed->confirmed == confirmed;
+        });
+    };
+    const auto stamp_received_at = f.now;
+    // The first renewals are sent and remain without a result.
+    f.now += std::chrono::seconds(1);
+    f.step();
+    f.now = stamp_received_at + with_drift(lease_settings{}.lease, {});
+    f.step();
+    BOOST_TEST(lapses(false) == 1);
+    BOOST_TEST(lapses(true) == 0);
+    const auto accept_again = [&f](const std::string& worker) {
+        f.fail_renewal(worker);
+        f.now += std::chrono::seconds(2);
+        f.step();
+        f.respond_to_adoption(worker);
+        f.now += milliseconds(200);
+        f.step();
+    };
+    accept_again("w2");
+    BOOST_TEST(lapses(true) == 0);
+    accept_again("w3");
+    BOOST_TEST(lapses(true) == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
