Replace most workers for good in the soak

worker-departures takes between half and three quarters of the workers away at one moment without a report; as many with new ids join at the end of the fault, at addresses of those that left. worker-removals lets them drain first: they report draining, serve for 3 s after the store has accepted the report, and leave the list.

--- a/tests/soak/fault_injector.cpp
+++ b/tests/soak/fault_injector.cpp
@@ -63,6 +63,8 @@
     case fault_kind::worker_crashes:
     case fault_kind::store_calls_lost:
     case fault_kind::worker_calls_lost:
+    case fault_kind::worker_departures:
+    case fault_kind::worker_removals:
         return false;
     }
     return false;
@@ -95,6 +97,10 @@
         return lose_calls(true);
     case fault_kind::worker_calls_lost:
         return lose_calls(false);
+    case fault_kind::worker_departures:
+        return replace_workers(false, random);
+    case fault_kind::worker_removals:
+        return replace_workers(true, random);
     }
     return [] {};
 }
@@ -172,7 +178,7 @@
     return [this, workers] {
         m_cluster.on_loop([&] {
             for (auto* const worker : workers) {
-                if (!worker->is_up()) {
+                if (!worker->is_up() && !worker->is_leaving()) {
                     m_cluster.restart_worker(*worker);
                 }
             }
@@ -180,6 +186,30 @@
     };
 }
 
+// The workers that leave are most of the recorded ones, so that an owner that needs a majority of
+// them does not reach it again (issue 42).
+std::function<void()> fault_injector::replace_workers(bool planned, common::rng& random) {
+    std::size_t count = 0;
+    m_cluster.on_loop([&] {
+        const auto workers = draw_most_workers(random);
+        count = workers.size();
+        for (auto* const worker : workers) {
+            if (planned) {
+                worker->drain();
+            } else {
+                m_cluster.remove_worker(*worker);
+            }
+        }
+    });
+    return [this, count] {
+        m_cluster.on_loop([&] {
+            for (std::size_t i = 0; i < count; ++i) {
+                m_cluster.add_worker();
+            }
+        });
+    };
+}
+
 std::function<void()> fault_injector::kill_owner(const std::string& owner) {
     m_cluster.kill_node(owner);
     return [this, owner] {
@@ -209,4 +239,19 @@
     return drawn;
 }
 
+std::vector<leased_worker*> fault_injector::draw_most_workers(common::rng& random) const {
+    std::vector<leased_worker*> staying;
+    for (const auto& worker : m_cluster.workers()) {
+        if (!worker->is_leaving()) {
+            staying.push_back(worker.get());
+        }
+    }
+    const auto count = (staying.size() + 1) / 2 + random.below(staying.size() / 4 + 1);
+    for (std::size_t i = 0; i < count; ++i) {
+        std::swap(staying[i], staying[i + random.below(staying.size() - i)]);
+    }
+    staying.resize(count);
+    return staying;
+}
+
 } // namespace buckthornspar::soak
--- a/tests/soak/fault_injector.h
+++ b/tests/soak/fault_injector.h
@@ -47,9 +47,12 @@
     [[nodiscard]] std::vector<link> silence_links(common::rng& random) const;
     [[nodiscard]] std::function<void()> take_store_down(common::rng& random);
     [[nodiscard]] std::function<void()> crash_workers(common::rng& random);
+    [[nodiscard]] std::function<void()> replace_workers(bool planned, common::rng& random);
     [[nodiscard]] std::function<void()> kill_owner(const std::string& owner);
     [[nodiscard]] std::function<void()> lose_calls(bool of_store);
     [[nodiscard]] std::vector<leased_worker*> draw_workers(double share, common::rng& random) const;
+    /// Between half and three quarters of the workers.
+    [[nodiscard]] std::vector<leased_worker*> draw_most_workers(common::rng& random) const;
 
     soak_cluster& m_cluster;
     soak_log& m_log;
--- a/tests/soak/fault_schedule.h
+++ b/tests/soak/fault_schedule.h
@@ -19,6 +19,8 @@
     key_revoked,        ///< the owner's key is removed
     store_calls_lost,   ///< calls to the store are lost or executed late
     worker_calls_lost,  ///< calls to the workers are lost or executed late
+    worker_departures,  ///< most workers leave for good without a report, later others join
+    worker_removals,    ///< most workers drain and leave for good, others join
 };
 
 [[nodiscard]] std::string_view to_string(fault_kind kind);
--- a/tests/soak/leased_worker.cpp
+++ b/tests/soak/leased_worker.cpp
@@ -21,6 +21,9 @@
 
 constexpr std::int64_t heartbeat_ms = 1500;
 constexpr std::int64_t entry_lifetime_ms = 3 * heartbeat_ms;
+/// Longer than drain_bound_ms of the nodes' settings, so that starts ordered before the report was
+/// seen are still accepted.
+constexpr std::int64_t drain_ms = 3000;
 constexpr std::int64_t max_lease_ms = 6000;
 constexpr std::int64_t max_wait_ms = 2000;
 constexpr std::int64_t gang_ms = 3000;
@@ -336,18 +339,39 @@
     m_env.log.write("worker " + id() + " is up, born " + std::to_string(m_born_ms));
 }
 
+void leased_worker::drain() {
+    m_draining = true;
+    m_next_entry_ms = 0;
+    m_env.log.write("worker " + id() + " drains");
+}
+
+void leased_worker::leave(bool planned) {
+    crash();
+    m_left = true;
+    if (planned && m_listed && m_env.store.is_up() && !m_env.links.is_cut(id(), "store")) {
+        m_listed = false;
+        m_env.store.remove(key());
+    }
+    m_env.log.write("worker " + id() + " has left");
+}
+
+bool leased_worker::has_drained() const {
+    return m_draining &&
+           (!m_up || (m_drain_accepted_ms && now_ms() >= *m_drain_accepted_ms + drain_ms));
+}
+
 void leased_worker::write_entry() {
     if (!m_env.store.is_up() || m_env.links.is_cut(id(), "store")) {
         return;
     }
-    const json::object entry{
+    json::object entry{
         {"service", m_settings.service},
         // The view of each node replaces the address by the one of its own link.
         {"address", ""},
         {"zone", "z1"},
         {"version", "v1"},
         {"slots", 8},
-        {"state", "ready"},
+        {"state", m_draining ? "draining" : "ready"},
         {"cold_remaining_ms", 0},
         {"capacity",
          json::object{{"cpu", m_settings.cpu}, {"mem_mb", m_settings.memory_mb}, {"gpu", 0}}},
@@ -355,6 +379,11 @@
         {"clock_ms", clock_ms()},
         {"born", m_born_ms},
         {"seq", ++m_sequence}};
+    if (m_draining) {
+        m_drain_accepted_ms = m_drain_accepted_ms.value_or(now_ms());
+        entry["drain_remaining_ms"] =
+            std::max<std::int64_t>(0, *m_drain_accepted_ms + drain_ms - now_ms());
+    }
     m_env.store.put(key(), json::serialize(entry));
     m_entry_written_ms = now_ms();
     m_listed = true;
@@ -370,6 +399,9 @@
 }
 
 std::size_t leased_worker::free_places() const {
+    if (m_draining) {
+        return 0;
+    }
     const auto places = static_cast<std::size_t>(
         std::min(m_settings.cpu / task_cpu, m_settings.memory_mb / task_memory_mb));
     return places - std::min(places, m_running.size());
--- a/tests/soak/leased_worker.h
+++ b/tests/soak/leased_worker.h
@@ -78,6 +78,16 @@
     void crash();
     /// Starts again with the same id, a new start time and a new clock.
     void restart();
+    /// Reports draining, and has drained some time after the store has accepted the report.
+    void drain();
+    /// Ends for good. A planned end removes the entry, which otherwise stays until it expires.
+    void leave(bool planned);
+    [[nodiscard]] bool is_leaving() const { return m_draining || m_left; }
+    [[nodiscard]] bool has_left() const { return m_left; }
+    /// Whether the instance list has its entry.
+    [[nodiscard]] bool is_listed() const { return m_listed; }
+    /// Whether the worker is to leave now. One that crashes while it drains does not return.
+    [[nodiscard]] bool has_drained() const;
     [[nodiscard]] bool is_up() const { return m_up; }
     [[nodiscard]] std::int64_t born_ms() const { return m_born_ms; }
     [[nodiscard]] std::int64_t cpu() const { return m_settings.cpu; }
@@ -132,6 +142,9 @@
     worker_environment m_env;
     worker_settings m_settings;
     bool m_up = false;
+    bool m_draining = false;
+    bool m_left = false;
+    std::optional<std::int64_t> m_drain_accepted_ms;
     std::int64_t m_born_ms = 0;
     std::int64_t m_started_at_ms = 0;
     std::uint64_t m_sequence = 0;
--- a/tests/soak/soak_cluster.cpp
+++ b/tests/soak/soak_cluster.cpp
@@ -139,7 +139,7 @@
         add_gates(n->id);
     }
     for (std::size_t i = 0; i < m_options.workers; ++i) {
-        add_worker(i);
+        add_worker();
     }
     write_configuration();
     m_loop.start();
@@ -187,7 +187,8 @@
     }
 }
 
-void soak_cluster::add_worker(std::size_t number) {
+void soak_cluster::add_worker() {
+    const auto number = m_next_worker++;
     worker_settings settings;
     settings.id = "i-" + std::to_string(1000 + number);
     settings.service = service_name;
@@ -202,11 +203,54 @@
     m_workers.push_back(std::make_unique<leased_worker>(environment, settings));
     for (const auto& n : m_nodes) {
         m_worker_links.push_back(
-            std::make_unique<worker_link>(*m_workers.back(), n->id, m_ports.take()));
+            std::make_unique<worker_link>(*m_workers.back(), n->id, take_worker_port()));
     }
     listen(*m_workers.back());
 }
 
+// Addresses of workers that have left are used again, as the platform may do, so that a long run
+// does not use up the ports.
+std::uint16_t soak_cluster::take_worker_port() {
+    if (m_free_worker_ports.empty()) {
+        return m_ports.take();
+    }
+    const auto port = m_free_worker_ports.back();
+    m_free_worker_ports.pop_back();
+    return port;
+}
+
+void soak_cluster::remove_worker(leased_worker& worker) {
+    worker.leave(worker.is_up() && worker.has_drained());
+    crash_worker(worker);
+    const auto position = std::find_if(m_workers.begin(), m_workers.end(),
+                                       [&](const auto& w) { return w.get() == &worker; });
+    m_left_workers.push_back(std::move(*position));
+    m_workers.erase(position);
+}
+
+// Entries name the address until they end.
+void soak_cluster::release_worker_ports() {
+    std::erase_if(m_worker_links, [&](const auto& link) {
+        if (!link->worker().has_left() || link->worker().is_listed()) {
+            return false;
+        }
+        m_free_worker_ports.push_back(link->address().port);
+        return true;
+    });
+}
+
+void soak_cluster::remove_drained_workers() {
+    std::vector<leased_worker*> drained;
+    for (const auto& w : m_workers) {
+        if (w->has_drained()) {
+            drained.push_back(w.get());
+        }
+    }
+    for (auto* const worker : drained) {
+        remove_worker(*worker);
+    }
+}
+
 void soak_cluster::listen(const leased_worker& worker) {
     for (const auto& link : m_worker_links) {
         if (&link->worker() == &worker) {
@@ -436,6 +480,11 @@
     for (const auto& w : m_workers) {
         w->tick();
     }
+    for (const auto& w : m_left_workers) {
+        w->tick();
+    }
+    remove_drained_workers();
+    release_worker_ports();
     if (m_watch_from_ms && now >= *m_watch_from_ms) {
         m_lost.watch([this](const std::string& job) { return places_for(job); }, now);
     }
--- a/tests/soak/soak_cluster.h
+++ b/tests/soak/soak_cluster.h
@@ -86,6 +86,10 @@
     }
     void crash_worker(leased_worker& worker);
     void restart_worker(leased_worker& worker);
+    /// The worker leaves for good, without a report unless it has drained.
+    void remove_worker(leased_worker& worker);
+    /// A worker with a new id joins.
+    void add_worker();
 
 private:
     struct node;
@@ -94,12 +98,14 @@
 
     [[nodiscard]] node& node_of(const std::string& id);
     void add_node(std::size_t number);
-    void add_worker(std::size_t number);
     void add_gates(const std::string& from);
     void write_settings(const node& n) const;
     void write_configuration();
     void wait_ready();
     void listen(const leased_worker& worker);
+    [[nodiscard]] std::uint16_t take_worker_port();
+    void release_worker_ports();
+    void remove_drained_workers();
     void tick(std::int64_t due_ms);
     void log_new_violations(const std::vector<std::string>& violations, std::size_t& logged);
     [[nodiscard]] std::size_t places_for(const std::string& job) const;
@@ -119,6 +125,10 @@
     peer_addresses m_peer_addresses;
     net::http_client m_gate_client;
     std::vector<std::unique_ptr<leased_worker>> m_workers;
+    /// Kept until their entries have ended, and because late calls refer to them.
+    std::vector<std::unique_ptr<leased_worker>> m_left_workers;
+    std::size_t m_next_worker = 0;
+    std::vector<std::uint16_t> m_free_worker_ports;
     std::vector<std::unique_ptr<worker_link>> m_worker_links;
     std::vector<std::unique_ptr<peer_gate>> m_gates;
     std::vector<std::unique_ptr<net::http_server>> m_gate_servers;
