Wait for the answer of a worker that the instance list shows as restarted

Callers could see a task run on two workers at once after a change of owner.

Cause: when the instance list showed a new incarnation of a worker that the successor waited for, the wait ended, because the runs of the former incarnation are gone. The new one has no fence yet: a start that the former owner repeats begins there while the successor starts the task elsewhere. Since an owner may order by a view of its key, it repeats such starts without a majority too.

Change: the wait ends when the new incarnation has answered a poll under the own fence, or after the leases of the former owners, as for any other worker.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -67,8 +67,9 @@
         log_event(severity::info, "worker_restarted",
                   {{"worker", report.id}, {"born_ms", report.start_time_ms}});
         handle_worker_restart(now, report.id, change);
-        m_unreported_runs_possible |= m_unadopted.erase(report.id) > 0;
-        m_unresponsive_workers.erase(report.id);
+        // A start of a former owner may still begin there until the new incarnation has answered a
+        // poll under this owner's fence.
+        m_unreported_runs_possible |= m_unadopted.contains(report.id);
     }
     if (change.draining_changed || change.added || !was_listed) {
         log_event(severity::info, "worker_listed",
--- a/tests/unit/dispatch/recovery_test.cpp
+++ b/tests/unit/dispatch/recovery_test.cpp
@@ -183,6 +183,40 @@
     BOOST_TEST(!f.engine.has_authority(f.now));
 }
 
+// Guards against two runs of a task at once: the instance list shows the next incarnation of a
+// worker before that has answered, and a start of the former owner that is under way begins there
+// (issue 36).
+BOOST_AUTO_TEST_CASE(a_listed_restart_does_not_end_the_wait_for_the_worker) {
+    for (const bool silent : {false, true}) {
+        worker_record record;
+        record.term = 1;
+        for (const auto* const id : {"w1", "w2", "w3"}) {
+            record.workers.push_back(dispatch_fixture::report(id));
+        }
+        if (silent) {
+            record.unresponsive_workers = {"w3"};
+            record.jobs_on_unresponsive_workers = {"a"};
+        }
+        dispatch_fixture f;
+        f.engine.on_queues({dispatch_fixture::plain_queue()});
+        f.unreachable["w3"] = true;
+        for (const auto* const id : {"w1", "w2", "w3"}) {
+            f.engine.on_worker(f.now, dispatch_fixture::report(id));
+        }
+        f.engine.take_over(f.now, 10, write_worker_record(record));
+        f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 5);
+        f.save();
+        f.advance(300ms);
+        f.crash_worker("w3");
+        f.advance(500ms);
+        f.save();
+        BOOST_TEST(f.starts.empty());
+        f.unreachable["w3"] = false;
+        f.advance(1s);
+        BOOST_TEST(f.starts.size() == 1U);
+    }
+}
+
 // Guards against a run number that is used twice: a successor's successor does not learn that runs
 // of a silent worker may exist that was given up because it has left the instance list (found by
 // seed 16581 of random_shares_pass).
