Give silent workers up only with a view of the key after their last leases

Callers could see a task started a second time beside its run, and after its acknowledged end, when two owners followed each other within a few seconds.

Cause: an owner ends its wait for a worker when the leases that its predecessors may have granted have ended. An owner that is cut off from the store meanwhile and keeps most of the workers goes on under its majority; its successor may reach the silent worker, adopt the run there and renew its lease. The loss of a worker's runs needs a view of the key after the lease already; the end of the recovery, the end of the wait for silent workers and the removal of a worker that is waited for did not.

Change: all three compare the end of the leases with the time at which the store showed the key last.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -362,7 +362,7 @@
         }
         if (!worker.listed && now > worker.unlisted_since + m_settings.unlisted_grace &&
             worker.runs.empty() && !worker.reachable && now > worker.lease_end &&
-            (!is_waited_for(id) || former_leases_over(now))) {
+            (!is_waited_for(id) || former_leases_over(m_key_seen_at))) {
             removable.push_back(id);
         }
     }
--- a/source/core/dispatch/dispatcher_recovery.cpp
+++ b/source/core/dispatch/dispatcher_recovery.cpp
@@ -201,9 +201,11 @@
         return;
     }
     log_recovery(now);
-    const bool lapsed = former_leases_over(now);
+    // Until the store has shown the key after that, a successor may have adopted the runs and have
+    // renewed their leases.
+    const bool lapsed = former_leases_over(m_key_seen_at);
     if (!m_recovered && m_term_recorded &&
-        (m_unadopted.empty() || (lapsed && !is_any_partly_listed(now, m_unadopted)))) {
+        (m_unadopted.empty() || (lapsed && !is_any_partly_listed(m_key_seen_at, m_unadopted)))) {
         m_recovered = true;
         m_replan_needed = true;
         note_all_waiting();
@@ -225,7 +227,7 @@
     }
     if (m_recovered && !m_jobs_on_unresponsive_workers.empty() &&
         (m_unresponsive_workers.empty() ||
-         (lapsed && !is_any_partly_listed(now, m_unresponsive_workers)))) {
+         (lapsed && !is_any_partly_listed(m_key_seen_at, m_unresponsive_workers)))) {
         for (const auto& id : m_jobs_on_unresponsive_workers) {
             if (const auto job = m_jobs.find(id); job != m_jobs.end()) {
                 skip_possible_run_numbers(job->second);
--- a/tests/unit/dispatch/recovery_test.cpp
+++ b/tests/unit/dispatch/recovery_test.cpp
@@ -217,6 +217,38 @@
     }
 }
 
+// Guards against a second run of a task beside that of a successor: an owner that is cut off from
+// the store with most of the workers gives up a silent worker whose runs the successor has adopted
+// (found by seed 1908 of random_late_changes_pass).
+BOOST_AUTO_TEST_CASE(a_silent_worker_is_not_given_up_while_a_successor_may_exist) {
+    for (const bool silent : {false, true}) {
+        worker_record record;
+        record.term = 1;
+        dispatch_fixture f;
+        f.engine.on_queues({dispatch_fixture::plain_queue()});
+        for (const auto* const id : {"w1", "w2", "w3", "w4", "w5"}) {
+            record.workers.push_back(dispatch_fixture::report(id));
+            f.engine.on_worker(f.now, dispatch_fixture::report(id));
+        }
+        if (silent) {
+            record.unresponsive_workers = {"w5"};
+            record.jobs_on_unresponsive_workers = {"a"};
+        }
+        f.unreachable["w5"] = true;
+        f.engine.take_over(f.now, 10, write_worker_record(record));
+        f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 5);
+        f.save();
+        f.advance(1s);
+        f.key_seen = false;
+        f.advance(15s);
+        BOOST_TEST(f.engine.has_authority(f.now));
+        BOOST_TEST(f.starts.empty());
+        f.key_seen = true;
+        f.advance(1s);
+        BOOST_TEST(f.starts.size() == 1U);
+    }
+}
+
 // Guards against a run number that is used twice: a successor's successor does not learn that runs
 // of a silent worker may exist that was given up because it has left the instance list (found by
 // seed 16581 of random_shares_pass).
