--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -67,8 +67,8 @@
         log_event(severity::info, "worker_restarted",
                   {{"worker", report.id}, {"born_ms", report.start_time_ms}});
         handle_worker_restart(now, report.id, change);
-        // Until the new incarnation has answered, it takes starts of the former owner that arrive
-        // late, so that it is still waited for.
+        // A start of a former owner may still begin there until the new incarnation has answered a
+        // poll under this owner's fence.
         m_unreported_runs_possible |= m_unadopted.contains(report.id);
     }
     if (change.draining_changed || change.added || !was_listed) {
@@ -364,7 +364,7 @@
         }
         if (!worker.listed && now > worker.unlisted_since + m_settings.unlisted_grace &&
             worker.runs.empty() && !worker.reachable && now > worker.lease_end &&
-            (!is_waited_for(id) || former_leases_over(now))) {
+            (!is_waited_for(id) || former_leases_over(m_key_seen_at))) {
             removable.push_back(id);
         }
     }
