Let the wait for silent workers go on under the next owner

Cause: an owner waits until the leases of its predecessors are certainly over, 6.2 s at least, counted from its own take-over. When it was replaced before that, its successor began the whole wait again.

Change: the record names the workers that have not answered and for how long runs may still exist there, every 0.5 s. The successor waits for no longer. The time is a rest and no date, because the clocks of nodes jump. It holds because the owner sends such a worker neither leases nor starts before a record without it is stored, which the key of a successor prevents. A new incarnation is waited for in full. Records of earlier versions are read as before, and earlier versions pass over the new field.

a_wait_that_is_not_over_goes_on_under_the_next_owner and the scenario script silent_worker_quick_owners failed before. The two other new unit tests fail when leases or starts are not withheld, or the rest is used for a new incarnation.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -38,6 +38,9 @@
 // would be 8 GB.
 constexpr auto min_record_delay = std::chrono::milliseconds(15);
 constexpr auto record_delay_per_worker = std::chrono::microseconds(50);
+// The remaining waits for silent workers are recorded this often. A successor waits for longer by
+// as much at most.
+constexpr auto wait_record_interval = std::chrono::milliseconds(500);
 // Interval at which leases, lost workers and unanswered stops are checked.
 constexpr auto check_interval = std::chrono::milliseconds(40);
 
@@ -235,7 +238,7 @@
         m_record_due.reset();
         m_batch_workers.emplace();
         for (const auto& [id, worker] : m_workers.all()) {
-            if (is_unresponsive(worker)) {
+            if (is_unresponsive(worker) || has_recordable_wait(worker)) {
                 // A successor relies on no further runs being started on this worker.
                 m_recorded_workers.erase(id);
             } else if (is_recordable(worker)) {
@@ -245,6 +248,11 @@
         const auto record = make_worker_record();
         m_pending_quorum = record.quorum_or_all();
         m_quorum_outdated = true;
+        m_pending_waits.clear();
+        for (const auto& entry : record.remaining_waits) {
+            m_pending_waits.insert(entry.first);
+        }
+        m_waits_due = m_recovery_checked_at + wait_record_interval;
         batch.workers = write_worker_record(record);
     }
     m_save_pending = true;
@@ -290,6 +298,7 @@
     if (m_batch_workers) {
         m_recorded_workers = *std::exchange(m_batch_workers, std::nullopt);
         m_stored_quorum = *std::exchange(m_pending_quorum, std::nullopt);
+        m_stored_waits = std::exchange(m_pending_waits, {});
         m_quorum_outdated = true;
         m_term_recorded = true;
         m_replan_needed = true;
@@ -364,7 +373,7 @@
         }
         if (!worker.listed && now > worker.unlisted_since + m_settings.unlisted_grace &&
             worker.runs.empty() && !worker.reachable && now > worker.lease_end &&
-            (!is_waited_for(id) || former_leases_over(now))) {
+            (!is_waited_for(id) || now > former_leases_end())) {
             removable.push_back(id);
         }
     }
@@ -379,6 +388,7 @@
         m_workers.erase(id);
         m_unreported_runs_possible |= m_unadopted.erase(id) > 0;
         m_unresponsive_workers.erase(id);
+        m_recorded_wait_ends.erase(id);
         // Workers that are gone must not keep the successor of their owner from its majority.
         m_former_quorum.erase(id);
         m_unconfirmed_incarnations.erase(id);
@@ -414,7 +424,7 @@
         // still finds out whether this owner has been replaced.
         const bool answers =
             worker->reachable || (call.through_peer && worker->answers_through_peer);
-        worker->poll_renews = answers && permitted;
+        worker->poll_renews = answers && permitted && !is_wait_recorded(worker->report.id);
         if (worker->poll_renews) {
             call.order.valid_until_ms = m_workers.grant_lease(*worker, now);
         } else if (answers) {
@@ -512,6 +522,7 @@
         log_adoption(now, *worker, result, call.through_peer);
     }
     worker->answered = true;
+    m_workers_dirty |= is_wait_recorded(call.order.worker);
     if (!result.may_omit_ends()) {
         worker->adopted = true;
         worker->known = true;
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -212,13 +212,26 @@
     [[nodiscard]] bool is_former_quorum_settled(common::time_point now) const {
         return now + m_settings.authority >= m_former_authority_end;
     }
-    /// The leases that a former owner may have granted have ended.
-    [[nodiscard]] bool former_leases_over(common::time_point now) const;
+    /// The leases that former owners may have granted have ended at this time.
+    [[nodiscard]] common::time_point former_leases_end() const;
+    /// The time on the slowest clock that is assumed.
+    [[nodiscard]] static common::duration longest(common::duration time);
 
     // dispatcher_recovery.cpp
     void check_recovery(common::time_point now);
     /// Records the workers that have not answered as unresponsive, once none can hold runs.
     void give_up_unadopted();
+    /// Runs that former owners started or renewed on the worker have ended at this time.
+    [[nodiscard]] common::time_point former_runs_end(const std::string& worker) const;
+    /// All runs of former owners on these workers have ended, as far as none of them has answered.
+    [[nodiscard]] bool former_runs_over(common::time_point now,
+                                        const std::set<std::string>& workers) const;
+    /// The worker has not answered this owner, and jobs wait for it.
+    [[nodiscard]] bool has_recordable_wait(const worker_entry& worker) const;
+    /// The worker is in worker_record::remaining_waits of the stored or of the pending record.
+    [[nodiscard]] bool is_wait_recorded(const std::string& worker) const {
+        return m_stored_waits.contains(worker) || m_pending_waits.contains(worker);
+    }
     /// Logs that jobs of the former owner wait for workers that do not answer.
     void log_recovery(common::time_point now);
     /// The worker may hold runs of a former owner that no list has shown.
@@ -378,6 +391,13 @@
     /// up, until they answer, and the jobs that may have runs there.
     std::set<std::string> m_unresponsive_workers;
     std::set<std::string> m_jobs_on_unresponsive_workers;
+    /// When runs of former owners on workers have certainly ended, by the record that was read.
+    std::map<std::string, common::time_point> m_recorded_wait_ends;
+    /// See is_wait_recorded(). The record is due again at m_waits_due, with shorter waits.
+    std::set<std::string> m_stored_waits;
+    std::set<std::string> m_pending_waits;
+    common::time_point m_waits_due;
+    common::time_point m_recovery_checked_at;
     lasting_state_log m_recovery_log;
     /// A worker that may have held runs never answered, or has restarted since it held them.
     bool m_unreported_runs_possible = false;
--- a/source/core/dispatch/dispatcher_authority.cpp
+++ b/source/core/dispatch/dispatcher_authority.cpp
@@ -9,15 +9,10 @@
 using common::log_event;
 using common::severity;
 
-namespace {
-
-// The time on the slowest clock that is assumed.
-common::duration longest(common::duration time) {
+common::duration dispatcher::longest(common::duration time) {
     return time + time / 20;
 }
 
-} // namespace
-
 bool dispatcher::has_authority(common::time_point now) {
     const auto reach = quorum_reach(now);
     return now < m_key_seen_at + allowed_key_absence(reach.accepted, reach.workers);
@@ -114,8 +109,8 @@
 }
 
 // Runs that a former owner started or renewed at the end of its authority end with their lease.
-bool dispatcher::former_leases_over(common::time_point now) const {
-    return now > m_former_authority_end + longest(m_settings.leases.lease);
+common::time_point dispatcher::former_leases_end() const {
+    return m_former_authority_end + longest(m_settings.leases.lease);
 }
 
 } // namespace buckthornspar::dispatch
--- a/source/core/dispatch/dispatcher_recovery.cpp
+++ b/source/core/dispatch/dispatcher_recovery.cpp
@@ -42,6 +42,7 @@
                            const std::string& recorded_workers) {
     m_fence = fence;
     m_taken_over_at = now;
+    m_recovery_checked_at = now;
     m_key_seen_at = now;
     m_without_authority_since = now;
     m_last_start_at = now;
@@ -64,12 +65,14 @@
     for (const auto& report : record.workers) {
         m_proven_workers.insert(report.id);
         const bool unresponsive = record.unresponsive_workers.contains(report.id);
-        if (unresponsive) {
-            m_unresponsive_workers.insert(report.id);
-        } else {
+        const auto wait = record.remaining_waits.find(report.id);
+        const bool wait_recorded = wait != record.remaining_waits.end();
+        if (wait_recorded) {
+            m_stored_waits.insert(report.id);
+        } else if (!unresponsive) {
             m_recorded_workers.insert(report.id);
-            m_unadopted.insert(report.id);
         }
+        (unresponsive ? m_unresponsive_workers : m_unadopted).insert(report.id);
         auto* known = m_workers.find(report.id);
         if (known == nullptr) {
             m_workers.upsert(now, report);
@@ -77,9 +80,13 @@
             known = m_workers.find(report.id);
             schedule_poll(*known, now);
         }
-        m_unreported_runs_possible |=
-            !unresponsive && known->report.start_time_ms != report.start_time_ms;
-        m_workers.assume_lease(*known, now);
+        const bool restarted = known->report.start_time_ms != report.start_time_ms;
+        m_unreported_runs_possible |= !unresponsive && restarted;
+        if (wait_recorded && !restarted) {
+            m_recorded_wait_ends[report.id] = now + longest(wait->second);
+        } else {
+            m_workers.assume_lease(*known, now);
+        }
     }
     m_jobs_on_unresponsive_workers = record.jobs_on_unresponsive_workers;
     m_recovered = false;
@@ -114,6 +121,10 @@
             record.workers.push_back(worker.report);
             record.workers.back().start_time_ms = recorded_incarnation(worker);
         }
+        if (has_recordable_wait(worker)) {
+            const auto end = std::max(former_runs_end(id), worker.lease_end);
+            record.remaining_waits[id] = std::max(common::duration(0), end - m_recovery_checked_at);
+        }
         if (is_unresponsive(worker)) {
             record.unresponsive_workers.insert(id);
             for (const auto& entry : worker.runs) {
@@ -200,7 +211,28 @@
     m_unadopted.clear();
 }
 
+common::time_point dispatcher::former_runs_end(const std::string& worker) const {
+    const auto end = former_leases_end();
+    const auto recorded = m_recorded_wait_ends.find(worker);
+    return recorded == m_recorded_wait_ends.end() ? end : std::min(end, recorded->second);
+}
+
+bool dispatcher::former_runs_over(common::time_point now,
+                                  const std::set<std::string>& workers) const {
+    return std::all_of(workers.begin(), workers.end(),
+                       [&](const std::string& id) { return now > former_runs_end(id); });
+}
+
+// Until its second poll has failed, a worker may be sent a lease.
+bool dispatcher::has_recordable_wait(const worker_entry& worker) const {
+    const auto& id = worker.report.id;
+    return !worker.answered && (!worker.reachable || is_wait_recorded(id)) &&
+           (m_unadopted.contains(id) ||
+            (!m_jobs_on_unresponsive_workers.empty() && m_unresponsive_workers.contains(id)));
+}
+
 void dispatcher::check_recovery(common::time_point now) {
+    m_recovery_checked_at = now;
     update_former_authority_end(now);
     if (m_keeps_former_quorum && is_former_quorum_settled(now)) {
         m_keeps_former_quorum = false;
@@ -210,9 +242,10 @@
         return;
     }
     log_recovery(now);
-    const bool lapsed = former_leases_over(now);
-    if (!m_recovered && m_term_recorded &&
-        (m_unadopted.empty() || (lapsed && !is_any_partly_listed(now, m_unadopted)))) {
+    const bool waits_recorded = !m_stored_waits.empty() || !m_pending_waits.empty();
+    m_workers_dirty |= waits_recorded && now >= m_waits_due;
+    if (!m_recovered && m_term_recorded && former_runs_over(now, m_unadopted) &&
+        !is_any_partly_listed(now, m_unadopted)) {
         m_recovered = true;
         m_replan_needed = true;
         note_all_waiting();
@@ -233,8 +266,8 @@
         give_up_unadopted();
     }
     if (m_recovered && !m_jobs_on_unresponsive_workers.empty() &&
-        (m_unresponsive_workers.empty() ||
-         (lapsed && !is_any_partly_listed(now, m_unresponsive_workers)))) {
+        former_runs_over(now, m_unresponsive_workers) &&
+        !is_any_partly_listed(now, m_unresponsive_workers)) {
         for (const auto& id : m_jobs_on_unresponsive_workers) {
             if (const auto job = m_jobs.find(id); job != m_jobs.end()) {
                 skip_possible_run_numbers(job->second);
--- a/source/core/dispatch/dispatcher_runs.cpp
+++ b/source/core/dispatch/dispatcher_runs.cpp
@@ -167,6 +167,8 @@
                                        const worker_registry::update& change) {
     auto& worker = *m_workers.find(id);
     m_workers_dirty = true;
+    // It holds for the former incarnation only.
+    m_recorded_wait_ends.erase(id);
     if (!change.was_draining) {
         count_crash(now, worker, change.was_silent_since.value_or(now),
                     change.was_cut_off ? loss_evidence::silent : loss_evidence::restarted);
--- a/source/core/dispatch/worker_record.cpp
+++ b/source/core/dispatch/worker_record.cpp
@@ -39,6 +39,14 @@
     if (record.unreported_runs) {
         document["unreported_runs"] = true;
     }
+    if (!record.remaining_waits.empty()) {
+        json::object waits;
+        for (const auto& [id, wait] : record.remaining_waits) {
+            // Rounded up.
+            waits[id] = common::to_milliseconds(wait) + 1;
+        }
+        document["remaining_waits"] = std::move(waits);
+    }
     if (record.quorum) {
         document["quorum"] = json::value_from(*record.quorum);
     }
@@ -69,6 +77,12 @@
         if (const auto* const unreported = value.as_object().if_contains("unreported_runs")) {
             record.unreported_runs = unreported->as_bool();
         }
+        if (const auto* const waits = value.as_object().if_contains("remaining_waits")) {
+            for (const auto& [id, wait] : waits->as_object()) {
+                record.remaining_waits[id] =
+                    std::chrono::milliseconds(wait.to_number<std::uint32_t>());
+            }
+        }
         if (const auto* const quorum = value.as_object().if_contains("quorum")) {
             record.quorum = json::value_to<std::set<std::string>>(*quorum);
             const auto all = ids_of(record.workers);
--- a/source/core/dispatch/worker_record.h
+++ b/source/core/dispatch/worker_record.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "core/common/clock.h"
 #include "core/dispatch/worker_link.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -24,6 +26,10 @@
     /// runs there.
     std::set<std::string> unresponsive_workers;
     std::set<std::string> jobs_on_unresponsive_workers;
+    /// Workers from the list above that have not answered the owner, and for how long runs may
+    /// still exist there from now on. The owner sends them no lease and no start before a record
+    /// without them is stored, so that the wait for them goes on under its successor.
+    std::map<std::string, common::duration> remaining_waits;
     /// Runs that no worker has reported may exist, of any earlier term: a worker was given up.
     bool unreported_runs = false;
     /// Workers from the list above of which a majority is needed in place of all of them: those of
--- a/tests/unit/dispatch/silent_workers_test.cpp
+++ b/tests/unit/dispatch/silent_workers_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace buckthornspar;
@@ -138,4 +139,87 @@
     }
 }
 
+// Guards against jobs that wait for good for a silent worker because each owner is replaced before
+// its wait is over and the next one begins it again (LOST, issue 42).
+BOOST_AUTO_TEST_CASE(a_wait_that_is_not_over_goes_on_under_the_next_owner) {
+    auto silent = read_worker_record(record_of({"w1", "w2", "w3"}));
+    silent.unresponsive_workers = {"w3"};
+    silent.jobs_on_unresponsive_workers = {"a"};
+    for (const auto& first_record : {record_of({"w1", "w2", "w3"}), write_worker_record(silent)}) {
+        auto record = first_record;
+        common::duration waited{0};
+        bool started = false;
+        for (std::uint64_t fence = 10; fence <= 40 && !started; fence += 10) {
+            owner_with_silent_worker f(fence, record);
+            f.engine.on_job(f.now, dispatch_fixture::job("a", 1, 1000), {}, 5);
+            const auto begun = f.now;
+            while (f.now < begun + 4s && !started) {
+                f.advance_and_save(100ms);
+                started = f.has_started("a");
+            }
+            waited += f.now - begun;
+            record = f.worker_record;
+        }
+        BOOST_TEST(started);
+        // Not before the leases of the first owner are certainly over.
+        BOOST_TEST((waited > dispatcher_settings().authority + lease_settings().lease));
+    }
+}
+
+// Guards against runs that are alive after the wait for their worker is over: an owner that has
+// recorded the rest of the wait renews their lease or starts others, and its successor does not
+// know that.
+BOOST_AUTO_TEST_CASE(a_worker_gets_no_order_while_the_rest_of_its_wait_is_recorded) {
+    owner_with_silent_worker f(10, record_of({"w1", "w2", "w3"}));
+    f.advance_and_save(3s);
+    BOOST_REQUIRE(read_worker_record(f.worker_record).remaining_waits.contains("w3"));
+    const auto orders = [](const owner_with_silent_worker& owner) {
+        const auto renewals =
+            std::count_if(owner.polls.begin(), owner.polls.end(), [](const auto& poll) {
+                return poll.worker == "w3" && poll.valid_until_ms > 0;
+            });
+        const auto starts = std::count_if(owner.starts.begin(), owner.starts.end(),
+                                          [](const auto& order) { return order.worker == "w3"; });
+        return std::pair(renewals > 0, starts > 0);
+    };
+    // Neither this owner nor its successor sends one, although the worker answers again.
+    owner_with_silent_worker next(20, f.worker_record);
+    for (auto* const owner : {&f, &next}) {
+        owner->unreachable["w3"] = false;
+        owner->polls.clear();
+        owner->engine.on_job(owner->now, dispatch_fixture::job("b", 3, 40'000), {}, 21);
+        owner->advance(2s);
+        BOOST_TEST((orders(*owner) == std::pair(false, false)));
+        owner->save();
+        BOOST_TEST(read_worker_record(owner->worker_record).remaining_waits.empty());
+        owner->advance(1500ms);
+        BOOST_TEST((orders(*owner) == std::pair(true, true)));
+    }
+}
+
+// Guards against a wait that is too short: a new incarnation of the worker may hold runs of other
+// owners than the one whose orders the rest of the wait was computed from.
+BOOST_AUTO_TEST_CASE(the_rest_of_a_wait_does_not_hold_for_the_next_incarnation) {
+    owner_with_silent_worker f(10, record_of({"w1", "w2", "w3"}));
+    f.advance_and_save(5s);
+    auto record = read_worker_record(f.worker_record);
+    BOOST_REQUIRE(record.remaining_waits.contains("w3"));
+    for (const bool before_take_over : {false, true}) {
+        if (before_take_over) {
+            // The instance list shows another incarnation than this one.
+            record.workers.back().start_time_ms = 1;
+        }
+        owner_with_silent_worker next(20, write_worker_record(record));
+        next.engine.on_job(next.now, dispatch_fixture::job("a", 1, 1000), {}, 5);
+        next.advance_and_save(1s);
+        if (!before_take_over) {
+            next.crash_worker("w3");
+        }
+        next.advance_and_save(6s);
+        BOOST_TEST(next.starts.empty());
+        next.advance_and_save(2s);
+        BOOST_TEST(next.starts.size() == 1U);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
