Let a successor count the runs that may have crashed silent workers

Change: the record of workers, which is written anyway when a worker does not answer, names the runs that may have crashed it, with the incarnation and the evidence. A successor counts them when it loads their jobs, before it starts the tasks again. The counts are confirmed by the next incarnation or the removal of the worker, and withdrawn when it answers in the same incarnation, as the owner's own.

a_successor_counts_the_recorded_runs_of_crashed_workers fails without the count (six starts in six terms, no end; now two starts). a_successor_withdraws_the_count_of_a_worker_that_answers and a_successor_does_not_count_a_crash_again bound it.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -124,6 +124,7 @@
     note_waiting(spec.id);
     m_actions.emplace_back(state_change{spec.id, spec.queue, state, spec.accepted_by});
     m_replan_needed = true;
+    count_recorded_suspects(now, spec.id);
     if (m_cancels_before_job.erase(spec.id) > 0) {
         on_cancel(now, spec.id);
     }
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -261,6 +261,15 @@
     // dispatcher_crashes.cpp
     void count_crash(common::time_point now, worker_entry& worker, common::time_point crashed_at,
                      loss_evidence evidence);
+    [[nodiscard]] std::vector<suspected_run> find_suspects(const worker_entry& worker,
+                                                           common::time_point crashed_at,
+                                                           loss_evidence evidence) const;
+    /// Counts a crash under the run, which becomes certain or is withdrawn later.
+    void count_suspect(worker_entry& worker, const suspected_run& suspect);
+    /// Adds the suspected runs of the record's unresponsive workers.
+    void record_suspects(worker_record& record) const;
+    /// Counts the crashes that the former owner recorded for tasks of the job.
+    void count_recorded_suspects(common::time_point now, const std::string& job);
     [[nodiscard]] bool has_common_cause(const worker_entry& worker, common::time_point crashed_at,
                                         common::duration window) const;
     void confirm_crash(common::time_point now, worker_entry& worker, loss_evidence evidence);
@@ -397,6 +406,8 @@
         std::vector<suspected_run> suspects;
     };
     std::map<std::string, gone_worker> m_gone_workers;
+    /// Suspected runs that the former owner recorded, by job, until the job is loaded.
+    std::map<std::string, std::vector<recorded_suspect>> m_recorded_suspects;
 
     std::set<std::string> m_dirty_jobs;
     /// Jobs that the current save round still has to write, and by worker the number up to which
--- a/source/core/dispatch/dispatcher_crashes.cpp
+++ b/source/core/dispatch/dispatcher_crashes.cpp
@@ -15,11 +15,16 @@
 constexpr std::size_t max_logged_runs = 8;
 // A worker that was cut off rather than crashed is back in the instance list within this time.
 constexpr auto gone_worker_memory = std::chrono::minutes(1);
+// Workers of which a record names the suspected runs, and these runs; each takes about 70 bytes.
+// All workers are examined for each of these, and a fleet of ten thousand may fall silent at once.
+constexpr std::size_t max_recorded_crashes = 64;
+constexpr std::size_t max_recorded_suspects = 256;
 
-std::string describe(const std::vector<run_key>& runs) {
+std::string describe(const std::vector<suspected_run>& suspects) {
     std::string text;
-    for (std::size_t i = 0; i < std::min(runs.size(), max_logged_runs); ++i) {
-        text += (i == 0 ? "" : ",") + to_string(runs[i].task) + "/" + std::to_string(runs[i].run);
+    for (std::size_t i = 0; i < std::min(suspects.size(), max_logged_runs); ++i) {
+        const auto& [task, run] = suspects[i].run;
+        text += (i == 0 ? "" : ",") + to_string(task) + "/" + std::to_string(run);
     }
     return text;
 }
@@ -30,6 +35,12 @@
                                : progress.possible_crashes;
 }
 
+// An unconfirmed order may not have arrived before the crash, unless the worker responded just
+// before, as is checked for a suspected task.
+bool is_counted(const placed_run& placed) {
+    return placed.confirmed || placed.started_as_suspect;
+}
+
 bool is_one_job(const std::vector<run_key>& runs) {
     return std::all_of(runs.begin(), runs.end(), [&runs](const run_key& run) {
         return run.task.job == runs.front().task.job;
@@ -50,23 +61,36 @@
     return {&position->second, &position->second.edit(run.task)};
 }
 
+std::vector<suspected_run> dispatcher::find_suspects(const worker_entry& worker,
+                                                     common::time_point crashed_at,
+                                                     loss_evidence evidence) const {
+    const auto& settings = m_settings.crashes;
+    const bool silent = evidence == loss_evidence::silent;
+    const auto runs = attribute_crash(worker.runs, crashed_at, settings);
+    if (runs.empty() || (silent && has_common_cause(worker, crashed_at, settings.silence_window))) {
+        // Suspected tasks start one by one; hundreds of them would stand after a network partition.
+        return {};
+    }
+    const bool one_cause =
+        is_one_job(runs) && !has_common_cause(worker, crashed_at, settings.common_cause_window);
+    std::vector<suspected_run> suspects;
+    for (const auto& run : runs) {
+        const auto& placed = worker.runs.at(run);
+        const bool attributed = one_cause && crashed_at <= placed.ordered_at + settings.isolation;
+        suspects.push_back({run, attributed, placed.confirmed, silent});
+    }
+    return suspects;
+}
+
 // The runs of the worker are lost. Whether it has crashed shows its next incarnation, or its
 // removal after it refused connections; until then it may only be silent, and the tasks are not
 // given up. A worker that leaves the list without such a sign may have been cut off from all nodes
 // and the store.
 void dispatcher::count_crash(common::time_point now, worker_entry& worker,
                              common::time_point crashed_at, loss_evidence evidence) {
-    const auto& settings = m_settings.crashes;
-    const bool silent = evidence == loss_evidence::silent;
-    auto suspects = attribute_crash(worker.runs, crashed_at, settings);
-    if (silent && has_common_cause(worker, crashed_at, settings.silence_window)) {
-        // Suspected tasks start one by one; hundreds of them would stand after a network partition.
-        suspects.clear();
-    }
-    const bool one_cause =
-        is_one_job(suspects) && !has_common_cause(worker, crashed_at, settings.common_cause_window);
+    const auto suspects = find_suspects(worker, crashed_at, evidence);
     const auto run_age = suspects.empty() ? common::duration(0)
-                                          : crashed_at - worker.runs.at(suspects[0]).ordered_at;
+                                          : crashed_at - worker.runs.at(suspects[0].run).ordered_at;
     m_counters.get("worker_crashes_total", "suspects", suspects.empty() ? "none" : "some").add();
     log_event(severity::info, "worker_runs_lost",
               {{"worker", worker.report.id},
@@ -79,30 +103,79 @@
     for (auto& entry : worker.runs) {
         entry.second.crash_counted = true;
     }
-    for (const auto& run : suspects) {
-        const auto [job, task] = find_open_task(run);
+    for (const auto& suspect : suspects) {
+        const auto [job, task] = find_open_task(suspect.run);
         if (task == nullptr) {
             continue;
         }
         task->suspected = true;
-        job->find_step(run.task)->probe_passed = false;
-        // The worker may have crashed before an unconfirmed order arrived, unless it responded just
-        // before, as is checked for a suspected task.
-        const auto& placed = worker.runs.at(run);
-        const bool attributed =
-            one_cause && crashed_at <= placed.ordered_at + m_settings.crashes.isolation;
-        if (placed.confirmed || placed.started_as_suspect) {
-            const suspected_run suspect{run, attributed, placed.confirmed, silent};
-            ++count_of(task->progress, suspect);
-            task->pending_crashes += silent ? 0 : 1;
-            mark_dirty(*job);
-            worker.pending_suspects.push_back(suspect);
+        job->find_step(suspect.run.task)->probe_passed = false;
+        if (is_counted(worker.runs.at(suspect.run))) {
+            count_suspect(worker, suspect);
+        }
+        log_event(severity::warning, "task_suspected",
+                  {{"task", to_string(suspect.run.task)},
+                   {"run", suspect.run.run},
+                   {"crashes", task->all_crashes()},
+                   {"attributed", suspect.attributed ? 1 : 0}});
+    }
+}
+
+void dispatcher::count_suspect(worker_entry& worker, const suspected_run& suspect) {
+    const auto [job, task] = find_open_task(suspect.run);
+    ++count_of(task->progress, suspect);
+    task->pending_crashes += suspect.silent ? 0 : 1;
+    mark_dirty(*job);
+    worker.pending_suspects.push_back(suspect);
+}
+
+void dispatcher::record_suspects(worker_record& record) const {
+    std::vector<const worker_entry*> workers;
+    for (const auto& id : record.unresponsive_workers) {
+        const auto& worker = *m_workers.find(id);
+        if (!worker.runs.empty() && !worker.report.draining) {
+            workers.push_back(&worker);
+        }
+    }
+    if (workers.size() > max_recorded_crashes) {
+        return;
+    }
+    for (const auto* const worker : workers) {
+        const auto evidence =
+            worker->connection_refused ? loss_evidence::refused : loss_evidence::silent;
+        for (const auto& suspect : find_suspects(*worker, worker->silent_since, evidence)) {
+            if (record.suspects.size() < max_recorded_suspects &&
+                is_counted(worker->runs.at(suspect.run))) {
+                record.suspects.push_back(
+                    {worker->report.id, worker->report.start_time_ms, suspect});
+            }
+        }
+    }
+}
+
+// The former owner counts a crash when the lease of the worker is over. A successor does not know
+// its runs, so that without the record tasks would crash one worker for each owner that is lost
+// before.
+void dispatcher::count_recorded_suspects(common::time_point now, const std::string& job) {
+    const auto recorded = m_recorded_suspects.extract(job);
+    if (recorded.empty()) {
+        return;
+    }
+    for (const auto& [id, start_time_ms, suspect] : recorded.mapped()) {
+        auto* const worker = m_workers.find(id);
+        const auto* const task = find_open_task(suspect.run).second;
+        if (worker == nullptr || task == nullptr || task->progress.is_processed(suspect.run.run)) {
+            continue;
         }
+        count_suspect(*worker, suspect);
         log_event(severity::warning, "task_suspected",
-                  {{"task", to_string(run.task)},
-                   {"run", run.run},
+                  {{"task", to_string(suspect.run.task)},
+                   {"run", suspect.run.run},
                    {"crashes", task->all_crashes()},
-                   {"attributed", attributed ? 1 : 0}});
+                   {"attributed", suspect.attributed ? 1 : 0}});
+        if (worker->report.start_time_ms != start_time_ms) {
+            confirm_crash(now, *worker, loss_evidence::restarted);
+        }
     }
 }
 
--- a/source/core/dispatch/dispatcher_recovery.cpp
+++ b/source/core/dispatch/dispatcher_recovery.cpp
@@ -82,6 +82,9 @@
         m_workers.assume_lease(*known, now);
     }
     m_jobs_on_unresponsive_workers = record.jobs_on_unresponsive_workers;
+    for (auto& recorded : record.suspects) {
+        m_recorded_suspects[recorded.suspect.run.task.job].push_back(std::move(recorded));
+    }
     m_recovered = false;
     note_all_waiting();
     m_workers_dirty = true;
@@ -130,6 +133,7 @@
     }
     record.jobs_on_unresponsive_workers.insert(m_jobs_on_unresponsive_workers.begin(),
                                                m_jobs_on_unresponsive_workers.end());
+    record_suspects(record);
     if (m_keeps_former_quorum && record.workers.size() > m_former_quorum.size()) {
         record.quorum = m_former_quorum;
     }
--- a/source/core/dispatch/worker_record.cpp
+++ b/source/core/dispatch/worker_record.cpp
@@ -20,6 +20,22 @@
     return ids;
 }
 
+recorded_suspect read_suspect(const json::array& row) {
+    recorded_suspect result;
+    result.worker = json::value_to<std::string>(row.at(0));
+    result.start_time_ms = row.at(1).to_number<std::int64_t>();
+    auto& [run, attributed, confirmed, silent] = result.suspect;
+    run.task.job = json::value_to<std::string>(row.at(2));
+    run.task.occurrence = row.at(3).to_number<std::uint32_t>();
+    run.task.step = row.at(4).to_number<std::uint32_t>();
+    run.task.index = row.at(5).to_number<std::uint32_t>();
+    run.run = row.at(6).to_number<std::uint32_t>();
+    attributed = row.at(7).as_bool();
+    confirmed = row.at(8).as_bool();
+    silent = row.at(9).as_bool();
+    return result;
+}
+
 } // namespace
 
 std::set<std::string> worker_record::quorum_or_all() const {
@@ -39,6 +55,16 @@
     if (record.unreported_runs) {
         document["unreported_runs"] = true;
     }
+    if (!record.suspects.empty()) {
+        json::array suspects;
+        for (const auto& [worker, start_time_ms, suspect] : record.suspects) {
+            const auto& [task, run] = suspect.run;
+            suspects.push_back(json::array{worker, start_time_ms, task.job, task.occurrence,
+                                           task.step, task.index, run, suspect.attributed,
+                                           suspect.confirmed, suspect.silent});
+        }
+        document["suspects"] = std::move(suspects);
+    }
     if (record.quorum) {
         document["quorum"] = json::value_from(*record.quorum);
     }
@@ -69,6 +95,11 @@
         if (const auto* const unreported = value.as_object().if_contains("unreported_runs")) {
             record.unreported_runs = unreported->as_bool();
         }
+        if (const auto* const suspects = value.as_object().if_contains("suspects")) {
+            for (const auto& line : suspects->as_array()) {
+                record.suspects.push_back(read_suspect(line.as_array()));
+            }
+        }
         if (const auto* const quorum = value.as_object().if_contains("quorum")) {
             record.quorum = json::value_to<std::set<std::string>>(*quorum);
             const auto all = ids_of(record.workers);
--- a/source/core/dispatch/worker_record.h
+++ b/source/core/dispatch/worker_record.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/dispatch/worker_link.h"
+#include "core/dispatch/worker_registry.h"
 
 #include <cstdint>
 #include <optional>
@@ -11,6 +11,13 @@
 
 namespace buckthornspar::dispatch {
 
+/// A run that may have crashed an unresponsive worker, which was in this incarnation.
+struct recorded_suspect {
+    std::string worker;
+    std::int64_t start_time_ms = 0;
+    suspected_run suspect;
+};
+
 /// Stored for the owner's successor: the workers that may hold runs of the owner, and of which both
 /// owners need a majority. It contains only workers that have answered an owner.
 struct worker_record {
@@ -24,6 +31,9 @@
     /// runs there.
     std::set<std::string> unresponsive_workers;
     std::set<std::string> jobs_on_unresponsive_workers;
+    /// Runs whose crashes the owner has not counted yet, because the lease of the worker has not
+    /// ended.
+    std::vector<recorded_suspect> suspects;
     /// Runs that no worker has reported may exist, of any earlier term: a worker was given up.
     bool unreported_runs = false;
     /// Workers from the list above of which a majority is needed in place of all of them: those of
--- a/tests/unit/dispatch/crashes_test.cpp
+++ b/tests/unit/dispatch/crashes_test.cpp
@@ -91,6 +91,55 @@
     return record == f.stored.end() ? job_progress{} : read_progress(id, record->second);
 }
 
+using incarnations_by_worker = std::map<std::string, std::int64_t>;
+
+/// An owner that takes over with what the former one has stored. Workers that do not answer have
+/// ended.
+struct successor_fixture : dispatch_fixture {
+    explicit successor_fixture(const incarnations_by_worker& born) {
+        unreachable_status = order_status::not_sent;
+        incarnations = born;
+        engine.on_queues({plain_queue()});
+    }
+
+    /// The instance list has these incarnations. The job is older than the terms above 0.
+    void begin_term(std::uint64_t term, const incarnations_by_worker& listed,
+                    const std::string& record, const job_progress& progress) {
+        for (const auto& [id, listed_born] : listed) {
+            auto entry = report(id);
+            entry.start_time_ms = listed_born;
+            engine.on_worker(now, entry);
+        }
+        engine.take_over(now, 10 + 10 * term, record);
+        engine.on_job(now, job("a", 1, 1000), progress, 11);
+        settle();
+    }
+
+    /// Whether the task starts within a second.
+    bool starts_soon() {
+        for (int i = 0; i < 20 && starts.empty(); ++i) {
+            advance(50ms);
+            save();
+        }
+        return !starts.empty();
+    }
+
+    /// The worker of the first start ends shortly after it, and the owner stores what it knows
+    /// before the lease of the worker is over.
+    void lose_worker_of_start() {
+        advance(60ms, 20ms);
+        unreachable[starts.at(0).worker] = true;
+        advance(500ms);
+        save();
+    }
+
+    [[nodiscard]] bool has_failed() const {
+        return std::any_of(changes.begin(), changes.end(), [](const state_change& change) {
+            return change.state == job_state::failed;
+        });
+    }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(crashes_suite)
@@ -128,6 +177,89 @@
     BOOST_TEST(starts <= 3U);
 }
 
+// Guards against a task that crashes a worker for each owner that is lost before the lease of the
+// worker is over (random_growth, seed 832): the former owner had not counted the crash, and its
+// successor did not know the run.
+BOOST_AUTO_TEST_CASE(a_successor_counts_the_recorded_runs_of_crashed_workers) {
+    for (const bool listed_again : {false, true}) {
+        incarnations_by_worker born{{"w1", 1000}, {"w2", 1000}, {"w3", 1000}};
+        auto listed = born;
+        std::string record;
+        job_progress progress;
+        std::size_t starts = 0;
+        bool failed = false;
+        for (std::uint64_t term = 0; term < 6 && !failed; ++term) {
+            successor_fixture f(born);
+            f.begin_term(term, listed, record, progress);
+            if (f.starts_soon()) {
+                ++starts;
+                f.lose_worker_of_start();
+                listed = born;
+                born[f.starts[0].worker] += 1000;
+                if (listed_again) {
+                    listed = born;
+                }
+            }
+            failed = f.has_failed();
+            record = f.worker_record;
+            progress = stored_progress(f, "a");
+        }
+        BOOST_TEST(failed);
+        BOOST_TEST(starts == 2U);
+    }
+}
+
+// Guards against a run that is held against its task, or stopped, although its worker was only
+// silent for a moment around a change of owner.
+BOOST_AUTO_TEST_CASE(a_successor_withdraws_the_count_of_a_worker_that_answers) {
+    const incarnations_by_worker born{{"w1", 1000}, {"w2", 1000}, {"w3", 1000}};
+    successor_fixture former(born);
+    former.begin_term(0, born, "", {});
+    BOOST_REQUIRE(former.starts_soon());
+    former.lose_worker_of_start();
+    BOOST_REQUIRE(read_worker_record(former.worker_record).suspects.size() == 1U);
+
+    successor_fixture f(born);
+    const auto start = former.starts[0];
+    f.running[start.worker] = {{start.run, "", 0}};
+    f.begin_term(1, born, former.worker_record, stored_progress(former, "a"));
+    f.advance(3s);
+    f.save();
+    BOOST_TEST(f.starts.empty());
+    BOOST_TEST(f.stops.empty());
+    BOOST_TEST(read_worker_record(f.worker_record).suspects.empty());
+    const auto tasks = stored_progress(f, "a").tasks;
+    const auto task = tasks.find({"a", 0, 0, 0});
+    BOOST_TEST((task == tasks.end() || task->second.crashes == 0U));
+}
+
+// Guards against a crash that counts twice: the former owner has counted it, and a successor reads
+// its record from before.
+BOOST_AUTO_TEST_CASE(a_successor_does_not_count_a_crash_again) {
+    const incarnations_by_worker born{{"w1", 1000}, {"w2", 1000}, {"w3", 1000}};
+    successor_fixture former(born);
+    former.begin_term(0, born, "", {});
+    BOOST_REQUIRE(former.starts_soon());
+    former.lose_worker_of_start();
+    const auto record = former.worker_record;
+    const auto worker = former.starts[0].worker;
+    former.engine.on_worker_unlisted(former.now, worker);
+    for (int i = 0; i < 200 && stored_progress(former, "a").tasks.empty(); ++i) {
+        former.advance(50ms);
+        former.save();
+    }
+    const auto progress = stored_progress(former, "a");
+    BOOST_REQUIRE(progress.tasks.at({"a", 0, 0, 0}).crashes == 1U);
+    BOOST_TEST(read_worker_record(former.worker_record).suspects.empty());
+
+    successor_fixture f({{"w1", 2000}, {"w2", 2000}, {"w3", 2000}});
+    f.begin_term(1, f.incarnations, record, progress);
+    f.advance(1s);
+    f.save();
+    BOOST_TEST(!f.has_failed());
+    BOOST_TEST(f.starts.size() == 1U);
+}
+
 // Guards against a successor that does not know of crashes although the task was started again, as
 // by an owner that no longer reaches the store: only the first crash may not be stored.
 BOOST_AUTO_TEST_CASE(a_suspected_task_waits_until_its_crashes_are_stored) {
