--- a/source/core/dispatch/worker_record.h
+++ b/source/core/dispatch/worker_record.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/common/clock.h"
-#include "core/dispatch/worker_link.h"
+#include "core/dispatch/worker_registry.h"
 
 #include <cstdint>
 #include <map>
@@ -13,6 +13,13 @@
 
 namespace buckthornspar::dispatch {
 
+/// A run that may have crashed an unresponsive worker, which was in this incarnation.
+struct recorded_suspect {
+    std::string worker;
+    std::int64_t start_time_ms = 0;
+    suspected_run suspect;
+};
+
 /// Stored for the owner's successor: the workers that may hold runs of the owner, and of which both
 /// owners need a majority. It contains only workers that have answered an owner.
 struct worker_record {
@@ -30,6 +37,9 @@
     /// still exist there from now on. The owner sends them no lease and no start before a record
     /// without them is stored, so that the wait for them goes on under its successor.
     std::map<std::string, common::duration> remaining_waits;
+    /// Runs whose crashes the owner has not counted yet, because the lease of the worker has not
+    /// ended.
+    std::vector<recorded_suspect> suspects;
     /// Runs that no worker has reported may exist, of any earlier term: a worker was given up.
     bool unreported_runs = false;
     /// Workers from the list above of which a majority is needed in place of all of them: those of
