Look for a successor's record while a shard owner writes nothing

An accepted job of a shard stood without an end although the shard had an owner with all workers: a successor without a majority had accepted it and died. The former owner had not lost its workers, got no heartbeat of another owner, and would have found the successor's record with its next append only. In quiet hours there is none.

Change: an owner that has written nothing for 10 s reads the slot of the next record (one store call) and steps down if it holds another owner's record; the next claim reads the job. The fence of the log and of the workers is unchanged, so that no task can run twice by it.

--- a/source/core/scheduling/journal.h
+++ b/source/core/scheduling/journal.h
@@ -51,6 +51,8 @@
     journal(journal_settings settings, common::counters& counters);
 
     void load(common::time_point now);
+    /// Looks for a record of another writer after the newest known one.
+    void check_next(common::time_point now) { m_log.check_next(now); }
     /// Queues an entry for the next record and returns its tag.
     std::uint64_t add(const journal_entry& entry);
     /// Removes an entry if it is certain that it is not and will not be written.
--- a/source/core/scheduling/shard_engine.cpp
+++ b/source/core/scheduling/shard_engine.cpp
@@ -143,6 +143,7 @@
     m_counters.get("takeovers_total").add();
     m_fleet.begin(now, epoch, m_journal.table().workers());
     m_runner.begin(now, epoch);
+    m_next_log_check = now + m_settings.log_check;
     update_quorums();
     report_ownership_change("claim_won");
 }
@@ -173,6 +174,13 @@
     }
 }
 
+void shard_engine::check_log(common::time_point now) {
+    if (now >= m_next_log_check) {
+        m_next_log_check = now + m_settings.log_check;
+        m_journal.check_next(now);
+    }
+}
+
 void shard_engine::check_majority(common::time_point now) {
     if (m_ownership.state() != ownership_state::adopting) {
         return;
@@ -273,6 +281,7 @@
 // Journal and fleet.
 
 void shard_engine::on_entry_written(common::time_point now, const entry_written& written) {
+    m_next_log_check = now + m_settings.log_check;
     if (m_claim_tag == written.tag) {
         take_over(now, written.number);
         return;
@@ -361,6 +370,9 @@
 void shard_engine::on_time(common::time_point now) {
     m_journal.on_time(now);
     check_owner_timeout(now);
+    if (m_ownership.owns()) {
+        check_log(now);
+    }
     bool again = true;
     while (again) {
         again = process_journal_events(now);
@@ -388,6 +400,7 @@
         }
     };
     if (m_ownership.owns()) {
+        earlier(m_next_log_check);
         earlier(m_fleet.next_wakeup());
         earlier(m_runner.next_wakeup(now));
     } else if (m_ownership.state() == ownership_state::standby && m_owner_last_heard &&
--- a/source/core/scheduling/shard_engine.h
+++ b/source/core/scheduling/shard_engine.h
@@ -20,6 +20,9 @@
     /// added to it and differs between schedulers, so that they do not claim at the same time.
     common::duration suspect_after = std::chrono::seconds(3);
     common::duration claim_delay{0};
+    /// An owner that writes nothing looks for a successor's record at this interval. A successor
+    /// may have accepted jobs and died without a majority, and nothing else tells the owner.
+    common::duration log_check = std::chrono::seconds(10);
     /// Maximum number of log entries waiting for the store; further submissions are refused.
     std::size_t max_waiting_entries = 10'000;
     worker_fleet_settings fleet;
@@ -158,6 +161,7 @@
     void abandon_claim(common::time_point now);
     void step_down(common::time_point now, std::string_view reason);
     void check_fence(common::time_point now);
+    void check_log(common::time_point now);
     void check_majority(common::time_point now);
     void check_worker_set();
     void update_quorums();
@@ -198,6 +202,8 @@
     std::optional<std::uint64_t> m_release_tag;
     std::set<std::string> m_pending_workers;
     bool m_replaces_owner = false;
+    /// While this process owns the shard.
+    common::time_point m_next_log_check;
     /// Time at which the authority of the previous owner has certainly expired.
     common::time_point m_former_authority_end{};
     /// Versions for which the quorums were last set, and for which the logged worker set was last
--- a/source/core/store/sequenced_log.cpp
+++ b/source/core/store/sequenced_log.cpp
@@ -393,12 +393,24 @@
 /// Reads the index of the next slot in advance, so that an append does not have to wait for that
 /// read once the ring has wrapped around.
 void sequenced_log::advance_refresh() {
-    const std::uint64_t position = position_of(m_head + 1);
-    if (!m_loaded || m_append || m_slots[position].known || m_refresh_channel.call != 0) {
+    if (!m_slots[position_of(m_head + 1)].known) {
+        read_next_slot();
+    }
+}
+
+void sequenced_log::check_next(common::time_point now) {
+    m_now = now;
+    if (!m_refresh_channel.retry_at) {
+        read_next_slot();
+    }
+}
+
+void sequenced_log::read_next_slot() {
+    if (!m_loaded || m_append || m_refresh_channel.call != 0) {
         return;
     }
-    m_refresh_position = position;
-    send(m_refresh_channel, call_kind::read, slot_request(kv_operation::get, position));
+    m_refresh_position = position_of(m_head + 1);
+    send(m_refresh_channel, call_kind::read, slot_request(kv_operation::get, m_refresh_position));
 }
 
 // Watch.
--- a/source/core/store/sequenced_log.h
+++ b/source/core/store/sequenced_log.h
@@ -110,6 +110,10 @@
     [[nodiscard]] bool write_snapshot(common::time_point now, std::uint64_t last_included,
                                       std::string body);
 
+    /// Reads the slot of the next record once, to find a record of another writer. Has no effect
+    /// while an append or another read of the slot is pending.
+    void check_next(common::time_point now);
+
     /// Starts or stops following other writers by a watch on the next slot.
     void follow(common::time_point now, bool on);
 
@@ -177,6 +181,7 @@
     void advance_append();
     void advance_watch();
     void advance_refresh();
+    void read_next_slot();
     void advance_snapshot();
 
     void on_load(common::time_point now, const kv_response& response);
--- a/tests/unit/store/sequenced_log_test.cpp
+++ b/tests/unit/store/sequenced_log_test.cpp
@@ -209,6 +209,24 @@
     BOOST_TEST(a.log.store_available());
 }
 
+// Guards against a writer that does not learn of another writer's record until it appends, and
+// against a check that costs more than one call.
+BOOST_AUTO_TEST_CASE(check_of_the_next_slot_finds_a_record_with_one_call) {
+    load_both();
+    const auto reads = kv.calls[kv_operation::get];
+    b.log.check_next(events.now());
+    b.process_actions();
+    run(100ms);
+    BOOST_TEST(kv.calls[kv_operation::get] == reads + 1);
+    BOOST_TEST(b.state.empty());
+    a.append("x");
+    run(100ms);
+    b.log.check_next(events.now());
+    b.process_actions();
+    run(100ms);
+    BOOST_TEST(b.state == "x");
+}
+
 // Guards against a follower that stops receiving records after a long interruption of its
 // connection.
 BOOST_AUTO_TEST_CASE(follower_catches_up_after_the_ring_has_wrapped) {
