Let a shard go on when all logged workers are gone at a take-over

A shard started nothing any more when its owner and all workers of its log record were lost together, as in the loss of a place: the replacements were adopted and got no tasks, and accepted jobs stood for good.

Cause: a new owner becomes active with a majority of the logged workers that are not terminated. When all of them are, that set is empty and never has a majority; other workers are logged only by an active owner.

Change: an owner whose logged workers have all been missing from good lists for gone_after (60 s) becomes active without a majority. It then logs the present workers and starts tasks with a majority of these.

No task can run twice by it: a former owner counts its majorities over the same logged set, because its next record conflicts with the claim, and no terminated worker accepts or runs anything. Starts and renewals still need a majority of the newly logged workers.

Before: all_workers_replaced failed (no task running 15 s after the new workers had joined). Now test_scheduling_scenarios passes on x86-64.

--- a/source/core/scheduling/shard_engine.cpp
+++ b/source/core/scheduling/shard_engine.cpp
@@ -185,8 +185,7 @@
     if (m_ownership.state() != ownership_state::adopting) {
         return;
     }
-    const bool no_workers = m_journal.table().workers().empty();
-    if (!no_workers && !m_fleet.has_authority(now)) {
+    if (!is_logged_set_gone() && !m_fleet.has_authority(now)) {
         return;
     }
     (void)m_ownership.on(ownership_event::majority);
@@ -201,6 +200,15 @@
     report_ownership_change("majority");
 }
 
+/// A former owner has no authority either, because its majorities are counted over the same set,
+/// and none of its tasks still runs. Waiting for a majority would never end: an empty set has none,
+/// and other workers are logged only after the recovery.
+bool shard_engine::is_logged_set_gone() const {
+    const auto& workers = m_journal.table().workers();
+    return std::all_of(workers.begin(), workers.end(),
+                       [&](const std::string& worker) { return m_fleet.gone(worker); });
+}
+
 bool shard_engine::may_report_quotas(common::time_point now) {
     if (m_ownership.state() != ownership_state::active || recovering() ||
         now < m_former_authority_end) {
--- a/source/core/scheduling/shard_engine.h
+++ b/source/core/scheduling/shard_engine.h
@@ -163,6 +163,8 @@
     void check_fence(common::time_point now);
     void check_log(common::time_point now);
     void check_majority(common::time_point now);
+    /// Every worker of the logged set has terminated; also true for an empty set.
+    [[nodiscard]] bool is_logged_set_gone() const;
     void check_worker_set();
     void update_quorums();
     [[nodiscard]] bool logged_set_is_present();
--- a/tests/scenario/scheduling/simulation.cpp
+++ b/tests/scenario/scheduling/simulation.cpp
@@ -28,9 +28,14 @@
     const bool shrunk = setup.flag("shrunk_capacity", false);
     const placement::resources capacity{setup.number("cpu", 4000), setup.number("memory", 8000), 0};
     const std::int64_t per_rack = setup.number("per_rack", 2);
-    for (std::int64_t i = 1; i <= setup.number("workers", 4); ++i) {
+    const std::int64_t worker_count = setup.number("workers", 4);
+    // The last workers join with a restart_worker step.
+    const std::int64_t first_later = worker_count - setup.number("later_workers", 0) + 1;
+    for (std::int64_t i = 1; i <= worker_count; ++i) {
         const std::string id = numbered("w", i);
         auto& w = workers.try_emplace(id, id, capacity).first->second;
+        w.alive = i < first_later;
+        w.listed = w.alive;
         w.true_capacity = shrunk ? placement::resources{1000, 2000, 0} : capacity;
         w.listing.id = id;
         w.listing.region = "r";
