Assume full leases on a worker that a new owner adopts

A job of a shard never ended when a worker died between its adoption by a new owner and the owner's majority: the owner took the adopted task for running on that worker for good.

Cause: the end of the leases on a worker was known only after a renewal by this owner, and an owner without a majority renews none. Recovery ends the wait only for tasks that no worker has reported.

Change: the adoption counts as a grant of a full lease at the stamp of the inventory. From then on the worker refuses the former owner, so that no lease ends later. The restart elsewhere waits for the confirmed lapse and the end of the recovery, as for the owner's own leases.

--- a/source/core/scheduling/worker_fleet.cpp
+++ b/source/core/scheduling/worker_fleet.cpp
@@ -138,6 +138,10 @@
     }
     m_leases.record_stamp(worker, {inventory.incarnation, inventory.stamp_ms, now});
     m_authority.record_acceptance(worker, link.call_sent);
+    if (!link.seen) {
+        // Former owners may have renewed leases up to the adoption.
+        m_leases.record_grant(worker);
+    }
     if (!link.seen && !link.listing) {
         ++m_presence_version;
     }
--- a/tests/unit/scheduling/worker_fleet_test.cpp
+++ b/tests/unit/scheduling/worker_fleet_test.cpp
@@ -141,4 +141,23 @@
     BOOST_TEST(lapses(true) == 1);
 }
 
+// Guards against tasks of a former owner that are taken for running for ever, because their worker
+// dies before this owner grants a lease.
+BOOST_AUTO_TEST_CASE(leases_of_a_former_owner_lapse) {
+    adopting_fleet f;
+    f.respond_to_adoption("w1");
+    std::size_t lapses = 0;
+    const auto end = f.now + with_drift(lease_settings{}.lease, {});
+    for (f.now += milliseconds(100); f.now <= end; f.now += milliseconds(10)) {
+        f.step();
+        BOOST_TEST_REQUIRE(lapses == 0U);
+        lapses += static_cast<std::size_t>(
+            std::count_if(f.events.begin(), f.events.end(), [](const fleet_event& event) {
+                const auto* const lapsed = std::get_if<leases_lapsed>(&event);
+                return lapsed != nullptr && lapsed->worker == "w1";
+            }));
+    }
+    BOOST_TEST(lapses == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
