Let schedulers that replace each other end a recovery

Tasks of a shard were never started again while two schedulers reached the store and the workers, but not each other, and one worker was silent: each claimed the shard 3 s after the other had fenced it, and a recovery with a silent worker takes 10.1 s from the majority.

Cause: the wait for a claim doubled only when a claim was fenced before its majority, and began again at the majority.

Change: it doubles when a claim is fenced before the end of the recovery, up to the 60 s as before, and begins again at the end of a recovery or with a heartbeat. After three fenced claims one owner has time to recover. No rule on when a task may start is changed.

A scheduler that hears no owner for another reason after such a change may claim up to 60 s late; before, this held for claims without a majority only.

Before: owners_replace_each_other failed (a task "recovering" after 70 s).

--- a/source/core/scheduling/shard_engine.cpp
+++ b/source/core/scheduling/shard_engine.cpp
@@ -75,7 +75,9 @@
 // Ownership.
 
 /// A scheduler that receives no heartbeats and cannot reach a majority of the workers would take
-/// the shard from a healthy owner. The wait therefore doubles with each claim that fails this way.
+/// the shard from a healthy owner. Two that reach the workers but not each other would replace each
+/// other before either has ended its recovery. The wait therefore doubles with each claim that is
+/// fenced before the end of the recovery.
 common::time_point shard_engine::claim_time() const {
     const auto wait = std::min(m_settings.suspect_after * (1U << m_failed_claims), max_claim_wait);
     return *m_owner_last_heard + std::max(wait, m_settings.suspect_after) + m_settings.claim_delay;
@@ -149,7 +151,7 @@
 }
 
 void shard_engine::step_down(common::time_point now, std::string_view reason) {
-    if (m_ownership.state() == ownership_state::adopting) {
+    if (m_ownership.state() == ownership_state::adopting || m_runner.recovering()) {
         m_failed_claims = std::min(m_failed_claims + 1, max_claim_doublings);
     }
     if (!m_ownership.on(ownership_event::fenced)) {
@@ -189,7 +191,6 @@
         return;
     }
     (void)m_ownership.on(ownership_event::majority);
-    m_failed_claims = 0;
     m_former_authority_end = now;
     if (m_replaces_owner) {
         m_former_authority_end += with_drift(m_settings.fleet.authority, m_settings.fleet.lease);
@@ -392,6 +393,9 @@
             const bool may_start =
                 m_ownership.state() == ownership_state::active && m_fleet.has_authority(now);
             m_runner.on_time(now, may_start);
+            if (m_ownership.state() == ownership_state::active && !recovering()) {
+                m_failed_claims = 0;
+            }
             m_fleet.on_time(now);
             again = process_fleet_events(now) || again;
             check_release();
--- a/source/core/scheduling/shard_engine.h
+++ b/source/core/scheduling/shard_engine.h
@@ -196,7 +196,7 @@
     std::uint64_t m_known_epoch = 0;
     std::string m_owner_hint;
     bool m_draining = false;
-    /// Consecutive claims that were fenced before a majority of the workers accepted the epoch.
+    /// Consecutive claims that were fenced before the end of the recovery.
     unsigned m_failed_claims = 0;
     std::optional<common::time_point> m_owner_last_heard;
     std::optional<std::uint64_t> m_claim_tag;
