Count a restarted worker only when the log was unclaimed after the restart

A former owner in a shard could run tasks a second time beside its successor: a worker that had accepted the successor restarted, forgot its epoch and accepted the former owner, which so had a majority again while the successor's authority from the same worker lasted.

Change: an owner that sees a restart reads the slot of the next record (one store call for all restarts seen) and counts the worker again when no other owner's record was there after the restart was seen. A successor that the worker accepted before has its record in the log by then, and the owner steps down. The acceptances before the restart prove what they did and count as before.

A restart that an owner sees during an outage of the store counts after the outage: an owner of which half of the workers restart in an outage loses its authority until then. A worker that restarts before an owner first reaches it is not recognised; that case remains.

--- a/source/core/scheduling/journal.h
+++ b/source/core/scheduling/journal.h
@@ -53,6 +53,9 @@
     void load(common::time_point now);
     /// Looks for a record of another writer after the newest known one.
     void check_next(common::time_point now) { m_log.check_next(now); }
+    /// The newest time at which the log certainly held no record of another writer after the newest
+    /// known one.
+    [[nodiscard]] common::time_point unchanged_at() const { return m_log.unchanged_at(); }
     /// Queues an entry for the next record and returns its tag.
     std::uint64_t add(const journal_entry& entry);
     /// Removes an entry if it is certain that it is not and will not be written.
--- a/source/core/scheduling/shard_engine.cpp
+++ b/source/core/scheduling/shard_engine.cpp
@@ -183,6 +183,18 @@
     }
 }
 
+/// A successor may have had the acceptance of a worker that has restarted since. Its record is in
+/// the log then.
+void shard_engine::check_restarted_workers(common::time_point now) {
+    if (!m_fleet.has_unconfirmed_restarts()) {
+        return;
+    }
+    m_fleet.confirm_restarts(m_journal.unchanged_at());
+    if (m_fleet.has_unconfirmed_restarts()) {
+        m_journal.check_next(now);
+    }
+}
+
 void shard_engine::check_majority(common::time_point now) {
     if (m_ownership.state() != ownership_state::adopting) {
         return;
@@ -381,6 +393,7 @@
     check_owner_timeout(now);
     if (m_ownership.owns()) {
         check_log(now);
+        check_restarted_workers(now);
     }
     bool again = true;
     while (again) {
--- a/source/core/scheduling/shard_engine.h
+++ b/source/core/scheduling/shard_engine.h
@@ -162,6 +162,7 @@
     void step_down(common::time_point now, std::string_view reason);
     void check_fence(common::time_point now);
     void check_log(common::time_point now);
+    void check_restarted_workers(common::time_point now);
     void check_majority(common::time_point now);
     /// Every worker of the logged set has terminated; also true for an empty set.
     [[nodiscard]] bool is_logged_set_gone() const;
--- a/source/core/scheduling/worker_fleet.cpp
+++ b/source/core/scheduling/worker_fleet.cpp
@@ -42,6 +42,7 @@
     m_authority.clear();
     m_due.clear();
     m_changed.clear();
+    m_unconfirmed_restarts.clear();
     m_had_authority = false;
     ++m_presence_version;
     for (auto& [worker, link] : m_links) {
@@ -137,7 +138,11 @@
         link.events_after = 0;
     }
     m_leases.record_stamp(worker, {inventory.incarnation, inventory.stamp_ms, now});
-    m_authority.record_acceptance(worker, link.call_sent);
+    if (restarted) {
+        link.restart_seen_at = now;
+        m_unconfirmed_restarts.insert(worker);
+    }
+    record_acceptance(worker, link);
     if (!link.seen) {
         // Former owners may have renewed leases up to the adoption.
         m_leases.record_grant(worker);
@@ -158,6 +163,13 @@
     m_events.emplace_back(worker_adopted{inventory, restarted});
 }
 
+void worker_fleet::record_acceptance(const std::string& worker, worker_link& link) {
+    link.accepted_at = link.call_sent;
+    if (!link.restart_seen_at) {
+        m_authority.record_acceptance(worker, link.accepted_at);
+    }
+}
+
 /// A start that is missing from the inventory may still be in transit. It can no longer take effect
 /// once its validity has expired on the worker's own clock.
 void worker_fleet::resolve_unconfirmed(const std::string& worker, worker_link& link,
@@ -200,7 +212,7 @@
     }
     const auto& response = std::get<sync_response>(result);
     m_leases.record_stamp(worker, {response.incarnation, response.stamp_ms, now});
-    m_authority.record_acceptance(worker, link->call_sent);
+    record_acceptance(worker, *link);
     link->failures = 0;
     take_results(worker, *link, response);
     emit_reports(worker, response.ended, response.usage);
@@ -324,6 +336,20 @@
     return m_running && m_authority.is_held(now);
 }
 
+void worker_fleet::confirm_restarts(common::time_point unclaimed_at) {
+    for (const auto& worker : std::exchange(m_unconfirmed_restarts, {})) {
+        worker_link& link = m_links.at(worker);
+        if (link.restart_seen_at >= unclaimed_at) {
+            m_unconfirmed_restarts.insert(worker);
+            continue;
+        }
+        link.restart_seen_at.reset();
+        // Later acceptances prove nothing yet about the time before them.
+        m_authority.record_acceptance(worker, std::min(link.accepted_at, unclaimed_at));
+        mark_changed(worker);
+    }
+}
+
 void worker_fleet::queue(const std::string& worker, worker_operation operation) {
     m_links[worker].outbox.add(std::move(operation));
     mark_changed(worker);
--- a/source/core/scheduling/worker_fleet.h
+++ b/source/core/scheduling/worker_fleet.h
@@ -130,6 +130,13 @@
     /// The time must not decrease from one call to the next.
     [[nodiscard]] bool has_authority(common::time_point now);
 
+    /// True while the acceptances of a restarted worker do not count, because it may have forgotten
+    /// the epoch of a successor.
+    [[nodiscard]] bool has_unconfirmed_restarts() const { return !m_unconfirmed_restarts.empty(); }
+    /// Counts the workers whose restart was seen before this time again: no other owner had claimed
+    /// the shard then.
+    void confirm_restarts(common::time_point unclaimed_at);
+
     void queue(const std::string& worker, worker_operation operation);
     [[nodiscard]] bool remove_queued(const std::string& worker, const std::string& attempt);
     void acknowledge(const std::string& worker, const std::string& attempt);
@@ -185,6 +192,9 @@
         std::optional<common::time_point> lapsed_end;
         std::optional<common::time_point> confirmed_end;
         common::time_point next_confirmation_check;
+        /// Empty once the acceptances of the current incarnation count.
+        std::optional<common::time_point> restart_seen_at;
+        common::time_point accepted_at;
 
         [[nodiscard]] bool present() const { return !gone && (listing || seen); }
     };
@@ -199,6 +209,7 @@
                         bool authorised);
     void take_inventory(common::time_point now, const std::string& worker, worker_link& link,
                         const worker_inventory& inventory);
+    void record_acceptance(const std::string& worker, worker_link& link);
     void resolve_unconfirmed(const std::string& worker, worker_link& link,
                              const worker_inventory& inventory, bool restarted);
     void take_results(const std::string& worker, worker_link& link, const sync_response& response);
@@ -230,6 +241,8 @@
     common::due_queue<std::string> m_due;
     /// Links changed by events since the last on_time().
     std::set<std::string> m_changed;
+    /// Links with restart_seen_at.
+    std::set<std::string> m_unconfirmed_restarts;
     /// Whether the owner had authority at the last on_time().
     bool m_had_authority = false;
     std::vector<fleet_event> m_events;
--- a/source/core/store/sequenced_log.cpp
+++ b/source/core/store/sequenced_log.cpp
@@ -142,7 +142,7 @@
     } else if (channel == &m_watch_channel) {
         on_watch(now, response);
     } else if (channel == &m_refresh_channel && is_answered(response)) {
-        apply_slot(m_refresh_position, response);
+        on_refresh(response);
     } else if (channel == &m_snapshot_channel) {
         on_snapshot(now, response);
     }
@@ -333,6 +333,7 @@
     case kv_status::ok:
         s.known = false;
         s.number = m_append->record.number;
+        m_unchanged_at = std::max(m_unchanged_at, m_append_channel.sent_at);
         deliver(m_append->record);
         advance_refresh();
         return;
@@ -413,6 +414,15 @@
     send(m_refresh_channel, call_kind::read, slot_request(kv_operation::get, m_refresh_position));
 }
 
+void sequenced_log::on_refresh(const kv_response& response) {
+    const std::uint64_t head = m_head;
+    const bool is_next = m_refresh_position == position_of(head + 1);
+    apply_slot(m_refresh_position, response);
+    if (is_next && m_head == head && !loading()) {
+        m_unchanged_at = std::max(m_unchanged_at, m_refresh_channel.sent_at);
+    }
+}
+
 // Watch.
 
 void sequenced_log::follow(common::time_point now, bool on) {
--- a/source/core/store/sequenced_log.h
+++ b/source/core/store/sequenced_log.h
@@ -141,6 +141,9 @@
         const std::uint64_t last = m_snapshots.covered() + m_options.slots;
         return last > m_head ? last - m_head : 0;
     }
+    /// No record of another writer was in the slot of the next record at this time: the send time
+    /// of the newest read or own append that showed it.
+    [[nodiscard]] common::time_point unchanged_at() const { return m_unchanged_at; }
     [[nodiscard]] bool append_pending() const { return m_append.has_value(); }
     /// False if the most recently completed store call failed.
     [[nodiscard]] bool store_available() const { return m_store_available; }
@@ -182,6 +185,7 @@
     void advance_watch();
     void advance_refresh();
     void read_next_slot();
+    void on_refresh(const kv_response& response);
     void advance_snapshot();
 
     void on_load(common::time_point now, const kv_response& response);
@@ -224,6 +228,7 @@
     std::uint64_t m_watch_position = 0;
     std::uint64_t m_watch_index = 0;
     std::uint64_t m_refresh_position = 0;
+    common::time_point m_unchanged_at;
     std::optional<pending_append> m_append;
     std::vector<log_action> m_actions;
 };
--- a/tests/unit/scheduling/worker_fleet_test.cpp
+++ b/tests/unit/scheduling/worker_fleet_test.cpp
@@ -38,10 +38,10 @@
         }
     }
 
-    void respond_to_adoption(const std::string& worker) {
+    void respond_to_adoption(const std::string& worker, std::uint64_t incarnation = 1) {
         worker_inventory inventory;
         inventory.worker = worker;
-        inventory.incarnation = 1;
+        inventory.incarnation = incarnation;
         inventory.stamp_ms = common::to_milliseconds(now);
         fleet.on_adopt(now, worker, adoptions.at(worker), inventory);
         step();
@@ -160,4 +160,29 @@
     BOOST_TEST(lapses == 1U);
 }
 
+// Guards against authority by a worker that has accepted a successor and forgotten it in a restart,
+// and against a worker that never counts again.
+BOOST_AUTO_TEST_CASE(restarted_worker_counts_once_the_log_was_unclaimed_after_it) {
+    adopting_fleet f;
+    f.respond_to_adoption("w1");
+    f.fleet.on_adopt(f.now, "w2", f.adoptions.at("w2"),
+                     worker_error{worker_error_kind::no_answer, 0});
+    // The acceptance of w1 ends, and both are asked again.
+    f.now += std::chrono::seconds(5);
+    f.step();
+    f.respond_to_adoption("w2");
+    BOOST_TEST(!f.fleet.has_authority(f.now));
+    BOOST_TEST(!f.fleet.has_unconfirmed_restarts());
+    f.respond_to_adoption("w1", 2);
+    BOOST_TEST(f.fleet.has_unconfirmed_restarts());
+    BOOST_TEST(!f.fleet.has_authority(f.now));
+    f.fleet.confirm_restarts(f.now);
+    BOOST_TEST(f.fleet.has_unconfirmed_restarts());
+    BOOST_TEST(!f.fleet.has_authority(f.now));
+    f.now += milliseconds(1);
+    f.fleet.confirm_restarts(f.now);
+    BOOST_TEST(!f.fleet.has_unconfirmed_restarts());
+    BOOST_TEST(f.fleet.has_authority(f.now));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
