--- a/source/core/scheduling/shard_engine.cpp
+++ b/source/core/scheduling/shard_engine.cpp
@@ -75,7 +75,9 @@
 // Ownership.
 
 /// A scheduler that receives no heartbeats and cannot reach a majority of the workers would take
-/// the shard from a healthy owner. The wait therefore doubles with each claim that fails this way.
+/// the shard from a healthy owner. Two that reach the workers but not each other would replace each
+/// other before either has ended its recovery. The wait therefore doubles with each claim that is
+/// fenced before the end of the recovery.
 common::time_point shard_engine::claim_time() const {
     const auto wait = std::min(m_settings.suspect_after * (1U << m_failed_claims), max_claim_wait);
     return *m_owner_last_heard + std::max(wait, m_settings.suspect_after) + m_settings.claim_delay;
@@ -143,12 +145,13 @@
     m_counters.get("takeovers_total").add();
     m_fleet.begin(now, epoch, m_journal.table().workers());
     m_runner.begin(now, epoch);
+    m_next_log_check = now + m_settings.log_check;
     update_quorums();
     report_ownership_change("claim_won");
 }
 
 void shard_engine::step_down(common::time_point now, std::string_view reason) {
-    if (m_ownership.state() == ownership_state::adopting) {
+    if (m_ownership.state() == ownership_state::adopting || m_runner.recovering()) {
         m_failed_claims = std::min(m_failed_claims + 1, max_claim_doublings);
     }
     if (!m_ownership.on(ownership_event::fenced)) {
@@ -173,16 +176,33 @@
     }
 }
 
+void shard_engine::check_log(common::time_point now) {
+    if (now >= m_next_log_check) {
+        m_next_log_check = now + m_settings.log_check;
+        m_journal.check_next(now);
+    }
+}
+
+/// A successor may have had the acceptance of a worker that has restarted since. Its record is in
+/// the log then.
+void shard_engine::check_restarted_workers(common::time_point now) {
+    if (!m_fleet.has_unconfirmed_restarts()) {
+        return;
+    }
+    m_fleet.confirm_restarts(m_journal.unchanged_at());
+    if (m_fleet.has_unconfirmed_restarts()) {
+        m_journal.check_next(now);
+    }
+}
+
 void shard_engine::check_majority(common::time_point now) {
     if (m_ownership.state() != ownership_state::adopting) {
         return;
     }
-    const bool no_workers = m_journal.table().workers().empty();
-    if (!no_workers && !m_fleet.has_authority(now)) {
+    if (!is_logged_set_gone() && !m_fleet.has_authority(now)) {
         return;
     }
     (void)m_ownership.on(ownership_event::majority);
-    m_failed_claims = 0;
     m_former_authority_end = now;
     if (m_replaces_owner) {
         m_former_authority_end += with_drift(m_settings.fleet.authority, m_settings.fleet.lease);
@@ -193,6 +213,15 @@
     report_ownership_change("majority");
 }
 
+/// A former owner has no authority either, because its majorities are counted over the same set,
+/// and none of its tasks still runs. Waiting for a majority would never end: an empty set has none,
+/// and other workers are logged only after the recovery.
+bool shard_engine::is_logged_set_gone() const {
+    const auto& workers = m_journal.table().workers();
+    return std::all_of(workers.begin(), workers.end(),
+                       [&](const std::string& worker) { return m_fleet.gone(worker); });
+}
+
 bool shard_engine::may_report_quotas(common::time_point now) {
     if (m_ownership.state() != ownership_state::active || recovering() ||
         now < m_former_authority_end) {
@@ -273,6 +302,7 @@
 // Journal and fleet.
 
 void shard_engine::on_entry_written(common::time_point now, const entry_written& written) {
+    m_next_log_check = now + m_settings.log_check;
     if (m_claim_tag == written.tag) {
         take_over(now, written.number);
         return;
@@ -361,6 +391,10 @@
 void shard_engine::on_time(common::time_point now) {
     m_journal.on_time(now);
     check_owner_timeout(now);
+    if (m_ownership.owns()) {
+        check_log(now);
+        check_restarted_workers(now);
+    }
     bool again = true;
     while (again) {
         again = process_journal_events(now);
@@ -372,6 +406,9 @@
             const bool may_start =
                 m_ownership.state() == ownership_state::active && m_fleet.has_authority(now);
             m_runner.on_time(now, may_start);
+            if (m_ownership.state() == ownership_state::active && !recovering()) {
+                m_failed_claims = 0;
+            }
             m_fleet.on_time(now);
             again = process_fleet_events(now) || again;
             check_release();
@@ -388,6 +425,7 @@
         }
     };
     if (m_ownership.owns()) {
+        earlier(m_next_log_check);
         earlier(m_fleet.next_wakeup());
         earlier(m_runner.next_wakeup(now));
     } else if (m_ownership.state() == ownership_state::standby && m_owner_last_heard &&
--- a/source/core/store/sequenced_log.h
+++ b/source/core/store/sequenced_log.h
@@ -110,6 +110,10 @@
     [[nodiscard]] bool write_snapshot(common::time_point now, std::uint64_t last_included,
                                       std::string body);
 
+    /// Reads the slot of the next record once, to find a record of another writer. Has no effect
+    /// while an append or another read of the slot is pending.
+    void check_next(common::time_point now);
+
     /// Starts or stops following other writers by a watch on the next slot.
     void follow(common::time_point now, bool on);
 
@@ -137,6 +141,9 @@
         const std::uint64_t last = m_snapshots.covered() + m_options.slots;
         return last > m_head ? last - m_head : 0;
     }
+    /// No record of another writer was in the slot of the next record at this time: the send time
+    /// of the newest read or own append that showed it.
+    [[nodiscard]] common::time_point unchanged_at() const { return m_unchanged_at; }
     [[nodiscard]] bool append_pending() const { return m_append.has_value(); }
     /// False if the most recently completed store call failed.
     [[nodiscard]] bool store_available() const { return m_store_available; }
@@ -177,6 +184,8 @@
     void advance_append();
     void advance_watch();
     void advance_refresh();
+    void read_next_slot();
+    void on_refresh(const kv_response& response);
     void advance_snapshot();
 
     void on_load(common::time_point now, const kv_response& response);
@@ -219,6 +228,7 @@
     std::uint64_t m_watch_position = 0;
     std::uint64_t m_watch_index = 0;
     std::uint64_t m_refresh_position = 0;
+    common::time_point m_unchanged_at;
     std::optional<pending_append> m_append;
     std::vector<log_action> m_actions;
 };
