Let the mutation of crash limits cover the limit of silent losses

a_task_that_crashes_too_many_workers_is_detected no longer found its fault since successors count the crashes of their predecessors: with the two other limits unlimited, the limit of silent losses still gave the tasks up after four. It found the fault before only because counts were lost with owners.

--- a/tests/scenario/dispatch/dispatch_world.cpp
+++ b/tests/scenario/dispatch/dispatch_world.cpp
@@ -88,6 +88,7 @@
         if (mutation == "crashes") {
             settings.dispatcher.crashes.attributed_limit = unlimited_crashes;
             settings.dispatcher.crashes.ambiguous_limit = unlimited_crashes;
+            settings.dispatcher.crashes.silence_limit = unlimited_crashes;
         }
         return settings;
     }
