Wait no longer for former owners whose terms have ended

Cause: a successor that reaches less than a quarter of the recorded workers knew of no other end of its predecessor's authority than the time without a view of the key.

Change: the record of workers names the owners that may have authority, by node and address, and an owner has authority without a view of its key only once a record that names it is stored. A poll by a node of that name and address for the changes of this term shows that its earlier term has ended: it follows this owner, or its process is another one, because only one process at a time listens on the address. The name has to match, the record has to be complete, and a poll for another term does not count.

Before: old_jobs_start_after_the_last_leases_of_former_owners_that_have_ended fails without the new call. Two more cases and one of peer_exchange bound it. The random scenarios report ended owners to their successors at once with every second seed.

--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -21,6 +21,8 @@
 namespace buckthornspar::dispatch {
 
 struct dispatcher_settings {
+    /// Node and address of this owner, which only one process at a time has. Empty: unknown.
+    std::string owner;
     lease_settings leases;
     /// While the store does not show the owner its key, it sends orders only as long as a majority
     /// of the recorded workers has accepted its fence within this time. Longer than poll_wait, so
@@ -103,6 +105,9 @@
     }
     /// The store held this owner's key at this time.
     void on_key_seen(common::time_point at) { m_key_seen_at = at; }
+    /// The term of a former owner, named as in dispatcher_settings::owner, has ended: its node
+    /// follows this owner, or has begun another process.
+    void on_former_owner_ended(const std::string& owner) { m_former_owners.erase(owner); }
     /// An accepted job. Throws common::format_error when it cannot be executed.
     void on_job(common::time_point now, const job_spec& spec, const job_progress& progress,
                 std::uint64_t revision);
@@ -413,6 +418,10 @@
     common::time_point m_taken_over_at;
     /// No former owner has authority after this time.
     common::time_point m_former_authority_end;
+    /// Former owners that may still have authority, and whether the record that was read names all
+    /// of them.
+    std::set<std::string> m_former_owners;
+    bool m_former_owners_known = false;
     /// Workers of which former owners need a majority, without those that were removed since, and
     /// whether they still have to be in the record.
     std::set<std::string> m_former_quorum;
--- a/source/core/dispatch/dispatcher_authority.cpp
+++ b/source/core/dispatch/dispatcher_authority.cpp
@@ -13,9 +13,12 @@
     return time + time / 20;
 }
 
+// The record names the owner to its successors, which take an owner that is not in it for one that
+// orders with a view of its key only.
 bool dispatcher::has_authority(common::time_point now) {
     const auto reach = quorum_reach(now);
-    return now < m_key_seen_at + allowed_key_absence(reach.accepted, reach.workers);
+    return m_term_recorded &&
+           now < m_key_seen_at + allowed_key_absence(reach.accepted, reach.workers);
 }
 
 common::duration dispatcher::allowed_key_absence(std::size_t accepting, std::size_t workers) const {
@@ -98,10 +101,12 @@
 
 // The workers that accept this owner's fence refuse the orders of its predecessors, and what these
 // accepted before counts for no longer than the validity. The others may all obey one of them: then
-// its authority ends because it does not see its key.
+// its authority ends because it does not see its key, or its process has ended.
 void dispatcher::update_former_authority_end(common::time_point now) {
     const auto reach = quorum_reach(now);
-    const auto absence = allowed_key_absence(reach.workers - reach.accepted, reach.workers);
+    const bool all_ended = m_former_owners_known && m_former_owners.empty();
+    const auto others = all_ended ? 0 : reach.workers - reach.accepted;
+    const auto absence = allowed_key_absence(others, reach.workers);
     const auto key_unseen =
         absence.count() == 0 ? now : m_taken_over_at + longest(absence) + m_settings.key_validity;
     m_former_authority_end =
--- a/source/core/dispatch/dispatcher_crashes.cpp
+++ b/source/core/dispatch/dispatcher_crashes.cpp
@@ -15,7 +15,8 @@
 constexpr std::size_t max_logged_runs = 8;
 // A worker that was cut off rather than crashed is back in the instance list within this time.
 constexpr auto gone_worker_memory = std::chrono::minutes(1);
-// Half of the workers of a small fleet, if they are no fewer than this, have a common cause as well.
+// Half of the workers of a small fleet, if they are no fewer than this, have a common cause as
+// well.
 constexpr std::size_t min_large_part = 3;
 // Workers of which a record names the suspected runs, and these runs; each takes about 70 bytes.
 // All workers are examined for each of these, and a fleet of ten thousand may fall silent at once.
--- a/source/core/dispatch/dispatcher_recovery.cpp
+++ b/source/core/dispatch/dispatcher_recovery.cpp
@@ -62,6 +62,12 @@
     m_former_quorum = record.quorum_or_all();
     m_stored_quorum = m_former_quorum;
     m_keeps_former_quorum = !m_former_quorum.empty();
+    if (record.owners) {
+        m_former_owners_known = true;
+        m_former_owners = *record.owners;
+        // An earlier term of this process, or of one before it at this address.
+        m_former_owners.erase(m_settings.owner);
+    }
     for (const auto& report : record.workers) {
         m_proven_workers.insert(report.id);
         const bool unresponsive = record.unresponsive_workers.contains(report.id);
@@ -145,6 +151,12 @@
     record.jobs_on_unresponsive_workers.insert(m_jobs_on_unresponsive_workers.begin(),
                                                m_jobs_on_unresponsive_workers.end());
     record_suspects(record);
+    if (!m_settings.owner.empty() && (!m_keeps_former_quorum || m_former_owners_known)) {
+        record.owners = {m_settings.owner};
+        if (m_keeps_former_quorum) {
+            record.owners->insert(m_former_owners.begin(), m_former_owners.end());
+        }
+    }
     if (m_keeps_former_quorum && record.workers.size() > m_former_quorum.size()) {
         record.quorum = m_former_quorum;
     }
--- a/source/core/dispatch/worker_record.cpp
+++ b/source/core/dispatch/worker_record.cpp
@@ -73,6 +73,9 @@
         }
         document["suspects"] = std::move(suspects);
     }
+    if (record.owners) {
+        document["owners"] = json::value_from(*record.owners);
+    }
     if (record.quorum) {
         document["quorum"] = json::value_from(*record.quorum);
     }
@@ -114,6 +117,9 @@
                 record.suspects.push_back(read_suspect(line.as_array()));
             }
         }
+        if (const auto* const owners = value.as_object().if_contains("owners")) {
+            record.owners = json::value_to<std::set<std::string>>(*owners);
+        }
         if (const auto* const quorum = value.as_object().if_contains("quorum")) {
             record.quorum = json::value_to<std::set<std::string>>(*quorum);
             const auto all = ids_of(record.workers);
--- a/source/core/dispatch/worker_record.h
+++ b/source/core/dispatch/worker_record.h
@@ -42,6 +42,9 @@
     std::vector<recorded_suspect> suspects;
     /// Runs that no worker has reported may exist, of any earlier term: a worker was given up.
     bool unreported_runs = false;
+    /// Owners that may have authority (dispatcher_settings::owner): the one that wrote the record,
+    /// and its predecessors until theirs has ended. Absent when some are unknown.
+    std::optional<std::set<std::string>> owners;
     /// Workers from the list above of which a majority is needed in place of all of them: those of
     /// the former owner's record, as long as that owner may still have its majority.
     std::optional<std::set<std::string>> quorum;
--- a/source/core/emulation/emulated_platform.cpp
+++ b/source/core/emulation/emulated_platform.cpp
@@ -18,6 +18,10 @@
 // Typical sizes of a message about one run, and of a change in an answer to a watch call.
 constexpr std::size_t message_bytes = 500;
 
+std::string owner_name(std::uint64_t fence) {
+    return "owner-" + std::to_string(fence);
+}
+
 } // namespace
 
 void platform_observer::on_job_ended(const std::string&, dispatch::job_state) {}
@@ -63,6 +67,7 @@
         former->request_pump();
     }
     if (m_owner) {
+        report_ended_owners();
         m_owner->request_pump();
         if (m_owner->is_ended()) {
             replace_owner(m_settings.owner_lease);
@@ -71,6 +76,17 @@
     m_events.after(tick_interval, [this] { tick(); });
 }
 
+void emulated_platform::report_ended_owners() {
+    if (!m_settings.reports_ended_owners) {
+        return;
+    }
+    for (const auto& former : m_replaced_owners) {
+        if (former->is_ended()) {
+            m_owner->engine().on_former_owner_ended(owner_name(former->fence()));
+        }
+    }
+}
+
 void emulated_platform::report_workers() {
     for (const auto& [id, link] : m_links) {
         if (store_up() && link.listed && m_fleet.find(id)->up && now() >= link.store_cut_until) {
@@ -198,7 +214,9 @@
 void emulated_platform::begin_term() {
     m_owner_sends = {};
     m_owner_receives = {};
-    m_owner = std::make_unique<emulated_owner>(*this, m_owner_fence, m_settings.dispatcher);
+    auto settings = m_settings.dispatcher;
+    settings.owner = owner_name(m_owner_fence);
+    m_owner = std::make_unique<emulated_owner>(*this, m_owner_fence, settings);
     auto& engine = m_owner->engine();
     engine.on_queues(m_queues);
     for (const auto& [id, link] : m_links) {
--- a/source/core/emulation/emulated_platform.h
+++ b/source/core/emulation/emulated_platform.h
@@ -51,6 +51,8 @@
     common::duration report_interval = std::chrono::milliseconds(1500);
     /// A worker that a deadly task has crashed is back after this time.
     common::duration crash_length = std::chrono::milliseconds(3000);
+    /// Owners learn at once that a former owner's term has ended.
+    bool reports_ended_owners = false;
     /// The advice service grants one in this many workers to a step.
     unsigned granted_one_in = 4;
     /// Time after an outage of the store in which the platform judges no rule with a time bound
@@ -223,6 +225,7 @@
     void withdraw(const std::string& worker);
     void set_capacity(const std::string& worker, const placement::resources& capacity);
     void tick();
+    void report_ended_owners();
     void report_workers();
     void answer_polls();
     void answer_poll(const pending_poll& poll);
--- a/source/core/service/node_application.cpp
+++ b/source/core/service/node_application.cpp
@@ -124,9 +124,9 @@
             m_relay,
             m_settings.id,
             m_settings.peers,
-            [this](const std::string& node) {
+            [this](const std::string& node, const net::endpoint& address) {
                 if (m_controller) {
-                    m_controller->on_peer_seen(node);
+                    m_controller->on_peer_seen(node, address);
                 }
             },
             [this](const std::string& node) {
@@ -166,6 +166,7 @@
 
 owner_environment node_application::make_owner_environment(std::uint64_t fence) {
     dispatch::dispatcher_settings dispatcher;
+    dispatcher.owner = owner_name(m_settings.id, m_settings.peers);
     dispatcher.leases.lease = std::min<common::duration>(m_settings.lease, preferred_lease);
     dispatcher.leases.max_lease = m_settings.lease;
     dispatcher.cancel_bound = m_settings.cancel_bound;
@@ -290,7 +291,7 @@
     m_peers.set_owned_fence(owner.fence);
     m_controller =
         std::make_shared<owner_controller>(make_owner_environment(owner.fence), owner.fence);
-    m_controller->on_peer_seen(m_settings.id);
+    m_controller->on_peer_seen(m_settings.id, m_settings.peers);
     m_controller->begin(m_configuration->queues());
 }
 
--- a/source/core/service/owner_controller.cpp
+++ b/source/core/service/owner_controller.cpp
@@ -34,6 +34,10 @@
 
 } // namespace
 
+std::string owner_name(const std::string& node, const net::endpoint& address) {
+    return node + "@" + net::to_string(address);
+}
+
 owner_controller::owner_controller(owner_environment environment, std::uint64_t fence)
     : m_env(std::move(environment)),
       m_dispatcher(m_env.dispatcher, m_env.counters),
@@ -73,7 +77,8 @@
     }
 }
 
-void owner_controller::on_peer_seen(const std::string& node) {
+void owner_controller::on_peer_seen(const std::string& node, const net::endpoint& address) {
+    m_dispatcher.on_former_owner_ended(owner_name(node, address));
     const bool joined = !m_advice_balancer.has_node(node);
     m_advice_balancer.add_node(node);
     if (joined) {
--- a/source/core/service/owner_controller.h
+++ b/source/core/service/owner_controller.h
@@ -51,6 +51,9 @@
     std::function<void()> on_directory_changed;
 };
 
+/// See dispatch::dispatcher_settings::owner.
+[[nodiscard]] std::string owner_name(const std::string& node, const net::endpoint& address);
+
 /// Controls the service during one term of ownership: loads the state from the store, then executes
 /// the decisions of the dispatcher and records them in the store. Runs on the event loop.
 class owner_controller : public std::enable_shared_from_this<owner_controller> {
@@ -61,7 +64,9 @@
     /// Ends the term; nothing is sent afterwards.
     void end();
     void on_queues(const std::vector<dispatch::queue_settings>& queues);
-    void on_peer_seen(const std::string& node);
+    /// The node follows this owner and listens on the address, so that no earlier term of an owner
+    /// of this name goes on.
+    void on_peer_seen(const std::string& node, const net::endpoint& address);
     void on_peer_lost(const std::string& node);
     /// Planned stop: starts no more runs and calls back when all changes are recorded.
     void drain(std::function<void()> complete);
--- a/source/core/service/peer_exchange.cpp
+++ b/source/core/service/peer_exchange.cpp
@@ -112,7 +112,7 @@
     }
     const auto now = m_env.clock.now();
     m_peers[poll.node] = {poll.address, now, poll.job_limit};
-    m_env.on_peer_seen(poll.node);
+    m_env.on_peer_seen(poll.node, poll.address);
     for (const auto& job : poll.follow) {
         m_env.directory.follow(job, poll.node);
     }
--- a/source/core/service/peer_exchange.h
+++ b/source/core/service/peer_exchange.h
@@ -38,7 +38,7 @@
         std::string node;
         net::endpoint address;
         /// Owner only: a node has polled, or has stopped polling.
-        std::function<void(const std::string&)> on_peer_seen;
+        std::function<void(const std::string& node, const net::endpoint& address)> on_peer_seen;
         std::function<void(const std::string&)> on_peer_lost;
         /// Owner only: see changes_response::pending.
         std::function<std::optional<pending_report>()> pending;
--- a/tests/scenario/dispatch/dispatch_world.cpp
+++ b/tests/scenario/dispatch/dispatch_world.cpp
@@ -81,6 +81,7 @@
         settings.plan_cost = setup.time("plan_cost", settings.plan_cost);
         settings.workers_watch_interval =
             setup.time("list_interval", settings.workers_watch_interval);
+        settings.reports_ended_owners = setup.flag("ended_owners", false);
         const auto mutation = setup.text("mutation", "");
         settings.claims_all_cancels = mutation == "claimed_cancels";
         settings.claims_all_drains = mutation == "claimed_drains";
--- a/tests/scenario/dispatch/random_script.cpp
+++ b/tests/scenario/dispatch/random_script.cpp
@@ -57,6 +57,7 @@
         m_script.setup.set("event_cost", "200us");
         m_script.setup.set("plan_cost", "1ms");
         m_script.setup.set("list_interval", "300ms");
+        m_script.setup.set("ended_owners", seed % 2 == 0 ? "true" : "false");
     }
 
     script make_with_partitions() {
--- a/tests/unit/dispatch/lost_quorum_test.cpp
+++ b/tests/unit/dispatch/lost_quorum_test.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,9 +22,10 @@
     return ids;
 }
 
-std::string record_of(int count) {
+std::string record_of(int count, const std::optional<std::set<std::string>>& owners = {}) {
     worker_record record;
     record.term = 1;
+    record.owners = owners;
     for (const auto& id : worker_ids(count)) {
         record.workers.push_back(dispatch_fixture::report(id));
     }
@@ -32,7 +35,8 @@
 /// A successor; the first of the recorded workers answer, and the others never do and have left the
 /// instance list. Job "old" was accepted before the take-over.
 struct successor : dispatch_fixture {
-    successor(int recorded, int answering) {
+    successor(int recorded, int answering, const std::optional<std::set<std::string>>& owners = {})
+        : dispatch_fixture(named_owner()) {
         engine.on_queues({plain_queue()});
         for (const auto& id : worker_ids(recorded)) {
             unreachable[id] = true;
@@ -41,11 +45,17 @@
             unreachable[id] = false;
             engine.on_worker(now, report(id));
         }
-        engine.take_over(now, 10, record_of(recorded));
+        engine.take_over(now, 10, record_of(recorded, owners));
         engine.on_job(now, job("old", 1, 1000), {}, 5);
         save();
     }
 
+    static dispatcher_settings named_owner() {
+        dispatcher_settings settings;
+        settings.owner = "n2";
+        return settings;
+    }
+
     void advance_and_save(common::duration by) {
         const auto end = now + by;
         while (now < end) {
@@ -123,4 +133,61 @@
     BOOST_TEST(record.quorum_or_all().size() == 3U);
 }
 
+// Guards against jobs that stand for the time in which a former owner with nearly all workers could
+// go on in an outage of the store, although its process has ended: a soak in which more than three
+// quarters of the workers leave showed LOST (issue 42).
+BOOST_AUTO_TEST_CASE(old_jobs_start_after_the_last_leases_of_former_owners_that_have_ended) {
+    const dispatcher_settings settings;
+    successor f(6, 1, std::set<std::string>{"n1", "n2"});
+    f.advance_and_save(3s);
+    f.engine.on_former_owner_ended("n1");
+    f.advance_and_save(settings.authority + settings.leases.lease);
+    BOOST_TEST(f.starts.empty());
+    f.advance_and_save(last_lease(settings.leases.lease) - settings.leases.lease + 1s);
+    BOOST_TEST(f.starts.size() == 1U);
+}
+
+// Guards against a second run of a task: of two owners that may have authority, only one has ended,
+// or the record does not name all of them.
+BOOST_AUTO_TEST_CASE(each_former_owner_that_may_have_authority_is_waited_for) {
+    for (const auto& owners : {std::optional(std::set<std::string>{"n0", "n1"}),
+                               std::optional<std::set<std::string>>()}) {
+        successor f(6, 1, owners);
+        f.advance_and_save(1s);
+        f.engine.on_former_owner_ended("n1");
+        f.advance_and_save(dispatcher_settings().key_absence);
+        BOOST_TEST(f.starts.empty());
+    }
+}
+
+// Guards against an owner that its successors do not know of: it is named with its predecessors, as
+// long as these may have authority, and has no authority before that is stored.
+BOOST_AUTO_TEST_CASE(the_record_names_the_owners_that_may_have_authority) {
+    using names = std::set<std::string>;
+    const auto owners_of = [](const successor& f) {
+        return read_worker_record(f.worker_record).owners;
+    };
+    successor f(6, 1, names{"n0", "n1"});
+    f.advance_and_save(1s);
+    BOOST_TEST((owners_of(f) == names{"n0", "n1", "n2"}));
+    f.advance_and_save(40s);
+    BOOST_TEST((owners_of(f) == names{"n2"}));
+
+    successor unknown(6, 1);
+    unknown.advance_and_save(1s);
+    BOOST_TEST(!owners_of(unknown).has_value());
+    unknown.advance_and_save(40s);
+    BOOST_TEST((owners_of(unknown) == names{"n2"}));
+
+    dispatch_fixture unrecorded(successor::named_owner());
+    for (const auto& id : worker_ids(3)) {
+        unrecorded.engine.on_worker(unrecorded.now, dispatch_fixture::report(id));
+    }
+    unrecorded.engine.take_over(unrecorded.now, 10, record_of(3, names{"n1"}));
+    unrecorded.advance(1s);
+    BOOST_TEST(!unrecorded.engine.has_authority(unrecorded.now));
+    unrecorded.save();
+    BOOST_TEST(unrecorded.engine.has_authority(unrecorded.now));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/service/peer_exchange_test.cpp
+++ b/tests/unit/service/peer_exchange_test.cpp
@@ -1,6 +1,7 @@
 #include "core/service/peer_exchange.h"
 
 #include "core/net/http_server.h"
+#include "core/service/owner_controller.h"
 #include "fakes/fake_platform.h"
 #include "unit/service/service_fixture.h"
 
@@ -10,6 +11,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 using namespace buckthornspar;
@@ -41,7 +43,9 @@
                     relay,
                     name,
                     {"127.0.0.1", 1},
-                    [](const std::string&) {},
+                    [this](const std::string& node, const net::endpoint& address) {
+                        seen_peers.insert(owner_name(node, address));
+                    },
                     [](const std::string&) {},
                     [this] { return pending; },
                     [](const owner_record&, bool) {},
@@ -69,6 +73,7 @@
     store_health health;
     store_relay relay;
     std::string name;
+    std::set<std::string> seen_peers;
     std::optional<pending_report> pending;
     job_admission admission;
     peer_exchange exchange;
@@ -127,6 +132,17 @@
     BOOST_TEST(!follower.directory.pending_of("q", clock.now(), 500ms).has_value());
 }
 
+// Guards against a successor that takes a late message of its predecessor, which followed an
+// earlier owner then, for a sign that the predecessor's term has ended (TWICE).
+BOOST_AUTO_TEST_CASE(only_a_node_that_follows_this_term_is_seen) {
+    owner.exchange.set_owned_fence(fence + 1);
+    follower.follow(owner_server.port());
+    BOOST_TEST(!run_until([&] { return !owner.seen_peers.empty(); }, 500ms));
+    owner.exchange.set_owned_fence(fence);
+    BOOST_REQUIRE(run_until([&] { return !owner.seen_peers.empty(); }));
+    BOOST_TEST(owner.seen_peers.contains(owner_name("follower", {"127.0.0.1", 1})));
+}
+
 // Guards against nodes that together accept more than the smallest of them, which may become the
 // owner, can hold.
 BOOST_AUTO_TEST_CASE(the_owner_divides_the_memory_for_jobs) {
