Do not reuse run numbers of a silent worker that is lost

Cause: an owner that waits for a worker that was silent under its predecessor does not know the runs there. When the worker was removed or restarted during the wait, the owner passed over the possible run numbers of its jobs in its own memory only, and the record did not say that unreported runs are possible, as it does for workers that were not silent before. An owner that then stored no progress of such a job left its successor to begin with run 1 again.

Change: the record says so for these workers, too.

a_run_number_on_a_silent_worker_that_is_lost_is_not_reused failed before in its three variants.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -72,7 +72,7 @@
         handle_worker_restart(now, report.id, change);
         // A start of a former owner may still begin there until the new incarnation has answered a
         // poll under this owner's fence.
-        m_unreported_runs_possible |= m_unadopted.contains(report.id);
+        m_unreported_runs_possible |= is_waited_for(report.id);
     }
     if (change.draining_changed || change.added || !was_listed) {
         log_event(severity::info, "worker_listed",
@@ -494,7 +494,7 @@
             log_event(severity::info, "worker_restarted",
                       {{"worker", call.order.worker}, {"born_ms", result.start_time_ms}});
             handle_worker_restart(now, call.order.worker, change);
-            m_unreported_runs_possible |= m_unadopted.contains(call.order.worker);
+            m_unreported_runs_possible |= is_waited_for(call.order.worker);
             if (call.order.valid_until_ms != 0) {
                 m_workers.assume_longest_lease(*worker, now);
             }
--- a/source/core/dispatch/dispatcher_recovery.cpp
+++ b/source/core/dispatch/dispatcher_recovery.cpp
@@ -87,7 +87,7 @@
             schedule_poll(*known, now);
         }
         const bool restarted = known->report.start_time_ms != report.start_time_ms;
-        m_unreported_runs_possible |= !unresponsive && restarted;
+        m_unreported_runs_possible |= restarted;
         if (wait_recorded && !restarted) {
             m_recorded_wait_ends[report.id] = now + longest(wait->second);
         } else {
--- a/tests/unit/dispatch/silent_workers_test.cpp
+++ b/tests/unit/dispatch/silent_workers_test.cpp
@@ -25,11 +25,15 @@
 
 /// An owner of the workers w1 to w3, which are all in the instance list. w3 does not answer.
 struct owner_with_silent_worker : dispatch_fixture {
-    owner_with_silent_worker(std::uint64_t fence, const std::string& record) {
+    owner_with_silent_worker(std::uint64_t fence, const std::string& record,
+                             std::int64_t incarnation = 1000) {
         engine.on_queues({plain_queue()});
         unreachable["w3"] = true;
+        incarnations["w3"] = incarnation;
         for (const auto* const id : {"w1", "w2", "w3"}) {
-            engine.on_worker(now, report(id));
+            auto entry = report(id);
+            entry.start_time_ms = incarnation_of(id);
+            engine.on_worker(now, entry);
         }
         engine.take_over(now, fence, record);
     }
@@ -222,4 +226,38 @@
     }
 }
 
+// Guards against a run number that two owners use for different runs: a worker that was silent
+// under the first owner is removed or restarts under the second one, which starts nothing and
+// stores no progress of the job (found by random_successions_pass, seed 1950).
+BOOST_AUTO_TEST_CASE(a_run_number_on_a_silent_worker_that_is_lost_is_not_reused) {
+    auto record = read_worker_record(record_of({"w1", "w2", "w3"}));
+    record.unresponsive_workers = {"w3"};
+    record.jobs_on_unresponsive_workers = {"a"};
+    const auto job = dispatch_fixture::job("a", 1, 100'000);
+    enum class loss { removed, restarted, restarted_before };
+    for (const auto how : {loss::removed, loss::restarted, loss::restarted_before}) {
+        record.workers.back().start_time_ms = how == loss::restarted_before ? 1 : 1000;
+        owner_with_silent_worker between(10, write_worker_record(record));
+        between.engine.on_job(between.now, job, {}, 5);
+        if (how == loss::removed) {
+            between.engine.on_worker_unlisted(between.now, "w3");
+        } else {
+            between.unreachable["w3"] = false;
+            if (how == loss::restarted) {
+                between.crash_worker("w3");
+            }
+        }
+        between.advance_and_save(wait_is_over);
+        BOOST_TEST(between.starts.empty());
+
+        owner_with_silent_worker f(20, between.worker_record, between.incarnation_of("w3"));
+        f.unreachable["w3"] = false;
+        f.engine.on_worker(f.now, dispatch_fixture::report("w1", 200'000));
+        f.engine.on_job(f.now, job, {}, 5);
+        f.advance_and_save(wait_is_over);
+        BOOST_REQUIRE(f.starts.size() == 1U);
+        BOOST_TEST(f.starts[0].run.run > 1U);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
