Play random changes of owner with silent workers

random_successions adds silent workers and two to six changes of owner in a row to the random partitions.

--- a/tests/scenario/dispatch/dispatch_scenario_test.cpp
+++ b/tests/scenario/dispatch/dispatch_scenario_test.cpp
@@ -81,6 +81,13 @@
     BOOST_TEST(failure.empty(), failure);
 }
 
+// Guards against tasks that run twice, and against jobs that stand, when owners are replaced before
+// their wait for silent workers is over (issues 36 and 42).
+BOOST_AUTO_TEST_CASE(random_successions_pass) {
+    const auto failure = run_random(random_runs, random_succession_script, make_dispatch_world);
+    BOOST_TEST(failure.empty(), failure);
+}
+
 // The cases below guard against checks that cannot fail: each gives the owner one kind of wrong
 // information and expects the matching violation.
 BOOST_AUTO_TEST_CASE(an_overcommitted_worker_is_detected) {
--- a/tests/scenario/dispatch/dispatch_world.h
+++ b/tests/scenario/dispatch/dispatch_world.h
@@ -21,6 +21,9 @@
 [[nodiscard]] script random_share_script(std::uint64_t seed);
 /// As random_share_script(), with owners that lose their key and learn of it up to one second late.
 [[nodiscard]] script random_late_change_script(std::uint64_t seed);
+/// As random_partition_script(), with silent workers and several changes of owner, without
+/// cancellations and drains.
+[[nodiscard]] script random_succession_script(std::uint64_t seed);
 /// More than half of the workers are lost for good and owners are lost in turn. The script ends
 /// when all jobs must have ended.
 [[nodiscard]] script random_lost_majority_script(std::uint64_t seed);
--- a/tests/scenario/dispatch/random_script.cpp
+++ b/tests/scenario/dispatch/random_script.cpp
@@ -153,6 +153,26 @@
         return m_script;
     }
 
+    script make_with_successions() {
+        static_cast<void>(make_with_partitions());
+        std::erase_if(m_script.steps,
+                      [](const step& s) { return s.verb == "cancel" || s.verb == "drain_worker"; });
+        // An owner that is lost loses one count of crashes (issue 26), so that several of them
+        // exceed the limit.
+        for (auto& s : m_script.steps) {
+            if (s.verb == "submit") {
+                s.args.set("deadly", "false");
+            }
+        }
+        const auto silent = 1 + m_rng.below(2);
+        for (std::uint64_t i = 0; i < silent; ++i) {
+            add_silence();
+        }
+        add_owner_changes();
+        sort_steps(m_script);
+        return m_script;
+    }
+
     script make() {
         const auto jobs = 3 + m_rng.below(8);
         for (std::uint64_t i = 0; i < jobs; ++i) {
@@ -373,6 +393,27 @@
         return last;
     }
 
+    // For several terms, in a list that still names the worker or not.
+    void add_silence() {
+        static constexpr std::array verbs{"delay_orders", "cut_worker", "crash_worker"};
+        add(time(), verbs.at(m_rng.below(verbs.size())),
+            {{"worker", worker()},
+             {"for", std::to_string(2000 + m_rng.below(2 * max_partition_ms)) + "ms"},
+             {"by", random_duration(max_fault_ms)},
+             {"store", m_rng.chance(0.5) ? "true" : "false"}});
+    }
+
+    // Several owners, most of which are replaced before their wait for silent workers is over.
+    void add_owner_changes() {
+        static constexpr std::array verbs{"kill_owner", "kill_owner", "stop_owner", "freeze_owner"};
+        const auto changes = 2 + m_rng.below(5);
+        common::duration at = time();
+        for (std::uint64_t i = 0; i < changes; ++i) {
+            add(at, verbs.at(m_rng.below(verbs.size())), {{"for", random_duration(max_fault_ms)}});
+            at += milliseconds(1500 + static_cast<std::int64_t>(m_rng.below(max_fault_ms)));
+        }
+    }
+
     void add_fault() {
         static constexpr std::array owner_faults{"kill_owner", "stop_owner", "freeze_owner",
                                                  "stop_store"};
@@ -456,4 +497,8 @@
     return generator(seed).make_with_lost_majority();
 }
 
+script random_succession_script(std::uint64_t seed) {
+    return generator(seed).make_with_successions();
+}
+
 } // namespace buckthornspar::scenario
