Let an owner that has not loaded stop at once

A planned stop of a node that had just become the owner kept the key for as long as the reads of the state failed, up to the grace time of 6 s. Nothing was started meanwhile, and no other node could claim.

Cause: owner_controller::drain waits until all changes are recorded, which it checks only once the state is loaded. An owner that is loading has decided nothing and has nothing to record.

Change: such an owner gives up the key at once and starts nothing if its reads are answered later.

a_planned_stop_does_not_wait_for_the_loading failed before. An owner that has loaded still waits for its last commit, at most for the grace time.

--- a/source/core/service/owner_controller.cpp
+++ b/source/core/service/owner_controller.cpp
@@ -103,8 +103,13 @@
 }
 
 void owner_controller::drain(std::function<void()> complete) {
-    m_on_drained = std::move(complete);
     m_dispatcher.drain();
+    if (!m_loaded) {
+        // Nothing has been decided that would have to be recorded.
+        m_env.loop.post(std::move(complete));
+        return;
+    }
+    m_on_drained = std::move(complete);
     process_actions();
 }
 
--- a/tests/unit/service/owner_controller_test.cpp
+++ b/tests/unit/service/owner_controller_test.cpp
@@ -365,6 +365,23 @@
     BOOST_TEST(run_until([&] { return drained; }, 500ms));
 }
 
+// Pattern: hand-over in trouble of the store. Guards against a planned stop that keeps the key, and
+// starts nothing, until the grace time is over: an owner that has not loaded has nothing to record.
+BOOST_AUTO_TEST_CASE(a_planned_stop_does_not_wait_for_the_loading) {
+    const auto fence = claim(1);
+    submit("a", 1000);
+    store.fail_calls = true;
+    begin_term(fence);
+    run_for(100ms);
+    bool drained = false;
+    controller->drain([&] { drained = true; });
+    BOOST_TEST(run_until([&] { return drained; }, 500ms));
+    store.fail_calls = false;
+    BOOST_REQUIRE(run_until([&] { return controller->loaded(); }));
+    run_for(200ms);
+    BOOST_TEST(starts_of("a") == 0U);
+}
+
 // Pattern: hand-over, many jobs. Guards against an owner that loses its key while it reads the
 // jobs, so that owner follows owner and none places anything (RECOVER).
 BOOST_AUTO_TEST_CASE(loading_thousands_of_jobs_does_not_hold_up_the_event_loop) {
