--- a/tests/unit/service/peer_exchange_test.cpp
+++ b/tests/unit/service/peer_exchange_test.cpp
@@ -43,8 +43,8 @@
                     relay,
                     name,
                     {"127.0.0.1", 1},
-                    [this](const std::string& node, const net::endpoint& address) {
-                        seen_peers.insert(owner_name(node, address));
+                    [this](const std::string& peer, const net::endpoint& address) {
+                        seen_peers.insert(owner_name(peer, address));
                     },
                     [](const std::string&) {},
                     [this] { return pending; },
