--- a/source/core/dispatch/dispatcher_crashes.cpp
+++ b/source/core/dispatch/dispatcher_crashes.cpp
@@ -15,9 +15,6 @@
 constexpr std::size_t max_logged_runs = 8;
 // A worker that was cut off rather than crashed is back in the instance list within this time.
 constexpr auto gone_worker_memory = std::chrono::minutes(1);
-// Half of the workers of a small fleet, if they are no fewer than this, have a common cause as
-// well.
-constexpr std::size_t min_large_part = 3;
 // Workers of which a record names the suspected runs, and these runs; each takes about 70 bytes.
 // All workers are examined for each of these, and a fleet of ten thousand may fall silent at once.
 constexpr std::size_t max_recorded_crashes = 64;
@@ -191,9 +188,7 @@
                               crashed_at <= other.silent_since + window;
         others += together && other.slot != worker.slot ? 1 : 0;
     }
-    const auto silent = others + 1;
-    return others >= m_settings.crashes.common_cause_workers ||
-           (silent >= min_large_part && silent * 2 >= m_workers.all().size());
+    return others >= m_settings.crashes.common_cause_workers;
 }
 
 bool dispatcher::may_give_up(const task_state& task, const suspected_run& last) const {
