Record suspected runs of at most two silent workers

half_gone_owner_killed failed with a bound of 64: 24 suspected tasks of three lost workers started one by one, 1.5 s each. More workers that are silent with runs at a time are hardly crashed by tasks.

--- a/source/core/dispatch/dispatcher_crashes.cpp
+++ b/source/core/dispatch/dispatcher_crashes.cpp
@@ -15,10 +15,9 @@
 constexpr std::size_t max_logged_runs = 8;
 // A worker that was cut off rather than crashed is back in the instance list within this time.
 constexpr auto gone_worker_memory = std::chrono::minutes(1);
-// Workers of which a record names the suspected runs, and these runs; each takes about 70 bytes.
-// All workers are examined for each of these, and a fleet of ten thousand may fall silent at once.
-constexpr std::size_t max_recorded_crashes = 64;
-constexpr std::size_t max_recorded_suspects = 256;
+// More workers that are silent with runs at a time are hardly crashed by tasks. Suspected tasks
+// start one by one, so that a successor would need long for the jobs of many lost workers.
+constexpr std::size_t max_recorded_crashes = 2;
 
 std::string describe(const std::vector<suspected_run>& suspects) {
     std::string text;
@@ -144,8 +143,7 @@
         const auto evidence =
             worker->connection_refused ? loss_evidence::refused : loss_evidence::silent;
         for (const auto& suspect : find_suspects(*worker, worker->silent_since, evidence)) {
-            if (record.suspects.size() < max_recorded_suspects &&
-                is_counted(worker->runs.at(suspect.run))) {
+            if (is_counted(worker->runs.at(suspect.run))) {
                 record.suspects.push_back(
                     {worker->report.id, worker->report.start_time_ms, suspect});
             }
