--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -47,10 +47,10 @@
 } // namespace
 
 dispatcher::dispatcher(dispatcher_settings settings, common::counters& counters)
-    : m_settings(settings),
+    : m_settings(std::move(settings)),
       m_counters(counters),
-      m_workers(settings.leases),
-      m_authority(settings.authority) {}
+      m_workers(m_settings.leases),
+      m_authority(m_settings.authority) {}
 
 void dispatcher::on_queues(const std::vector<queue_settings>& queues) {
     for (const auto& queue : queues) {
