--- a/tests/unit/dispatch/dispatch_fixture.h
+++ b/tests/unit/dispatch/dispatch_fixture.h
@@ -13,7 +13,8 @@
 /// A dispatcher with scripted responses of workers, advice service and store.
 class dispatch_fixture {
 public:
-    explicit dispatch_fixture(const dispatcher_settings& settings = {}) : engine(settings, counters) {}
+    explicit dispatch_fixture(const dispatcher_settings& settings = {})
+        : engine(settings, counters) {}
 
     static constexpr std::int64_t cores = 1000;
 
