Build the records of dispatcher tests in one place

recovery_test.cpp, silent_workers_test.cpp and lost_quorum_test.cpp each had the same function that makes a record of workers. It stands beside the fixture now. The tests keep their assertions; test_dispatch passes on x86-64.

--- a/tests/unit/dispatch/dispatch_fixture.h
+++ b/tests/unit/dispatch/dispatch_fixture.h
@@ -258,4 +258,18 @@
     }
 };
 
+/// The record of a first term with workers as dispatch_fixture::report() describes them.
+inline worker_record make_record(const std::vector<std::string>& workers) {
+    worker_record record;
+    record.term = 1;
+    for (const auto& id : workers) {
+        record.workers.push_back(dispatch_fixture::report(id));
+    }
+    return record;
+}
+
+inline std::string record_of(const std::vector<std::string>& workers) {
+    return write_worker_record(make_record(workers));
+}
+
 } // namespace buckthornspar::dispatch::test
--- a/tests/unit/dispatch/lost_quorum_test.cpp
+++ b/tests/unit/dispatch/lost_quorum_test.cpp
@@ -23,12 +23,8 @@
 }
 
 std::string record_of(int count, const std::optional<std::set<std::string>>& owners = {}) {
-    worker_record record;
-    record.term = 1;
+    auto record = make_record(worker_ids(count));
     record.owners = owners;
-    for (const auto& id : worker_ids(count)) {
-        record.workers.push_back(dispatch_fixture::report(id));
-    }
     return write_worker_record(record);
 }
 
--- a/tests/unit/dispatch/recovery_test.cpp
+++ b/tests/unit/dispatch/recovery_test.cpp
@@ -14,14 +14,6 @@
 namespace {
 
 const task_key task{"a", 0, 0, 0};
-std::string record_of(const std::vector<std::string>& workers) {
-    worker_record record;
-    record.term = 1;
-    for (const auto& id : workers) {
-        record.workers.push_back(dispatch_fixture::report(id));
-    }
-    return write_worker_record(record);
-}
 
 const std::string two_workers = record_of({"w1", "w2"});
 
--- a/tests/unit/dispatch/silent_workers_test.cpp
+++ b/tests/unit/dispatch/silent_workers_test.cpp
@@ -14,15 +14,6 @@
 
 namespace {
 
-std::string record_of(const std::vector<std::string>& workers) {
-    worker_record record;
-    record.term = 1;
-    for (const auto& id : workers) {
-        record.workers.push_back(dispatch_fixture::report(id));
-    }
-    return write_worker_record(record);
-}
-
 /// An owner of the workers w1 to w3, which are all in the instance list. w3 does not answer.
 struct owner_with_silent_worker : dispatch_fixture {
     owner_with_silent_worker(std::uint64_t fence, const std::string& record,
