--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -18,6 +18,8 @@
     std::string name;
     std::string prefix;
     std::int64_t max_attempts = 3;
+    /// 0 is the most urgent.
+    std::int64_t priority = 1;
 };
 
 /// A node of the system: a process of its own with the settings of the deploy file's template.
--- a/review/standins-2/runner.cpp
+++ b/review/standins-2/runner.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t max_listed_ends = 500;
 constexpr std::int64_t first_clock_ms = 1000;
 constexpr std::int64_t step_ms = 5;
+/// Connections of a runner that is cut off stay open and silent for this time.
+constexpr std::int64_t silence_ms = 10'000;
 
 std::int64_t number_in(const std::string& spec, const std::string& name) {
     const auto position = spec.find(name);
@@ -93,7 +95,16 @@
     }
 }
 
+void runner::set_cut(bool cut) {
+    m_cut = cut;
+    m_record.write("runner " + m_id + (cut ? " is cut off" : " is connected again"));
+}
+
 awaitable<answer> runner::handle(const request& message) {
+    if (m_cut) {
+        co_await pause_ms(silence_ms);
+        co_return answer{};
+    }
     const auto path = path_of(message);
     if (path == "/healthz") {
         co_return json_answer(200, {});
--- a/review/standins-2/runner.h
+++ b/review/standins-2/runner.h
@@ -42,6 +42,9 @@
 
     void crash();
     void restart();
+    /// Cuts the runner off from the nodes, or connects it again. It runs on and reports to the
+    /// store; what is sent to it meanwhile is lost.
+    void set_cut(bool cut);
     [[nodiscard]] bool is_up() const { return m_up; }
     [[nodiscard]] const std::string& id() const { return m_id; }
     [[nodiscard]] bool runs(const std::string& task) const { return m_running.contains(task); }
@@ -90,6 +93,7 @@
     server m_server;
     std::string m_id;
     bool m_up = false;
+    bool m_cut = false;
     unsigned m_life = 0;
     std::int64_t m_born_ms = 0;
     std::int64_t m_clock_start_ms = 0;
