Log what shows that a job has begun

The logs could not tell why: a start that was accepted, a run that a worker listed, the end of a run, a loss, or a new owner.

job_begun names the evidence, run_lost whether the worker had confirmed the run, and owner_load the number of pending jobs.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -195,20 +195,24 @@
     }
 }
 
-void dispatcher::mark_running(job_entry& job) {
+void dispatcher::mark_running(job_entry& job, begin_evidence evidence) {
     if (job.state == job_state::queued) {
         --m_queued_by_queue[job.spec.queue];
         job.state = job_state::running;
+        log_event(severity::info, "job_begun",
+                  {{"job", job.spec.id},
+                   {"queue", job.spec.queue},
+                   {"evidence", begin_evidence_names.name(evidence)}});
         m_actions.emplace_back(
             state_change{job.spec.id, job.spec.queue, job.state, job.spec.accepted_by});
     }
 }
 
-void dispatcher::mark_started(job_entry& job, const task_key& task) {
+void dispatcher::mark_started(job_entry& job, const task_key& task, begin_evidence evidence) {
     if (auto* const step = job.find_step(task)) {
         step->started = true;
     }
-    mark_running(job);
+    mark_running(job, evidence);
 }
 
 std::optional<save_batch> dispatcher::next_save() {
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -2,6 +2,7 @@
 
 #include "core/common/counters.h"
 #include "core/common/due_queue.h"
+#include "core/common/name_table.h"
 #include "core/dispatch/crash_attribution.h"
 #include "core/dispatch/dispatch_actions.h"
 #include "core/dispatch/job_entry.h"
@@ -77,6 +78,16 @@
     std::size_t max_record_bytes = std::size_t{1} << 20U;
 };
 
+/// What shows that a job has begun.
+enum class begin_evidence {
+    accepted, ///< a worker accepted a start
+    listed,   ///< a worker lists a run
+    ended,    ///< a worker lists the end of a run
+    lost,     ///< a run was lost with its worker
+};
+inline constexpr common::name_table<begin_evidence, 4> begin_evidence_names{
+    "begin evidence", {"accepted", "listed", "ended", "lost"}};
+
 /// The scheduling logic of the owner of a service: which task runs where, which runs are stopped,
 /// which tickets are requested and what is written to the store. It performs no I/O: it takes
 /// events and the current time and returns actions. The owner's fence is the store revision at
@@ -186,9 +197,9 @@
     void note_answer(common::time_point now, const std::string& worker);
     void end_job(common::time_point now, job_entry& job, job_state state, std::string_view reason);
     void mark_dirty(const job_entry& job) { m_dirty_jobs.insert(job.spec.id); }
-    void mark_running(job_entry& job);
+    void mark_running(job_entry& job, begin_evidence evidence);
     /// A worker has confirmed the start of the task.
-    void mark_started(job_entry& job, const task_key& task);
+    void mark_started(job_entry& job, const task_key& task, begin_evidence evidence);
     void send_polls(common::time_point now);
     void schedule_poll(worker_entry& worker, common::time_point due);
     struct batch_size {
@@ -265,7 +276,7 @@
     void handle_vanished_runs(common::time_point now, worker_entry& worker,
                               const poll_result& result);
     void handle_run_end(common::time_point now, const std::string& worker, const run_key& run,
-                        run_end how, const std::string& checkpoint);
+                        run_end how, const std::string& checkpoint, begin_evidence evidence);
     void handle_task_success(common::time_point now, job_entry& job, const task_key& task);
     void handle_task_failure(common::time_point now, job_entry& job, const task_key& task,
                              std::uint32_t run, const std::string& worker);
--- a/source/core/dispatch/dispatcher_runs.cpp
+++ b/source/core/dispatch/dispatcher_runs.cpp
@@ -56,7 +56,7 @@
         // A repeated order may have reached the next incarnation.
         placed.confirmed |= placed.unanswered_orders == 0;
         if (const auto job = m_jobs.find(order.run.task.job); job != m_jobs.end()) {
-            mark_started(job->second, order.run.task);
+            mark_started(job->second, order.run.task, begin_evidence::accepted);
         }
         return;
     }
@@ -242,7 +242,7 @@
     if (placed.phase == run_phase::ordered || placed.phase == run_phase::unanswered) {
         placed.phase = run_phase::running;
         if (const auto job = m_jobs.find(reported.run.task.job); job != m_jobs.end()) {
-            mark_started(job->second, reported.run.task);
+            mark_started(job->second, reported.run.task, begin_evidence::listed);
         }
     }
     placed.confirmed_clock_ms = std::max(placed.confirmed_clock_ms, clock_ms);
@@ -323,7 +323,7 @@
         step.gang_run = reported.run.run;
         step.gang_since = now;
     }
-    mark_running(job->second);
+    mark_running(job->second, begin_evidence::listed);
 }
 
 void dispatcher::handle_ended_run(common::time_point now, worker_entry& worker,
@@ -345,7 +345,8 @@
                {"number", reported.number},
                {"after_ms", common::to_milliseconds(now - started)}});
     update_exclusion(now, worker, reported.how);
-    handle_run_end(now, worker.report.id, reported.run, reported.how, reported.checkpoint);
+    handle_run_end(now, worker.report.id, reported.run, reported.how, reported.checkpoint,
+                   begin_evidence::ended);
     m_replan_needed = true;
 }
 
@@ -378,7 +379,8 @@
 }
 
 void dispatcher::handle_run_end(common::time_point now, const std::string& worker,
-                                const run_key& run, run_end how, const std::string& checkpoint) {
+                                const run_key& run, run_end how, const std::string& checkpoint,
+                                begin_evidence evidence) {
     const auto position = m_jobs.find(run.task.job);
     if (position == m_jobs.end()) {
         return;
@@ -402,7 +404,7 @@
     if (is_final(job.state)) {
         return;
     }
-    mark_running(job);
+    mark_running(job, evidence);
     auto& step = *job.find_step(run.task);
     if (!checkpoint.empty()) {
         progress.checkpoint = checkpoint;
@@ -495,7 +497,7 @@
         const bool confirmed_before =
             placed.confirmed_clock_ms != 0 && result.clock_ms > placed.confirmed_clock_ms;
         if ((placed.phase != run_phase::ordered && refused_by_now) || confirmed_before) {
-            vanished.push_back({run, placed.checkpoint});
+            vanished.push_back({run, placed.checkpoint, placed.confirmed});
         }
     }
     std::vector<run_key> abandoned;
@@ -515,14 +517,15 @@
 
 void dispatcher::handle_lost_runs(common::time_point now, const std::string& worker,
                                   const std::vector<lost_run>& runs, std::string_view reason) {
-    for (const auto& [run, checkpoint] : runs) {
+    for (const auto& [run, checkpoint, confirmed] : runs) {
         log_event(severity::info, "run_lost",
                   {{"task", to_string(run.task)},
                    {"run", run.run},
                    {"worker", worker},
-                   {"reason", reason}});
+                   {"reason", reason},
+                   {"confirmed", confirmed ? 1 : 0}});
         m_counters.get("runs_lost_total", "reason", reason).add();
-        handle_run_end(now, worker, run, run_end::lapsed, checkpoint);
+        handle_run_end(now, worker, run, run_end::lapsed, checkpoint, begin_evidence::lost);
         const auto job = m_jobs.find(run.task.job);
         if (job != m_jobs.end() && job->second.find(run.task) != nullptr &&
             job->second.spec_of(run.task).gang && !is_final(job->second.state)) {
--- a/source/core/dispatch/worker_registry.cpp
+++ b/source/core/dispatch/worker_registry.cpp
@@ -283,7 +283,7 @@
     for (const auto& [run, placed] : worker.runs) {
         note_open_start(worker, run, placed);
         if (!placed.abandoned) {
-            lost.push_back({run, placed.checkpoint});
+            lost.push_back({run, placed.checkpoint, placed.confirmed});
         }
     }
     worker.runs.clear();
--- a/source/core/dispatch/worker_registry.h
+++ b/source/core/dispatch/worker_registry.h
@@ -81,6 +81,8 @@
 struct lost_run {
     run_key run;
     std::string checkpoint;
+    /// The worker had accepted or listed the run.
+    bool confirmed = false;
 };
 
 /// The state of a worker as known to the owner. Everything except the runs is reset when the worker
--- a/source/core/service/owner_controller.cpp
+++ b/source/core/service/owner_controller.cpp
@@ -6,6 +6,7 @@
 #include "core/service/store_keys.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace buckthornspar::service {
@@ -207,6 +208,10 @@
     const auto load = m_load.take(now);
     m_env.counters.get("owner_loop_delay_ms").set(common::to_milliseconds(load.max_delay));
     m_env.counters.get("owner_jobs_age_ms").set(common::to_milliseconds(m_active_watcher->age()));
+    const auto& queued = m_dispatcher.pending_by_queue();
+    const auto pending_jobs =
+        std::accumulate(queued.begin(), queued.end(), std::size_t{0},
+                        [](std::size_t sum, const auto& entry) { return sum + entry.second; });
     const auto reach = m_dispatcher.quorum_reach(now);
     m_env.counters.get("owner_quorum_workers").set(static_cast<std::int64_t>(reach.workers));
     m_env.counters.get("owner_quorum_accepted").set(static_cast<std::int64_t>(reach.accepted));
@@ -220,6 +225,7 @@
                {"list_age_ms", common::to_milliseconds(m_worker_watcher->age())},
                {"store_down", m_store_down ? 1 : 0},
                {"jobs", m_dispatcher.jobs().size()},
+               {"pending_jobs", pending_jobs},
                {"job_memory_kb", m_dispatcher.job_memory() / 1024},
                {"pending_starts", m_dispatcher.pending_starts()}});
     const auto waiting = m_dispatcher.waiting();
