Tell a job as pending until a worker has begun one of its tasks

Cause: the owner ends a lost run in the same way as one whose end a worker lists, and took each end for the begin of the job. A start that was only ordered counted as a started task.

Change: only what a worker says marks a job as begun: it accepts a start, or lists a run or an ended one. This holds for runs that were given up meanwhile as well, so that a late answer, a late run and a late end count; the loss of the run used to hide that they did not. step_state::started, which nothing read, is removed.

Regression tests: pending_jobs_suite.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -195,24 +195,21 @@
     }
 }
 
-void dispatcher::mark_running(job_entry& job, begin_evidence evidence) {
-    if (job.state == job_state::queued) {
-        --m_queued_by_queue[job.spec.queue];
-        job.state = job_state::running;
-        log_event(severity::info, "job_begun",
-                  {{"job", job.spec.id},
-                   {"queue", job.spec.queue},
-                   {"evidence", begin_evidence_names.name(evidence)}});
-        m_actions.emplace_back(
-            state_change{job.spec.id, job.spec.queue, job.state, job.spec.accepted_by});
-    }
-}
-
-void dispatcher::mark_started(job_entry& job, const task_key& task, begin_evidence evidence) {
-    if (auto* const step = job.find_step(task)) {
-        step->started = true;
+void dispatcher::mark_started(const task_key& task, begin_evidence evidence) {
+    const auto position = m_jobs.find(task.job);
+    if (position == m_jobs.end() || position->second.find(task) == nullptr ||
+        position->second.state != job_state::queued) {
+        return;
     }
-    mark_running(job, evidence);
+    auto& job = position->second;
+    --m_queued_by_queue[job.spec.queue];
+    job.state = job_state::running;
+    log_event(severity::info, "job_begun",
+              {{"job", job.spec.id},
+               {"queue", job.spec.queue},
+               {"evidence", begin_evidence_names.name(evidence)}});
+    m_actions.emplace_back(
+        state_change{job.spec.id, job.spec.queue, job.state, job.spec.accepted_by});
 }
 
 std::optional<save_batch> dispatcher::next_save() {
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -83,10 +83,9 @@
     accepted, ///< a worker accepted a start
     listed,   ///< a worker lists a run
     ended,    ///< a worker lists the end of a run
-    lost,     ///< a run was lost with its worker
 };
-inline constexpr common::name_table<begin_evidence, 4> begin_evidence_names{
-    "begin evidence", {"accepted", "listed", "ended", "lost"}};
+inline constexpr common::name_table<begin_evidence, 3> begin_evidence_names{
+    "begin evidence", {"accepted", "listed", "ended"}};
 
 /// The scheduling logic of the owner of a service: which task runs where, which runs are stopped,
 /// which tickets are requested and what is written to the store. It performs no I/O: it takes
@@ -197,9 +196,8 @@
     void note_answer(common::time_point now, const std::string& worker);
     void end_job(common::time_point now, job_entry& job, job_state state, std::string_view reason);
     void mark_dirty(const job_entry& job) { m_dirty_jobs.insert(job.spec.id); }
-    void mark_running(job_entry& job, begin_evidence evidence);
-    /// A worker has confirmed the start of the task.
-    void mark_started(job_entry& job, const task_key& task, begin_evidence evidence);
+    /// A worker has begun a run of the task, whatever has become of the run since.
+    void mark_started(const task_key& task, begin_evidence evidence);
     void send_polls(common::time_point now);
     void schedule_poll(worker_entry& worker, common::time_point due);
     struct batch_size {
@@ -276,7 +274,7 @@
     void handle_vanished_runs(common::time_point now, worker_entry& worker,
                               const poll_result& result);
     void handle_run_end(common::time_point now, const std::string& worker, const run_key& run,
-                        run_end how, const std::string& checkpoint, begin_evidence evidence);
+                        run_end how, const std::string& checkpoint);
     void handle_task_success(common::time_point now, job_entry& job, const task_key& task);
     void handle_task_failure(common::time_point now, job_entry& job, const task_key& task,
                              std::uint32_t run, const std::string& worker);
--- a/source/core/dispatch/dispatcher_runs.cpp
+++ b/source/core/dispatch/dispatcher_runs.cpp
@@ -27,6 +27,10 @@
 void dispatcher::on_start_result(common::time_point now, const start_order& order,
                                  const order_result& result) {
     m_replan_needed |= m_pending_starts-- == m_settings.max_pending_starts;
+    if (result.status == order_status::accepted) {
+        // The run may have been given up meanwhile.
+        mark_started(order.run.task, begin_evidence::accepted);
+    }
     auto* const worker = m_workers.find(order.worker);
     if (worker == nullptr) {
         return;
@@ -55,9 +59,6 @@
         placed.confirmed_clock_ms = std::max(placed.confirmed_clock_ms, result.clock_ms);
         // A repeated order may have reached the next incarnation.
         placed.confirmed |= placed.unanswered_orders == 0;
-        if (const auto job = m_jobs.find(order.run.task.job); job != m_jobs.end()) {
-            mark_started(job->second, order.run.task, begin_evidence::accepted);
-        }
         return;
     }
     if (result.status == order_status::stale_fence) {
@@ -233,6 +234,7 @@
 
 void dispatcher::handle_running_run(common::time_point now, worker_entry& worker,
                                     const running_run& reported, std::int64_t clock_ms) {
+    mark_started(reported.run.task, begin_evidence::listed);
     const auto position = worker.runs.find(reported.run);
     if (position == worker.runs.end()) {
         adopt_run(now, worker, reported, clock_ms);
@@ -241,9 +243,6 @@
     placed_run& placed = position->second;
     if (placed.phase == run_phase::ordered || placed.phase == run_phase::unanswered) {
         placed.phase = run_phase::running;
-        if (const auto job = m_jobs.find(reported.run.task.job); job != m_jobs.end()) {
-            mark_started(job->second, reported.run.task, begin_evidence::listed);
-        }
     }
     placed.confirmed_clock_ms = std::max(placed.confirmed_clock_ms, clock_ms);
     placed.confirmed = true;
@@ -318,12 +317,10 @@
     auto& step = *job->second.find_step(reported.run.task);
     step.set_current(reported.run.task.index, {worker.report.id, reported.run.run});
     isolate_suspect(now, worker, step, reported.run);
-    step.started = true;
     if (spec.gang) {
         step.gang_run = reported.run.run;
         step.gang_since = now;
     }
-    mark_running(job->second, begin_evidence::listed);
 }
 
 void dispatcher::handle_ended_run(common::time_point now, worker_entry& worker,
@@ -345,8 +342,8 @@
                {"number", reported.number},
                {"after_ms", common::to_milliseconds(now - started)}});
     update_exclusion(now, worker, reported.how);
-    handle_run_end(now, worker.report.id, reported.run, reported.how, reported.checkpoint,
-                   begin_evidence::ended);
+    mark_started(reported.run.task, begin_evidence::ended);
+    handle_run_end(now, worker.report.id, reported.run, reported.how, reported.checkpoint);
     m_replan_needed = true;
 }
 
@@ -379,8 +376,7 @@
 }
 
 void dispatcher::handle_run_end(common::time_point now, const std::string& worker,
-                                const run_key& run, run_end how, const std::string& checkpoint,
-                                begin_evidence evidence) {
+                                const run_key& run, run_end how, const std::string& checkpoint) {
     const auto position = m_jobs.find(run.task.job);
     if (position == m_jobs.end()) {
         return;
@@ -404,7 +400,6 @@
     if (is_final(job.state)) {
         return;
     }
-    mark_running(job, evidence);
     auto& step = *job.find_step(run.task);
     if (!checkpoint.empty()) {
         progress.checkpoint = checkpoint;
@@ -525,7 +520,7 @@
                    {"reason", reason},
                    {"confirmed", confirmed ? 1 : 0}});
         m_counters.get("runs_lost_total", "reason", reason).add();
-        handle_run_end(now, worker, run, run_end::lapsed, checkpoint, begin_evidence::lost);
+        handle_run_end(now, worker, run, run_end::lapsed, checkpoint);
         const auto job = m_jobs.find(run.task.job);
         if (job != m_jobs.end() && job->second.find(run.task) != nullptr &&
             job->second.spec_of(run.task).gang && !is_final(job->second.state)) {
--- a/source/core/dispatch/job_entry.h
+++ b/source/core/dispatch/job_entry.h
@@ -51,8 +51,6 @@
     /// the step becomes ready.
     std::optional<common::time_point> ready_since;
     common::time_point latest_start;
-    /// A worker has confirmed the start of a task of the step.
-    bool started = false;
     /// Suspected tasks that are not part of a gang are started one at a time, at this time the next
     /// one, until a worker has survived one of them.
     common::time_point probe_until;
