Let a next owner count ordered starts as pending, too

Callers would see: after a change of owner a job whose starts were lost is no longer told as pending, and is shown as running (MIXED).

Cause: make_job() took a job for begun when its record names a run number. The number shows only that a start was ordered; the record has the state itself.

Change: only the recorded state, and tasks or occurrences that have succeeded, tell that a job has begun.

Regression tests: a_next_owner_tells_a_job_whose_start_was_lost_as_pending, and a check in the scenario tests that no job is shown as running before a worker has started one of its tasks, with a mutation that shows that it can fail.

--- a/source/core/dispatch/job_entry.cpp
+++ b/source/core/dispatch/job_entry.cpp
@@ -282,10 +282,9 @@
     job.revision = revision;
     job.first_seen_at = now;
     restore(job, progress);
+    // The numbers of runs show only what was ordered, which may never have reached a worker.
     const bool begun = progress.state == job_state::running || !progress.finished.empty() ||
-                       !progress.succeeded.empty() ||
-                       std::any_of(progress.tasks.begin(), progress.tasks.end(),
-                                   [](const auto& entry) { return entry.second.last_run > 0; });
+                       !progress.succeeded.empty();
     job.state = begun ? job_state::running : job_state::queued;
     return job;
 }
--- a/source/core/emulation/emulated_owner.cpp
+++ b/source/core/emulation/emulated_owner.cpp
@@ -125,6 +125,10 @@
         });
     } else if (const auto* const call = std::get_if<dispatch::advice_call>(&action)) {
         ask_advice(*call);
+    } else if (const auto* const change = std::get_if<dispatch::state_change>(&action)) {
+        if (!dispatch::is_final(change->state)) {
+            m_platform.m_observer.on_job_shown(change->job, change->state);
+        }
     } else if (std::holds_alternative<dispatch::fenced>(action)) {
         end();
     }
--- a/source/core/emulation/emulated_platform.cpp
+++ b/source/core/emulation/emulated_platform.cpp
@@ -24,6 +24,7 @@
 
 } // namespace
 
+void platform_observer::on_job_shown(const std::string&, dispatch::job_state) {}
 void platform_observer::on_job_ended(const std::string&, dispatch::job_state) {}
 void platform_observer::on_cancel_accepted(const std::string&) {}
 void platform_observer::on_cancel_acknowledged(const std::string&) {}
@@ -109,8 +110,11 @@
     m_fleet.add_job(spec, work_ms);
     const auto revision = ++m_revision;
     m_jobs[spec.id] = {spec, revision};
-    m_job_changes.append([this, spec, revision](emulated_owner& owner) {
-        owner.engine().on_job(now(), spec, {}, revision);
+    dispatch::job_progress progress;
+    progress.state =
+        m_settings.claims_begun ? dispatch::job_state::running : dispatch::job_state::queued;
+    m_job_changes.append([this, spec, progress, revision](emulated_owner& owner) {
+        owner.engine().on_job(now(), spec, progress, revision);
     });
     return true;
 }
--- a/source/core/emulation/emulated_platform.h
+++ b/source/core/emulation/emulated_platform.h
@@ -62,10 +62,14 @@
     /// to now.
     bool claims_all_cancels = false;
     bool claims_all_drains = false;
+    /// Mutation: the owner reads that each accepted job has begun.
+    bool claims_begun = false;
 };
 
 class platform_observer : public fleet_observer {
 public:
+    /// An owner tells callers that the job is queued or running.
+    virtual void on_job_shown(const std::string& job, dispatch::job_state state);
     /// The final state of the job is visible to callers from now on.
     virtual void on_job_ended(const std::string& job, dispatch::job_state state);
     /// The cancellation is stored; workers may still begin starts of the job for a limited time
--- a/tests/scenario/dispatch/dispatch_invariants.cpp
+++ b/tests/scenario/dispatch/dispatch_invariants.cpp
@@ -38,6 +38,7 @@
         throw violation(describe(run) + " starts after the task has succeeded");
     }
     ++task.starts;
+    m_begun.insert(run.task.job);
     check_run_number(worker, run, task.run_places);
     check_crashes(run, task);
     if (task.failures_acknowledged >= m_attempts) {
@@ -181,6 +182,12 @@
     m_unacknowledged_ends.erase({worker.report.id, worker.report.start_time_ms});
 }
 
+void dispatch_invariants::on_job_shown(const std::string& job, dispatch::job_state state) {
+    if (state == dispatch::job_state::running && !m_begun.contains(job)) {
+        throw violation(job + " is shown as running and no task of it has started");
+    }
+}
+
 void dispatch_invariants::on_job_ended(const std::string& job, dispatch::job_state state) {
     if (!m_ended.insert(job).second) {
         throw violation(job + " ends twice");
--- a/tests/scenario/dispatch/dispatch_invariants.h
+++ b/tests/scenario/dispatch/dispatch_invariants.h
@@ -29,6 +29,7 @@
     void on_lease_lapsed(const emulation::emulated_worker& worker) override;
     void on_run_crashed(const emulation::emulated_worker& worker, const dispatch::run_key& run,
                         bool deadly) override;
+    void on_job_shown(const std::string& job, dispatch::job_state state) override;
     void on_job_ended(const std::string& job, dispatch::job_state state) override;
     void on_cancel_accepted(const std::string& job) override;
     void on_cancel_acknowledged(const std::string& job) override;
@@ -77,6 +78,8 @@
     std::set<std::string> m_cancelled;
     std::map<std::string, common::time_point> m_cancels_acknowledged;
     std::map<worker_incarnation, common::time_point> m_drains_acknowledged;
+    /// Jobs of which a worker has started a task.
+    std::set<std::string> m_begun;
     std::set<std::string> m_ended;
 };
 
--- a/tests/scenario/dispatch/dispatch_scenario_test.cpp
+++ b/tests/scenario/dispatch/dispatch_scenario_test.cpp
@@ -127,6 +127,10 @@
     BOOST_TEST(mutation_is_detected("claimed_drains", expected));
 }
 
+BOOST_AUTO_TEST_CASE(a_job_that_is_shown_as_running_too_early_is_detected) {
+    BOOST_TEST(mutation_is_detected("claimed_begun", "no task of it has started"));
+}
+
 // Workers that begin starts after the end of their validity.
 BOOST_AUTO_TEST_CASE(starts_that_are_not_refused_as_late_are_detected) {
     const std::string expected = "after its job was cancelled";
--- a/tests/scenario/dispatch/dispatch_world.cpp
+++ b/tests/scenario/dispatch/dispatch_world.cpp
@@ -85,6 +85,7 @@
         const auto mutation = setup.text("mutation", "");
         settings.claims_all_cancels = mutation == "claimed_cancels";
         settings.claims_all_drains = mutation == "claimed_drains";
+        settings.claims_begun = mutation == "claimed_begun";
         settings.fleet.refuses_late_starts = mutation != "late_starts";
         if (mutation == "crashes") {
             settings.dispatcher.crashes.attributed_limit = unlimited_crashes;
--- a/tests/unit/dispatch/pending_jobs_test.cpp
+++ b/tests/unit/dispatch/pending_jobs_test.cpp
@@ -13,6 +13,16 @@
 
 constexpr auto until_lease_is_over = 9s;
 
+job_spec one_task_job() {
+    return dispatch_fixture::job("a", 1, 1000);
+}
+
+job_spec gang_job() {
+    auto spec = dispatch_fixture::job("a", 3, 1000);
+    spec.steps[0].gang = true;
+    return spec;
+}
+
 /// An owner whose workers receive none of its starts until accept_starts is set.
 struct lost_starts_fixture : dispatch_fixture {
     lost_starts_fixture() {
@@ -55,37 +65,44 @@
         advance(1s);
     }
 
-    [[nodiscard]] std::size_t pending() const {
-        const auto& counts = engine.pending_by_queue();
-        const auto position = counts.find("q");
-        return position == counts.end() ? 0 : position->second;
-    }
+    void check_pending() const { check_pending(*this); }
 
-    [[nodiscard]] bool was_shown_as(job_state state) const {
-        return std::any_of(changes.begin(), changes.end(),
-                           [state](const state_change& change) { return change.state == state; });
+    static void check_pending(const dispatch_fixture& owner) {
+        BOOST_TEST(pending_of(owner) == 1U);
+        BOOST_TEST(!was_shown_as(owner, job_state::running));
     }
 
-    void check_pending() const {
-        BOOST_TEST(pending() == 1U);
-        BOOST_TEST(!was_shown_as(job_state::running));
+    void check_begun() const { check_begun(*this); }
+
+    static void check_begun(const dispatch_fixture& owner) {
+        BOOST_TEST(pending_of(owner) == 0U);
+        BOOST_TEST(was_shown_as(owner, job_state::running));
     }
 
-    void check_begun() const {
-        BOOST_TEST(pending() == 0U);
-        BOOST_TEST(was_shown_as(job_state::running));
+    /// Another owner takes over from what this one has stored.
+    void hand_over(dispatch_fixture& successor) const {
+        successor.now = now;
+        successor.engine.on_queues({plain_queue()});
+        successor.engine.on_worker(now, report("w1"));
+        successor.engine.take_over(now, 20, worker_record);
+        const auto progress =
+            stored.contains("a") ? read_progress("a", stored.at("a")) : job_progress();
+        successor.engine.on_job(now, one_task_job(), progress, 11);
+        successor.run_until_idle();
     }
-};
 
-job_spec one_task_job() {
-    return dispatch_fixture::job("a", 1, 1000);
-}
+private:
+    [[nodiscard]] static std::size_t pending_of(const dispatch_fixture& owner) {
+        const auto& counts = owner.engine.pending_by_queue();
+        const auto position = counts.find("q");
+        return position == counts.end() ? 0 : position->second;
+    }
 
-job_spec gang_job() {
-    auto spec = dispatch_fixture::job("a", 3, 1000);
-    spec.steps[0].gang = true;
-    return spec;
-}
+    [[nodiscard]] static bool was_shown_as(const dispatch_fixture& owner, job_state state) {
+        return std::any_of(owner.changes.begin(), owner.changes.end(),
+                           [state](const state_change& change) { return change.state == state; });
+    }
+};
 
 } // namespace
 
@@ -202,4 +219,30 @@
     check_begun();
 }
 
+// Guards against a next owner that takes a job for begun because its record names a run that was
+// ordered (MIXED).
+BOOST_AUTO_TEST_CASE(a_next_owner_tells_a_job_whose_start_was_lost_as_pending) {
+    const auto order = submit(one_task_job());
+    cut_off("w1");
+    advance(until_lease_is_over);
+    save();
+    BOOST_REQUIRE(read_progress("a", stored.at("a")).tasks.at(order.run.task).last_run == 1U);
+    dispatch_fixture successor;
+    successor.accept_starts = false;
+    hand_over(successor);
+    check_pending(successor);
+}
+
+// Guards against a next owner that tells a job as pending of which a run has ended.
+BOOST_AUTO_TEST_CASE(a_next_owner_knows_that_a_job_has_begun) {
+    const auto order = submit(one_task_job());
+    end_run("w1", order.run, run_end::failed);
+    advance(100ms);
+    save();
+    dispatch_fixture successor;
+    successor.accept_starts = false;
+    hand_over(successor);
+    check_begun(successor);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
