Count and log lost starts apart from lost runs

Operators saw: run_lost and runs_lost_total name a run for each start that was lost before any worker began it, and worker_lost and worker_runs_lost count such starts as runs. A trace of the job says that a run was lost.

Change: start_lost and starts_lost_total{reason} for starts that no worker confirmed; worker_lost and worker_runs_lost have runs and starts. The trace of a job knows start_lost.

Regression test: lost_starts_and_lost_runs_are_counted_apart, which fails before this change, as do the two cases that read the new counter; all pass now.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -359,7 +359,9 @@
         const bool lease_over = now > worker.lease_end && is_dead(worker, now);
         if (lease_over && !worker.runs.empty()) {
             log_event(severity::warning, "worker_lost",
-                      {{"worker", id}, {"runs", worker.runs.size()}});
+                      {{"worker", id},
+                       {"runs", worker.confirmed_runs()},
+                       {"starts", worker.runs.size() - worker.confirmed_runs()}});
             worker.adopted = false;
             if (!worker.report.draining) {
                 count_crash(now, worker, worker.silent_since,
--- a/source/core/dispatch/dispatcher_runs.cpp
+++ b/source/core/dispatch/dispatcher_runs.cpp
@@ -513,13 +513,14 @@
 void dispatcher::handle_lost_runs(common::time_point now, const std::string& worker,
                                   const std::vector<lost_run>& runs, std::string_view reason) {
     for (const auto& [run, checkpoint, confirmed] : runs) {
-        log_event(severity::info, "run_lost",
+        log_event(severity::info, confirmed ? "run_lost" : "start_lost",
                   {{"task", to_string(run.task)},
                    {"run", run.run},
                    {"worker", worker},
-                   {"reason", reason},
-                   {"confirmed", confirmed ? 1 : 0}});
-        m_counters.get("runs_lost_total", "reason", reason).add();
+                   {"reason", reason}});
+        auto& lost = confirmed ? m_counters.get("runs_lost_total", "reason", reason)
+                               : m_counters.get("starts_lost_total", "reason", reason);
+        lost.add();
         handle_run_end(now, worker, run, run_end::lapsed, checkpoint);
         const auto job = m_jobs.find(run.task.job);
         if (job != m_jobs.end() && job->second.find(run.task) != nullptr &&
--- a/source/core/dispatch/worker_registry.cpp
+++ b/source/core/dispatch/worker_registry.cpp
@@ -273,6 +273,11 @@
                        [](const auto& entry) { return entry.second.uncertain; });
 }
 
+std::size_t worker_entry::confirmed_runs() const {
+    return static_cast<std::size_t>(std::count_if(
+        runs.begin(), runs.end(), [](const auto& entry) { return entry.second.confirmed; }));
+}
+
 bool worker_entry::may_hold_runs() const {
     return !report.draining || !adopted || !runs.empty();
 }
--- a/source/core/dispatch/worker_registry.h
+++ b/source/core/dispatch/worker_registry.h
@@ -77,7 +77,8 @@
     bool silent = false;
 };
 
-/// A run that ended without a report, with the last reported checkpoint.
+/// A run that ended without a report, with the last reported checkpoint, or a start that was
+/// ordered and can no longer be executed.
 struct lost_run {
     run_key run;
     std::string checkpoint;
@@ -150,6 +151,8 @@
 
     [[nodiscard]] placement::resources free() const { return report.capacity - allocated; }
     [[nodiscard]] bool has_uncertain_runs() const;
+    /// Number of the runs that the worker has accepted or listed; the others are only ordered.
+    [[nodiscard]] std::size_t confirmed_runs() const;
     /// False for an empty draining worker: it receives no more starts, so a successor need not wait
     /// for it.
     [[nodiscard]] bool may_hold_runs() const;
--- a/source/core/tracing/job_trace.cpp
+++ b/source/core/tracing/job_trace.cpp
@@ -85,7 +85,7 @@
     if (event == "start_refused") {
         return cause::start_refused;
     }
-    if (event == "run_lost") {
+    if (event == "run_lost" || event == "start_lost") {
         return cause::lost_worker;
     }
     if (event == "run_ended") {
--- a/source/core/tracing/job_trace.h
+++ b/source/core/tracing/job_trace.h
@@ -39,7 +39,7 @@
     room,            ///< no granted worker had enough free resources
     work,            ///< the tasks ran
     failed_run,      ///< a run failed and was retried
-    lost_worker,     ///< a run was lost with its worker
+    lost_worker,     ///< a run or a start was lost with its worker
     start_refused,   ///< a worker refused a start
     cancelled,       ///< by the customer
     attempts,        ///< the job failed as often as its queue allows
--- a/tests/unit/dispatch/pending_jobs_test.cpp
+++ b/tests/unit/dispatch/pending_jobs_test.cpp
@@ -126,7 +126,7 @@
     static_cast<void>(submit(one_task_job()));
     crash_worker("w1");
     advance(1s);
-    BOOST_TEST((counters.get("runs_lost_total", "reason", "not_listed").value() == 1));
+    BOOST_TEST((counters.get("starts_lost_total", "reason", "not_listed").value() == 1));
     check_pending();
 }
 
@@ -148,7 +148,7 @@
 BOOST_AUTO_TEST_CASE(a_job_whose_start_has_expired_stays_pending) {
     static_cast<void>(submit(one_task_job()));
     advance(3s);
-    BOOST_TEST((counters.get("runs_lost_total", "reason", "not_listed").value() > 0));
+    BOOST_TEST((counters.get("starts_lost_total", "reason", "not_listed").value() > 0));
     check_pending();
 }
 
@@ -245,4 +245,17 @@
     check_begun(successor);
 }
 
+// Guards against lost starts that are counted as lost runs.
+BOOST_AUTO_TEST_CASE(lost_starts_and_lost_runs_are_counted_apart) {
+    static_cast<void>(submit(one_task_job()));
+    auto begun = job("b", 1, 1000);
+    const auto order = submit(begun);
+    running["w1"].push_back({order.run, "", 0});
+    advance(100ms);
+    cut_off("w1");
+    advance(until_lease_is_over);
+    BOOST_TEST((counters.get("starts_lost_total", "reason", "lease_over").value() == 1));
+    BOOST_TEST((counters.get("runs_lost_total", "reason", "lease_over").value() == 1));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/tracing/job_trace_test.cpp
+++ b/tests/unit/tracing/job_trace_test.cpp
@@ -84,6 +84,10 @@
          accepted + at("10.010000", "start task=aa.0.0.0") +
              at("15.000000", "run_lost task=aa.0.0.0 reason=lease_over"),
          cause::lost_worker, cause::none},
+        {"start lost",
+         accepted + at("10.010000", "start task=aa.0.0.0") +
+             at("15.000000", "start_lost task=aa.0.0.0 reason=lease_over"),
+         cause::lost_worker, cause::none},
         {"hopeless job",
          accepted + at("10.010000", "start task=aa.0.0.0") +
              at("11.000000", "run_ended task=aa.0.0.0 how=failed") +
