Warn of waiting work while all starts are lost

Operators saw: an owner whose starts are all lost logs owner_waits as information only, as if work were started.

Cause: is_stalled() counted from the last start that was ordered.

Change: it counts from the last start that a worker has confirmed, by accepting it or by listing the run.

Regression test: an_owner_is_stalled_while_its_starts_are_lost, which fails before this change and passes now.

--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -179,7 +179,7 @@
     /// Steps that the last plan examined and did not place, and jobs that no plan examines, by
     /// cause.
     [[nodiscard]] wait_counts waiting() const;
-    /// Nothing has been started for 5 s.
+    /// No worker has confirmed a start for 5 s.
     [[nodiscard]] bool is_stalled(common::time_point now) const;
     /// Time until which starts are permitted by what is known of cancellations and draining.
     [[nodiscard]] common::time_point starts_permitted_until() const;
@@ -476,7 +476,7 @@
 
     std::uint64_t m_next_call = 1;
     std::size_t m_pending_starts = 0;
-    /// The take-over, or the last start since then.
+    /// The take-over, or the last start since then that a worker has confirmed.
     common::time_point m_last_start_at;
     std::size_t m_requesting_nodes = 0;
     advice_slots m_advice_slots;
--- a/source/core/dispatch/dispatcher_plan.cpp
+++ b/source/core/dispatch/dispatcher_plan.cpp
@@ -395,7 +395,6 @@
         step.gang_since = now;
     }
     m_counters.get("starts_total").add();
-    m_last_start_at = now;
     log_event(severity::info, "start",
               {{"task", to_string(planned.task)},
                {"run", planned.run},
--- a/source/core/dispatch/dispatcher_runs.cpp
+++ b/source/core/dispatch/dispatcher_runs.cpp
@@ -28,6 +28,7 @@
                                  const order_result& result) {
     m_replan_needed |= m_pending_starts-- == m_settings.max_pending_starts;
     if (result.status == order_status::accepted) {
+        m_last_start_at = now;
         // The run may have been given up meanwhile.
         mark_started(order.run.task, begin_evidence::accepted);
     }
@@ -243,6 +244,7 @@
     placed_run& placed = position->second;
     if (placed.phase == run_phase::ordered || placed.phase == run_phase::unanswered) {
         placed.phase = run_phase::running;
+        m_last_start_at = now;
     }
     placed.confirmed_clock_ms = std::max(placed.confirmed_clock_ms, clock_ms);
     placed.confirmed = true;
--- a/tests/unit/dispatch/pending_jobs_test.cpp
+++ b/tests/unit/dispatch/pending_jobs_test.cpp
@@ -258,4 +258,14 @@
     BOOST_TEST((counters.get("runs_lost_total", "reason", "lease_over").value() == 1));
 }
 
+// Guards against an owner all of whose starts are lost, and that does not warn of waiting work.
+BOOST_AUTO_TEST_CASE(an_owner_is_stalled_while_its_starts_are_lost) {
+    advance(5s);
+    static_cast<void>(submit(one_task_job()));
+    BOOST_TEST(engine.is_stalled(now));
+    accept_starts = true;
+    advance(3s);
+    BOOST_TEST(!engine.is_stalled(now));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
