Let orders wait for a connection to their worker

Cause: the HTTP client opens at most 64 connections to an endpoint and fails each further request at once. Of the stops for a worker 64 arrive and the rest is repeated 0.7 s later; of the members of a gang 64 start, and the others count as refused, which stops the gang. A poll fails in the same way, so that a worker that gets many orders seems to refuse connections.

Change: a request may wait for a connection. Requests of other callers fail at once as before.

--- a/source/core/net/http_client.cpp
+++ b/source/core/net/http_client.cpp
@@ -53,13 +53,16 @@
     std::chrono::steady_clock::time_point idle_since;
 };
 
+class exchange;
+
 struct connection_pool {
     std::deque<idle_connection> idle;
     std::size_t busy = 0;
+    /// Requests that wait for a connection, in their order. Kept alive by their timers.
+    std::deque<std::weak_ptr<exchange>> waiting_first;
+    std::deque<std::weak_ptr<exchange>> waiting;
 };
 
-class exchange;
-
 } // namespace
 
 struct http_client::state : std::enable_shared_from_this<state> {
@@ -67,6 +70,8 @@
 
     [[nodiscard]] std::unique_ptr<beast::tcp_stream> take_idle(const endpoint& to);
     void add_idle(const endpoint& to, std::unique_ptr<beast::tcp_stream> stream);
+    /// A connection to the endpoint is no longer in use: the next waiting request gets it.
+    void release(const endpoint& to);
 
     asio::io_context& context;
     http_client_limits limits;
@@ -89,21 +94,36 @@
           m_complete(std::move(complete)),
           m_deadline(m_client->context) {}
 
-    void start(const http_request& request, common::duration timeout) {
+    void start(const http_request& request, common::duration timeout, connection_wait wait) {
         build(request);
-        m_deadline.expires_after(timeout);
-        m_deadline.async_wait([self = shared_from_this()](beast::error_code failure) {
-            if (!failure) {
-                self->fail(http_failure_kind::timed_out);
-            }
-        });
+        m_timeout = timeout;
         connection_pool& pool = m_client->pools[m_to];
-        if (pool.busy >= m_client->limits.max_connections_per_endpoint) {
+        if (pool.busy < m_client->limits.max_connections_per_endpoint) {
+            ++pool.busy;
+            use_connection();
+            return;
+        }
+        const auto waiting = pool.waiting_first.size() + pool.waiting.size();
+        if (wait.longest <= common::duration(0) ||
+            waiting >= m_client->limits.max_waiting_per_endpoint) {
             m_finished = true;
             finish_later(http_failure{http_failure_kind::pool_exhausted, false});
             return;
         }
-        ++pool.busy;
+        (wait.first ? pool.waiting_first : pool.waiting).push_back(weak_from_this());
+        fail_after(wait.longest, http_failure_kind::pool_exhausted);
+    }
+
+    [[nodiscard]] bool is_finished() const { return m_finished; }
+
+    /// The request gets a connection, which pool.busy counts already.
+    void use_connection() {
+        if (m_finished) {
+            m_client->release(m_to);
+            return;
+        }
+        m_has_connection = true;
+        fail_after(m_timeout, http_failure_kind::timed_out);
         m_stream = m_client->take_idle(m_to);
         if (m_stream) {
             write();
@@ -117,15 +137,26 @@
             return;
         }
         m_finished = true;
-        --m_client->pools[m_to].busy;
         if (m_stream) {
             beast::error_code ignored;
             m_stream->socket().close(ignored);
         }
+        if (m_has_connection) {
+            m_client->release(m_to);
+        }
         finish(http_failure{kind, m_request_sent});
     }
 
 private:
+    void fail_after(common::duration time, http_failure_kind kind) {
+        m_deadline.expires_after(time);
+        m_deadline.async_wait([self = shared_from_this(), kind](beast::error_code failure) {
+            if (!failure) {
+                self->fail(kind);
+            }
+        });
+    }
+
     void build(const http_request& request) {
         m_request.version(11);
         m_request.method(to_verb(request.method));
@@ -145,7 +176,7 @@
         const auto address = asio::ip::make_address(m_to.address, bad_address);
         if (bad_address) {
             m_finished = true;
-            --m_client->pools[m_to].busy;
+            m_client->release(m_to);
             finish_later(http_failure{http_failure_kind::connect_failed, false});
             return;
         }
@@ -213,10 +244,10 @@
         }
         response.body = std::move(message.body());
         m_finished = true;
-        --m_client->pools[m_to].busy;
         if (message.keep_alive()) {
             m_client->add_idle(m_to, std::move(m_stream));
         }
+        m_client->release(m_to);
         finish(std::move(response));
     }
 
@@ -242,6 +273,8 @@
     http::request<http::string_body> m_request;
     beast::flat_buffer m_buffer;
     std::optional<http::response_parser<http::string_body>> m_parser;
+    common::duration m_timeout{0};
+    bool m_has_connection = false;
     bool m_request_sent = false;
     bool m_finished = false;
 };
@@ -275,21 +308,38 @@
     pools[to].idle.push_back({std::move(stream), std::chrono::steady_clock::now()});
 }
 
+void http_client::state::release(const endpoint& to) {
+    auto& pool = pools[to];
+    for (auto* const queue : {&pool.waiting_first, &pool.waiting}) {
+        while (!queue->empty()) {
+            const auto next = queue->front().lock();
+            queue->pop_front();
+            if (next && !next->is_finished()) {
+                // The connection goes on to count as busy. Posted, because requests that cannot
+                // connect release theirs at once, and a long queue of them would nest.
+                asio::post(context, [next] { next->use_connection(); });
+                return;
+            }
+        }
+    }
+    --pool.busy;
+}
+
 http_client::http_client(event_loop& loop, http_client_limits limits)
     : m_state(std::make_shared<state>(loop, limits)) {}
 
 http_client::~http_client() = default;
 
 std::uint64_t http_client::send(const endpoint& to, http_request request, common::duration timeout,
-                                http_completion complete) {
+                                http_completion complete, connection_wait wait) {
     const std::uint64_t id = m_state->next_id.fetch_add(1);
     // On the loop's thread the request is sent at once, and not behind all that is ready: a busy
     // loop would delay it twice, as a timer or response and as a request.
     asio::dispatch(m_state->context, [s = m_state, id, to, request = std::move(request), timeout,
-                                      complete = std::move(complete)]() mutable {
+                                      wait, complete = std::move(complete)]() mutable {
         const auto e = std::make_shared<exchange>(s, id, to, std::move(complete));
         s->exchanges.emplace(id, e);
-        e->start(request, timeout);
+        e->start(request, timeout, wait);
     });
     return id;
 }
--- a/source/core/net/http_client.h
+++ b/source/core/net/http_client.h
@@ -32,11 +32,22 @@
     bool request_sent;
 };
 
+/// What a request does while all connections to its endpoint are in use.
+struct connection_wait {
+    /// How long it waits for a connection; 0: it fails at once with pool_exhausted. The timeout of
+    /// the request begins when it has got one.
+    common::duration longest{0};
+    /// It waits before all requests without this flag.
+    bool first = false;
+};
+
 using http_result = std::variant<http_response, http_failure>;
 using http_completion = std::function<void(http_result)>;
 
 struct http_client_limits {
     std::size_t max_connections_per_endpoint = 64;
+    /// Further requests do not wait for a connection.
+    std::size_t max_waiting_per_endpoint = 20'000;
     std::size_t max_body_bytes = 8U << 20U;
     common::duration connect_timeout = std::chrono::seconds(1);
     /// Idle connections older than this are closed instead of reused.
@@ -54,7 +65,7 @@
     /// Sends the request and calls complete once, on the loop's thread. A truncated response is
     /// reported as a failure. May be called from any thread.
     std::uint64_t send(const endpoint& to, http_request request, common::duration timeout,
-                       http_completion complete);
+                       http_completion complete, connection_wait wait = {});
 
     /// Completes the request with http_failure_kind::cancelled unless it has already completed.
     void cancel(std::uint64_t id);
--- a/tests/unit/net/http_test.cpp
+++ b/tests/unit/net/http_test.cpp
@@ -74,6 +74,8 @@
         return promise.get_future().get();
     }
 
+    [[nodiscard]] endpoint address() const { return {"127.0.0.1", server.port()}; }
+
     // Stops as a server program does. Only the loop of the server is stopped.
     void stop_server() {
         server.stop_accepting();
@@ -242,6 +244,81 @@
     BOOST_TEST(!completed_early);
 }
 
+// Guards against requests that fail because all connections to their endpoint are in use for a
+// moment (UNASKED: the stops of cancelled jobs; LOST: the starts of a large gang).
+BOOST_AUTO_TEST_CASE(requests_wait_for_a_connection) {
+    constexpr unsigned requests = 200;
+    http_client narrow(loop, {.max_connections_per_endpoint = 4});
+    std::promise<void> all_completed;
+    unsigned completed = 0;
+    unsigned answered = 0;
+    loop.post([&] {
+        for (unsigned i = 0; i < requests; ++i) {
+            narrow.send(address(), {http_method::get, "/a", {}, ""}, 5s,
+                        [&](const http_result& result) {
+                            answered += std::holds_alternative<http_response>(result) ? 1 : 0;
+                            if (++completed == requests) {
+                                all_completed.set_value();
+                            }
+                        },
+                        {5s});
+        }
+    });
+    all_completed.get_future().wait();
+    BOOST_TEST(answered == requests);
+}
+
+// Guards against a request that waits although its caller has not asked for it, or for longer than
+// the caller allows, and against reporting such a request as sent.
+BOOST_AUTO_TEST_CASE(a_request_without_a_connection_was_not_sent) {
+    http_client narrow(loop, {.max_connections_per_endpoint = 1});
+    std::promise<void> held;
+    narrow.send(address(), {http_method::get, "/silent", {}, ""}, 2s,
+                [&](const http_result&) { held.set_value(); });
+    for (const auto longest : {0ms, 50ms}) {
+        std::promise<http_result> promise;
+        const auto begun = std::chrono::steady_clock::now();
+        narrow.send(address(), {http_method::get, "/a", {}, ""}, 5s,
+                    [&](http_result result) { promise.set_value(std::move(result)); }, {longest});
+        const auto result = promise.get_future().get();
+        const auto took = std::chrono::steady_clock::now() - begun;
+        BOOST_REQUIRE(std::holds_alternative<http_failure>(result));
+        BOOST_TEST((std::get<http_failure>(result).kind == http_failure_kind::pool_exhausted));
+        BOOST_TEST(!std::get<http_failure>(result).request_sent);
+        BOOST_TEST((took >= longest && took < 1s));
+    }
+    held.get_future().wait();
+}
+
+// Guards against a poll that waits behind all orders to its worker, and against a connection that
+// is lost because the request that should get it was cancelled.
+BOOST_AUTO_TEST_CASE(first_requests_get_the_next_connection) {
+    http_client narrow(loop, {.max_connections_per_endpoint = 1});
+    std::string order;
+    std::promise<void> done;
+    const auto send = [&](const char* name, const char* target, bool first) {
+        return narrow.send(address(), {http_method::get, target, {}, ""}, 100ms,
+                           [&, name](const http_result&) {
+                               order += name;
+                               if (order.size() == 5) {
+                                   done.set_value();
+                               }
+                           },
+                           {5s, first});
+    };
+    loop.post([&] {
+        send("s", "/silent", false);
+        send("a", "/a", false);
+        const auto cancelled = send("c", "/a", false);
+        const auto also_cancelled = send("d", "/a", true);
+        send("f", "/a", true);
+        narrow.cancel(cancelled);
+        narrow.cancel(also_cancelled);
+    });
+    done.get_future().wait();
+    BOOST_TEST(order == "cdsfa");
+}
+
 // Guards against a stop that closes a persistent connection on which a request is arriving.
 BOOST_AUTO_TEST_CASE(request_right_after_stop_gets_response_with_connection_close) {
     BOOST_REQUIRE(std::holds_alternative<http_response>(call({})));
--- a/tests/unit/platform/clients_test.cpp
+++ b/tests/unit/platform/clients_test.cpp
@@ -254,4 +254,39 @@
     BOOST_TEST(result.revision == 9U);
 }
 
+// Guards against orders to one worker that fail because there are more of them than connections to
+// it, and against a poll that fails meanwhile, so that the worker seems to refuse connections.
+BOOST_AUTO_TEST_CASE(more_orders_than_connections_all_arrive) {
+    constexpr int orders = 300;
+    peer.answer = net::json_response(200, R"({"clock_ms":482113})");
+    std::promise<void> done;
+    int accepted = 0;
+    int completed = 0;
+    int stops_before_poll = orders;
+    dispatch::order_status poll_status = dispatch::order_status::no_answer;
+    const auto complete_one = [&] {
+        if (++completed == orders + 1) {
+            done.set_value();
+        }
+    };
+    loop.post([&] {
+        for (int i = 0; i < orders; ++i) {
+            const dispatch::stop_order order{"i-1", {{"5c0e7a21d94b36f8", 0, 1, 17}, 2}, 7};
+            workers.stop(address(), order, 1s, [&](const dispatch::order_result& result) {
+                accepted += result.status == dispatch::order_status::accepted ? 1 : 0;
+                complete_one();
+            });
+        }
+        workers.poll(address(), {"i-1", 7, 0, 0, 0ms}, 1s, [&](const dispatch::poll_result& r) {
+            poll_status = r.status;
+            stops_before_poll = accepted;
+            complete_one();
+        });
+    });
+    done.get_future().wait();
+    BOOST_TEST(accepted == orders);
+    BOOST_TEST((poll_status == dispatch::order_status::accepted));
+    BOOST_TEST(stops_before_poll < orders);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
