Send a stop again soon when it was not sent, and no copies of it

Cause: a stop that was certainly not sent waits as long for its repetition as one that may have arrived, and a stop is repeated while its first call still waits for a connection, which delays the other stops.

Change: a stop without a connection is due again after 0.1 s, and no stop before its call has ended.

--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -281,6 +281,8 @@
     void handle_start_not_executed(common::time_point now, worker_entry& worker, const run_key& run,
                                    std::string_view reason);
     void request_stop(common::time_point now, const std::string& worker, const run_key& run);
+    void send_stop(common::time_point now, const std::string& worker, const run_key& run,
+                   placed_run& placed);
     void stop_gang(common::time_point now, job_entry& job, const task_key& task);
     /// Stops the runs of which orders may still arrive at a worker that is back after its removal.
     void stop_open_starts(common::time_point now, const std::string& worker);
--- a/source/core/dispatch/dispatcher_runs.cpp
+++ b/source/core/dispatch/dispatcher_runs.cpp
@@ -21,6 +21,8 @@
 // At most one worker in this many is excluded for failed runs at the same time.
 constexpr std::size_t exclusion_divisor = 3;
 constexpr unsigned max_start_repeats = 3;
+// Retry interval of a stop for which there was no connection.
+constexpr common::duration unsent_stop_retry = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -138,11 +140,18 @@
         m_actions.emplace_back(fenced{order.worker});
         return;
     }
-    if (worker == nullptr || result.clock_ms == 0) {
+    if (worker == nullptr) {
         return;
     }
-    m_workers.update_clock(*worker, now, result.clock_ms);
     const auto position = worker->runs.find(order.run);
+    if (position != worker->runs.end()) {
+        position->second.stop_pending = false;
+        position->second.stop_unsent = result.status == order_status::not_sent;
+    }
+    if (result.clock_ms == 0) {
+        return;
+    }
+    m_workers.update_clock(*worker, now, result.clock_ms);
     if (position != worker->runs.end() && result.status == order_status::accepted) {
         // Polls after this response list the run, unless it was never started and never will be.
         position->second.confirmed_clock_ms =
@@ -163,9 +172,15 @@
         return;
     }
     position->second.phase = run_phase::stopping;
-    position->second.stop_sent_at = now;
-    m_pending_stops.emplace(id, run);
-    m_actions.emplace_back(stop_order{id, run, m_fence});
+    send_stop(now, id, run, position->second);
+}
+
+void dispatcher::send_stop(common::time_point now, const std::string& worker, const run_key& run,
+                           placed_run& placed) {
+    placed.stop_sent_at = now;
+    placed.stop_pending = true;
+    m_pending_stops.emplace(worker, run);
+    m_actions.emplace_back(stop_order{worker, run, m_fence});
 }
 
 // A start that was sent before a restart may be executed by the new incarnation, which has the same
@@ -186,18 +201,14 @@
     m_save_round_ends.erase(id);
     static_cast<void>(m_workers.place_open_starts(worker, now));
     for (auto& [run, placed] : worker.runs) {
-        placed.stop_sent_at = now;
-        m_pending_stops.emplace(id, run);
-        m_actions.emplace_back(stop_order{id, run, m_fence});
+        send_stop(now, id, run, placed);
     }
 }
 
 void dispatcher::stop_open_starts(common::time_point now, const std::string& id) {
     auto& worker = *m_workers.find(id);
     for (const auto& run : m_workers.place_open_starts(worker, now)) {
-        worker.runs.at(run).stop_sent_at = now;
-        m_pending_stops.emplace(id, run);
-        m_actions.emplace_back(stop_order{id, run, m_fence});
+        send_stop(now, id, run, worker.runs.at(run));
     }
 }
 
@@ -211,9 +222,10 @@
             continue;
         }
         auto& placed = run->second;
-        if (worker->reachable && now > placed.stop_sent_at + m_settings.stop_retry_interval) {
-            placed.stop_sent_at = now;
-            m_actions.emplace_back(stop_order{position->first, position->second, m_fence});
+        const auto interval =
+            placed.stop_unsent ? unsent_stop_retry : m_settings.stop_retry_interval;
+        if (worker->reachable && !placed.stop_pending && now > placed.stop_sent_at + interval) {
+            send_stop(now, position->first, position->second, placed);
         }
         ++position;
     }
--- a/source/core/dispatch/worker_registry.h
+++ b/source/core/dispatch/worker_registry.h
@@ -35,6 +35,10 @@
     common::time_point ordered_at;
     common::time_point expected_end;
     common::time_point stop_sent_at;
+    /// A stop has been sent and its call has not completed.
+    bool stop_pending = false;
+    /// The last stop was not sent for want of a connection.
+    bool stop_unsent = false;
     /// The start was sent to a former incarnation of the worker and may reach the current one.
     bool uncertain = false;
     /// Unanswered orders of this start; each may still be executed.
--- a/tests/unit/dispatch/dispatch_fixture.h
+++ b/tests/unit/dispatch/dispatch_fixture.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -207,6 +208,8 @@
     /// How long ago the last known cancellation or report of draining can have been accepted.
     common::duration cancels_age{0};
     common::duration drains_age{0};
+    /// How the calls of stops end; absent while they have not ended.
+    std::optional<order_status> stop_status = order_status::accepted;
     /// When true, the test itself ends stopped runs; otherwise they end at once.
     bool stops_take_time = false;
 
@@ -219,9 +222,12 @@
             }
         } else if (const auto* const stop = std::get_if<stop_order>(&action)) {
             stops.push_back(*stop);
-            engine.on_stop_result(now, *stop, {order_status::accepted, clock_ms()});
+            const bool accepted = stop_status == order_status::accepted;
+            if (stop_status) {
+                engine.on_stop_result(now, *stop, {*stop_status, accepted ? clock_ms() : 0});
+            }
             // A worker lists no end of a run that it never had.
-            if (!stops_take_time && is_running(stop->worker, stop->run)) {
+            if (accepted && !stops_take_time && is_running(stop->worker, stop->run)) {
                 end_run(stop->worker, stop->run, run_end::stopped);
             }
         } else if (const auto* const call = std::get_if<advice_call>(&action)) {
