Start all suspected tasks of a step once a worker has survived one

After the first one has been survived, each of the others starts alone on a worker, on which nothing else starts for 1.5 s: about eight every 1.5 s on eight workers.

Change: then the suspected tasks of the step may share workers, on which nothing else starts for 1.5 s. A crash under them still has one job as its cause, and a deadly task among them crashes one more worker, as it does alone.

--- a/source/core/dispatch/step_planner.cpp
+++ b/source/core/dispatch/step_planner.cpp
@@ -40,6 +40,7 @@
         plan_gang(step);
     } else {
         plan_tasks(step);
+        withdraw_suspect_workers();
     }
     return m_plan.result.starts.size() > before;
 }
@@ -103,8 +104,10 @@
     return step.state->may_start(*step.spec, index, m_plan.now, m_plan.limits.crash_limit);
 }
 
-// Starts a task that may have crashed a worker. Nothing else is started on the worker at this time,
-// so that a further crash has no other cause. Of a step, one such task starts first.
+// Starts a task that may have crashed a worker. Nothing of other jobs, and no unsuspected task, is
+// started on the worker at this time, so that a further crash has no other cause. Of a step, one
+// such task starts first. Once a worker has survived it, the others may share workers: if one of
+// them crashes its worker, its job is given up as it would be with a worker for each.
 void step_planner::plan_suspect(const waiting_step& step, std::uint32_t index) {
     if (!step.state->probe_passed && std::exchange(m_probed_step, step.step) == step.step) {
         return;
@@ -115,7 +118,8 @@
         const bool settled = capacity.worker != nullptr && !m_plan.started.contains(c.worker) &&
                              capacity.worker->last_start_at + m_plan.limits.suspect_distance <=
                                  capacity.worker->last_contact;
-        if (!settled || !m_plan.is_valid(c) || m_plan.remaining_tasks_on(step, c.worker) == 0 ||
+        if ((!settled && !m_suspect_workers.contains(c.worker)) || !m_plan.is_valid(c) ||
+            m_plan.remaining_tasks_on(step, c.worker) == 0 ||
             !m_plan.demand.fits(m_plan.available_capacity(step, c.worker))) {
             continue;
         }
@@ -129,7 +133,13 @@
         return;
     }
     m_plan.start(step, index, *best, step.next_run(index));
-    m_plan.withdraw(*best);
+    m_suspect_workers.insert(*best);
+}
+
+void step_planner::withdraw_suspect_workers() {
+    for (const auto worker : std::exchange(m_suspect_workers, {})) {
+        m_plan.withdraw(worker);
+    }
 }
 
 std::optional<worker_slot> step_planner::best_worker(const waiting_step& step,
@@ -140,7 +150,7 @@
     for (const auto& c : m_plan.candidates) {
         const auto w = c.worker;
         const auto& capacity = m_plan.capacities[w];
-        if (!demand.fits(capacity.free) || !m_plan.is_valid(c) ||
+        if (m_suspect_workers.contains(w) || !demand.fits(capacity.free) || !m_plan.is_valid(c) ||
             !demand.fits(m_plan.available_capacity(step, w)) ||
             m_plan.remaining_tasks_on(step, w) == 0) {
             continue;
--- a/source/core/dispatch/step_planner.h
+++ b/source/core/dispatch/step_planner.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -37,6 +38,8 @@
     void plan_tasks(const waiting_step& step);
     [[nodiscard]] bool may_start_task(const waiting_step& step, std::uint32_t index) const;
     void plan_suspect(const waiting_step& step, std::uint32_t index);
+    /// Nothing else is started in this plan on the workers of the suspected tasks planned so far.
+    void withdraw_suspect_workers();
     [[nodiscard]] std::optional<worker_slot> best_worker(const waiting_step& step,
                                                          const task_state& task) const;
     void plan_gang(const waiting_step& step);
@@ -79,6 +82,8 @@
     std::size_t m_unasked_gangs = 0;
     /// The step of the suspected task that was planned last.
     std::optional<task_key> m_probed_step;
+    /// Workers that get suspected tasks of the step that is being planned.
+    std::set<worker_slot> m_suspect_workers;
     /// Sum of the runs on each worker that work of a priority may preempt, by slot.
     std::map<int, std::vector<std::optional<placement::resources>>> m_preemptible;
 };
--- a/tests/unit/dispatch/crashes_test.cpp
+++ b/tests/unit/dispatch/crashes_test.cpp
@@ -71,6 +71,14 @@
         through_peer[worker] = peer_view::silent;
     }
 
+    [[nodiscard]] std::size_t running_tasks() const {
+        std::size_t sum = 0;
+        for (const auto& [worker, runs] : running) {
+            sum += runs.size();
+        }
+        return sum;
+    }
+
     void succeed(const task_key& task) {
         for (const auto& [worker, runs] : std::map(running)) {
             for (const auto& item : runs) {
@@ -383,6 +391,36 @@
     BOOST_TEST(last.size() == 3U);
 }
 
+// Guards against lasting tasks that stand after the crash of their worker: many of them are
+// suspected, and each starts alone on a worker for a while (LOST).
+BOOST_AUTO_TEST_CASE(all_suspected_tasks_of_a_step_start_once_a_worker_has_survived_one) {
+    crash_fixture f;
+    auto service = dispatch_fixture::job("a", 100, 500);
+    service.steps[0].demand.memory_mb = 100;
+    service.steps[0].long_running = true;
+    f.engine.on_job(f.now, service, {}, 11);
+    f.play(4s);
+    BOOST_REQUIRE(f.running_tasks() == 100U);
+    const auto most =
+        std::max_element(f.running.begin(), f.running.end(), [](const auto& a, const auto& b) {
+            return a.second.size() < b.second.size();
+        });
+    BOOST_REQUIRE(most->second.size() > 16U);
+    f.crash_worker(most->first);
+    f.play(1s);
+    BOOST_TEST(f.running_tasks() < 100U);
+    for (int i = 0; i < 100 && f.running_tasks() < 100; ++i) {
+        f.play(10ms);
+    }
+    BOOST_TEST(f.running_tasks() == 100U);
+    // The tasks on one worker are still told apart from those of other jobs.
+    f.engine.on_job(f.now, dispatch_fixture::job("b", 1, 1000), {}, 12);
+    f.play(1s);
+    BOOST_TEST(f.starts_of_job("b") == 0U);
+    f.play(1s);
+    BOOST_TEST(f.starts_of_job("b") == 1U);
+}
+
 // Guards against counting workers that crash by themselves: a run that was at work for long is no
 // cause, and a suspicion ends when a worker survives the task.
 BOOST_AUTO_TEST_CASE(a_task_that_workers_survive_is_not_given_up) {
