Take a run that ends by itself as survived by its worker

Cause: the other suspected tasks of a step wait until a worker has survived the one that starts first. For a lasting task only a list that shows its run after 1.5 s counted; its runs end before, and it is started again and again.

Change: a run that succeeds or fails has been survived: the others may start, and the crashes of the task before it no longer count.

Regression test: a_run_that_ends_shows_that_its_worker_has_survived_it; before this change one of its four tasks starts, now all of them. All unit and scenario tests of dispatch pass.

--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -313,8 +313,11 @@
     /// A worker that was taken for crashed is back in the same incarnation.
     void withdraw_crash_of_returned_worker(const worker_report& report);
     [[nodiscard]] std::pair<job_entry*, task_state*> find_open_task(const run_key& run);
-    void clear_suspicion(common::time_point now, job_entry& job, const task_key& task,
-                         const placed_run& placed);
+    /// The run has survived so far together with its worker.
+    void note_survival(common::time_point now, job_entry& job, const task_key& task,
+                       const placed_run& placed);
+    /// A worker has survived a run of the task.
+    void clear_suspicion(job_entry& job, const task_key& task);
     void note_batch_crashes(job_entry& job);
     void confirm_batch_crashes();
     void isolate_suspect(common::time_point now, worker_entry& worker, step_state& step,
--- a/source/core/dispatch/dispatcher_crashes.cpp
+++ b/source/core/dispatch/dispatcher_crashes.cpp
@@ -261,26 +261,30 @@
 }
 
 // Called when a worker lists the run of a task.
-void dispatcher::clear_suspicion(common::time_point now, job_entry& job, const task_key& task,
-                                 const placed_run& placed) {
+void dispatcher::note_survival(common::time_point now, job_entry& job, const task_key& task,
+                               const placed_run& placed) {
     if (!job.find(task)->is_suspected()) {
         return;
     }
-    auto& state = job.edit(task);
     if (now > placed.ordered_at + m_settings.crashes.isolation) {
         job.find_step(task)->probe_passed = true;
     }
     if (now > placed.ordered_at + m_settings.crashes.max_age) {
-        state.suspected = false;
-        state.progress.crashes = 0;
-        state.progress.possible_crashes = 0;
-        state.progress.silent_losses = 0;
-        state.crashes_stored = 0;
-        state.pending_crashes = 0;
-        mark_dirty(job);
+        clear_suspicion(job, task);
     }
 }
 
+void dispatcher::clear_suspicion(job_entry& job, const task_key& task) {
+    auto& state = job.edit(task);
+    state.suspected = false;
+    state.progress.crashes = 0;
+    state.progress.possible_crashes = 0;
+    state.progress.silent_losses = 0;
+    state.crashes_stored = 0;
+    state.pending_crashes = 0;
+    mark_dirty(job);
+}
+
 void dispatcher::isolate_suspect(common::time_point now, worker_entry& worker, step_state& step,
                                  const run_key& run) {
     if (!step.tasks[run.task.index].is_suspected()) {
--- a/source/core/dispatch/dispatcher_runs.cpp
+++ b/source/core/dispatch/dispatcher_runs.cpp
@@ -270,7 +270,7 @@
     const bool wanted = task != nullptr && !is_final(job->second.state) &&
                         task->current == run_location{worker.report.id, reported.run.run};
     if (wanted) {
-        clear_suspicion(now, job->second, reported.run.task, placed);
+        note_survival(now, job->second, reported.run.task, placed);
     }
     if (!wanted && placed.phase == run_phase::running && now > placed.ordered_at + gang_end_delay) {
         const bool gang_done = task != nullptr && task->progress.succeeded &&
@@ -419,6 +419,11 @@
         progress.checkpoint = checkpoint;
         step.gang_checkpoint = checkpoint;
     }
+    const bool ended_by_itself = how == run_end::succeeded || how == run_end::failed;
+    if (ended_by_itself && job.find(run.task)->is_suspected()) {
+        step.probe_passed = true;
+        clear_suspicion(job, run.task);
+    }
     if (how == run_end::succeeded) {
         handle_task_success(now, job, run.task);
         return;
@@ -444,9 +449,7 @@
             step.set_succeeded(member);
         }
     } else {
-        const auto& state = step.tasks[task.index];
-        step.probe_passed |= state.is_suspected();
-        const auto copy = state.current;
+        const auto copy = step.tasks[task.index].current;
         step.set_succeeded(task.index);
         if (copy) {
             request_stop(now, copy->worker, {task, copy->run});
--- a/tests/unit/dispatch/crashes_test.cpp
+++ b/tests/unit/dispatch/crashes_test.cpp
@@ -71,6 +71,22 @@
         through_peer[worker] = peer_view::silent;
     }
 
+    /// Lets time pass, during which each run ends by itself after the given time.
+    void play_short_runs(common::duration length, common::duration run_time) {
+        const auto end = now + length;
+        std::map<run_key, common::time_point> since;
+        while (now < end) {
+            play(10ms);
+            for (const auto& [worker, runs] : std::map(running)) {
+                for (const auto& item : runs) {
+                    if (now >= since.try_emplace(item.run, now).first->second + run_time) {
+                        end_run(worker, item.run, run_end::succeeded);
+                    }
+                }
+            }
+        }
+    }
+
     [[nodiscard]] std::size_t running_tasks() const {
         std::size_t sum = 0;
         for (const auto& [worker, runs] : running) {
@@ -421,6 +437,26 @@
     BOOST_TEST(f.starts_of_job("b") == 1U);
 }
 
+// Guards against lasting tasks that never start again after the crash of their worker: the runs of
+// the one that starts first end before it counts as survived (LOST).
+BOOST_AUTO_TEST_CASE(a_run_that_ends_shows_that_its_worker_has_survived_it) {
+    crash_fixture f({"w1", "w2"});
+    auto service = dispatch_fixture::job("a", 4, 500);
+    service.steps[0].long_running = true;
+    f.engine.on_job(f.now, service, {}, 11);
+    f.play_short_runs(3200ms, 1200ms);
+    BOOST_REQUIRE(f.running_tasks() == 4U);
+    const auto crashed = f.running["w1"].size() >= f.running["w2"].size() ? "w1" : "w2";
+    f.crash_worker(crashed);
+    f.play_short_runs(3s, 1200ms);
+    f.starts_of.clear();
+    f.play_short_runs(3s, 1200ms);
+    BOOST_TEST(f.starts_of.size() == 4U);
+    for (const auto& [task, workers] : f.starts_of) {
+        BOOST_TEST(workers.size() >= 2U);
+    }
+}
+
 // Guards against counting workers that crash by themselves: a run that was at work for long is no
 // cause, and a suspicion ends when a worker survives the task.
 BOOST_AUTO_TEST_CASE(a_task_that_workers_survive_is_not_given_up) {
