Decide in the core how long orders wait for a connection

Cause: platform/ held the times for which orders and polls wait, and that polls go first. These are decisions about the leases and the reach of workers, and platform/ only translates. The contract of worker_link still said that each call completes after its timeout at the latest.

Change: worker_link.h names both waits and the contract; connection_wait has a header of its own. No time changes.

--- a/source/core/dispatch/worker_link.h
+++ b/source/core/dispatch/worker_link.h
@@ -3,6 +3,7 @@
 #include "core/common/clock.h"
 #include "core/common/name_table.h"
 #include "core/dispatch/job.h"
+#include "core/net/connection_wait.h"
 #include "core/net/endpoint.h"
 
 #include <cstdint>
@@ -132,8 +133,14 @@
     [[nodiscard]] bool may_omit_ends() const { return ended.size() >= max_listed_ends; }
 };
 
+/// How calls wait while all connections to their worker are in use. An order that waits still
+/// arrives within lease_settings::call_limit, also with the longest timeout. Polls go first:
+/// without an answered one the worker counts as unreachable, however many orders wait.
+inline constexpr net::connection_wait order_connection_wait{std::chrono::milliseconds(500), false};
+inline constexpr net::connection_wait poll_connection_wait{std::chrono::milliseconds(500), true};
+
 /// Sends orders to workers. Each call is sent at most once and completes exactly once, after the
-/// timeout at the latest.
+/// wait for a connection and the timeout at the latest.
 class worker_link {
 public:
     virtual ~worker_link() = default;
--- a/source/core/net/http_client.h
+++ b/source/core/net/http_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/common/clock.h"
+#include "core/net/connection_wait.h"
 #include "core/net/endpoint.h"
 #include "core/net/http_message.h"
 
@@ -32,15 +33,6 @@
     bool request_sent;
 };
 
-/// What a request does while all connections to its endpoint are in use.
-struct connection_wait {
-    /// How long it waits for a connection; 0: it fails at once with pool_exhausted. The timeout of
-    /// the request begins when it has got one.
-    common::duration longest{0};
-    /// It waits before all requests without this flag.
-    bool first = false;
-};
-
 using http_result = std::variant<http_response, http_failure>;
 using http_completion = std::function<void(http_result)>;
 
