Keep the state of a stop in one time, and note a begin once

Cause: a stop had two flags beside the time at which it was sent, and its check worked out from the three when to send it again. Each list looked up the job of each of its runs a second time to mark it as begun.

Change: placed_run::stop_due is the time of the next copy of a stop. A run marks its job as begun when it is first seen to have begun. mark_started is named mark_begun, as the log line and the evidence are, and the comments of confirmed and begun say how they differ.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -195,7 +195,7 @@
     }
 }
 
-void dispatcher::mark_started(const task_key& task, begin_evidence evidence) {
+void dispatcher::mark_begun(const task_key& task, begin_evidence evidence) {
     const auto position = m_jobs.find(task.job);
     if (position == m_jobs.end() || position->second.state != job_state::queued ||
         position->second.find(task) == nullptr) {
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -196,8 +196,9 @@
     void note_answer(common::time_point now, const std::string& worker);
     void end_job(common::time_point now, job_entry& job, job_state state, std::string_view reason);
     void mark_dirty(const job_entry& job) { m_dirty_jobs.insert(job.spec.id); }
-    /// A worker has begun a run of the task, whatever has become of the run since.
-    void mark_started(const task_key& task, begin_evidence evidence);
+    /// A worker has begun a run of the task, whatever has become of the run since: the job is no
+    /// longer pending.
+    void mark_begun(const task_key& task, begin_evidence evidence);
     void send_polls(common::time_point now);
     void schedule_poll(worker_entry& worker, common::time_point due);
     struct batch_size {
--- a/source/core/dispatch/dispatcher_runs.cpp
+++ b/source/core/dispatch/dispatcher_runs.cpp
@@ -21,7 +21,7 @@
 // At most one worker in this many is excluded for failed runs at the same time.
 constexpr std::size_t exclusion_divisor = 3;
 constexpr unsigned max_start_repeats = 3;
-// Retry interval of a stop for which there was no connection.
+// Retry interval of a stop that certainly did not reach its worker.
 constexpr common::duration unsent_stop_retry = std::chrono::milliseconds(100);
 
 } // namespace
@@ -32,7 +32,7 @@
     if (result.status == order_status::accepted) {
         m_last_start_at = now;
         // The run may have been given up meanwhile.
-        mark_started(order.run.task, begin_evidence::accepted);
+        mark_begun(order.run.task, begin_evidence::accepted);
     }
     auto* const worker = m_workers.find(order.worker);
     if (worker == nullptr) {
@@ -146,8 +146,10 @@
     }
     const auto position = worker->runs.find(order.run);
     if (position != worker->runs.end()) {
-        position->second.stop_pending = false;
-        position->second.stop_unsent = result.status == order_status::not_sent;
+        auto& placed = position->second;
+        placed.stop_due = placed.stop_sent_at + (result.status == order_status::not_sent
+                                                     ? unsent_stop_retry
+                                                     : m_settings.stop_retry_interval);
     }
     if (result.clock_ms == 0) {
         return;
@@ -179,7 +181,7 @@
 void dispatcher::send_stop(common::time_point now, const std::string& worker, const run_key& run,
                            placed_run& placed) {
     placed.stop_sent_at = now;
-    placed.stop_pending = true;
+    placed.stop_due = common::time_point::max();
     m_pending_stops.emplace(worker, run);
     m_actions.emplace_back(stop_order{worker, run, m_fence});
 }
@@ -222,11 +224,8 @@
             position = m_pending_stops.erase(position);
             continue;
         }
-        auto& placed = run->second;
-        const auto interval =
-            placed.stop_unsent ? unsent_stop_retry : m_settings.stop_retry_interval;
-        if (worker->reachable && !placed.stop_pending && now > placed.stop_sent_at + interval) {
-            send_stop(now, position->first, position->second, placed);
+        if (worker->reachable && now > run->second.stop_due) {
+            send_stop(now, position->first, position->second, run->second);
         }
         ++position;
     }
@@ -248,20 +247,22 @@
 
 void dispatcher::handle_running_run(common::time_point now, worker_entry& worker,
                                     const running_run& reported, std::int64_t clock_ms) {
-    mark_started(reported.run.task, begin_evidence::listed);
     const auto position = worker.runs.find(reported.run);
     if (position == worker.runs.end()) {
+        mark_begun(reported.run.task, begin_evidence::listed);
         adopt_run(now, worker, reported, clock_ms);
         return;
     }
     placed_run& placed = position->second;
     if (placed.phase == run_phase::ordered || placed.phase == run_phase::unanswered) {
         placed.phase = run_phase::running;
+    }
+    if (!std::exchange(placed.begun, true)) {
         m_last_start_at = now;
+        mark_begun(reported.run.task, begin_evidence::listed);
     }
     placed.confirmed_clock_ms = std::max(placed.confirmed_clock_ms, clock_ms);
     placed.confirmed = true;
-    placed.begun = true;
     placed.update_progress(now, reported.percent);
     if (reported.checkpoint != placed.checkpoint && !reported.checkpoint.empty()) {
         placed.checkpoint = reported.checkpoint;
@@ -360,7 +361,7 @@
                {"number", reported.number},
                {"after_ms", common::to_milliseconds(now - started)}});
     update_exclusion(now, worker, reported.how);
-    mark_started(reported.run.task, begin_evidence::ended);
+    mark_begun(reported.run.task, begin_evidence::ended);
     handle_run_end(now, worker.report.id, reported.run, reported.how, reported.checkpoint);
     m_replan_needed = true;
 }
@@ -412,7 +413,8 @@
     if (known) {
         return;
     }
-    auto& progress = job.edit(run.task).progress;
+    auto& state = job.edit(run.task);
+    auto& progress = state.progress;
     progress.mark_processed(run.run);
     mark_dirty(job);
     if (is_final(job.state)) {
@@ -424,7 +426,7 @@
         step.gang_checkpoint = checkpoint;
     }
     const bool ended_by_itself = how == run_end::succeeded || how == run_end::failed;
-    if (ended_by_itself && job.find(run.task)->is_suspected()) {
+    if (ended_by_itself && state.is_suspected()) {
         step.probe_passed = true;
         clear_suspicion(job, run.task);
     }
--- a/source/core/dispatch/worker_registry.h
+++ b/source/core/dispatch/worker_registry.h
@@ -28,19 +28,18 @@
     std::int64_t start_valid_until_ms = 0;
     /// The worker's clock when it confirmed the run. Older lists do not contain the run.
     std::int64_t confirmed_clock_ms = 0;
-    /// The worker has accepted or listed the run at some time, and was not another incarnation.
+    /// The incarnation that the run was ordered on has certainly accepted it, or a list has shown
+    /// it.
     bool confirmed = false;
-    /// The run has begun, on this or on a later incarnation of the worker.
+    /// Some incarnation of the worker has accepted or listed the run.
     bool begun = false;
     /// The task was suspected when this run started.
     bool started_as_suspect = false;
     common::time_point ordered_at;
     common::time_point expected_end;
     common::time_point stop_sent_at;
-    /// A stop has been sent and its call has not completed.
-    bool stop_pending = false;
-    /// The last stop certainly did not reach the worker.
-    bool stop_unsent = false;
+    /// When the stop is sent again; not before its call has ended.
+    common::time_point stop_due;
     /// The start was sent to a former incarnation of the worker and may reach the current one.
     bool uncertain = false;
     /// Unanswered orders of this start; each may still be executed.
