Split the orders of the dispatcher from the lists of its workers

Functions are moved as they are, and their declarations are grouped in the same way.

Measured: the build, lint of the changed files and the unit tests of dispatch, net, platform and service pass.

--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -266,6 +266,19 @@
     [[nodiscard]] bool is_recordable(const worker_entry& worker) const;
     [[nodiscard]] worker_record make_worker_record() const;
 
+    // dispatcher_orders.cpp
+    void handle_start_not_executed(common::time_point now, worker_entry& worker, const run_key& run,
+                                   std::string_view reason);
+    void request_stop(common::time_point now, const std::string& worker, const run_key& run);
+    void send_stop(common::time_point now, const std::string& worker, const run_key& run,
+                   placed_run& placed);
+    void stop_gang(common::time_point now, job_entry& job, const task_key& task);
+    /// Stops the runs of which orders may still arrive at a worker that is back after its removal.
+    void stop_open_starts(common::time_point now, const std::string& worker);
+    void check_stops(common::time_point now);
+    void handle_worker_restart(common::time_point now, const std::string& worker,
+                               const worker_registry::update& change);
+
     // dispatcher_runs.cpp
     void handle_running_run(common::time_point now, worker_entry& worker,
                             const running_run& reported, std::int64_t clock_ms);
@@ -279,17 +292,6 @@
     void handle_task_success(common::time_point now, job_entry& job, const task_key& task);
     void handle_task_failure(common::time_point now, job_entry& job, const task_key& task,
                              std::uint32_t run, const std::string& worker);
-    void handle_start_not_executed(common::time_point now, worker_entry& worker, const run_key& run,
-                                   std::string_view reason);
-    void request_stop(common::time_point now, const std::string& worker, const run_key& run);
-    void send_stop(common::time_point now, const std::string& worker, const run_key& run,
-                   placed_run& placed);
-    void stop_gang(common::time_point now, job_entry& job, const task_key& task);
-    /// Stops the runs of which orders may still arrive at a worker that is back after its removal.
-    void stop_open_starts(common::time_point now, const std::string& worker);
-    void check_stops(common::time_point now);
-    void handle_worker_restart(common::time_point now, const std::string& worker,
-                               const worker_registry::update& change);
     void handle_lost_runs(common::time_point now, const std::string& worker,
                           const std::vector<lost_run>& runs, std::string_view reason);
     void update_exclusion(common::time_point now, worker_entry& worker, run_end how);
