Share the check of an isolated worker and the server's address in tests

Cause: two tests of crashes had the same five lines that other jobs wait beside suspected tasks, and the tests of HTTP wrote the server's address five times.

Change: check_that_others_wait() and address() serve all of them; assertions and times are as they were. A test that needs a stored record no longer has a case without one.

--- a/tests/unit/dispatch/crashes_test.cpp
+++ b/tests/unit/dispatch/crashes_test.cpp
@@ -87,6 +87,16 @@
         }
     }
 
+    /// Submits job "b", which starts only when the suspected tasks that have just started have run
+    /// for a while.
+    void check_that_others_wait() {
+        engine.on_job(now, job("b", 1, 1000), {}, 12);
+        play(1s);
+        BOOST_TEST(starts_of_job("b") == 0U);
+        play(1s);
+        BOOST_TEST(starts_of_job("b") == 1U);
+    }
+
     [[nodiscard]] std::size_t running_tasks() const {
         std::size_t sum = 0;
         for (const auto& [worker, runs] : running) {
@@ -375,11 +385,7 @@
     while (f.starts_of_job("a") < 2) {
         f.play(10ms);
     }
-    f.engine.on_job(f.now, dispatch_fixture::job("b", 1, 1000), {}, 12);
-    f.play(1s);
-    BOOST_TEST(f.starts_of_job("b") == 0U);
-    f.play(1s);
-    BOOST_TEST(f.starts_of_job("b") == 1U);
+    f.check_that_others_wait();
 }
 
 // Guards against a job that crashes many workers at once: of its suspected tasks one starts first.
@@ -430,11 +436,7 @@
     }
     BOOST_TEST(f.running_tasks() == 100U);
     // The tasks on one worker are still told apart from those of other jobs.
-    f.engine.on_job(f.now, dispatch_fixture::job("b", 1, 1000), {}, 12);
-    f.play(1s);
-    BOOST_TEST(f.starts_of_job("b") == 0U);
-    f.play(1s);
-    BOOST_TEST(f.starts_of_job("b") == 1U);
+    f.check_that_others_wait();
 }
 
 // Guards against lasting tasks that never start again after the crash of their worker: the runs of
--- a/tests/unit/dispatch/pending_jobs_test.cpp
+++ b/tests/unit/dispatch/pending_jobs_test.cpp
@@ -85,9 +85,7 @@
         successor.engine.on_queues({plain_queue()});
         successor.engine.on_worker(now, report("w1"));
         successor.engine.take_over(now, 20, worker_record);
-        const auto progress =
-            stored.contains("a") ? read_progress("a", stored.at("a")) : job_progress();
-        successor.engine.on_job(now, one_task_job(), progress, 11);
+        successor.engine.on_job(now, one_task_job(), read_progress("a", stored.at("a")), 11);
         successor.run_until_idle();
     }
 
--- a/tests/unit/net/http_test.cpp
+++ b/tests/unit/net/http_test.cpp
@@ -67,15 +67,15 @@
         return limits;
     }
 
+    [[nodiscard]] endpoint address() const { return {"127.0.0.1", server.port()}; }
+
     http_result call(http_request request, std::chrono::milliseconds timeout = 5s) {
         std::promise<http_result> promise;
-        client.send({"127.0.0.1", server.port()}, std::move(request), timeout,
+        client.send(address(), std::move(request), timeout,
                     [&](http_result result) { promise.set_value(std::move(result)); });
         return promise.get_future().get();
     }
 
-    [[nodiscard]] endpoint address() const { return {"127.0.0.1", server.port()}; }
-
     // Stops as a server program does. Only the loop of the server is stopped.
     void stop_server() {
         server.stop_accepting();
@@ -162,7 +162,7 @@
     std::promise<http_result> promise;
     http_request request;
     request.target = "/large";
-    separate_client.send({"127.0.0.1", server.port()}, request, 10s,
+    separate_client.send(address(), request, 10s,
                          [&](http_result r) { promise.set_value(std::move(r)); });
     while (server.requests_in_progress() == 0) {
         std::this_thread::yield();
@@ -182,7 +182,7 @@
     std::size_t received = 0;
     http_request request;
     request.target = "/medium";
-    separate_client.send({"127.0.0.1", server.port()}, request, 10s,
+    separate_client.send(address(), request, 10s,
                          [&](http_result r) { received = std::get<http_response>(r).body.size(); });
     std::size_t handlers = 0;
     while (received == 0 && client_loop.context().run_one_for(5s) > 0) {
@@ -203,8 +203,7 @@
     const auto send = [&] {
         http_request request;
         request.target = "/a";
-        separate_client.send({"127.0.0.1", server.port()}, request, 10s,
-                             [&](const http_result&) { ++answers; });
+        separate_client.send(address(), request, 10s, [&](const http_result&) { ++answers; });
     };
     send();
     while (answers == 0 && client_loop.context().run_one_for(5s) > 0) {
