Identify customers by their keys and keep jobs apart

Cause: the node knew no customers.

Change: core/customers has the directory from key to customer and the rule of who may reach a job. The adapter decodes tenants, keys, weights, caps and open queues; damaged entries are left out with one log line for a version. A call without a known key on a queue that is not open gets a 401 and stores nothing. The customer is part of the job as stored, also after its end, and of what nodes tell each other; records and messages of earlier versions read as jobs without a customer. Another customer gets 410 for a query or a cancel and 409 for a submission. A node that the store turns away reads the configuration through another node every second. Without customers in the configuration all queues are open, as before.

--- a/source/core/dispatch/dispatch_actions.h
+++ b/source/core/dispatch/dispatch_actions.h
@@ -47,6 +47,7 @@
     job_state state = job_state::queued;
     /// See job_spec.
     std::string accepted_by;
+    std::string customer{};
 };
 
 /// A worker has accepted a higher fence: another owner has taken over.
--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -62,6 +62,11 @@
     m_replan_needed = true;
 }
 
+void dispatcher::on_customers(const std::vector<customers::customer_settings>& customers) {
+    m_customers = customers;
+    m_replan_needed = true;
+}
+
 void dispatcher::on_worker(common::time_point now, const worker_report& report) {
     const auto* const known = m_workers.find(report.id);
     const bool was_listed = known != nullptr && known->listed;
@@ -126,7 +131,8 @@
     m_job_memory += memory_of(job.spec);
     m_jobs.emplace(spec.id, std::move(job));
     note_waiting(spec.id);
-    m_actions.emplace_back(state_change{spec.id, spec.queue, state, spec.accepted_by});
+    m_actions.emplace_back(
+        state_change{spec.id, spec.queue, state, spec.accepted_by, spec.customer});
     m_replan_needed = true;
     count_recorded_suspects(now, spec.id);
     if (m_cancels_before_job.erase(spec.id) > 0) {
@@ -208,8 +214,8 @@
               {{"job", job.spec.id},
                {"queue", job.spec.queue},
                {"evidence", begin_evidence_names.name(evidence)}});
-    m_actions.emplace_back(
-        state_change{job.spec.id, job.spec.queue, job.state, job.spec.accepted_by});
+    m_actions.emplace_back(state_change{job.spec.id, job.spec.queue, job.state,
+                                        job.spec.accepted_by, job.spec.customer});
 }
 
 std::optional<save_batch> dispatcher::next_save() {
@@ -288,7 +294,7 @@
         note_batch_crashes(job);
         if (final) {
             m_batch_changes.push_back(
-                {record.job, job.spec.queue, job.state, job.spec.accepted_by});
+                {record.job, job.spec.queue, job.state, job.spec.accepted_by, job.spec.customer});
         }
         batch.jobs.push_back(std::move(record));
         position = m_save_round.erase(position);
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -3,6 +3,7 @@
 #include "core/common/counters.h"
 #include "core/common/due_queue.h"
 #include "core/common/name_table.h"
+#include "core/customers/customer_settings.h"
 #include "core/dispatch/crash_attribution.h"
 #include "core/dispatch/dispatch_actions.h"
 #include "core/dispatch/job_entry.h"
@@ -103,6 +104,8 @@
 
     // Observed changes of configuration, workers and jobs.
     void on_queues(const std::vector<queue_settings>& queues);
+    /// Caps and shares of the customers. Without customers all work is treated alike.
+    void on_customers(const std::vector<customers::customer_settings>& customers);
     void on_worker(common::time_point now, const worker_report& report);
     void on_worker_unlisted(common::time_point now, const std::string& worker);
     /// All reports that workers wrote to the instance list before this time are known.
@@ -387,6 +390,7 @@
     common::time_point m_without_authority_since;
     lasting_state_log m_missing_authority_log;
     std::map<std::string, queue_settings> m_queues;
+    std::vector<customers::customer_settings> m_customers;
     /// Queues known from accepted jobs only, by the revision of the latest of these.
     std::map<std::string, std::uint64_t> m_unconfigured_queues;
     std::map<std::string, job_entry> m_jobs;
--- a/source/core/dispatch/job.cpp
+++ b/source/core/dispatch/job.cpp
@@ -3,8 +3,8 @@
 namespace buckthornspar::dispatch {
 
 bool job_spec::same_content(const job_spec& other) const {
-    return id == other.id && queue == other.queue && payload == other.payload &&
-           steps == other.steps && schedule == other.schedule;
+    return id == other.id && queue == other.queue && customer == other.customer &&
+           payload == other.payload && steps == other.steps && schedule == other.schedule;
 }
 
 std::string to_string(const task_key& task) {
--- a/source/core/dispatch/job.h
+++ b/source/core/dispatch/job.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/common/name_table.h"
+#include "core/customers/job_access.h"
 #include "core/placement/resources.h"
 
 #include <algorithm>
@@ -85,6 +86,8 @@
 struct job_spec {
     std::string id;
     std::string queue;
+    /// Customer to whom the job belongs; empty for one that was submitted without a key.
+    std::string customer;
     /// Description of the work for the worker; opaque to the scheduler.
     std::string payload;
     std::vector<step_spec> steps;
@@ -103,12 +106,19 @@
     }
     /// True for the same submission, whenever and by whichever node it was accepted.
     [[nodiscard]] bool same_content(const job_spec& other) const;
+    [[nodiscard]] customers::job_origin origin() const { return {queue, customer}; }
 };
 
 enum class job_state { queued, running, completed, failed, cancelled };
 inline constexpr common::name_table<job_state, 5> job_state_names{
     "job state", {"queued", "running", "completed", "failed", "cancelled"}};
 
+/// The state of a job, and whose job it is.
+struct known_state {
+    job_state state = job_state::queued;
+    customers::job_origin origin;
+};
+
 [[nodiscard]] constexpr bool is_final(job_state state) {
     return state != job_state::queued && state != job_state::running;
 }
--- a/source/core/dispatch/job_entry.cpp
+++ b/source/core/dispatch/job_entry.cpp
@@ -200,6 +200,9 @@
     result.state = state;
     if (is_final(state)) {
         result.accepted_by = spec.accepted_by;
+        if (!spec.customer.empty()) {
+            result.origin = spec.origin();
+        }
         return result;
     }
     result.possible_runs = possible_runs;
@@ -315,7 +318,8 @@
     constexpr std::int64_t waiting_step_bytes = 320;
     auto bytes = static_cast<std::int64_t>(sizeof(job_entry) + sizeof(occurrence_state)) +
                  waiting_step_bytes + copies_of_id * (node_overhead + memory_of(spec.id)) +
-                 memory_of(spec.payload) + memory_of(spec.queue) + memory_of(spec.accepted_by);
+                 memory_of(spec.payload) + memory_of(spec.queue) + memory_of(spec.customer) +
+                 memory_of(spec.accepted_by);
     for (const auto& step : spec.steps) {
         bytes += static_cast<std::int64_t>(sizeof(step_spec) + sizeof(step_state)) + node_overhead +
                  static_cast<std::int64_t>(step.after.size() * sizeof(std::uint32_t)) +
--- a/source/core/dispatch/progress.cpp
+++ b/source/core/dispatch/progress.cpp
@@ -261,6 +261,7 @@
     json::object object;
     object["id"] = job.id;
     object["queue"] = job.queue;
+    put(object, "customer", job.customer);
     object["payload"] = job.payload;
     put(object, "accepted_ms", job.accepted_ms);
     put(object, "accepted_by", job.accepted_by);
@@ -284,6 +285,7 @@
         job_spec job;
         job.id = text_of(object, "id");
         job.queue = text_of(object, "queue");
+        job.customer = text_of(object, "customer");
         job.payload = text_of(object, "payload");
         job.accepted_ms = number_of(object, "accepted_ms");
         job.accepted_by = text_of(object, "accepted_by");
@@ -319,6 +321,8 @@
         put(object, "possible_runs", std::int64_t{progress.possible_runs});
     } else {
         put(object, "accepted_by", progress.accepted_by);
+        put(object, "queue", progress.origin.queue);
+        put(object, "customer", progress.origin.customer);
     }
     return json::serialize(object);
 }
@@ -341,6 +345,7 @@
         job_progress progress;
         progress.state = job_state_names.value(text_of(object, "state"));
         progress.accepted_by = text_of(object, "accepted_by");
+        progress.origin = {text_of(object, "queue"), text_of(object, "customer")};
         progress.possible_runs = static_cast<std::uint32_t>(number_of(object, "possible_runs"));
         if (const auto* const bounds = object.if_contains("finished")) {
             progress.finished = ranges_from_json(bounds->as_array());
--- a/source/core/dispatch/progress.h
+++ b/source/core/dispatch/progress.h
@@ -59,6 +59,8 @@
     std::uint32_t possible_runs = 0;
     /// See job_spec; only set for a final state, because the job record is removed then.
     std::string accepted_by;
+    /// The same; empty when the job belongs to no customer.
+    customers::job_origin origin;
 };
 
 /// Serialization of the records in the store. The readers throw common::format_error.
--- a/source/core/service/caller_api.cpp
+++ b/source/core/service/caller_api.cpp
@@ -75,6 +75,7 @@
     if (request.method != net::http_method::get || response.status >= 400) {
         log_event(response.status >= 500 ? severity::warning : severity::info, "call_answered",
                   {{"job", request.id},
+                   {"customer", request.access.customer.value_or("")},
                    {"call", method_name(request.method)},
                    {"outcome", outcome},
                    {"reason", reason},
@@ -104,6 +105,12 @@
         return;
     }
     current.queue = route->queue.name;
+    if (!identify(*configuration, *route, request.fields.get(m_env.format.key_header()), current)) {
+        auto response = net::error_response(401, "unknown_key", "the key is missing or not known");
+        response.fields.set("WWW-Authenticate", m_env.format.key_header());
+        answer(current, std::move(response), "refused", "unknown_key");
+        return;
+    }
     current.id = std::string(path.substr(route->prefix.size()));
     if (current.id.empty() && request.method == net::http_method::get) {
         count(current);
@@ -131,12 +138,25 @@
            "refused", "method_not_allowed");
 }
 
+bool caller_api::identify(const service_configuration& configuration, const queue_route& route,
+                          std::string_view key, call& request) const {
+    if (route.open) {
+        request.access.open_queue = route.queue.name;
+    }
+    if (const auto* const customer = configuration.customers.find_by_key(key)) {
+        request.access.customer = customer->name;
+        return true;
+    }
+    return route.open;
+}
+
 void caller_api::submit(const call& request, const std::string& body, const queue_settings& queue) {
     job_spec job;
     try {
         job = m_env.format.read_submission(body);
         job.id = request.id;
         job.queue = request.queue;
+        job.customer = request.access.customer.value_or("");
         job.accepted_ms = common::wall_clock_ms();
         job.accepted_by = m_env.node;
         job.accepted_queue = std::make_shared<const queue_settings>(queue);
@@ -154,7 +174,7 @@
 }
 
 void caller_api::refuse_unless_stored(const call& request, const job_spec& job) {
-    m_env.intake.query(job.id, store_deadline(request),
+    m_env.intake.query(job.id, request.access, store_deadline(request),
                        [this, request, job](const intake_result& result) {
                            if (result.outcome == intake_outcome::found) {
                                store_job(request, job, 0);
@@ -186,7 +206,8 @@
             // queries read the store.
             if (result.accepted_by == m_env.node) {
                 m_env.directory.apply_change(
-                    m_env.clock.now(), {job.id, job.queue, job_state::queued, job.accepted_by});
+                    m_env.clock.now(),
+                    {job.id, job.queue, job_state::queued, job.accepted_by, job.customer});
             }
             answer(request, net::json_response(200, m_env.format.state_body(job_state::queued)),
                    "accepted", "stored");
@@ -214,75 +235,93 @@
 }
 
 void caller_api::query(const call& request) {
-    const auto known = m_env.directory.state_of(request.id);
-    if (known) {
-        answer(request, net::json_response(200, m_env.format.state_body(*known)), "known",
+    if (const auto known = m_env.directory.find(request.id)) {
+        if (!may_reach(request.access, known->origin)) {
+            answer_no_such_job(request, "directory");
+            return;
+        }
+        answer(request, net::json_response(200, m_env.format.state_body(known->state)), "known",
                "directory");
         return;
     }
-    m_env.ask_state(request.id, [this, request](std::optional<job_state> state) {
-        if (!state) {
+    m_env.ask_state(request.id, [this, request](const std::optional<known_state>& known) {
+        if (!known) {
             query_store(request);
             return;
         }
-        remember_final(request, *state);
-        answer(request, net::json_response(200, m_env.format.state_body(*state)), "known", "owner");
+        remember_final(request.id, *known);
+        if (!may_reach(request.access, known->origin)) {
+            answer_no_such_job(request, "owner");
+            return;
+        }
+        answer(request, net::json_response(200, m_env.format.state_body(known->state)), "known",
+               "owner");
     });
 }
 
-void caller_api::remember_final(const call& request, job_state state) const {
-    if (is_final(state)) {
-        m_env.directory.apply_change(m_env.clock.now(), {request.id, request.queue, state, ""});
+void caller_api::remember_final(const std::string& id, const known_state& known) const {
+    if (is_final(known.state)) {
+        m_env.directory.apply_change(
+            m_env.clock.now(), {id, known.origin.queue, known.state, "", known.origin.customer});
     }
 }
 
+void caller_api::answer_no_such_job(const call& request, std::string_view source) const {
+    answer(request, net::error_response(410, "no_such_job", "no such job"), "unknown_job", source);
+}
+
 void caller_api::query_store(const call& request) {
     const auto deadline = store_deadline(request);
-    m_env.intake.query(request.id, deadline, [this, request](const intake_result& result) {
-        if (result.outcome == intake_outcome::found) {
-            remember_final(request, result.state);
-            answer(request, net::json_response(200, m_env.format.state_body(result.state)), "known",
-                   "store");
-            return;
-        }
-        if (result.outcome == intake_outcome::no_such_job) {
-            answer(request, net::error_response(410, "no_such_job", "no such job"), "unknown_job",
-                   "store");
-            return;
-        }
-        answer(request, refusal(503, "store_unavailable", "the state is not known here"), "refused",
-               intake_outcome_names.name(result.outcome));
-    });
+    m_env.intake.query(
+        request.id, request.access, deadline, [this, request](const intake_result& result) {
+            if (result.outcome == intake_outcome::found) {
+                remember_final(request.id, {result.state, result.origin});
+                answer(request, net::json_response(200, m_env.format.state_body(result.state)),
+                       "known", "store");
+                return;
+            }
+            if (result.outcome == intake_outcome::no_such_job) {
+                answer_no_such_job(request, "store");
+                return;
+            }
+            answer(request, refusal(503, "store_unavailable", "the state is not known here"),
+                   "refused", intake_outcome_names.name(result.outcome));
+        });
 }
 
 void caller_api::cancel(const call& request) {
-    const auto known = m_env.directory.state_of(request.id);
-    if (known && is_final(*known)) {
-        answer(request, net::json_response(200, m_env.format.state_body(*known)), "ended",
+    const auto known = m_env.directory.find(request.id);
+    if (known && !may_reach(request.access, known->origin)) {
+        answer_no_such_job(request, "directory");
+        return;
+    }
+    if (known && is_final(known->state)) {
+        answer(request, net::json_response(200, m_env.format.state_body(known->state)), "ended",
                "directory");
         return;
     }
     const auto deadline = store_deadline(request);
-    m_env.intake.cancel(request.id, deadline, [this, request](const intake_result& result) {
-        switch (result.outcome) {
-        case intake_outcome::accepted:
-        case intake_outcome::found:
-            answer(request, net::json_response(200, "{}"), "accepted",
-                   intake_outcome_names.name(result.outcome));
-            return;
-        case intake_outcome::no_such_job:
-            answer(request, net::error_response(410, "no_such_job", "no such job"), "unknown_job",
-                   "store");
-            return;
-        case intake_outcome::not_stored:
-            answer(request, refusal(503, "store_unavailable", "the job is not cancelled"),
-                   "refused", "store_unavailable");
-            return;
-        default:
-            answer(request, net::error_response(504, "outcome_unknown", "the job may be cancelled"),
-                   "unknown", "store_gave_no_answer");
-        }
-    });
+    m_env.intake.cancel(
+        request.id, request.access, deadline, [this, request](const intake_result& result) {
+            switch (result.outcome) {
+            case intake_outcome::accepted:
+            case intake_outcome::found:
+                answer(request, net::json_response(200, "{}"), "accepted",
+                       intake_outcome_names.name(result.outcome));
+                return;
+            case intake_outcome::no_such_job:
+                answer_no_such_job(request, "store");
+                return;
+            case intake_outcome::not_stored:
+                answer(request, refusal(503, "store_unavailable", "the job is not cancelled"),
+                       "refused", "store_unavailable");
+                return;
+            default:
+                answer(request,
+                       net::error_response(504, "outcome_unknown", "the job may be cancelled"),
+                       "unknown", "store_gave_no_answer");
+            }
+        });
 }
 
 void caller_api::count(const call& request) {
--- a/source/core/service/caller_api.h
+++ b/source/core/service/caller_api.h
@@ -32,7 +32,7 @@
         std::string node;
         /// Asks the owner for the state of a job that another node accepted; empty when unknown.
         std::function<void(const std::string& job,
-                           std::function<void(std::optional<dispatch::job_state>)> complete)>
+                           std::function<void(std::optional<dispatch::known_state>)> complete)>
             ask_state;
         job_admission* admission = nullptr;
     };
@@ -47,11 +47,17 @@
         std::string id;
         /// A copy, because the configuration may be replaced before the call is answered.
         std::string queue;
+        customers::job_access access;
         common::time_point received;
         common::duration deadline{0};
         net::http_reply reply;
     };
 
+    /// Identifies the customer by the key of the call. False when the queue requires a key and the
+    /// call has none, or one that no customer has.
+    [[nodiscard]] bool identify(const service_configuration& configuration,
+                                const queue_route& route, std::string_view key,
+                                call& request) const;
     void submit(const call& request, const std::string& body,
                 const dispatch::queue_settings& queue);
     void store_job(const call& request, const dispatch::job_spec& job, std::int64_t memory);
@@ -61,7 +67,8 @@
     void query(const call& request);
     void query_store(const call& request);
     /// Later queries of an ended job need no other node.
-    void remember_final(const call& request, dispatch::job_state state) const;
+    void remember_final(const std::string& id, const dispatch::known_state& known) const;
+    void answer_no_such_job(const call& request, std::string_view source) const;
     void cancel(const call& request);
     void count(const call& request);
     void answer(const call& request, net::http_response response, std::string_view outcome,
--- a/source/core/service/job_directory.cpp
+++ b/source/core/service/job_directory.cpp
@@ -21,7 +21,10 @@
     if (!added && (is_final(job.state) || change.state <= job.state)) {
         return false;
     }
-    job.queue = change.queue;
+    job.origin.queue = change.queue;
+    if (!change.customer.empty()) {
+        job.origin.customer = change.customer;
+    }
     job.state = change.state;
     if (!change.accepted_by.empty()) {
         job.accepted_by = change.accepted_by;
@@ -54,7 +57,7 @@
     }
     if (m_followers[id].insert(node).second && position != m_jobs.end()) {
         const auto& job = position->second;
-        log_change(node, {id, job.queue, job.state, job.accepted_by});
+        log_change(node, change_of(id, job));
     }
 }
 
@@ -63,9 +66,17 @@
     return followers != m_followers.end() && followers->second.contains(node);
 }
 
-std::optional<dispatch::job_state> job_directory::state_of(const std::string& job) const {
+std::optional<dispatch::known_state> job_directory::find(const std::string& job) const {
     const auto position = m_jobs.find(job);
-    return position == m_jobs.end() ? std::nullopt : std::optional(position->second.state);
+    if (position == m_jobs.end()) {
+        return std::nullopt;
+    }
+    return dispatch::known_state{position->second.state, position->second.origin};
+}
+
+std::optional<dispatch::job_state> job_directory::state_of(const std::string& job) const {
+    const auto known = find(job);
+    return known ? std::optional(known->state) : std::nullopt;
 }
 
 void job_directory::set_pending(common::time_point known_until,
@@ -124,7 +135,7 @@
         result.full = true;
         for (const auto& [id, job] : m_jobs) {
             if (job.accepted_by == node || is_follower(id, node)) {
-                result.changes.push_back({id, job.queue, job.state, job.accepted_by});
+                result.changes.push_back(change_of(id, job));
             }
         }
         return result;
--- a/source/core/service/job_directory.h
+++ b/source/core/service/job_directory.h
@@ -23,6 +23,7 @@
     bool apply_change(common::time_point now, const dispatch::state_change& change);
     /// The state is only kept up to date for jobs that this node accepted or follows and, at the
     /// owner, for all jobs.
+    [[nodiscard]] std::optional<dispatch::known_state> find(const std::string& job) const;
     [[nodiscard]] std::optional<dispatch::job_state> state_of(const std::string& job) const;
 
     /// Adds the job's current and further states to the changes for a node that did not accept it.
@@ -55,7 +56,7 @@
 
 private:
     struct known_job {
-        std::string queue;
+        customers::job_origin origin;
         dispatch::job_state state = dispatch::job_state::queued;
         std::string accepted_by;
     };
@@ -68,6 +69,10 @@
         std::uint64_t covered_from = 1;
         std::deque<logged_change> changes;
     };
+    [[nodiscard]] static dispatch::state_change change_of(const std::string& id,
+                                                          const known_job& job) {
+        return {id, job.origin.queue, job.state, job.accepted_by, job.origin.customer};
+    }
     void log_change(const std::string& node, const dispatch::state_change& change);
     [[nodiscard]] bool is_follower(const std::string& job, const std::string& node) const;
     [[nodiscard]] bool covers(const change_log* log, std::uint64_t position) const;
--- a/source/core/service/job_intake.cpp
+++ b/source/core/service/job_intake.cpp
@@ -23,10 +23,20 @@
 // retrying later than by waiting here.
 constexpr auto max_refused_time = std::chrono::milliseconds(350);
 
+// Empty for a job without a customer, and for a record that cannot be read.
+std::string customer_of_ended(const std::string& job, const std::string& record) {
+    try {
+        return read_progress(job, record).origin.customer;
+    } catch (const common::error&) {
+        return {};
+    }
+}
+
 } // namespace
 
 struct job_intake::call {
     job_spec job;
+    customers::job_access access;
     common::time_point received;
     common::time_point deadline;
     intake_completion complete;
@@ -36,6 +46,7 @@
     bool in_doubt = false;
     job_state state = job_state::queued;
     std::string accepted_by;
+    customers::job_origin origin;
 };
 
 void job_intake::submit(const job_spec& job, common::time_point deadline,
@@ -53,19 +64,21 @@
     run(work, &job_intake::try_submit);
 }
 
-void job_intake::cancel(const std::string& job, common::time_point deadline,
-                        intake_completion complete) {
+void job_intake::cancel(const std::string& job, const customers::job_access& access,
+                        common::time_point deadline, intake_completion complete) {
     auto work = std::make_shared<call>();
     work->job.id = job;
+    work->access = access;
     work->deadline = deadline;
     work->complete = std::move(complete);
     run(work, &job_intake::try_cancel);
 }
 
-void job_intake::query(const std::string& job, common::time_point deadline,
-                       intake_completion complete) {
+void job_intake::query(const std::string& job, const customers::job_access& access,
+                       common::time_point deadline, intake_completion complete) {
     auto work = std::make_shared<call>();
     work->job.id = job;
+    work->access = access;
     work->deadline = deadline;
     work->complete = std::move(complete);
     run(work, &job_intake::try_query);
@@ -107,7 +120,7 @@
 
 void job_intake::finish(const std::shared_ptr<call>& work, intake_outcome outcome) {
     --m_in_progress;
-    work->complete({outcome, work->state, work->attempts, work->accepted_by});
+    work->complete({outcome, work->state, work->attempts, work->accepted_by, work->origin});
 }
 
 void job_intake::retry(const std::shared_ptr<call>& work, store_status status,
@@ -188,8 +201,16 @@
         }
         return;
     }
-    // Only the record of an ended job is left: this is a late repeat of its submission.
-    finish(work, intake_outcome::accepted);
+    // Only the record of an ended job is left: this is a late repeat of its submission, unless it
+    // belongs to another customer.
+    const bool other_customer =
+        std::any_of(items.begin(), items.end(), [&work](const store_item& item) {
+            const auto customer = item.key == progress_key(work->job.id) && item.revision != 0
+                                      ? customer_of_ended(work->job.id, item.value)
+                                      : std::string();
+            return !customer.empty() && customer != work->job.customer;
+        });
+    finish(work, other_customer ? intake_outcome::conflict : intake_outcome::accepted);
 }
 
 void job_intake::try_cancel(const std::shared_ptr<call>& work) {
@@ -204,6 +225,10 @@
             retry(work, found.status, &job_intake::try_cancel);
             return;
         }
+        if (!may_reach_record(*work, found.items.front().value)) {
+            finish(work, intake_outcome::no_such_job);
+            return;
+        }
         store_commit change;
         change.expect = {{key, found.items.front().revision}};
         change.put.push_back({cancel_key(work->job.id), "{}", 0});
@@ -218,6 +243,16 @@
     });
 }
 
+bool job_intake::may_reach_record(call& work, const std::string& record) {
+    try {
+        work.origin = read_job(record).origin();
+    } catch (const common::error& e) {
+        // Nobody can tell whose job it is; its state alone is not worth a lost cancellation.
+        log_event(severity::error, "job_unreadable", {{"job", work.job.id}, {"reason", e.what()}});
+    }
+    return may_reach(work.access, work.origin);
+}
+
 void job_intake::try_query(const std::shared_ptr<call>& work) {
     ++work->attempts;
     // Reads the job key first, because the commit that writes the final record removes it.
@@ -226,7 +261,12 @@
             retry(work, result.status, &job_intake::try_query);
             return;
         }
-        read_progress_of(work, result.status == store_status::ok);
+        const bool exists = result.status == store_status::ok && !result.items.empty();
+        if (exists && !may_reach_record(*work, result.items.front().value)) {
+            finish(work, intake_outcome::no_such_job);
+            return;
+        }
+        read_progress_of(work, exists);
     });
 }
 
@@ -243,7 +283,11 @@
         try {
             const auto progress = read_progress(work->job.id, result.items.front().value);
             work->state = is_final(progress.state) ? progress.state : job_state::running;
-            finish(work, intake_outcome::found);
+            if (!progress.origin.customer.empty()) {
+                work->origin = progress.origin;
+            }
+            finish(work, may_reach(work->access, work->origin) ? intake_outcome::found
+                                                               : intake_outcome::no_such_job);
         } catch (const common::error& e) {
             log_event(severity::error, "progress_unreadable",
                       {{"job", work->job.id}, {"reason", e.what()}});
--- a/source/core/service/job_intake.h
+++ b/source/core/service/job_intake.h
@@ -20,13 +20,13 @@
 
 /// Outcome of a call that changes or reads the stored state of a job.
 enum class intake_outcome {
-    accepted, ///< stored, now or by an earlier call with the same id
-    found,    ///< query: the state is known
-    no_such_job,
-    conflict,   ///< the id is in use for a job with other content
-    not_stored, ///< certainly not stored; the job never runs
-    unknown,    ///< the store did not answer: the change may have been made
-    too_large,  ///< the store does not take the record of the job; the job never runs
+    accepted,    ///< stored, now or by an earlier call with the same id
+    found,       ///< query: the state is known
+    no_such_job, ///< also for a job that the caller may not reach
+    conflict,    ///< the id is in use for a job with other content
+    not_stored,  ///< certainly not stored; the job never runs
+    unknown,     ///< the store did not answer: the change may have been made
+    too_large,   ///< the store does not take the record of the job; the job never runs
 };
 inline constexpr common::name_table<intake_outcome, 7> intake_outcome_names{
     "intake outcome",
@@ -39,6 +39,8 @@
     unsigned store_calls = 0;
     /// For an accepted submission the node that accepted it first; empty when unknown.
     std::string accepted_by;
+    /// Of a job that was found; without a customer when it belongs to none.
+    customers::job_origin origin;
 };
 
 using intake_completion = std::function<void(intake_result)>;
@@ -62,8 +64,10 @@
 
     void submit(const dispatch::job_spec& job, common::time_point deadline,
                 intake_completion complete);
-    void cancel(const std::string& job, common::time_point deadline, intake_completion complete);
-    void query(const std::string& job, common::time_point deadline, intake_completion complete);
+    void cancel(const std::string& job, const customers::job_access& access,
+                common::time_point deadline, intake_completion complete);
+    void query(const std::string& job, const customers::job_access& access,
+               common::time_point deadline, intake_completion complete);
 
     [[nodiscard]] std::size_t in_progress() const { return m_in_progress; }
 
@@ -78,6 +82,8 @@
     void try_cancel(const std::shared_ptr<call>& work);
     void try_query(const std::shared_ptr<call>& work);
     void read_progress_of(const std::shared_ptr<call>& work, bool job_exists);
+    /// Whether the caller may reach the job of the stored record.
+    [[nodiscard]] static bool may_reach_record(call& work, const std::string& record);
     void retry(const std::shared_ptr<call>& work, dispatch::store_status status,
                void (job_intake::*step)(const std::shared_ptr<call>&));
     void finish(const std::shared_ptr<call>& work, intake_outcome outcome);
--- a/source/core/service/node_application.cpp
+++ b/source/core/service/node_application.cpp
@@ -61,6 +61,18 @@
     return ((std::uint64_t{source()} << 21U) ^ source()) & ((std::uint64_t{1} << 53U) - 1);
 }
 
+// One line for all defects of a version, because there may be thousands.
+void log_customer_defects(const service_configuration& configuration) {
+    const auto& defects = configuration.customers.defects();
+    if (!defects.empty()) {
+        log_event(severity::error, "customers_defective",
+                  {{"version", configuration.version},
+                   {"defects", defects.size()},
+                   {"first", customers::customer_defect_names.name(defects.front().defect)},
+                   {"customer", defects.front().customer}});
+    }
+}
+
 net::http_client_limits client_limits() {
     net::http_client_limits limits;
     limits.connect_timeout = std::chrono::milliseconds(600);
@@ -154,7 +166,7 @@
             },
             m_settings.id,
             [this](const std::string& job,
-                   std::function<void(std::optional<dispatch::job_state>)> complete) {
+                   std::function<void(std::optional<dispatch::known_state>)> complete) {
                 m_peers.ask_state(job, std::move(complete));
             },
             &m_admission};
@@ -249,7 +261,9 @@
         log_event(severity::info, "configuration_in_force",
                   {{"version", configuration.version},
                    {"routes", configuration.routes.size()},
+                   {"customers", configuration.customers.all().size()},
                    {"revision", item.revision}});
+        log_customer_defects(configuration);
         m_configuration = std::move(configuration);
     } catch (const common::error& e) {
         log_event(severity::error, "configuration_unreadable",
@@ -257,13 +271,27 @@
         return;
     }
     if (m_controller) {
-        m_controller->on_queues(m_configuration->queues());
+        m_controller->on_configuration(m_configuration->queues(), m_configuration->customers.all());
     }
     if (m_election) {
         m_election->set_candidate(true);
     }
 }
 
+// A node that the store turns away learns changes of the routes and keys from the store through
+// another node. The watch itself retries and takes over again.
+void node_application::read_configuration_through_peer() {
+    if (m_stopping || !m_health.last_call_failed() || !m_relay.available()) {
+        return;
+    }
+    m_relay.read(m_platform->format().configuration_key(),
+                 [this](const dispatch::store_result& result) {
+                     if (result.status == dispatch::store_status::ok && !result.items.empty()) {
+                         on_configuration(result.items.front());
+                     }
+                 });
+}
+
 void node_application::start_election() {
     owner_election::listener receiver;
     receiver.on_elected = [this](const owner_record& owner) { on_elected(owner); };
@@ -292,7 +320,7 @@
     m_controller =
         std::make_shared<owner_controller>(make_owner_environment(owner.fence), owner.fence);
     m_controller->on_peer_seen(m_settings.id, m_settings.peers);
-    m_controller->begin(m_configuration->queues());
+    m_controller->begin(m_configuration->queues(), m_configuration->customers.all());
 }
 
 void node_application::release_through_peer(const owner_record& owner) {
@@ -359,6 +387,7 @@
         m_admission.set_headroom(m_peers.headroom(report->job_memory));
     }
     log_store_health_change();
+    read_configuration_through_peer();
     m_loop.post_after(tick_interval, [this] { tick(); });
 }
 
--- a/source/core/service/node_application.h
+++ b/source/core/service/node_application.h
@@ -53,6 +53,7 @@
 
     void watch_configuration();
     void on_configuration(const dispatch::store_item& item);
+    void read_configuration_through_peer();
     void start_election();
     void on_elected(const owner_record& owner);
     void on_task_failed();
--- a/source/core/service/owner_controller.cpp
+++ b/source/core/service/owner_controller.cpp
@@ -51,8 +51,10 @@
     };
 }
 
-void owner_controller::begin(const std::vector<queue_settings>& queues) {
+void owner_controller::begin(const std::vector<queue_settings>& queues,
+                             const std::vector<customers::customer_settings>& customers) {
     m_queues = queues;
+    m_customers = customers;
     load();
 }
 
@@ -70,10 +72,14 @@
     }
 }
 
-void owner_controller::on_queues(const std::vector<queue_settings>& queues) {
+void owner_controller::on_configuration(
+    const std::vector<queue_settings>& queues,
+    const std::vector<customers::customer_settings>& customers) {
     m_queues = queues;
+    m_customers = customers;
     if (m_loaded) {
         m_dispatcher.on_queues(queues);
+        m_dispatcher.on_customers(customers);
         process_soon();
     }
 }
--- a/source/core/service/owner_controller.h
+++ b/source/core/service/owner_controller.h
@@ -60,10 +60,12 @@
 public:
     owner_controller(owner_environment environment, std::uint64_t fence);
 
-    void begin(const std::vector<dispatch::queue_settings>& queues);
+    void begin(const std::vector<dispatch::queue_settings>& queues,
+               const std::vector<customers::customer_settings>& customers = {});
     /// Ends the term; nothing is sent afterwards.
     void end();
-    void on_queues(const std::vector<dispatch::queue_settings>& queues);
+    void on_configuration(const std::vector<dispatch::queue_settings>& queues,
+                          const std::vector<customers::customer_settings>& customers);
     /// The node follows this owner and listens on the address, so that no earlier term of an owner
     /// of this name goes on.
     void on_peer_seen(const std::string& node, const net::endpoint& address);
@@ -140,6 +142,7 @@
     // State that was loaded from the store.
     unsigned m_pending_loads = 0;
     std::vector<dispatch::queue_settings> m_queues;
+    std::vector<customers::customer_settings> m_customers;
     prefix_contents m_active_contents;
     std::vector<dispatch::store_item> m_progress_items;
     /// Number of records of m_active_contents and then of m_progress_items that are loaded. The
--- a/source/core/service/owner_controller_loading.cpp
+++ b/source/core/service/owner_controller_loading.cpp
@@ -100,6 +100,7 @@
     }
     m_sequence_revision = m_sequence ? m_sequence->revision : 0;
     m_dispatcher.on_queues(m_queues);
+    m_dispatcher.on_customers(m_customers);
     load_workers(m_worker_contents.items);
     m_dispatcher.take_over(m_env.clock.now(), m_fence,
                            m_workers_record ? m_workers_record->value : "");
@@ -109,6 +110,7 @@
 void owner_controller::finish_loading() {
     // They may have changed since the loading began.
     m_dispatcher.on_queues(m_queues);
+    m_dispatcher.on_customers(m_customers);
     watch_active_keys(m_active_contents);
     watch_worker_entries(m_worker_contents);
     m_active_contents = {};
@@ -164,7 +166,8 @@
         const auto record = read_progress(id, item.value);
         if (is_final(record.state)) {
             const auto now = m_env.clock.now();
-            m_env.directory.apply_change(now, {id, "", record.state, record.accepted_by});
+            m_env.directory.apply_change(now, {id, record.origin.queue, record.state,
+                                               record.accepted_by, record.origin.customer});
             m_ended_jobs.emplace_back(now, id);
         }
     } catch (const common::error& e) {
--- a/source/core/service/peer_exchange.cpp
+++ b/source/core/service/peer_exchange.cpp
@@ -204,7 +204,7 @@
 }
 
 void peer_exchange::ask_state(const std::string& job,
-                              std::function<void(std::optional<job_state>)> complete) {
+                              std::function<void(std::optional<known_state>)> complete) {
     const auto now = m_env.clock.now();
     if (!m_owner || now - m_last_owner_answer > max_owner_silence ||
         m_followed_jobs.size() >= max_followed_jobs) {
@@ -219,34 +219,34 @@
         net::json_post("/peer/state", write_state_request({m_env.node, m_owner->fence, job})),
         state_timeout, [this, job, complete = std::move(complete)](const net::http_result& answer) {
             const auto* const response = std::get_if<net::http_response>(&answer);
-            std::optional<job_state> state;
+            std::optional<known_state> known;
             if (response != nullptr && response->status == 200) {
                 try {
-                    state = read_state_response(response->body);
+                    known = read_state_response(response->body);
                 } catch (const std::exception& e) {
                     log_event(severity::warning, "peer_answer_unreadable", {{"reason", e.what()}});
                 }
             }
-            const bool followed = state ? !is_final(*state) : response == nullptr;
+            const bool followed = known ? !is_final(known->state) : response == nullptr;
             if (!followed) {
                 m_followed_jobs.erase(job);
             }
-            complete(state);
+            complete(known);
         });
 }
 
 void peer_exchange::serve_state(const net::http_request& request, const net::http_reply& reply) {
     const auto query = read_state_request(request.body);
-    const auto state =
-        m_owned_fence == query.fence ? m_env.directory.state_of(query.job) : std::nullopt;
-    if (!state) {
+    const auto known =
+        m_owned_fence == query.fence ? m_env.directory.find(query.job) : std::nullopt;
+    if (!known) {
         reply(net::error_response(404, "unknown_here", "the job is not known to this node"));
         return;
     }
-    if (!is_final(*state)) {
+    if (!is_final(known->state)) {
         m_env.directory.follow(query.job, query.node);
     }
-    reply(net::json_response(200, write_state_response(*state)));
+    reply(net::json_response(200, write_state_response(*known)));
 }
 
 std::int64_t peer_exchange::job_limit() const {
--- a/source/core/service/peer_exchange.h
+++ b/source/core/service/peer_exchange.h
@@ -59,7 +59,7 @@
     /// Asks the owner for the state of a job that another node accepted, and for further changes.
     /// Empty when the owner does not know the job or does not respond.
     void ask_state(const std::string& job,
-                   std::function<void(std::optional<dispatch::job_state>)> complete);
+                   std::function<void(std::optional<dispatch::known_state>)> complete);
     /// Another node that can relay store calls; empty when none has been in contact recently.
     [[nodiscard]] std::optional<net::endpoint> relay_peer() const;
     /// The job directory has changed: answers the pending polls after a short delay.
--- a/source/core/service/peer_messages.cpp
+++ b/source/core/service/peer_messages.cpp
@@ -89,7 +89,11 @@
 std::string write_changes_response(const changes_response& response) {
     json::array rows;
     for (const auto& change : response.changes) {
-        rows.push_back(json::array{change.job, change.queue, job_state_names.name(change.state)});
+        json::array row{change.job, change.queue, job_state_names.name(change.state)};
+        if (!change.customer.empty()) {
+            row.push_back(json::string(change.customer));
+        }
+        rows.push_back(std::move(row));
     }
     json::object object{{"next", response.next}, {"changes", std::move(rows)}};
     if (response.pending) {
@@ -114,7 +118,8 @@
             response.changes.push_back(
                 {json::value_to<std::string>(fields.at(0)),
                  json::value_to<std::string>(fields.at(1)),
-                 job_state_names.value(json::value_to<std::string>(fields.at(2))), ""});
+                 job_state_names.value(json::value_to<std::string>(fields.at(2))), "",
+                 fields.size() > 3 ? json::value_to<std::string>(fields.at(3)) : std::string()});
         }
         if (const auto* const pending = object.if_contains("pending")) {
             response.pending.emplace();
@@ -146,14 +151,27 @@
     });
 }
 
-std::string write_state_response(job_state state) {
-    return json::serialize(json::object{{"state", job_state_names.name(state)}});
+std::string write_state_response(const known_state& known) {
+    json::object object{{"state", job_state_names.name(known.state)}};
+    if (!known.origin.customer.empty()) {
+        object["queue"] = known.origin.queue;
+        object["customer"] = known.origin.customer;
+    }
+    return json::serialize(object);
 }
 
-job_state read_state_response(std::string_view text) {
+known_state read_state_response(std::string_view text) {
     return common::read_document("response with a state", [&] {
-        return job_state_names.value(
-            json::value_to<std::string>(parse(text).as_object().at("state")));
+        const auto value = parse(text);
+        const auto& object = value.as_object();
+        known_state known;
+        known.state = job_state_names.value(json::value_to<std::string>(object.at("state")));
+        // Owners of earlier versions know no customers.
+        if (const auto* const customer = object.if_contains("customer")) {
+            known.origin = {json::value_to<std::string>(object.at("queue")),
+                            json::value_to<std::string>(*customer)};
+        }
+        return known;
     });
 }
 
--- a/source/core/service/peer_messages.h
+++ b/source/core/service/peer_messages.h
@@ -78,8 +78,8 @@
 [[nodiscard]] changes_response read_changes_response(std::string_view text);
 [[nodiscard]] std::string write_state_request(const state_request& request);
 [[nodiscard]] state_request read_state_request(std::string_view text);
-[[nodiscard]] std::string write_state_response(dispatch::job_state state);
-[[nodiscard]] dispatch::job_state read_state_response(std::string_view text);
+[[nodiscard]] std::string write_state_response(const dispatch::known_state& known);
+[[nodiscard]] dispatch::known_state read_state_response(std::string_view text);
 [[nodiscard]] std::string write_worker_poll_request(const worker_poll_request& request);
 [[nodiscard]] worker_poll_request read_worker_poll_request(std::string_view text);
 [[nodiscard]] std::string write_advice_call(const relayed_advice_call& call);
--- a/source/core/service/platform_adapter.h
+++ b/source/core/service/platform_adapter.h
@@ -33,6 +33,8 @@
     [[nodiscard]] virtual std::string pending_body(std::size_t jobs) const = 0;
     /// Name of the header field with the caller's deadline in milliseconds.
     [[nodiscard]] virtual std::string deadline_header() const = 0;
+    /// Name of the header field with the key of the calling customer.
+    [[nodiscard]] virtual std::string key_header() const = 0;
     [[nodiscard]] virtual std::string readiness_path() const = 0;
 
 protected:
--- a/tests/fakes/fake_platform.h
+++ b/tests/fakes/fake_platform.h
@@ -39,6 +39,7 @@
     std::string state_body(dispatch::job_state /*state*/) const override { return {}; }
     std::string pending_body(std::size_t /*jobs*/) const override { return {}; }
     std::string deadline_header() const override { return "Deadline-Ms"; }
+    std::string key_header() const override { return "Key"; }
     std::string readiness_path() const override { return "/ready"; }
 };
 
--- a/tests/unit/platform/format_test.cpp
+++ b/tests/unit/platform/format_test.cpp
@@ -158,6 +158,35 @@
                       common::format_error);
 }
 
+// Guards against queues that are open although the configuration has customers, and against a
+// damaged entry that takes the others out of force.
+BOOST_AUTO_TEST_CASE(customers_are_decoded) {
+    const auto configuration = wire_format().read_configuration(
+        R"({"version":7,"routes":[{"name":"r1","host":"h","prefix":"/a/","public":false},)"
+        R"({"name":"r2","host":"h","prefix":"/b/","public":true},)"
+        R"({"name":"r3","host":"h","prefix":"/c/"}],)"
+        R"("tenants":[{"name":"t1","api_keys":["k1","k2"],"priority":1,"weight":81,)"
+        R"("cap":{"cpu":12930347,"mem_mb":36443279,"gpu":0}},)"
+        R"(5,{"name":"t2","api_keys":"k3"},{"name":"t3","api_keys":["k4"]}]})");
+    BOOST_TEST(!configuration.routes[0].open);
+    BOOST_TEST(configuration.routes[1].open);
+    BOOST_TEST(!configuration.routes[2].open);
+    const auto* const customer = configuration.customers.find_by_key("k2");
+    BOOST_REQUIRE(customer != nullptr);
+    BOOST_TEST(customer->name == "t1");
+    BOOST_TEST(customer->weight == 81.0);
+    BOOST_TEST((customer->cap == placement::resources{12'930'347, 36'443'279, 0}));
+    BOOST_TEST(configuration.customers.find_by_key("k4")->name == "t3");
+    BOOST_TEST(configuration.customers.find_by_key("k3") == nullptr);
+    BOOST_TEST(configuration.customers.defects().size() == 2U);
+    const auto without = wire_format().read_configuration(
+        R"({"version":8,"routes":[{"name":"r1","host":"h","prefix":"/a/"}]})");
+    BOOST_TEST(without.routes[0].open);
+    const auto none_left = wire_format().read_configuration(
+        R"({"version":9,"routes":[{"name":"r1","host":"h","prefix":"/a/"}],"tenants":[]})");
+    BOOST_TEST(!none_left.routes[0].open);
+}
+
 // Guards against values that change in encoding or decoding.
 BOOST_AUTO_TEST_CASE(base64_round_trips) {
     for (std::size_t length = 0; length < 40; ++length) {
--- a/tests/unit/service/caller_api_test.cpp
+++ b/tests/unit/service/caller_api_test.cpp
@@ -47,6 +47,7 @@
         return std::to_string(jobs);
     }
     [[nodiscard]] std::string deadline_header() const override { return "Deadline"; }
+    [[nodiscard]] std::string key_header() const override { return "Key"; }
     [[nodiscard]] std::string readiness_path() const override { return "/ready"; }
 
     std::function<void(dispatch::job_spec&)> change;
@@ -70,6 +71,9 @@
         request.target = target;
         request.body = "p";
         request.fields.set("Host", "h");
+        if (!key.empty()) {
+            request.fields.set("Key", key);
+        }
         std::optional<net::http_response> response;
         callers.handle(std::move(request), [&](net::http_response r) { response = std::move(r); });
         if (meanwhile) {
@@ -90,17 +94,20 @@
     std::optional<service_configuration> configuration = configuration_of("q");
     std::optional<pending_counts> owner_counts;
     job_admission admission{1 << 24};
-    std::optional<job_state> owner_view;
+    std::optional<dispatch::known_state> owner_view;
     std::vector<std::string> asked;
-    caller_api callers{{clock, counters, format, directory, intake,
-                        [this] { return configuration ? &*configuration : nullptr; },
-                        [this] { return owner_counts; }, "n1",
-                        [this](const std::string& job,
-                               const std::function<void(std::optional<job_state>)>& complete) {
-                            asked.push_back(job);
-                            complete(owner_view);
-                        },
-                        &admission}};
+    /// Key of the calls.
+    std::string key;
+    caller_api callers{
+        {clock, counters, format, directory, intake,
+         [this] { return configuration ? &*configuration : nullptr; },
+         [this] { return owner_counts; }, "n1",
+         [this](const std::string& job,
+                const std::function<void(std::optional<dispatch::known_state>)>& complete) {
+             asked.push_back(job);
+             complete(owner_view);
+         },
+         &admission}};
 };
 
 } // namespace
@@ -133,7 +140,7 @@
     BOOST_TEST(call(net::http_method::post, "/jobs/a").status == 200U);
     BOOST_TEST(call(net::http_method::get, "/jobs/a").body == "queued");
     BOOST_TEST(asked == std::vector<std::string>{"a"});
-    owner_view = job_state::running;
+    owner_view = dispatch::known_state{job_state::running, {}};
     BOOST_TEST(call(net::http_method::get, "/jobs/a").body == "running");
     owner_view.reset();
     dispatch::job_progress ended;
@@ -242,4 +249,64 @@
     }));
 }
 
+// Guards against calls without a valid key that run or store something, and against an answer that
+// tells whether a job exists.
+BOOST_AUTO_TEST_CASE(calls_need_the_key_of_a_customer) {
+    admission.set_headroom(1 << 20);
+    configuration->routes[0].open = false;
+    configuration->customers = customers::customer_directory({{"c1", {"k1"}, 1.0, {}}});
+    for (const auto* const wrong : {"", "k2"}) {
+        key = wrong;
+        for (const auto method :
+             {net::http_method::post, net::http_method::get, net::http_method::del}) {
+            const auto response = call(method, "/jobs/a");
+            BOOST_TEST(response.status == 401U);
+            BOOST_TEST(response.fields.get("WWW-Authenticate") == "Key");
+        }
+        BOOST_TEST(call(net::http_method::get, "/jobs/").status == 401U);
+    }
+    BOOST_TEST(!store.has(job_key("a")));
+    key = "k1";
+    BOOST_TEST(call(net::http_method::post, "/jobs/a").status == 200U);
+    BOOST_TEST(dispatch::read_job(store.value_of(job_key("a"))).customer == "c1");
+    key = "";
+    BOOST_TEST(call(net::http_method::post, "/jobs/a").status == 401U);
+}
+
+// Guards against customers who read or cancel each other's jobs, at the node that accepted the job
+// and at others, and against jobs that nobody reaches once their key has been replaced.
+BOOST_AUTO_TEST_CASE(jobs_belong_to_the_customer_and_not_to_the_key) {
+    admission.set_headroom(1 << 20);
+    configuration->routes[0].open = false;
+    configuration->customers =
+        customers::customer_directory({{"c1", {"k1"}, 1.0, {}}, {"c2", {"k2"}, 1.0, {}}});
+    key = "k1";
+    BOOST_TEST(call(net::http_method::post, "/jobs/a").status == 200U);
+    key = "k2";
+    BOOST_TEST(call(net::http_method::post, "/jobs/a").status == 409U);
+    BOOST_TEST(call(net::http_method::get, "/jobs/a").status == 410U);
+    BOOST_TEST(call(net::http_method::del, "/jobs/a").status == 410U);
+    BOOST_TEST(!store.has(cancel_key("a")));
+    owner_view = dispatch::known_state{job_state::completed, {"q", "c1"}};
+    BOOST_TEST(call(net::http_method::get, "/jobs/b").status == 410U);
+    configuration->customers = customers::customer_directory({{"c1", {"k3"}, 1.0, {}}});
+    key = "k3";
+    BOOST_TEST(call(net::http_method::get, "/jobs/a").body == "queued");
+    BOOST_TEST(call(net::http_method::get, "/jobs/b").body == "completed");
+    BOOST_TEST(call(net::http_method::del, "/jobs/a").status == 200U);
+}
+
+// Guards against keys that are needed where the operator has opened a queue, and against an open
+// queue that gives access to the jobs of others.
+BOOST_AUTO_TEST_CASE(an_open_queue_needs_no_key) {
+    admission.set_headroom(1 << 20);
+    configuration->customers = customers::customer_directory({{"c1", {"k1"}, 1.0, {}}});
+    BOOST_TEST(call(net::http_method::post, "/jobs/a").status == 200U);
+    BOOST_TEST(call(net::http_method::get, "/jobs/a").body == "queued");
+    owner_view = dispatch::known_state{job_state::running, {"other", "c1"}};
+    BOOST_TEST(call(net::http_method::get, "/jobs/b").status == 410U);
+    owner_view = dispatch::known_state{job_state::running, {"q", "c1"}};
+    BOOST_TEST(call(net::http_method::get, "/jobs/b").body == "running");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/service/job_intake_test.cpp
+++ b/tests/unit/service/job_intake_test.cpp
@@ -18,8 +18,9 @@
 
 struct intake_fixture : service_fixture {
     intake_result submit(const std::string& id, const std::string& payload = "p",
-                         const std::string& node = "n1") {
+                         const std::string& node = "n1", const std::string& customer = "") {
         dispatch::job_spec job;
+        job.customer = customer;
         job.accepted_by = node;
         job.id = id;
         job.queue = "q";
@@ -32,13 +33,13 @@
 
     intake_result cancel(const std::string& id) {
         return wait([&](intake_completion done) {
-            intake.cancel(id, clock.now() + 1300ms, std::move(done));
+            intake.cancel(id, {}, clock.now() + 1300ms, std::move(done));
         });
     }
 
     intake_result query(const std::string& id) {
         return wait([&](intake_completion done) {
-            intake.query(id, clock.now() + 1300ms, std::move(done));
+            intake.query(id, {}, clock.now() + 1300ms, std::move(done));
         });
     }
 
@@ -91,6 +92,38 @@
     BOOST_TEST((state.state == dispatch::job_state::completed));
 }
 
+// Guards against customers who read, cancel or take over the jobs of others, and against jobs of
+// earlier versions that nobody reaches any more.
+BOOST_AUTO_TEST_CASE(another_customer_does_not_reach_a_job) {
+    const auto outcome = [&](auto call, const std::string& id, const char* customer) {
+        const customers::job_access access{customer, ""};
+        return wait([&](intake_completion done) {
+                   (intake.*call)(id, access, clock.now() + 1300ms, std::move(done));
+               })
+            .outcome;
+    };
+    BOOST_TEST((submit("a", "p", "n1", "c1").outcome == intake_outcome::accepted));
+    BOOST_TEST((submit("a", "p", "n1", "c2").outcome == intake_outcome::conflict));
+    BOOST_TEST((outcome(&job_intake::query, "a", "c2") == intake_outcome::no_such_job));
+    BOOST_TEST((outcome(&job_intake::cancel, "a", "c2") == intake_outcome::no_such_job));
+    BOOST_TEST(!store.has(cancel_key("a")));
+    BOOST_TEST((outcome(&job_intake::query, "a", "c1") == intake_outcome::found));
+    BOOST_TEST((outcome(&job_intake::cancel, "a", "c1") == intake_outcome::accepted));
+
+    dispatch::job_progress ended;
+    ended.state = dispatch::job_state::completed;
+    ended.origin = {"q", "c1"};
+    store.apply({{}, {{progress_key("b"), dispatch::write_progress(ended), 0}}, {}});
+    BOOST_TEST((outcome(&job_intake::query, "b", "c2") == intake_outcome::no_such_job));
+    BOOST_TEST((outcome(&job_intake::cancel, "b", "c2") == intake_outcome::no_such_job));
+    BOOST_TEST((outcome(&job_intake::query, "b", "c1") == intake_outcome::found));
+    BOOST_TEST((submit("b", "p", "n1", "c2").outcome == intake_outcome::conflict));
+    BOOST_TEST((submit("b", "p", "n1", "c1").outcome == intake_outcome::accepted));
+
+    BOOST_TEST((submit("d").outcome == intake_outcome::accepted));
+    BOOST_TEST((outcome(&job_intake::query, "d", "c2") == intake_outcome::found));
+}
+
 // Guards against reporting an unknown outcome when only the answer of the store was lost.
 BOOST_AUTO_TEST_CASE(a_lost_answer_is_resolved_by_repeating) {
     bool lost = false;
--- a/tests/unit/service/owner_controller_test.cpp
+++ b/tests/unit/service/owner_controller_test.cpp
@@ -202,7 +202,7 @@
     std::int64_t longest = 0;
     for (int i = 0; i < 15; ++i) {
         loop.post([] { std::this_thread::sleep_for(160ms); });
-        loop.post([this] { controller->on_queues({}); });
+        loop.post([this] { controller->on_configuration({}, {}); });
         run_for(10ms);
         longest = std::max(longest, delay.value());
     }
@@ -510,7 +510,7 @@
     bool loaded = true;
     on_check = [&] {
         loaded = controller->loaded();
-        controller->on_queues({other});
+        controller->on_configuration({other}, {});
     };
     become_owner(3);
     slow.step = 0ms;
--- a/tests/unit/service/peer_exchange_test.cpp
+++ b/tests/unit/service/peer_exchange_test.cpp
@@ -224,9 +224,9 @@
     BOOST_REQUIRE(run_until([&] { return answers.requests >= 2; }));
     BOOST_TEST(!follower.directory.state_of("a").has_value());
     BOOST_TEST(!follower.directory.pending_of("q", clock.now(), 60s).has_value());
-    std::optional<job_state> state = job_state::running;
+    std::optional<dispatch::known_state> state = dispatch::known_state{job_state::running, {}};
     bool asked = false;
-    follower.exchange.ask_state("b", [&](std::optional<job_state> answer) {
+    follower.exchange.ask_state("b", [&](std::optional<dispatch::known_state> answer) {
         state = answer;
         asked = true;
     });
--- a/tests/unit/service/peer_messages_test.cpp
+++ b/tests/unit/service/peer_messages_test.cpp
@@ -38,13 +38,18 @@
     BOOST_TEST(query.node == "n1");
     BOOST_TEST(query.fence == 14U);
     BOOST_TEST(query.job == "a");
-    BOOST_TEST((read_state_response(write_state_response(job_state::failed)) == job_state::failed));
+    const auto known = read_state_response(write_state_response({job_state::failed, {"q", "c"}}));
+    BOOST_TEST((known.state == job_state::failed));
+    BOOST_TEST((known.origin == customers::job_origin{"q", "c"}));
     changes_response response;
     response.next = 12;
     response.changes.push_back({"a", "q", job_state::completed, ""});
+    response.changes.push_back({"b", "q", job_state::running, "", "c"});
     const auto read = read_changes_response(write_changes_response(response));
     BOOST_TEST(read.next == 12U);
-    BOOST_REQUIRE(read.changes.size() == 1U);
+    BOOST_REQUIRE(read.changes.size() == 2U);
+    BOOST_TEST(read.changes[0].customer.empty());
+    BOOST_TEST(read.changes[1].customer == "c");
     BOOST_TEST(read.changes[0].job == "a");
     BOOST_TEST((read.changes[0].state == job_state::completed));
 }
