Let the soak play customers with caps and keys that change

Cause: the soak knew no customers, so that nothing checked caps and keys under real processes and faults.

--- a/tests/soak/fault_injector.cpp
+++ b/tests/soak/fault_injector.cpp
@@ -65,6 +65,7 @@
     case fault_kind::worker_calls_lost:
     case fault_kind::worker_departures:
     case fault_kind::worker_removals:
+    case fault_kind::customer_changes:
         return false;
     }
     return false;
@@ -101,6 +102,8 @@
         return replace_workers(false, random);
     case fault_kind::worker_removals:
         return replace_workers(true, random);
+    case fault_kind::customer_changes:
+        return change_customer(random);
     }
     return [] {};
 }
@@ -210,6 +213,11 @@
     };
 }
 
+std::function<void()> fault_injector::change_customer(common::rng& random) {
+    m_cluster.on_loop([&] { m_cluster.change_customer(random); });
+    return [] {};
+}
+
 std::function<void()> fault_injector::kill_owner(const std::string& owner) {
     m_cluster.kill_node(owner);
     return [this, owner] {
--- a/tests/soak/fault_injector.h
+++ b/tests/soak/fault_injector.h
@@ -48,6 +48,7 @@
     [[nodiscard]] std::function<void()> take_store_down(common::rng& random);
     [[nodiscard]] std::function<void()> crash_workers(common::rng& random);
     [[nodiscard]] std::function<void()> replace_workers(bool planned, common::rng& random);
+    [[nodiscard]] std::function<void()> change_customer(common::rng& random);
     [[nodiscard]] std::function<void()> kill_owner(const std::string& owner);
     [[nodiscard]] std::function<void()> lose_calls(bool of_store);
     [[nodiscard]] std::vector<leased_worker*> draw_workers(double share, common::rng& random) const;
--- a/tests/soak/fault_schedule.cpp
+++ b/tests/soak/fault_schedule.cpp
@@ -10,11 +10,11 @@
 
 namespace {
 
-constexpr common::name_table<fault_kind, 13> kind_names{
+constexpr common::name_table<fault_kind, 14> kind_names{
     "kind of fault",
     {"partition-unlisted", "partition-listed", "store-cut", "store-down", "pause", "kill",
      "silent-workers", "worker-crashes", "key-revoked", "store-calls-lost", "worker-calls-lost",
-     "worker-departures", "worker-removals"}};
+     "worker-departures", "worker-removals", "customer-changes"}};
 constexpr common::name_table<fault_pace, 2> pace_names{"pace", {"series", "overlapping"}};
 
 /// Time before the first fault in which the clients fill all workers. A partition of workers
--- a/tests/soak/fault_schedule.h
+++ b/tests/soak/fault_schedule.h
@@ -21,6 +21,7 @@
     worker_calls_lost,  ///< calls to the workers are lost or executed late
     worker_departures,  ///< most workers leave for good without a report, later others join
     worker_removals,    ///< most workers drain and leave for good, others join
+    customer_changes,   ///< a customer gets another cap and another key
 };
 
 [[nodiscard]] std::string_view to_string(fault_kind kind);
--- a/tests/soak/job_clients.cpp
+++ b/tests/soak/job_clients.cpp
@@ -1,11 +1,13 @@
 #include "soak/job_clients.h"
 
 #include "core/net/event_loop.h"
+#include "soak/customer_check.h"
 #include "soak/lost_check.h"
 #include "soak/soak_log.h"
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <iomanip>
 #include <sstream>
@@ -28,6 +30,7 @@
 constexpr double late_repeat_share = 0.06;
 /// Share of the answers with a final state after which the job is asked for again.
 constexpr double asked_again_share = 0.3;
+constexpr double unknown_key_share = 0.05;
 constexpr std::uint64_t first_id = 0x5c0e'0000'0000'0000U;
 
 std::string job_id(std::uint64_t number) {
@@ -41,8 +44,10 @@
     return response == nullptr ? 0 : response->status;
 }
 
+// A node may not know a new key for some seconds.
 bool is_repeated(unsigned status) {
-    return status == 0 || status == 429 || status == 502 || status == 503 || status == 504;
+    return status == 0 || status == 401 || status == 429 || status == 502 || status == 503 ||
+           status == 504;
 }
 
 std::string state_in(const net::http_response& response) {
@@ -58,6 +63,7 @@
 struct job_clients::client {
     common::rng random;
     std::size_t node;
+    std::size_t customer;
     std::vector<std::string> open;
 };
 
@@ -68,17 +74,20 @@
     int attempts = 0;
 };
 
-job_clients::job_clients(net::event_loop& loop, lost_check& check, std::vector<net::endpoint> nodes,
-                         workload work, std::size_t clients, std::uint64_t seed)
+job_clients::job_clients(net::event_loop& loop, lost_check& check, customer_check& customers,
+                         std::vector<net::endpoint> nodes, workload work, std::size_t clients,
+                         std::uint64_t seed)
     : m_loop(loop),
       m_check(check),
+      m_customers(customers),
       m_http(loop, {}),
       m_nodes(std::move(nodes)),
       m_work(std::move(work)),
       m_next_id(first_id + m_work.first_id + (seed << 24U)) {
     for (std::size_t i = 0; i < clients; ++i) {
-        m_clients.push_back(
-            std::make_unique<client>(client{common::rng(seed * 1000 + i), i % m_nodes.size(), {}}));
+        const auto customer = i % std::max<std::size_t>(1, m_customers.all().size());
+        m_clients.push_back(std::make_unique<client>(
+            client{common::rng(seed * 1000 + i), i % m_nodes.size(), customer, {}}));
     }
 }
 
@@ -97,7 +106,9 @@
 
 void job_clients::step(client& c) {
     const bool full = m_stopped || c.open.size() >= m_work.max_open_jobs;
-    if (!c.open.empty() && (full || c.random.chance(0.5))) {
+    if (!m_customers.all().empty() && c.random.chance(unknown_key_share)) {
+        call_with_unknown_key(c);
+    } else if (!c.open.empty() && (full || c.random.chance(0.5))) {
         ask_state(c);
     } else if (full) {
         step_later(c);
@@ -128,7 +139,10 @@
 }
 
 void job_clients::submit(client& c, const std::shared_ptr<submission>& job) {
-    call(c, net::http_method::post, job->id, job->body,
+    if (!m_customers.all().empty()) {
+        m_customers.submit(job->id, c.customer);
+    }
+    call(c, net::http_method::post, job->id, job->body, key_of(c),
          [this, &c, job](const net::http_result& result) {
              on_submitted(c, job, status_of(result));
          });
@@ -155,16 +169,18 @@
         return;
     }
     m_loop.post_after(late_repeat_delay, [this, &c, job] {
-        call(c, net::http_method::post, job->id, job->body, [](const net::http_result&) {});
+        call(c, net::http_method::post, job->id, job->body, key_of(c),
+             [](const net::http_result&) {});
     });
 }
 
 void job_clients::ask_state(client& c) {
     const auto id = c.open[c.random.below(c.open.size())];
-    call(c, net::http_method::get, id, "", [this, &c, id](const net::http_result& result) {
-        on_state(c, id, result);
-        step_later(c);
-    });
+    call(c, net::http_method::get, id, "", key_of(c),
+         [this, &c, id](const net::http_result& result) {
+             on_state(c, id, result);
+             step_later(c);
+         });
 }
 
 void job_clients::on_state(client& c, const std::string& id, const net::http_result& result) {
@@ -187,14 +203,31 @@
     }
 }
 
+void job_clients::call_with_unknown_key(client& c) {
+    const auto job = new_job(c);
+    call(c, net::http_method::post, job->id, job->body, c.random.chance(0.5) ? "" : "no such key",
+         [this, &c](const net::http_result& result) {
+             m_customers.answer_to_unknown_key(status_of(result));
+             step_later(c);
+         });
+}
+
+std::string job_clients::key_of(const client& c) const {
+    return m_customers.all().empty() ? std::string() : m_customers.all()[c.customer].key;
+}
+
 void job_clients::call(client& c, net::http_method method, const std::string& id,
-                       const std::string& body, const net::http_completion& complete) {
+                       const std::string& body, const std::string& key,
+                       const net::http_completion& complete) {
     net::http_request request;
     request.method = method;
     request.target = m_work.prefix + id;
     request.body = body;
     request.fields.set("Host", m_work.host);
     request.fields.set("Buckthornspar-Deadline-Ms", std::to_string(response_deadline.count()));
+    if (!key.empty()) {
+        request.fields.set("Buckthornspar-Key", key);
+    }
     if (!body.empty()) {
         request.fields.set("Content-Type", "application/json");
     }
--- a/tests/soak/job_clients.h
+++ b/tests/soak/job_clients.h
@@ -15,6 +15,7 @@
 
 namespace buckthornspar::soak {
 
+class customer_check;
 class lost_check;
 
 struct workload {
@@ -44,8 +45,9 @@
 /// other nodes. All functions run on the loop's thread.
 class job_clients {
 public:
-    job_clients(net::event_loop& loop, lost_check& check, std::vector<net::endpoint> nodes,
-                workload work, std::size_t clients, std::uint64_t seed);
+    job_clients(net::event_loop& loop, lost_check& check, customer_check& customers,
+                std::vector<net::endpoint> nodes, workload work, std::size_t clients,
+                std::uint64_t seed);
     ~job_clients();
     job_clients(const job_clients&) = delete;
     job_clients& operator=(const job_clients&) = delete;
@@ -67,12 +69,17 @@
     void repeat_late(client& c, const std::shared_ptr<submission>& job);
     void ask_state(client& c);
     void on_state(client& c, const std::string& id, const net::http_result& result);
+    /// Submits a job with a key that no customer has.
+    void call_with_unknown_key(client& c);
     void call(client& c, net::http_method method, const std::string& id, const std::string& body,
-              const net::http_completion& complete);
+              const std::string& key, const net::http_completion& complete);
+    /// Empty without customers.
+    [[nodiscard]] std::string key_of(const client& c) const;
     [[nodiscard]] std::shared_ptr<submission> new_job(client& c);
 
     net::event_loop& m_loop;
     lost_check& m_check;
+    customer_check& m_customers;
     net::http_client m_http;
     std::vector<net::endpoint> m_nodes;
     workload m_work;
--- a/tests/soak/leased_worker.cpp
+++ b/tests/soak/leased_worker.cpp
@@ -135,6 +135,7 @@
                     std::to_string(added.event.fence));
     m_env.check.begin(added.event);
     m_env.lost.begin(added.event);
+    m_env.customers.begin(added.event);
     if (added.gang > 0) {
         join_gang(added);
     }
@@ -284,6 +285,7 @@
                     " " + how + " at " + std::to_string(at_ms) + " ms");
     m_env.check.end(event, how == "done");
     m_env.lost.end(event, how);
+    m_env.customers.end(event);
     if (entry.mapped().gang > 0) {
         break_gang(event);
     }
@@ -323,6 +325,7 @@
     m_highest_ended.clear();
     m_env.check.crash(id());
     m_env.lost.crash(id());
+    m_env.customers.crash(id());
     m_env.log.write("crash of " + id());
 }
 
--- a/tests/soak/leased_worker.h
+++ b/tests/soak/leased_worker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/net/http_server.h"
+#include "soak/customer_check.h"
 #include "soak/lossy_calls.h"
 #include "soak/lost_check.h"
 #include "soak/soak_log.h"
@@ -41,6 +42,7 @@
     link_board& links;
     twice_check& check;
     lost_check& lost;
+    customer_check& customers;
     gang_board& gangs;
     soak_log& log;
     lossy_calls& calls;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -33,6 +33,7 @@
 constexpr std::uint64_t max_seconds = 3600;
 constexpr std::uint64_t max_nodes = 12;
 constexpr std::uint64_t max_workers = 64;
+constexpr std::uint64_t max_customers = 16;
 constexpr milliseconds step_period{10};
 
 // Set by SIGTERM and SIGINT, so that an ended run leaves no processes.
@@ -76,6 +77,7 @@
          {"pace", 'p', "PACE", "series or overlapping (overlapping)"},
          {"nodes", 'n', "N", "number of node processes (6)"},
          {"workers", 'w', "N", "number of workers (16)"},
+         {"customers", 'c', "N", "number of customers with keys and caps; 0 for none (0)"},
          {"record", 'r', "DIR", "folder for the record and the logs of the processes"},
          {"node-program", '\0', "PATH", "program of the node (that of this build)"},
          {"help", 'h', "", "print this help and exit"}},
@@ -93,6 +95,7 @@
     options.seconds = read_number(line, "seconds", 60, 20, max_seconds);
     cluster.nodes = read_number(line, "nodes", 6, 2, max_nodes);
     cluster.workers = read_number(line, "workers", 16, 2, max_workers);
+    cluster.customers = read_number(line, "customers", 0, 0, max_customers);
     cluster.program = line.get("node-program", "buckthornspar-node");
     options.kinds = parse_fault_kinds(line.get("faults", "all"));
     options.pace = fault_pace_from(line.get("pace", "overlapping"));
@@ -137,13 +140,17 @@
         const auto& lost = cluster.lost().violations();
         print_violations("TWICE", twice);
         print_violations("LOST", lost);
+        const auto& customers = cluster.customers().violations();
+        print_violations("CUSTOMERS", customers);
         std::cout << cluster.accepted_jobs() << " jobs accepted, "
                   << cluster.lost().open_jobs().size() << " open at the end, " << check.starts()
                   << " starts, " << check.acknowledged_ends() << " ends acknowledged, "
                   << faults.applied() << " faults, " << twice.size() << " violations of TWICE, "
-                  << lost.size() << " of LOST, loop late by up to " << cluster.max_loop_delay_ms()
-                  << " ms\n";
-        if (!twice.empty() || !lost.empty()) {
+                  << lost.size() << " of LOST, " << customers.size() << " of customers' limits, "
+                  << cluster.customers().refused_unknown_keys()
+                  << " calls with unknown keys refused, loop late by up to "
+                  << cluster.max_loop_delay_ms() << " ms\n";
+        if (!twice.empty() || !lost.empty() || !customers.empty()) {
             result = verdict::broken;
         } else if (check.acknowledged_ends() == 0 || faults.applied() == 0 || is_stopped) {
             result = verdict::not_run;
--- a/tests/soak/soak_cluster.cpp
+++ b/tests/soak/soak_cluster.cpp
@@ -36,6 +36,9 @@
 constexpr std::int64_t watch_ms = 6000;
 /// Distance of the ids of gangs from those of jobs of one task, above all seeds.
 constexpr std::uint64_t gang_ids = 1ULL << 55U;
+/// Lowest cap of a customer in tasks, above the widest gang, and the range of caps.
+constexpr std::size_t min_cap = 10;
+constexpr std::size_t cap_range = 20;
 /// Clock rates of the workers, in turn.
 constexpr std::array clock_rates{1.0, 0.98, 1.0, 0.99};
 
@@ -141,6 +144,7 @@
     for (std::size_t i = 0; i < m_options.workers; ++i) {
         add_worker();
     }
+    m_customers.create(m_options.customers, min_cap);
     write_configuration();
     m_loop.start();
     m_loop.post([this] { tick(now_ms()); });
@@ -195,7 +199,7 @@
     settings.rack = "r1-" + std::to_string(1 + number % racks);
     settings.clock_rate = clock_rates.at(number % clock_rates.size());
     worker_environment environment{
-        m_store, m_links, m_check, m_lost, m_gangs, m_log, m_worker_calls, [this] {
+        m_store, m_links, m_check, m_lost, m_customers, m_gangs, m_log, m_worker_calls, [this] {
             for (const auto& w : m_workers) {
                 w->advance();
             }
@@ -286,11 +290,14 @@
 }
 
 void soak_cluster::write_configuration() {
-    const json::object route{{"name", "r-valves"},     {"host", queue_host},
-                             {"prefix", queue_prefix}, {"kind", "non_idempotent"},
-                             {"timeout_ms", 3000},     {"target_duration_ms", 1200},
-                             {"priority", 1},          {"service", service_name},
-                             {"max_attempts", 3},      {"slack_factor", 2.2}};
+    json::object route{{"name", "r-valves"},     {"host", queue_host},
+                       {"prefix", queue_prefix}, {"kind", "non_idempotent"},
+                       {"timeout_ms", 3000},     {"target_duration_ms", 1200},
+                       {"priority", 1},          {"service", service_name},
+                       {"max_attempts", 3},      {"slack_factor", 2.2}};
+    if (m_options.customers > 0) {
+        route["public"] = false;
+    }
     json::object gang_route = route;
     gang_route["name"] = "r-trains";
     gang_route["prefix"] = gang_prefix;
@@ -300,11 +307,40 @@
     const json::object service{
         {"name", service_name}, {"health_path", "/healthz"},  {"max_conns", 64}, {"protocol", "h1"},
         {"tls", false},         {"enforces_capacity", false}, {"standby", false}};
-    m_store.put("op/config",
-                json::serialize(json::object{{"version", 7},
-                                             {"routes", json::array{route, gang_route}},
-                                             {"services", json::array{service}},
-                                             {"limits", json::object()}}));
+    json::object configuration{{"version", m_configuration_version++},
+                               {"routes", json::array{route, gang_route}},
+                               {"services", json::array{service}},
+                               {"limits", json::object()}};
+    if (m_options.customers > 0) {
+        configuration["tenants"] = tenants();
+    }
+    m_store.put("op/config", json::serialize(configuration));
+}
+
+json::array soak_cluster::tenants() const {
+    json::array rows;
+    for (const auto& customer : m_customers.all()) {
+        const auto tasks = static_cast<std::int64_t>(customer.cap);
+        rows.push_back(json::object{{"name", customer.name},
+                                    {"api_keys", json::array{customer.key}},
+                                    {"weight", 20},
+                                    {"cap", json::object{{"cpu", tasks * task_cpu},
+                                                         {"mem_mb", tasks * task_memory_mb},
+                                                         {"gpu", 0}}}});
+    }
+    return rows;
+}
+
+void soak_cluster::change_customer(common::rng& random) {
+    if (m_customers.all().empty()) {
+        return;
+    }
+    const auto customer = random.below(m_customers.all().size());
+    const auto cap = min_cap + random.below(cap_range);
+    m_customers.change(customer, cap, now_ms());
+    write_configuration();
+    m_log.write(m_customers.all()[customer].name + " gets a cap of " + std::to_string(cap) +
+                " tasks and another key");
 }
 
 void soak_cluster::start() {
@@ -357,8 +393,8 @@
     for (const auto& n : m_nodes) {
         nodes.push_back(n->callers);
     }
-    m_job_clients.push_back(
-        std::make_unique<job_clients>(m_loop, m_lost, nodes, work, clients, m_options.seed));
+    m_job_clients.push_back(std::make_unique<job_clients>(m_loop, m_lost, m_customers, nodes, work,
+                                                          clients, m_options.seed));
     m_job_clients.back()->start();
 }
 
@@ -410,7 +446,7 @@
             free += w->free_places();
         }
     }
-    return 2 * used_cpu < cpu ? free : 0;
+    return 2 * used_cpu < cpu && m_customers.is_far_below_cap(job) ? free : 0;
 }
 
 void soak_cluster::on_loop(const std::function<void()>& function) {
@@ -490,6 +526,7 @@
     }
     log_new_violations(m_check.violations(), m_logged_twice);
     log_new_violations(m_lost.violations(), m_logged_lost);
+    log_new_violations(m_customers.violations(), m_logged_customers);
     const auto next = now + tick_period.count();
     m_loop.post_after(tick_period, [this, next] { tick(next); });
 }
--- a/tests/soak/soak_cluster.h
+++ b/tests/soak/soak_cluster.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "core/common/error.h"
+#include "core/common/rng.h"
 #include "core/net/event_loop.h"
 #include "core/net/http_client.h"
 #include "process/child_process.h"
 #include "process/port_reservation.h"
 #include "soak/advice_service.h"
+#include "soak/customer_check.h"
 #include "soak/job_clients.h"
 #include "soak/leased_worker.h"
 #include "soak/link_board.h"
@@ -16,6 +18,8 @@
 #include "soak/soak_log.h"
 #include "soak/twice_check.h"
 
+#include <boost/json.hpp>
+
 #include <atomic>
 #include <functional>
 #include <memory>
@@ -32,6 +36,8 @@
     std::size_t nodes = 6;
     std::size_t workers = 16;
     std::size_t clients = 3;
+    /// With 0 the configuration has no customers, and calls carry no keys.
+    std::size_t customers = 0;
     std::uint64_t seed = 1;
 };
 
@@ -80,6 +86,9 @@
     [[nodiscard]] lossy_calls& worker_calls() { return m_worker_calls; }
     [[nodiscard]] twice_check& check() { return m_check; }
     [[nodiscard]] lost_check& lost() { return m_lost; }
+    [[nodiscard]] customer_check& customers() { return m_customers; }
+    /// Writes a configuration in which a customer has another cap and another key.
+    void change_customer(common::rng& random);
     [[nodiscard]] std::size_t accepted_jobs() const;
     [[nodiscard]] const std::vector<std::unique_ptr<leased_worker>>& workers() const {
         return m_workers;
@@ -101,6 +110,7 @@
     void add_gates(const std::string& from);
     void write_settings(const node& n) const;
     void write_configuration();
+    [[nodiscard]] boost::json::array tenants() const;
     void wait_ready();
     void listen(const leased_worker& worker);
     [[nodiscard]] std::uint16_t take_worker_port();
@@ -119,6 +129,8 @@
     platform_store m_store;
     twice_check m_check;
     lost_check m_lost;
+    customer_check m_customers;
+    std::uint64_t m_configuration_version = 7;
     gang_board m_gangs;
     lossy_calls m_store_calls;
     lossy_calls m_worker_calls;
@@ -136,6 +148,7 @@
     std::vector<std::unique_ptr<job_clients>> m_job_clients;
     std::size_t m_logged_twice = 0;
     std::size_t m_logged_lost = 0;
+    std::size_t m_logged_customers = 0;
     std::optional<std::int64_t> m_watch_from_ms;
     std::int64_t m_max_delay_ms = 0;
 };
