Place the ownership on a node that can carry the fleet

A node now compares its processor, link, memory and descriptors with the needs of an owner of this fleet, by the slopes of docs/CAPACITY.md, and delays its claim by up to 1 s for what it lacks. Nodes tell their capability in their polls, the owner tells the size of the fleet, and an owner that has seen a clearly more suitable node for 3 s hands over at a quiet moment. A restarted node that is not suitable releases the key of its earlier process. Without a link speed in the settings only the processor counts, as before.

The fake store now fails ends of leases too when no call is answered.

--- a/source/core/service/node_application.cpp
+++ b/source/core/service/node_application.cpp
@@ -19,15 +19,17 @@
 // A node that has not reached the store for this long reports that it is not ready, because it
 // cannot store jobs.
 constexpr auto max_store_silence = std::chrono::milliseconds(3500);
-// With a smaller processor share than this an owner cannot keep up with 350 workers. Such a node
-// delays its claim, so that it becomes owner only when no larger node claims.
-constexpr double small_cpu_share = 0.2;
-constexpr common::duration small_node_claim_delay = std::chrono::milliseconds(700);
 // Upper bound of the lease of runs. A short lease lets tasks of a lost worker restart early and
 // lets a new owner stop waiting for an unreachable worker early; it must be longer than a change of
 // owner, which takes under 2 s, so that runs do not expire meanwhile.
 constexpr auto preferred_lease = std::chrono::milliseconds(4000);
 constexpr auto tick_interval = std::chrono::seconds(1);
+// A quiet moment for a hand-over is looked for in these steps, and the last changes are waited for
+// no longer than this: the successor finds what is not recorded at the workers.
+constexpr auto quiet_check_interval = std::chrono::milliseconds(20);
+constexpr auto max_hand_over_time = std::chrono::milliseconds(1000);
+// The store has answered within this time before a hand-over.
+constexpr auto max_hand_over_silence = std::chrono::milliseconds(700);
 // A dead connection of a watch is only noticed after the watch's wait time, and a new configuration
 // must take effect within 2.5 s.
 constexpr auto configuration_wait = std::chrono::milliseconds(1300);
@@ -55,6 +57,16 @@
     return memory / divisor;
 }
 
+node_capability capability_of(const node_settings& settings) {
+    return {settings.cpu_share, settings.link_mbps, settings.memory, settings.max_fds};
+}
+
+// Without a link speed the ownership goes by the processor alone, as before, and is not handed
+// over.
+std::optional<node_capability> comparable_capability(const node_settings& settings) {
+    return settings.link_mbps > 0.0 ? std::optional(capability_of(settings)) : std::nullopt;
+}
+
 std::uint64_t random_process_number() {
     std::random_device source;
     // 53 bits: JSON readers that use double represent the number exactly.
@@ -119,7 +131,8 @@
       m_admission(memory_for_jobs(m_settings.memory)),
       m_peers(make_peer_environment()),
       m_callers(make_caller_environment()),
-      m_readiness(*this) {
+      m_readiness(*this),
+      m_placement(comparable_capability(m_settings)) {
     m_loop.set_failure_handler([this] { on_task_failed(); });
 }
 
@@ -150,7 +163,10 @@
             [this](const owner_record& owner, bool ended) {
                 m_election->on_owner_suspected(owner, ended);
             },
-            &m_admission};
+            &m_admission,
+            comparable_capability(m_settings),
+            [this] { return may_claim(); },
+            [this](const fleet_size& fleet) { on_fleet(fleet); }};
 }
 
 caller_api::environment node_application::make_caller_environment() {
@@ -306,8 +322,7 @@
     settings.node = m_settings.id;
     settings.process = m_process;
     settings.address = m_settings.peers;
-    settings.claim_delay =
-        m_settings.cpu_share < small_cpu_share ? small_node_claim_delay : common::duration(0);
+    settings.claim_delay = claim_delay_of(capability_of(m_settings), m_fleet);
     settings.lease = std::max<common::duration>(settings.lease, m_settings.min_store_lease);
     m_election = std::make_shared<owner_election>(m_store, m_loop, settings, std::move(receiver));
     m_election->start();
@@ -319,10 +334,90 @@
     m_peers.set_owned_fence(owner.fence);
     m_controller =
         std::make_shared<owner_controller>(make_owner_environment(owner.fence), owner.fence);
+    m_placement.on_term_begun(m_clock.now());
+    log_suitability(owner.fence);
     m_controller->on_peer_seen(m_settings.id, m_settings.peers);
     m_controller->begin(m_configuration->queues(), m_configuration->customers.all());
 }
 
+void node_application::log_suitability(std::uint64_t fence) {
+    const auto capability = capability_of(m_settings);
+    const auto suitability = suitability_of(capability, m_fleet);
+    const auto percent = static_cast<std::int64_t>(suitability.value * 100.0);
+    m_counters.get("owner_suitability_percent").set(percent);
+    log_event(severity::info, "owner_suitability",
+              {{"fence", fence},
+               {"suitability_percent", percent},
+               {"shortest", node_resource_names.name(suitability.shortest)},
+               {"cpu_share", std::to_string(capability.cpu_share)},
+               {"link_mbps", std::to_string(capability.link_mbps)},
+               {"memory_mb", capability.memory >> 20U},
+               {"max_fds", capability.max_fds},
+               {"workers", m_fleet.workers},
+               {"jobs", m_fleet.jobs},
+               {"claim_delay_ms", common::to_milliseconds(claim_delay_of(capability, m_fleet))}});
+}
+
+bool node_application::may_claim() const {
+    return m_configuration && !m_stopping && !m_health.last_call_failed() &&
+           m_health.has_answered() && m_health.time_since_answer() < max_store_silence;
+}
+
+void node_application::on_fleet(const fleet_size& fleet) {
+    m_fleet = fleet;
+    if (m_election) {
+        m_election->set_claim_delay(claim_delay_of(capability_of(m_settings), fleet));
+    }
+}
+
+void node_application::check_placement() {
+    if (!m_controller || m_stopping || m_handing_over || m_placement_check_pending) {
+        return;
+    }
+    const auto target = m_placement.choose_successor(m_clock.now(), m_fleet, m_peers.candidates());
+    if (!target) {
+        return;
+    }
+    if (m_controller->is_quiet() && !m_health.last_call_failed() &&
+        m_health.time_since_answer() < max_hand_over_silence) {
+        hand_over(*target);
+        return;
+    }
+    m_placement_check_pending = true;
+    m_loop.post_after(quiet_check_interval, [this] {
+        m_placement_check_pending = false;
+        check_placement();
+    });
+}
+
+void node_application::hand_over(const owner_placement::target& target) {
+    m_handing_over = true;
+    const auto fence = m_controller->fence();
+    const auto own = suitability_of(capability_of(m_settings), m_fleet);
+    m_placement.on_handed_over(m_clock.now());
+    m_counters.get("owner_hand_overs_total").add();
+    log_event(severity::info, "owner_hands_over",
+              {{"fence", fence},
+               {"to", target.node},
+               {"suitability_percent", static_cast<std::int64_t>(own.value * 100.0)},
+               {"shortest", node_resource_names.name(own.shortest)},
+               {"other_percent", static_cast<std::int64_t>(target.suitability * 100.0)},
+               {"workers", m_fleet.workers},
+               {"jobs", m_fleet.jobs}});
+    const auto finish = [this, fence, finished = std::make_shared<bool>(false)] {
+        if (std::exchange(*finished, true)) {
+            return;
+        }
+        m_handing_over = false;
+        // A planned stop resigns by itself.
+        if (!m_stopping) {
+            m_election->hand_over(fence);
+        }
+    };
+    m_controller->drain(finish);
+    m_loop.post_after(max_hand_over_time, finish);
+}
+
 void node_application::release_through_peer(const owner_record& owner) {
     if (!m_relay.available()) {
         return;
@@ -385,9 +480,11 @@
     m_peers.expire_peers(now);
     if (const auto report = owner_pending()) {
         m_admission.set_headroom(m_peers.headroom(report->job_memory));
+        on_fleet(report->fleet);
     }
     log_store_health_change();
     read_configuration_through_peer();
+    check_placement();
     m_loop.post_after(tick_interval, [this] { tick(); });
 }
 
--- a/source/core/service/node_application.h
+++ b/source/core/service/node_application.h
@@ -11,6 +11,7 @@
 #include "core/service/node_settings.h"
 #include "core/service/owner_controller.h"
 #include "core/service/owner_election.h"
+#include "core/service/owner_placement.h"
 #include "core/service/peer_exchange.h"
 #include "core/service/platform_adapter.h"
 #include "core/service/store_health.h"
@@ -58,6 +59,13 @@
     void on_elected(const owner_record& owner);
     void on_task_failed();
     void on_ownership_lost();
+    void on_fleet(const fleet_size& fleet);
+    /// Owner only: hands the ownership over at the next quiet moment if a more suitable node has
+    /// been alive for some time.
+    void check_placement();
+    void hand_over(const owner_placement::target& target);
+    void log_suitability(std::uint64_t fence);
+    [[nodiscard]] bool may_claim() const;
     void on_owner_changed(const std::optional<owner_record>& owner);
     /// Gives up the ownership by removing the owner key through another node that reaches the
     /// store.
@@ -93,6 +101,10 @@
     std::unique_ptr<net::http_server> m_caller_server;
     std::unique_ptr<net::http_server> m_readiness_server;
     std::unique_ptr<net::http_server> m_peer_server;
+    owner_placement m_placement;
+    fleet_size m_fleet = assumed_fleet;
+    bool m_placement_check_pending = false;
+    bool m_handing_over = false;
     bool m_store_reachable = false;
     bool m_stopping = false;
 };
--- a/source/core/service/node_settings.cpp
+++ b/source/core/service/node_settings.cpp
@@ -62,6 +62,8 @@
         "store_value_bytes", {min_value_bytes, max_value_bytes, "bytes"}, usual_value_bytes));
     result.cpu_share = settings.real("cpu_share", 0.0, 1024.0, 1.0);
     result.link_mbps = settings.real("link_mbps", 0.0, 1e6, 0.0);
+    constexpr std::int64_t max_descriptors = std::int64_t{1} << 30U;
+    result.max_fds = settings.number("max_fds", {0, max_descriptors, "descriptors"}, 0);
     result.order = settings.text("order", "deadline");
     return result;
 }
--- a/source/core/service/node_settings.h
+++ b/source/core/service/node_settings.h
@@ -47,6 +47,8 @@
     double cpu_share = 1.0;
     /// Capacity of the instance's network link in megabits per second; 0 when unknown.
     double link_mbps = 0.0;
+    /// File descriptors of the process; 0 when unknown.
+    std::int64_t max_fds = 0;
 };
 
 /// Throws common::settings_error.
--- a/source/core/service/owner_controller.cpp
+++ b/source/core/service/owner_controller.cpp
@@ -105,8 +105,14 @@
     if (!m_loaded || m_active_watcher->age() > max_pending_jobs_age) {
         return std::nullopt;
     }
-    return pending_report{m_dispatcher.pending_by_queue(), m_active_watcher->age(),
-                          m_dispatcher.job_memory()};
+    return pending_report{m_dispatcher.pending_by_queue(),
+                          m_active_watcher->age(),
+                          m_dispatcher.job_memory(),
+                          {m_dispatcher.workers().all().size(), m_dispatcher.jobs().size()}};
+}
+
+bool owner_controller::is_quiet() const {
+    return !m_loaded || (m_dispatcher.recovered() && !m_commit && !m_store_down);
 }
 
 void owner_controller::drain(std::function<void()> complete) {
--- a/source/core/service/owner_controller.h
+++ b/source/core/service/owner_controller.h
@@ -72,6 +72,9 @@
     void on_peer_lost(const std::string& node);
     /// Planned stop: starts no more runs and calls back when all changes are recorded.
     void drain(std::function<void()> complete);
+    /// A hand-over would interrupt nothing: the owner has not begun, or it has recovered all runs
+    /// and no change is being recorded.
+    [[nodiscard]] bool is_quiet() const;
 
     [[nodiscard]] bool loaded() const { return m_loaded; }
     [[nodiscard]] std::uint64_t fence() const { return m_fence; }
--- a/source/core/service/owner_election.cpp
+++ b/source/core/service/owner_election.cpp
@@ -22,6 +22,11 @@
 
 // Claims are delayed by a random time up to this bound, so that usually only one candidate claims.
 constexpr std::uint64_t max_claim_jitter_us = 40'000;
+// Delayed claims are spread further, because many nodes may have the same delay.
+constexpr std::uint64_t delay_jitter_divisor = 8;
+// After a hand-over the other nodes may claim for this long before this node does. Longer than the
+// longest delay of a claim and the claim itself.
+constexpr auto claim_pause = std::chrono::milliseconds(2500);
 // A failed renewal is retried sooner than the regular interval. A single failure can be a lost
 // answer; two in a row are reported.
 constexpr common::duration failed_renewal_retry_delay = std::chrono::milliseconds(100);
@@ -128,11 +133,34 @@
         return;
     }
     m_claim_pending = true;
-    const auto delay =
-        left_by_earlier_process()
-            ? common::duration(0)
-            : m_settings.claim_delay + common::duration(m_rng.below(max_claim_jitter_us));
-    m_loop.post_after(delay, [self = shared_from_this()] { self->claim(); });
+    m_loop.post_after(next_claim_delay(), [self = shared_from_this()] { self->claim(); });
+}
+
+common::duration owner_election::next_claim_delay() {
+    if (left_by_earlier_process()) {
+        if (m_settings.claim_delay <= common::duration(0)) {
+            return common::duration(0);
+        }
+        // More suitable nodes need not wait for the end of its lease.
+        release_earlier_key();
+    }
+    const auto jitter = std::chrono::duration_cast<common::duration>(
+        std::chrono::microseconds(m_rng.below(max_claim_jitter_us)) +
+        std::chrono::duration_cast<std::chrono::microseconds>(m_settings.claim_delay) *
+            static_cast<std::int64_t>(m_rng.below(1000)) / 1000 / delay_jitter_divisor);
+    const auto pause = std::max(common::duration(0), m_claims_paused_until - m_clock.now());
+    return pause + m_settings.claim_delay + jitter;
+}
+
+void owner_election::release_earlier_key() {
+    if (m_released_fence == m_owner->fence) {
+        return;
+    }
+    m_released_fence = m_owner->fence;
+    dispatch::store_commit change;
+    change.expect.push_back({std::string(owner_key), m_revision});
+    change.remove.emplace_back(owner_key);
+    m_store.commit(change, [](const store_result&) {});
 }
 
 void owner_election::claim() {
@@ -356,6 +384,19 @@
     }
 }
 
+// The key goes with the lease. If the store does not answer, it goes when the lease expires.
+void owner_election::hand_over(std::uint64_t fence) {
+    if (!m_is_owner || fence != m_won_fence || m_stopping) {
+        return;
+    }
+    m_is_owner = false;
+    m_lost_fence = std::max(m_lost_fence, fence);
+    m_claims_paused_until = m_clock.now() + claim_pause;
+    log_event(severity::info, "owner_resigns", {{"fence", fence}});
+    m_listener.on_ownership_lost("handed_over");
+    m_store.end_lease(m_lease, [](const store_result&) {});
+}
+
 void owner_election::resign(std::function<void()> complete) {
     m_stopping = true;
     if (m_watcher) {
--- a/source/core/service/owner_election.h
+++ b/source/core/service/owner_election.h
@@ -33,7 +33,7 @@
     /// Time to live of the owner key. An owner that disappears is replaced after this time.
     common::duration lease = std::chrono::milliseconds(1200);
     common::duration renewal = std::chrono::milliseconds(350);
-    /// Additional delay before a claim, set on nodes with a small processor share.
+    /// Additional delay before a claim, set on nodes that can carry the fleet only in part.
     common::duration claim_delay{0};
 };
 
@@ -65,6 +65,10 @@
     void on_owner_suspected(const owner_record& owner, bool ended);
     /// Planned stop: ends the lease, if this node is the owner, and then calls back.
     void resign(std::function<void()> complete);
+    /// Planned hand-over: ends the term with this fence, and leaves the next claim to other nodes
+    /// for some time.
+    void hand_over(std::uint64_t fence);
+    void set_claim_delay(common::duration delay) { m_settings.claim_delay = delay; }
     /// Whether this node may claim the ownership; it may once it has a configuration.
     void set_candidate(bool candidate);
     /// Whether the owner may decide now. Called before each round of decisions: sends a renewal
@@ -82,6 +86,9 @@
     [[nodiscard]] bool owned_by_other_process() const;
     [[nodiscard]] bool left_by_earlier_process() const;
     void schedule_claim_if_vacant();
+    [[nodiscard]] common::duration next_claim_delay();
+    /// Removes the key of an earlier process of this node.
+    void release_earlier_key();
     void claim();
     void commit_claim(std::uint64_t lease, common::time_point opened_at);
     void begin_renewals();
@@ -120,6 +127,10 @@
     std::uint64_t m_won_fence = 0;
     /// Fence of another owner whose process has certainly ended.
     std::uint64_t m_ended_fence = 0;
+    /// Fence of the last key of an earlier process that was released.
+    std::uint64_t m_released_fence = 0;
+    /// After a hand-over this node makes no claim before this time.
+    common::time_point m_claims_paused_until;
     unsigned m_failed_renewals = 0;
     bool m_owner_key_read = false;
     bool m_candidate = false;
--- a/source/core/service/peer_exchange.cpp
+++ b/source/core/service/peer_exchange.cpp
@@ -111,7 +111,7 @@
         return;
     }
     const auto now = m_env.clock.now();
-    m_peers[poll.node] = {poll.address, now, poll.job_limit};
+    m_peers[poll.node] = {poll.address, now, poll.job_limit, poll.capability, poll.may_claim};
     m_env.on_peer_seen(poll.node, poll.address);
     for (const auto& job : poll.follow) {
         m_env.directory.follow(job, poll.node);
@@ -253,6 +253,23 @@
     return m_env.admission == nullptr ? 0 : m_env.admission->limit();
 }
 
+std::vector<ownership_candidate> peer_exchange::candidates() const {
+    std::vector<ownership_candidate> result;
+    result.reserve(m_peers.size());
+    for (const auto& [node, peer] : m_peers) {
+        result.push_back({node, peer.capability, peer.may_claim});
+    }
+    return result;
+}
+
+changes_request peer_exchange::make_request(std::uint64_t fence,
+                                            const std::vector<std::string>& follow) const {
+    changes_request request{m_env.node, m_env.address, fence, m_position, follow, job_limit()};
+    request.capability = m_env.capability;
+    request.may_claim = m_env.may_claim && m_env.may_claim();
+    return request;
+}
+
 void peer_exchange::poll() {
     if (!m_owner) {
         return;
@@ -262,8 +279,7 @@
     const std::vector<std::string> follow(m_follow_requests.begin(), m_follow_requests.end());
     m_env.client.send(
         m_owner->address,
-        net::json_post("/peer/changes", write_changes_request({m_env.node, m_env.address, fence,
-                                                               m_position, follow, job_limit()})),
+        net::json_post("/peer/changes", write_changes_request(make_request(fence, follow))),
         poll_timeout,
         [this, fence, follow, sent_at = m_env.clock.now(),
          to = m_owner->address](const net::http_result& answer) {
@@ -341,6 +357,9 @@
             m_env.directory.set_pending(counted_at - page.pending->age,
                                         std::move(page.pending->counts));
         }
+        if (page.pending && page.pending->fleet.workers > 0 && m_env.on_fleet) {
+            m_env.on_fleet(page.pending->fleet);
+        }
         if (page.pending && m_env.admission != nullptr) {
             // An owner of an earlier version reports no headroom.
             m_env.admission->set_headroom(page.headroom.value_or(m_env.admission->limit()));
--- a/source/core/service/peer_exchange.h
+++ b/source/core/service/peer_exchange.h
@@ -45,6 +45,11 @@
         /// The followed node reports that it is not the owner, or its process has certainly ended.
         std::function<void(const owner_record&, bool ended)> on_owner_suspected;
         job_admission* admission = nullptr;
+        /// See changes_request::capability.
+        std::optional<node_capability> capability{};
+        std::function<bool()> may_claim{};
+        /// The owner has told the size of the fleet.
+        std::function<void(const fleet_size&)> on_fleet{};
     };
 
     explicit peer_exchange(environment env) : m_env(std::move(env)) {}
@@ -66,6 +71,8 @@
     void notify_peers();
     /// Owner only: what each node may still accept, from the memory that the jobs take.
     [[nodiscard]] std::int64_t headroom(std::int64_t job_memory) const;
+    /// Owner only: the live nodes.
+    [[nodiscard]] std::vector<ownership_candidate> candidates() const;
     /// Removes nodes that have stopped polling. Called periodically.
     void expire_peers(common::time_point now);
 
@@ -82,6 +89,8 @@
         net::endpoint address;
         common::time_point last_request;
         std::int64_t job_limit = 0;
+        std::optional<node_capability> capability{};
+        bool may_claim = false;
     };
     struct pending_poll {
         std::string node;
@@ -99,6 +108,8 @@
     /// Answers the polls that have expired and, if with_changes is set, those with new changes.
     void answer_polls(bool with_changes);
     [[nodiscard]] std::int64_t job_limit() const;
+    [[nodiscard]] changes_request make_request(std::uint64_t fence,
+                                               const std::vector<std::string>& follow) const;
     void poll();
     void poll_later();
     void on_changes(std::uint64_t fence, const std::vector<std::string>& follow,
--- a/source/core/service/peer_messages.cpp
+++ b/source/core/service/peer_messages.cpp
@@ -51,6 +51,22 @@
     return run;
 }
 
+json::array write_capability(const node_capability& node) {
+    return {node.cpu_share, node.link_mbps, node.memory, node.max_fds};
+}
+
+node_capability read_capability(const json::array& row) {
+    node_capability node;
+    node.cpu_share = row.at(0).to_number<double>();
+    node.link_mbps = row.at(1).to_number<double>();
+    node.memory = row.at(2).to_number<std::int64_t>();
+    node.max_fds = row.at(3).to_number<std::int64_t>();
+    if (node.cpu_share < 0.0 || node.link_mbps < 0.0 || node.memory < 0 || node.max_fds < 0) {
+        throw common::format_error("a negative capability");
+    }
+    return node;
+}
+
 } // namespace
 
 std::string write_changes_request(const changes_request& request) {
@@ -64,6 +80,10 @@
     if (request.job_limit != 0) {
         object["job_limit"] = request.job_limit;
     }
+    if (request.capability) {
+        object["capability"] = write_capability(*request.capability);
+        object["may_claim"] = request.may_claim;
+    }
     return json::serialize(object);
 }
 
@@ -82,6 +102,10 @@
         if (const auto* const limit = object.if_contains("job_limit")) {
             request.job_limit = limit->to_number<std::int64_t>();
         }
+        if (const auto* const capability = object.if_contains("capability")) {
+            request.capability = read_capability(capability->as_array());
+            request.may_claim = object.at("may_claim").as_bool();
+        }
         return request;
     });
 }
@@ -100,6 +124,8 @@
         object["pending"] = json::value_from(response.pending->counts);
         object["pending_age_ms"] = common::to_milliseconds(response.pending->age);
         object["held_ms"] = common::to_milliseconds(response.held);
+        object["fleet"] =
+            json::array{response.pending->fleet.workers, response.pending->fleet.jobs};
     }
     if (response.headroom) {
         object["headroom"] = *response.headroom;
@@ -126,6 +152,11 @@
             response.pending->counts = json::value_to<pending_counts>(*pending);
             response.pending->age = read_ms(object, "pending_age_ms");
             response.held = read_ms(object, "held_ms");
+            if (const auto* const fleet = object.if_contains("fleet")) {
+                const auto& row = fleet->as_array();
+                response.pending->fleet = {row.at(0).to_number<std::size_t>(),
+                                           row.at(1).to_number<std::size_t>()};
+            }
         }
         if (const auto* const headroom = object.if_contains("headroom")) {
             response.headroom = headroom->to_number<std::int64_t>();
--- a/source/core/service/peer_messages.h
+++ b/source/core/service/peer_messages.h
@@ -3,6 +3,7 @@
 #include "core/common/clock.h"
 #include "core/dispatch/dispatch_actions.h"
 #include "core/net/endpoint.h"
+#include "core/service/node_capability.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -23,6 +24,7 @@
     common::duration age{0};
     /// Memory in bytes that all jobs take at the owner.
     std::int64_t job_memory = 0;
+    fleet_size fleet{};
 };
 
 /// Request of a node for changes of its jobs; also its heartbeat to the owner.
@@ -37,6 +39,9 @@
     std::vector<std::string> follow;
     /// Memory in bytes that the node has for jobs; 0 for no limit.
     std::int64_t job_limit = 0;
+    /// See ownership_candidate; absent when the node does not know its link speed.
+    std::optional<node_capability> capability{};
+    bool may_claim = false;
 };
 
 struct changes_response {
--- a/tests/fakes/fake_shared_store.h
+++ b/tests/fakes/fake_shared_store.h
@@ -29,7 +29,8 @@
     bool renewals_fail = false;
     /// Watches complete as unknown.
     bool fail_watches = false;
-    /// No call is answered: reads, watches, commits and renewals complete as unknown.
+    /// No call is answered: reads, watches, commits, renewals and ends of leases complete as
+    /// unknown.
     bool fail_calls = false;
     /// Watches of this prefix complete as unknown.
     std::string unanswered_watch_prefix;
@@ -142,6 +143,10 @@
     }
 
     void end_lease(std::uint64_t lease, dispatch::store_completion complete) override {
+        if (fail_calls) {
+            answer(std::move(complete), {});
+            return;
+        }
         remove_lease(lease);
         answer(std::move(complete), {dispatch::store_status::ok, {}, {}, false, 0, 0});
     }
--- a/tests/unit/service/owner_controller_test.cpp
+++ b/tests/unit/service/owner_controller_test.cpp
@@ -587,4 +587,20 @@
     }
 }
 
+// Guards against a hand-over in the middle of a recovery or while a change is being recorded: the
+// successor would have to find out again what this owner knows.
+BOOST_AUTO_TEST_CASE(a_hand_over_waits_for_a_quiet_moment) {
+    submit("a", 1000);
+    begin_term(claim(2));
+    BOOST_TEST(controller->is_quiet());
+    store.delay = 150ms;
+    BOOST_REQUIRE(run_until([&] { return controller->loaded(); }));
+    // The start of the job changes the record of workers, which is being written.
+    BOOST_REQUIRE(run_until([&] { return !controller->is_quiet(); }));
+    BOOST_REQUIRE(run_until([&] { return controller->is_quiet(); }));
+    const auto fleet = controller->pending()->fleet;
+    BOOST_TEST(fleet.workers == 2U);
+    BOOST_TEST(fleet.jobs == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/service/owner_election_test.cpp
+++ b/tests/unit/service/owner_election_test.cpp
@@ -1,6 +1,8 @@
 #include "unit/service/service_fixture.h"
 
+#include "core/service/node_capability.h"
 #include "core/service/owner_election.h"
+#include "core/service/owner_placement.h"
 #include "core/service/store_keys.h"
 
 #include <boost/test/unit_test.hpp>
@@ -8,6 +10,7 @@
 #include <functional>
 #include <optional>
 #include <thread>
+#include <vector>
 
 using namespace buckthornspar;
 using namespace buckthornspar::service;
@@ -20,7 +23,7 @@
 
 struct candidate {
     candidate(service_fixture& f, const std::string& node, std::uint64_t process,
-              std::uint16_t port = 1) {
+              std::uint16_t port = 1, common::duration claim_delay = common::duration(0)) {
         owner_election::listener receiver;
         receiver.on_elected = [this](const owner_record& owner) { won.push_back(owner.fence); };
         receiver.on_ownership_lost = [this](std::string_view reason) { lost.emplace_back(reason); };
@@ -30,6 +33,7 @@
         settings.node = node;
         settings.process = process;
         settings.address = {"127.0.0.1", port};
+        settings.claim_delay = claim_delay;
         election = std::make_shared<owner_election>(f.store, f.loop, settings, std::move(receiver));
         election->start();
         election->set_candidate(true);
@@ -41,6 +45,11 @@
     std::shared_ptr<owner_election> election;
 };
 
+constexpr fleet_size fleet{350, 2600};
+constexpr node_capability large{0.5, 200.0, 0, 0};
+constexpr node_capability narrow{0.3, 10.0, 0, 0};
+constexpr node_capability small{0.09, 10.0, 0, 0};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(owner_election_suite, service_fixture)
@@ -269,4 +278,135 @@
     BOOST_TEST(a.lost.empty());
 }
 
+// Guards against an owner of a less suitable kind while a more suitable node lives, and against a
+// fleet without an owner when only unsuitable nodes live.
+BOOST_AUTO_TEST_CASE(the_most_suitable_of_every_mix_is_elected) {
+    const node_capability kinds[] = {large, narrow, small};
+    for (unsigned mix = 1; mix < 8; ++mix) {
+        service_fixture f;
+        std::vector<std::unique_ptr<candidate>> nodes;
+        std::vector<unsigned> kind_of;
+        // The least suitable kind is started first.
+        for (unsigned kind = 3; kind-- > 0;) {
+            for (unsigned i = 0; i < 3 && (mix & (1U << kind)) != 0; ++i) {
+                const auto process = mix * 100 + kind * 10 + i + 1;
+                nodes.push_back(std::make_unique<candidate>(f, "n" + std::to_string(process),
+                                                            process, 1,
+                                                            claim_delay_of(kinds[kind], fleet)));
+                kind_of.push_back(kind);
+            }
+        }
+        std::optional<unsigned> elected;
+        BOOST_REQUIRE(f.run_until(
+            [&] {
+                for (std::size_t i = 0; i < nodes.size(); ++i) {
+                    if (!nodes[i]->won.empty()) {
+                        elected = kind_of[i];
+                    }
+                }
+                return elected.has_value();
+            },
+            1500ms));
+        BOOST_TEST(*elected == (mix & 1U ? 0U : mix & 2U ? 1U : 2U));
+    }
+}
+
+// Guards against a fleet that stays with a small node after the large ones are back: they go one by
+// one, the small one becomes owner, and hands over to the first that returns.
+BOOST_AUTO_TEST_CASE(the_ownership_returns_to_a_large_node) {
+    const auto delay = claim_delay_of(narrow, fleet);
+    candidate first(*this, "l1", 1);
+    candidate second(*this, "l2", 2);
+    candidate weak(*this, "s1", 3, 1, delay);
+    candidate other(*this, "s2", 4, 1, claim_delay_of(small, fleet));
+    BOOST_REQUIRE(run_until([&] { return first.won.size() + second.won.size() == 1; }));
+    auto& owner = first.won.empty() ? second : first;
+    auto& next = first.won.empty() ? first : second;
+    owner.election->resign([] {});
+    BOOST_REQUIRE(run_until([&] { return next.won.size() == 1; }));
+    next.election->resign([] {});
+    BOOST_REQUIRE(run_until([&] { return weak.won.size() == 1; }));
+
+    candidate returned(*this, "l1", 5);
+    owner_placement placement(narrow);
+    auto now = clock.now();
+    placement.on_term_begun(now);
+    const auto end = now + 10s;
+    while (!placement.choose_successor(now, fleet, {{"l1", large, true}}) && now < end) {
+        now += 100ms;
+    }
+    BOOST_REQUIRE((now < end));
+    weak.election->hand_over(weak.won[0]);
+    BOOST_REQUIRE(run_until([&] { return returned.won.size() == 1; }, 500ms));
+    run_for(1s);
+    BOOST_TEST(weak.lost == std::vector<std::string>{"handed_over"});
+    BOOST_TEST(weak.won.size() == 1U);
+    BOOST_TEST(other.won.empty());
+    BOOST_TEST(returned.won[0] > weak.won[0]);
+}
+
+// Pattern: the better node dies in the hand-over. Guards against a fleet without an owner: the node
+// that has handed over claims again when nobody else does.
+BOOST_AUTO_TEST_CASE(a_hand_over_that_nobody_takes_ends_with_the_same_owner) {
+    candidate weak(*this, "s1", 1, 1, 100ms);
+    BOOST_REQUIRE(run_until([&] { return weak.won.size() == 1; }));
+    weak.election->hand_over(weak.won[0]);
+    BOOST_TEST(!weak.election->is_owner());
+    run_for(1s);
+    BOOST_TEST(weak.won.size() == 1U);
+    BOOST_REQUIRE(run_until([&] { return weak.won.size() == 2; }, 3s));
+    BOOST_TEST(weak.won[1] > weak.won[0]);
+}
+
+// Pattern: lost answer. Guards against a term that goes on after its hand-over because the store
+// did not answer: the key expires with its lease.
+BOOST_AUTO_TEST_CASE(a_hand_over_without_the_store_ends_with_the_lease) {
+    store.leases_expire = true;
+    candidate weak(*this, "s1", 1, 1, 100ms);
+    BOOST_REQUIRE(run_until([&] { return weak.won.size() == 1; }));
+    candidate better(*this, "l1", 2);
+    run_for(50ms);
+    store.fail_calls = true;
+    weak.election->hand_over(weak.won[0]);
+    run_for(50ms);
+    store.fail_calls = false;
+    BOOST_REQUIRE(run_until([&] { return better.won.size() == 1; }, 2s));
+    BOOST_TEST(weak.won.size() == 1U);
+}
+
+// Guards against the end of a later term by a hand-over that was decided in an earlier one.
+BOOST_AUTO_TEST_CASE(a_late_hand_over_does_not_end_the_next_term) {
+    candidate a(*this, "a", 1);
+    BOOST_REQUIRE(run_until([&] { return a.won.size() == 1; }));
+    store.remove(std::string(owner_key));
+    BOOST_REQUIRE(run_until([&] { return a.won.size() == 2; }));
+    a.election->hand_over(a.won[0]);
+    BOOST_TEST(a.election->is_owner());
+}
+
+// Pattern: all processes are killed. Guards against a small node that becomes owner again at once
+// because its own earlier process left the key.
+BOOST_AUTO_TEST_CASE(a_restarted_small_node_leaves_the_key_to_a_large_one) {
+    candidate former(*this, "s1", 1, 1, 100ms);
+    BOOST_REQUIRE(run_until([&] { return former.won.size() == 1; }));
+    former.election->set_candidate(false);
+    candidate better(*this, "l1", 3);
+    run_for(50ms);
+    BOOST_TEST(better.won.empty());
+    candidate restarted(*this, "s1", 2, 1, claim_delay_of(narrow, fleet));
+    BOOST_REQUIRE(run_until([&] { return better.won.size() == 1; }, 500ms));
+    run_for(1s);
+    BOOST_TEST(restarted.won.empty());
+}
+
+// Guards against a small node that never replaces its own earlier process.
+BOOST_AUTO_TEST_CASE(a_restarted_small_node_claims_when_no_other_does) {
+    candidate former(*this, "s1", 1, 1, 100ms);
+    BOOST_REQUIRE(run_until([&] { return former.won.size() == 1; }));
+    former.election->set_candidate(false);
+    candidate restarted(*this, "s1", 2, 1, claim_delay_of(narrow, fleet));
+    BOOST_REQUIRE(run_until([&] { return restarted.won.size() == 1; }, 2s));
+    BOOST_TEST(restarted.won[0] > former.won[0]);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/service/peer_exchange_test.cpp
+++ b/tests/unit/service/peer_exchange_test.cpp
@@ -49,7 +49,10 @@
                     [](const std::string&) {},
                     [this] { return pending; },
                     [](const owner_record&, bool) {},
-                    &admission}) {}
+                    &admission,
+                    node_capability{0.3, 10.0, 400, 10250},
+                    [this] { return may_claim; },
+                    [this](const fleet_size& told) { fleet = told; }}) {}
 
     void follow(std::uint16_t port) {
         owner_record owner;
@@ -75,6 +78,8 @@
     std::string name;
     std::set<std::string> seen_peers;
     std::optional<pending_report> pending;
+    bool may_claim = true;
+    fleet_size fleet;
     job_admission admission;
     peer_exchange exchange;
 };
@@ -121,6 +126,22 @@
     BOOST_TEST(!follower.directory.pending_of("q", clock.now(), 2000ms).has_value());
 }
 
+// Guards against an owner that cannot compare itself with the other nodes, and against nodes that
+// judge themselves by a fleet of another size than the owner's.
+BOOST_AUTO_TEST_CASE(the_owner_learns_capabilities_and_tells_the_size_of_the_fleet) {
+    owner.exchange.set_owned_fence(fence);
+    owner.pending = pending_report{{}, 0ms, 0, {350, 2600}};
+    follower.follow(owner_server.port());
+    BOOST_REQUIRE(run_until([&] { return follower.fleet == fleet_size{350, 2600}; }));
+    const auto candidates = owner.exchange.candidates();
+    BOOST_REQUIRE(candidates.size() == 1U);
+    BOOST_TEST(candidates[0].node == "follower");
+    BOOST_TEST((candidates[0].capability == node_capability{0.3, 10.0, 400, 10250}));
+    BOOST_TEST(candidates[0].may_claim);
+    follower.may_claim = false;
+    BOOST_TEST(run_until([&] { return !owner.exchange.candidates()[0].may_claim; }, 3s));
+}
+
 // Pattern: busy event loop, slow link. Guards against a count that is taken for new because its
 // response was on the way for long.
 BOOST_AUTO_TEST_CASE(the_age_of_a_count_includes_the_time_on_the_way) {
--- a/tests/unit/service/peer_messages_test.cpp
+++ b/tests/unit/service/peer_messages_test.cpp
@@ -26,6 +26,26 @@
     BOOST_TEST((read.held == std::chrono::milliseconds(700)));
 }
 
+// Pattern: rolling restart. Guards against a message of an earlier version that is refused, or
+// taken for one of a node that can carry nothing.
+BOOST_AUTO_TEST_CASE(the_capability_and_the_fleet_may_be_absent) {
+    changes_request request{"n1", {"10.0.0.1", 7720}, 14, 9, {}};
+    BOOST_TEST(!read_changes_request(write_changes_request(request)).capability.has_value());
+    request.capability = node_capability{0.3, 10.0, 400, 10250};
+    request.may_claim = true;
+    const auto read = read_changes_request(write_changes_request(request));
+    BOOST_TEST((read.capability == request.capability));
+    BOOST_TEST(read.may_claim);
+    changes_response response;
+    response.pending.emplace();
+    response.pending->fleet = {350, 2600};
+    const auto answer = read_changes_response(write_changes_response(response));
+    BOOST_TEST((answer.pending->fleet == fleet_size{350, 2600}));
+    const auto earlier = read_changes_response(
+        R"({"next":1,"changes":[],"pending":{},"pending_age_ms":0,"held_ms":0})");
+    BOOST_TEST((earlier.pending->fleet == fleet_size{}));
+}
+
 BOOST_AUTO_TEST_CASE(messages_are_read_as_written) {
     const auto request =
         read_changes_request(write_changes_request({"n1", {"10.0.0.1", 7720}, 14, 9, {"a"}}));
