Keep what customers run within their caps

A plan counts its own starts and requests tickets for no more than the cap leaves. A step that its cap forbids gets no room and no tickets, preempts nothing, and counts as a 64th of a blocked step; what is left of a cap is kept for the first step that waits for it. A successor counts the capacity of workers that have not answered. Jobs that never fit are refused with 400; accepted ones wait with the cause `cap`. Without caps nothing is limited.

--- a/source/core/common/counters.cpp
+++ b/source/core/common/counters.cpp
@@ -4,14 +4,38 @@
 
 namespace buckthornspar::common {
 
+namespace {
+
+// The text format has its labels in quotes.
+std::string make_key(std::string_view name, std::string_view label, std::string_view value) {
+    std::string key(name);
+    key.append("{").append(label).append("=\"");
+    for (const char c : value) {
+        if (c == '\n') {
+            key += "\\n";
+            continue;
+        }
+        if (c == '"' || c == '\\') {
+            key += '\\';
+        }
+        key += c;
+    }
+    return key.append("\"}");
+}
+
+} // namespace
+
 metric& counters::get(std::string_view name) {
     return find_or_create(std::string(name));
 }
 
 metric& counters::get(std::string_view name, std::string_view label, std::string_view value) {
-    std::string key(name);
-    key.append("{").append(label).append("=\"").append(value).append("\"}");
-    return find_or_create(std::move(key));
+    return find_or_create(make_key(name, label, value));
+}
+
+void counters::remove(std::string_view name, std::string_view label, std::string_view value) {
+    const std::lock_guard lock(m_mutex);
+    m_metrics.erase(make_key(name, label, value));
 }
 
 metric& counters::find_or_create(std::string key) {
--- a/source/core/common/counters.h
+++ b/source/core/common/counters.h
@@ -33,6 +33,10 @@
     [[nodiscard]] metric& get(std::string_view name, std::string_view label,
                               std::string_view value);
 
+    /// Removes a metric with one label. References to it become invalid, so that only metrics are
+    /// removed that nobody keeps a reference to.
+    void remove(std::string_view name, std::string_view label, std::string_view value);
+
     /// Renders all metrics in the Prometheus text format, sorted by name.
     [[nodiscard]] std::string render() const;
 
--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -64,6 +64,7 @@
 
 void dispatcher::on_customers(const std::vector<customers::customer_settings>& customers) {
     m_customers = customers;
+    m_workers.usage().set_caps(customers);
     m_replan_needed = true;
 }
 
@@ -124,6 +125,7 @@
     }
     auto job = make_job(spec, progress, revision, now);
     job.spec.accepted_queue.reset();
+    job.customer = m_workers.usage().open_account(spec.customer);
     keep_accepted_queue(spec, revision);
     const auto state = job.state;
     m_queued_by_queue[spec.queue] += state == job_state::queued ? 1 : 0;
--- a/source/core/dispatch/dispatcher_plan.cpp
+++ b/source/core/dispatch/dispatcher_plan.cpp
@@ -32,6 +32,18 @@
 constexpr std::size_t max_idle_steps_per_job = 256;
 constexpr std::size_t max_idle_steps = 8192;
 
+waiting_scan::outcome blocked_outcome(step_planner::cap_effect effect) {
+    switch (effect) {
+    case step_planner::cap_effect::none:
+        return waiting_scan::outcome::blocked;
+    case step_planner::cap_effect::step:
+        return waiting_scan::outcome::capped;
+    case step_planner::cap_effect::customer:
+        return waiting_scan::outcome::held;
+    }
+    return waiting_scan::outcome::blocked;
+}
+
 } // namespace
 
 const queue_settings* dispatcher::queue_of(const job_spec& spec) const {
@@ -159,7 +171,8 @@
     for (auto index = state.tasks.next_open(0); index < state.tasks.size();
          index = state.tasks.next_open(index + 1)) {
         if (state.may_start(spec, index, now, m_settings.crashes.attributed_limit)) {
-            return waiting_step{step, &spec, queue_of(job.spec), &state, index, job.possible_runs};
+            return waiting_step{
+                step, &spec, queue_of(job.spec), &state, index, job.possible_runs, job.customer};
         }
     }
     return std::nullopt;
@@ -216,6 +229,9 @@
         limits.optional_requests = most - std::min(most, m_advice_calls.size());
     }
     limits.preemption = now >= m_next_preemption;
+    if (m_workers.usage().any_caps()) {
+        limits.caps = &m_workers.usage();
+    }
     return limits;
 }
 
@@ -225,6 +241,7 @@
     if (m_waiting.empty()) {
         return;
     }
+    m_workers.usage().set_unreported(find_unreported_runs());
     const auto limits = limits_of_plan(now);
     step_planner planner(collect_free_capacities(now), limits, now);
     waiting_scan scan(m_waiting);
@@ -242,8 +259,11 @@
         if (!placed) {
             note_blocked(now, position->step, step, planner);
         }
-        scan.report(placed ? waiting_scan::outcome::placed : waiting_scan::outcome::blocked);
+        scan.report(placed ? waiting_scan::outcome::placed
+                    : step ? blocked_outcome(planner.effect_of_cap())
+                           : waiting_scan::outcome::blocked);
     }
+    m_blocked_steps.add(wait_cause::cap, scan.held_steps());
     m_counters.get("plan_steps_examined_total").add(static_cast<std::int64_t>(examined));
     if (planned == 0) {
         return;
@@ -376,7 +396,7 @@
     order.fence = m_fence;
     order.valid_until_ms = grant_start_validity(worker, now);
 
-    auto& placed = m_workers.place(worker, run, spec.allocation(), now);
+    auto& placed = m_workers.place(worker, run, spec.allocation(), now, job.customer);
     placed.start_valid_until_ms = order.valid_until_ms;
     placed.open_orders = 1;
     placed.last_order_at = now;
--- a/source/core/dispatch/dispatcher_recovery.cpp
+++ b/source/core/dispatch/dispatcher_recovery.cpp
@@ -172,6 +172,42 @@
            (!m_recovered || m_jobs_on_unresponsive_workers.contains(job.spec.id));
 }
 
+// Jobs that were accepted after the take-over may start at once, but not above the cap of their
+// customer: what a former owner started on a worker is unknown until the worker has answered, or
+// until such runs have certainly ended. Until then its whole capacity counts.
+std::optional<customers::unreported_runs> dispatcher::find_unreported_runs() const {
+    if (!m_workers.usage().any_caps() || (m_recovered && m_jobs_on_unresponsive_workers.empty())) {
+        return std::nullopt;
+    }
+    customers::unreported_runs runs;
+    const auto add = [&](const std::string& id) {
+        const auto* const worker = m_workers.find(id);
+        if (worker == nullptr || worker->adopted || m_key_seen_at > former_runs_end(id)) {
+            return;
+        }
+        const auto& capacity = worker->report.capacity;
+        if (capacity == placement::resources{}) {
+            // The record of workers has no capacities.
+            runs.amount = {customers::unlimited, customers::unlimited, customers::unlimited};
+        } else if (runs.amount.cpu_milli < customers::unlimited) {
+            runs.amount += capacity;
+        }
+    };
+    std::for_each(m_unadopted.begin(), m_unadopted.end(), add);
+    if (!m_jobs_on_unresponsive_workers.empty()) {
+        std::for_each(m_unresponsive_workers.begin(), m_unresponsive_workers.end(), add);
+    }
+    if (m_recovered) {
+        runs.customers.emplace();
+        for (const auto& id : m_jobs_on_unresponsive_workers) {
+            if (const auto job = m_jobs.find(id); job != m_jobs.end()) {
+                runs.customers->insert(job->second.customer);
+            }
+        }
+    }
+    return runs;
+}
+
 void dispatcher::log_adoption(common::time_point now, const worker_entry& worker,
                               const poll_result& result, bool through_peer) const {
     log_event(severity::info, "worker_adopted",
--- a/source/core/dispatch/dispatcher_runs.cpp
+++ b/source/core/dispatch/dispatcher_runs.cpp
@@ -79,7 +79,8 @@
         return;
     }
     const auto& spec = job->second.spec_of(reported.run.task);
-    auto& placed = m_workers.place(worker, reported.run, spec.allocation(), now);
+    auto& placed =
+        m_workers.place(worker, reported.run, spec.allocation(), now, job->second.customer);
     placed.phase = run_phase::running;
     placed.confirmed_clock_ms = clock_ms;
     placed.confirmed = true;
--- a/source/core/dispatch/job_entry.h
+++ b/source/core/dispatch/job_entry.h
@@ -84,6 +84,8 @@
 /// A job that has not ended, with the known state of each task.
 struct job_entry {
     job_spec spec;
+    /// Account of the customer at the owner.
+    customers::customer_index customer = customers::no_customer;
     /// Store revision of the acceptance.
     std::uint64_t revision = 0;
     common::time_point first_seen_at;
--- a/source/core/dispatch/plan_state.cpp
+++ b/source/core/dispatch/plan_state.cpp
@@ -20,6 +20,7 @@
     : capacities(std::move(free_capacities)),
       reservations(capacities.size()),
       limits(plan_limits),
+      caps(plan_limits.caps),
       now(time),
       requested(capacities.size()) {}
 
@@ -142,6 +143,12 @@
     return pending + count <= most || (count > most && pending <= most / 4);
 }
 
+std::int64_t plan_state::tasks_under_cap(const waiting_step& step) {
+    return caps.is_limited(step.customer)
+               ? count_fitting_tasks(step.spec->allocation(), caps.room(step.customer))
+               : unlimited_tasks;
+}
+
 void plan_state::withdraw(worker_slot w) {
     capacities[w].worker = nullptr;
     std::erase_if(candidates, [w](const worker_candidate& c) { return c.worker == w; });
@@ -158,6 +165,7 @@
         planned.ticket = ticket->ticket;
     }
     capacities[w].free -= demand;
+    caps.take(step.customer, demand);
     started.insert(w);
     if (step.spec->max_per_worker != 0) {
         ++m_present_tasks[capacities[w].worker->report.id];
--- a/source/core/dispatch/plan_state.h
+++ b/source/core/dispatch/plan_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/common/clock.h"
+#include "core/customers/cap_budget.h"
 #include "core/dispatch/dispatch_actions.h"
 #include "core/dispatch/step_order.h"
 #include "core/dispatch/worker_registry.h"
@@ -54,6 +55,8 @@
     std::uint32_t crash_limit = std::numeric_limits<std::uint32_t>::max();
     /// Whether runs may be preempted.
     bool preemption = false;
+    /// What customers run, with their caps; null when no customer has one.
+    const customers::cap_ledger* caps = nullptr;
 };
 
 /// A run to be stopped for more urgent work.
@@ -117,12 +120,15 @@
     /// work.
     [[nodiscard]] bool may_start(std::size_t count) const;
     void start(const waiting_step& step, std::uint32_t index, worker_slot w, std::uint32_t run);
+    /// Number of tasks of the step that may start under the cap of its customer.
+    [[nodiscard]] std::int64_t tasks_under_cap(const waiting_step& step);
     /// Places nothing more on the worker.
     void withdraw(worker_slot w);
 
     std::vector<worker_free_capacity> capacities;
     std::vector<std::vector<capacity_reservation>> reservations;
     plan_limits limits;
+    customers::cap_budget caps;
     common::time_point now;
     plan_result result;
     /// Workers that receive a start of this plan.
--- a/source/core/dispatch/step_order.h
+++ b/source/core/dispatch/step_order.h
@@ -29,6 +29,7 @@
     std::uint32_t first_task = 0;
     /// See job_entry.
     std::uint32_t possible_runs = 0;
+    customers::customer_index customer = customers::no_customer;
 
     /// Number of the next run of the task, or of all tasks of a gang.
     [[nodiscard]] std::uint32_t next_run(std::uint32_t index) const {
@@ -43,6 +44,7 @@
     common::time_point at;
     /// The index of the task is 0.
     task_key step;
+    customers::customer_index customer = customers::no_customer;
 
     auto operator<=>(const step_position&) const = default;
 };
--- a/source/core/dispatch/step_planner.h
+++ b/source/core/dispatch/step_planner.h
@@ -22,6 +22,13 @@
 /// Runs are preempted for at most one gang. Has no side effects.
 class step_planner {
 public:
+    /// How the cap of its customer kept the last step of plan() from being placed.
+    enum class cap_effect {
+        none,     ///< not at all
+        step,     ///< the step alone waits: others of the customer may be placed
+        customer, ///< what is left of the cap is kept for the step
+    };
+
     step_planner(std::vector<worker_free_capacity> free_capacities, const plan_limits& limits,
                  common::time_point now)
         : m_plan(std::move(free_capacities), limits, now) {}
@@ -30,11 +37,15 @@
 
     /// Returns whether tasks of the step were placed.
     bool plan(const waiting_step& step);
+    [[nodiscard]] cap_effect effect_of_cap() const { return m_cap_effect; }
     /// Why nothing of the step was placed; the step is that of the last call of plan().
     [[nodiscard]] wait_cause cause_of_wait(const waiting_step& step) const;
     [[nodiscard]] plan_result take();
 
 private:
+    [[nodiscard]] cap_effect check_cap(const waiting_step& step);
+    void claim_cap(const waiting_step& step, std::size_t starts_before,
+                   std::size_t requests_before);
     void plan_tasks(const waiting_step& step);
     [[nodiscard]] bool may_start_task(const waiting_step& step, std::uint32_t index) const;
     void plan_suspect(const waiting_step& step, std::uint32_t index);
@@ -78,6 +89,7 @@
 
     plan_state m_plan;
     ticket_planner m_tickets{m_plan};
+    cap_effect m_cap_effect = cap_effect::none;
     std::size_t m_reserved_gangs = 0;
     std::size_t m_unasked_gangs = 0;
     /// The step of the suspected task that was planned last.
--- a/source/core/dispatch/waiting_steps.cpp
+++ b/source/core/dispatch/waiting_steps.cpp
@@ -17,6 +17,10 @@
 // must not keep the others waiting forever: each step is examined within
 // (waiting steps) / (depth / turn_divisor) plans.
 constexpr std::size_t turn_divisor = 4;
+// Steps that a cap forbids are passed over without a search for a worker. So many of them count as
+// one blocked step, which bounds the plan beside thousands of them and leaves the others their
+// turn.
+constexpr std::size_t capped_per_blocked = 64;
 
 } // namespace
 
@@ -61,15 +65,23 @@
 }
 
 const step_position* waiting_scan::next() {
-    const auto first =
-        std::min_element(m_cursors.begin(), m_cursors.end(), [](const cursor& a, const cursor& b) {
-            return *a.position < *b.position;
-        });
-    if (first == m_cursors.end()) {
-        return nullptr;
+    for (;;) {
+        const auto first = std::min_element(
+            m_cursors.begin(), m_cursors.end(),
+            [](const cursor& a, const cursor& b) { return *a.position < *b.position; });
+        if (first == m_cursors.end()) {
+            return nullptr;
+        }
+        m_current = static_cast<std::size_t>(first - m_cursors.begin());
+        if (!is_held(*first->position)) {
+            return &*first->position;
+        }
+        ++m_held_steps;
+        const auto visited = first->position++;
+        --first->remaining;
+        count_capped(*first, *visited);
+        close_if_done();
     }
-    m_current = static_cast<std::size_t>(first - m_cursors.begin());
-    return &*first->position;
 }
 
 void waiting_scan::report(outcome result) {
@@ -81,7 +93,33 @@
         at.queue->steps.erase(visited);
     } else if (result == outcome::blocked) {
         count_blocked(at, *visited);
+    } else if (result == outcome::capped || result == outcome::held) {
+        if (result == outcome::held) {
+            hold(*visited);
+        }
+        count_capped(at, *visited);
+    }
+    close_if_done();
+}
+
+void waiting_scan::hold(const step_position& position) {
+    if (position.customer == customers::no_customer) {
+        return;
     }
+    if (position.customer >= m_held.size()) {
+        m_held.resize(position.customer + 1);
+    }
+    m_held[position.customer] = true;
+}
+
+void waiting_scan::count_capped(cursor& at, const step_position& visited) {
+    if (++at.capped % capped_per_blocked == 0) {
+        count_blocked(at, visited);
+    }
+}
+
+void waiting_scan::close_if_done() {
+    const auto& at = m_cursors[m_current];
     const bool at_end = at.position == at.queue->steps.end();
     if (at_end) {
         at.queue->resume_after.reset();
--- a/source/core/dispatch/waiting_steps.h
+++ b/source/core/dispatch/waiting_steps.h
@@ -47,6 +47,8 @@
     enum class outcome {
         placed,  ///< tasks were placed
         blocked, ///< nothing was placed
+        capped,  ///< the cap of the customer forbids the step now
+        held,    ///< as capped; the further steps of the customer are not visited
         gone,    ///< the step is not waiting; it is removed
     };
 
@@ -55,6 +57,8 @@
     /// The next step to be examined, or nullptr. Each requires one call of report().
     [[nodiscard]] const step_position* next();
     void report(outcome result);
+    /// Number of steps that were not visited because of outcome::held.
+    [[nodiscard]] std::size_t held_steps() const { return m_held_steps; }
 
 private:
     struct cursor {
@@ -64,13 +68,26 @@
         std::size_t remaining = 0;
         std::size_t blocked = 0;
         bool beyond_head = false;
+        /// Steps that a cap forbids.
+        std::size_t capped = 0;
     };
 
+    [[nodiscard]] bool is_held(const step_position& position) const {
+        return position.customer < m_held.size() && m_held[position.customer];
+    }
+    void hold(const step_position& position);
+    void count_capped(cursor& at, const step_position& visited);
+    /// Ends the scan of the current queue when it has no further steps or too many were blocked.
+    void close_if_done();
+
     void count_blocked(cursor& at, const step_position& visited);
 
     waiting_steps& m_steps;
     std::vector<cursor> m_cursors;
     std::size_t m_current = 0;
+    /// Customers whose further steps are not visited.
+    std::vector<bool> m_held;
+    std::size_t m_held_steps = 0;
     /// Number of blocked steps in a queue after which its scan ends.
     std::size_t m_depth = 0;
 };
--- a/source/core/dispatch/worker_registry.cpp
+++ b/source/core/dispatch/worker_registry.cpp
@@ -155,7 +155,13 @@
     const auto oldest = now - m_settings.order_delay;
     for (auto position = m_open_orders.begin(); position != m_open_orders.end();) {
         auto& [starts, lease_sent_at] = position->second;
-        std::erase_if(starts, [&](const auto& start) { return start.second.sent_at < oldest; });
+        std::erase_if(starts, [&](const auto& start) {
+            const bool over = start.second.sent_at < oldest;
+            if (over) {
+                refund(start.second);
+            }
+            return over;
+        });
         if (lease_sent_at && *lease_sent_at < oldest) {
             lease_sent_at.reset();
         }
@@ -210,11 +216,14 @@
 }
 
 placed_run& worker_registry::place(worker_entry& worker, const run_key& run,
-                                   const placement::resources& demand, common::time_point now) {
+                                   const placement::resources& demand, common::time_point now,
+                                   customers::customer_index customer) {
     auto [position, added] = worker.runs.try_emplace(run);
     placed_run& placed = position->second;
     if (added) {
         placed.demand = demand;
+        placed.customer = customer;
+        m_usage.charge(customer, demand);
         placed.ordered_at = now;
         placed.percent_at = now;
         worker.allocated += demand;
@@ -229,6 +238,7 @@
         return;
     }
     note_open_start(worker, run, position->second);
+    m_usage.refund(position->second.customer, position->second.demand);
     worker.allocated -= position->second.demand;
     worker.runs.erase(position);
 }
@@ -236,8 +246,10 @@
 void worker_registry::note_open_start(const worker_entry& worker, const run_key& run,
                                       const placed_run& placed) {
     if (placed.open_orders > 0) {
-        m_open_orders[worker.report.id].starts[run] = {placed.demand, placed.last_order_at,
-                                                       placed.open_orders};
+        auto& start = m_open_orders[worker.report.id].starts[run];
+        refund(start);
+        start = {placed.demand, placed.customer, placed.last_order_at, placed.open_orders};
+        m_usage.charge(placed.customer, placed.demand);
     }
 }
 
@@ -249,11 +261,12 @@
         return placed_runs;
     }
     for (const auto& [run, start] : std::exchange(open->second.starts, {})) {
+        refund(start);
         if (now > start.sent_at + m_settings.order_delay || worker.runs.contains(run)) {
             continue;
         }
         const auto last_start_at = worker.last_start_at;
-        auto& placed = place(worker, run, start.demand, now);
+        auto& placed = place(worker, run, start.demand, now, start.customer);
         worker.last_start_at = last_start_at;
         placed.phase = run_phase::stopping;
         placed.uncertain = true;
@@ -287,6 +300,7 @@
     lost.reserve(worker.runs.size());
     for (const auto& [run, placed] : worker.runs) {
         note_open_start(worker, run, placed);
+        m_usage.refund(placed.customer, placed.demand);
         if (!placed.abandoned) {
             lost.push_back({run, placed.checkpoint, placed.begun});
         }
@@ -296,4 +310,30 @@
     return lost;
 }
 
+bool worker_registry::is_usage_consistent() const {
+    std::vector<placement::resources> sums(m_usage.size());
+    const auto add = [&sums](customers::customer_index customer,
+                             const placement::resources& amount) {
+        if (customer != customers::no_customer) {
+            sums.at(customer) += amount;
+        }
+    };
+    for (const auto& [id, worker] : m_workers) {
+        for (const auto& [run, placed] : worker.runs) {
+            add(placed.customer, placed.demand);
+        }
+    }
+    for (const auto& [id, open] : m_open_orders) {
+        for (const auto& [run, start] : open.starts) {
+            add(start.customer, start.demand);
+        }
+    }
+    for (customers::customer_index i = 0; i < sums.size(); ++i) {
+        if (sums[i] != m_usage.used(i)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 } // namespace buckthornspar::dispatch
--- a/source/core/dispatch/worker_registry.h
+++ b/source/core/dispatch/worker_registry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/common/clock.h"
+#include "core/customers/cap_ledger.h"
 #include "core/dispatch/worker_link.h"
 
 #include <map>
@@ -24,6 +25,8 @@
 struct placed_run {
     run_phase phase = run_phase::ordered;
     placement::resources demand;
+    /// Whose run it is, for the caps; unknown for a run of an unknown job.
+    customers::customer_index customer = customers::no_customer;
     /// Time after which the worker refuses the start, on its clock.
     std::int64_t start_valid_until_ms = 0;
     /// The worker's clock when it confirmed the run. Older lists do not contain the run.
@@ -181,7 +184,8 @@
 };
 
 /// All workers and their runs. A run occupies capacity from its start order until the worker lists
-/// its end, or until it certainly no longer exists.
+/// its end, or until it certainly no longer exists. Against the cap of its customer it counts from
+/// then on as well, and for as long as orders of its start may still arrive.
 class worker_registry {
 public:
     explicit worker_registry(lease_settings settings) : m_settings(settings) {}
@@ -249,12 +253,19 @@
                                                     common::duration validity) const;
 
     placed_run& place(worker_entry& worker, const run_key& run, const placement::resources& demand,
-                      common::time_point now);
+                      common::time_point now,
+                      customers::customer_index customer = customers::no_customer);
     void release(worker_entry& worker, const run_key& run);
     /// Removes all runs of a worker that has lost them, which frees their capacity, and returns
     /// those that their tasks depend on.
     [[nodiscard]] std::vector<lost_run> remove_runs(worker_entry& worker);
 
+    /// What the runs of each customer take.
+    [[nodiscard]] customers::cap_ledger& usage() { return m_usage; }
+    [[nodiscard]] const customers::cap_ledger& usage() const { return m_usage; }
+    /// Whether usage() is what the runs and the open starts take.
+    [[nodiscard]] bool is_usage_consistent() const;
+
     [[nodiscard]] const lease_settings& settings() const { return m_settings; }
 
 private:
@@ -267,6 +278,7 @@
 
     struct open_start {
         placement::resources demand;
+        customers::customer_index customer = customers::no_customer;
         common::time_point sent_at;
         unsigned orders = 0;
     };
@@ -278,7 +290,11 @@
         std::optional<common::time_point> lease_sent_at;
     };
 
+    /// Ends the count of the open start against the cap of its customer.
+    void refund(const open_start& start) { m_usage.refund(start.customer, start.demand); }
+
     lease_settings m_settings;
+    customers::cap_ledger m_usage;
     /// By worker, also for workers that have been removed and may be back under the same id.
     std::map<std::string, open_orders> m_open_orders;
     std::map<std::string, worker_entry> m_workers;
--- a/source/core/service/caller_api.cpp
+++ b/source/core/service/caller_api.cpp
@@ -2,6 +2,7 @@
 
 #include "core/common/error.h"
 #include "core/common/logging.h"
+#include "core/dispatch/cap_check.h"
 #include "core/dispatch/job_entry.h"
 
 #include <algorithm>
@@ -145,6 +146,7 @@
     }
     if (const auto* const customer = configuration.customers.find_by_key(key)) {
         request.access.customer = customer->name;
+        request.cap = customer->cap;
         return true;
     }
     return route.open;
@@ -165,17 +167,25 @@
         answer(request, net::error_response(400, e.type(), e.what()), "refused", "invalid_job");
         return;
     }
+    if (const auto excess = find_excess_over_cap(job, request.cap)) {
+        refuse_unless_stored(request, job, net::error_response(400, "exceeds_cap", *excess),
+                             "exceeds_cap");
+        return;
+    }
     const auto memory = memory_of(job);
     if (m_env.admission != nullptr && !m_env.admission->admit(memory)) {
-        refuse_unless_stored(request, job);
+        refuse_unless_stored(request, job, refusal(503, "no_memory", "the job was not stored"),
+                             "no_memory");
         return;
     }
     store_job(request, job, memory);
 }
 
-void caller_api::refuse_unless_stored(const call& request, const job_spec& job) {
+void caller_api::refuse_unless_stored(const call& request, const job_spec& job,
+                                      const net::http_response& response,
+                                      const std::string& reason) {
     m_env.intake.query(job.id, request.access, store_deadline(request),
-                       [this, request, job](const intake_result& result) {
+                       [this, request, job, response, reason](const intake_result& result) {
                            if (result.outcome == intake_outcome::found) {
                                store_job(request, job, 0);
                                return;
@@ -187,8 +197,7 @@
                                       "unknown", "store_gave_no_answer");
                                return;
                            }
-                           answer(request, refusal(503, "no_memory", "the job was not stored"),
-                                  "refused", "no_memory");
+                           answer(request, response, "refused", reason);
                        });
 }
 
--- a/source/core/service/caller_api.h
+++ b/source/core/service/caller_api.h
@@ -48,6 +48,8 @@
         /// A copy, because the configuration may be replaced before the call is answered.
         std::string queue;
         customers::job_access access;
+        /// Cap of the customer; 0 for no limit.
+        placement::resources cap;
         common::time_point received;
         common::duration deadline{0};
         net::http_reply reply;
@@ -61,9 +63,10 @@
     void submit(const call& request, const std::string& body,
                 const dispatch::queue_settings& queue);
     void store_job(const call& request, const dispatch::job_spec& job, std::int64_t memory);
-    /// Answers the submission of a job for which there is no memory. It may be the repeat of one
-    /// that was accepted.
-    void refuse_unless_stored(const call& request, const dispatch::job_spec& job);
+    /// Refuses the submission of a job that is not accepted now for the given reason. It may be the
+    /// repeat of one that was accepted.
+    void refuse_unless_stored(const call& request, const dispatch::job_spec& job,
+                              const net::http_response& response, const std::string& reason);
     void query(const call& request);
     void query_store(const call& request);
     /// Later queries of an ended job need no other node.
--- a/source/core/service/owner_controller.cpp
+++ b/source/core/service/owner_controller.cpp
@@ -42,7 +42,8 @@
 owner_controller::owner_controller(owner_environment environment, std::uint64_t fence)
     : m_env(std::move(environment)),
       m_dispatcher(m_env.dispatcher, m_env.counters),
-      m_fence(fence) {}
+      m_fence(fence),
+      m_customer_gauges(m_env.counters) {}
 
 std::function<bool()> owner_controller::make_active_check() {
     return [weak = weak_from_this()] {
@@ -60,6 +61,7 @@
 
 void owner_controller::end() {
     m_active = false;
+    m_customer_gauges.clear();
     if (m_active_watcher) {
         m_active_watcher->stop();
     }
@@ -219,6 +221,7 @@
         std::accumulate(queued.begin(), queued.end(), std::size_t{0},
                         [](std::size_t sum, const auto& entry) { return sum + entry.second; });
     const auto reach = m_dispatcher.quorum_reach(now);
+    m_customer_gauges.update(m_dispatcher.workers().usage());
     m_env.counters.get("owner_quorum_workers").set(static_cast<std::int64_t>(reach.workers));
     m_env.counters.get("owner_quorum_accepted").set(static_cast<std::int64_t>(reach.accepted));
     log_event(severity::info, "owner_load",
--- a/source/core/service/owner_controller.h
+++ b/source/core/service/owner_controller.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/customers/customer_gauges.h"
 #include "core/dispatch/dispatcher.h"
 #include "core/dispatch/known_changes.h"
 #include "core/dispatch/shared_store.h"
@@ -143,6 +144,7 @@
     unsigned m_pending_loads = 0;
     std::vector<dispatch::queue_settings> m_queues;
     std::vector<customers::customer_settings> m_customers;
+    customers::customer_gauges m_customer_gauges;
     prefix_contents m_active_contents;
     std::vector<dispatch::store_item> m_progress_items;
     /// Number of records of m_active_contents and then of m_progress_items that are loaded. The
--- a/tests/unit/service/caller_api_test.cpp
+++ b/tests/unit/service/caller_api_test.cpp
@@ -273,6 +273,30 @@
     BOOST_TEST(call(net::http_method::post, "/jobs/a").status == 401U);
 }
 
+// Guards against a job that is stored and never fits under the cap of its customer, and against a
+// refusal of the repeat of a job that was accepted before the cap was lowered.
+BOOST_AUTO_TEST_CASE(a_job_that_never_fits_under_the_cap_is_refused) {
+    format.change = [](dispatch::job_spec& job) {
+        job.steps[0].count = 3;
+        job.steps[0].gang = true;
+        job.steps[0].demand = {1000, 0, 0};
+    };
+    const auto set_cap = [this](std::int64_t cpu_milli) {
+        configuration->customers =
+            customers::customer_directory({{"c1", {"k1"}, 1.0, {cpu_milli, 0, 0}}});
+    };
+    admission.set_headroom(1 << 20);
+    key = "k1";
+    set_cap(3000);
+    BOOST_TEST(call(net::http_method::post, "/jobs/a").status == 200U);
+    set_cap(2999);
+    const auto refused = call(net::http_method::post, "/jobs/b");
+    BOOST_TEST(refused.status == 400U);
+    BOOST_TEST(refused.body.find("cap of the customer") != std::string::npos);
+    BOOST_TEST(!store.has(job_key("b")));
+    BOOST_TEST(call(net::http_method::post, "/jobs/a").status == 200U);
+}
+
 // Guards against customers who read or cancel each other's jobs, at the node that accepted the job
 // and at others, and against jobs that nobody reaches once their key has been replaced.
 BOOST_AUTO_TEST_CASE(jobs_belong_to_the_customer_and_not_to_the_key) {
