--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -77,6 +77,10 @@
     m_state->child.wait(ignored);
 }
 
+pid_t child_process::id() const {
+    return m_state->child.id();
+}
+
 bool child_process::running() {
     std::error_code ignored;
     return m_state->child.running(ignored);
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include <sys/types.h>
+
 namespace buckthornspar::process_test {
 
 /// A program under test, started from the build's bin directory or, with an absolute path, from
@@ -24,6 +26,7 @@
     void send_signal(int signal);
     void kill();
     [[nodiscard]] bool running();
+    [[nodiscard]] pid_t id() const;
 
     /// Waits for the process to exit. Returns the exit code; throws std::runtime_error after the
     /// timeout.
