Bound the memory and connections of unfinished requests

Cause: a server read each request into buffers of its own, up to the largest body on each of 1,500 connections and three servers; trailers had no limit, a refused request was discarded through a buffer of 64 KB, a written response kept its memory until the next one, and without descriptors the accept loop span.

Change: net/request_budget counts the allocated bytes of unfinished requests, requests in progress, unread responses and arriving responses of a process. When it is full, the largest or oldest unfinished one is refused (503) or closed, never one that the handler has. net/request_progress bounds header, trailers, chunk overhead, time and rate. Idle connections go first when descriptors run short. Responses of other processes meet the same budget and fail as response_too_large. The limits of the configuration apply to callers. Frames of the peer protocol over 32 MB and more than 512 peer connections are refused. A stop waits 2 s for unfinished requests.

The test's stand-in of the store now uses the clock of its leases.

--- a/source/core/net/http_client.cpp
+++ b/source/core/net/http_client.cpp
@@ -29,10 +29,11 @@
 
 namespace {
 
-constexpr common::name_table<http_failure_kind, 6> failure_names{"http failure",
+constexpr common::name_table<http_failure_kind, 7> failure_names{"http failure",
                                                                  {"connect_failed", "timed_out",
                                                                   "connection_lost", "bad_response",
-                                                                  "cancelled", "pool_exhausted"}};
+                                                                  "cancelled", "pool_exhausted",
+                                                                  "response_too_large"}};
 
 http::verb to_verb(http_method method) {
     switch (method) {
@@ -48,6 +49,11 @@
     return http::verb::get;
 }
 
+// Of a header, a chunk header or trailers, and one read behind them.
+constexpr std::size_t max_pending_bytes = std::size_t{128} << 10U;
+// A body in chunks of one byte takes six bytes for each.
+constexpr std::size_t bytes_per_body_byte = 8;
+
 struct idle_connection {
     std::unique_ptr<beast::tcp_stream> stream;
     std::chrono::steady_clock::time_point idle_since;
@@ -84,7 +90,7 @@
 namespace {
 
 // One request and its response on a connection.
-class exchange : public std::enable_shared_from_this<exchange> {
+class exchange : public std::enable_shared_from_this<exchange>, public budget_member {
 public:
     exchange(std::shared_ptr<http_client::state> client, std::uint64_t id, endpoint to,
              http_completion complete)
@@ -94,6 +100,10 @@
           m_complete(std::move(complete)),
           m_deadline(m_client->context) {}
 
+    ~exchange() override = default;
+    exchange(const exchange&) = delete;
+    exchange& operator=(const exchange&) = delete;
+
     void start(const http_request& request, common::duration timeout, connection_wait wait) {
         build(request);
         m_timeout = timeout;
@@ -148,6 +158,38 @@
     }
 
 private:
+    // Responses that arrive are never evicted.
+    void on_evicted(eviction_reason /*reason*/) override {}
+
+    beast::error_code on_part(const arrived_part& part) {
+        const auto& limits = m_client->limits;
+        if (part.pending_bytes > max_pending_bytes ||
+            part.bytes > max_pending_bytes + limits.max_body_bytes * bytes_per_body_byte) {
+            return http::make_error_code(http::error::header_limit);
+        }
+        if (!limits.guard) {
+            return {};
+        }
+        if (!m_account) {
+            m_account.emplace(limits.guard->budget, *this, nullptr);
+        }
+        const auto bytes = m_parser->get().body().capacity() + m_buffer.capacity();
+        return m_account->set(budget_use::awaited, bytes)
+                   ? beast::error_code()
+                   : http::make_error_code(http::error::buffer_overflow);
+    }
+
+    [[nodiscard]] static http_failure_kind kind_of(beast::error_code failure) {
+        if (failure == http::error::end_of_stream || failure == http::error::partial_message ||
+            failure.category() == asio::error::get_system_category()) {
+            return http_failure_kind::connection_lost;
+        }
+        return failure == http::error::body_limit || failure == http::error::header_limit ||
+                       failure == http::error::buffer_overflow
+                   ? http_failure_kind::response_too_large
+                   : http_failure_kind::bad_response;
+    }
+
     void fail_after(common::duration time, http_failure_kind kind) {
         m_deadline.expires_after(time);
         m_deadline.async_wait([self = shared_from_this(), kind](beast::error_code failure) {
@@ -219,10 +261,12 @@
         }
         m_parser.emplace();
         m_parser->body_limit(m_client->limits.max_body_bytes);
-        async_read_message(*m_stream, m_buffer, *m_parser,
-                           [self = shared_from_this()](beast::error_code read_failure) {
-                               self->on_read(read_failure);
-                           });
+        async_read_message(
+            *m_stream, m_buffer, *m_parser,
+            [this](const arrived_part& part) { return on_part(part); },
+            [self = shared_from_this()](beast::error_code read_failure) {
+                self->on_read(read_failure);
+            });
     }
 
     void on_read(beast::error_code failure) {
@@ -230,10 +274,11 @@
             return;
         }
         if (failure) {
-            const bool lost = failure == http::error::end_of_stream ||
-                              failure == http::error::partial_message ||
-                              failure.category() == asio::error::get_system_category();
-            fail(lost ? http_failure_kind::connection_lost : http_failure_kind::bad_response);
+            const auto kind = kind_of(failure);
+            if (kind == http_failure_kind::response_too_large && m_client->limits.guard) {
+                m_client->limits.guard->refusals.note(refusal_reason::response_too_large);
+            }
+            fail(kind);
             return;
         }
         auto message = m_parser->release();
@@ -243,6 +288,7 @@
             response.fields.set(field.name_string(), field.value());
         }
         response.body = std::move(message.body());
+        m_account.reset();
         m_finished = true;
         if (message.keep_alive()) {
             m_client->add_idle(m_to, std::move(m_stream));
@@ -273,6 +319,7 @@
     http::request<http::string_body> m_request;
     beast::flat_buffer m_buffer;
     std::optional<http::response_parser<http::string_body>> m_parser;
+    std::optional<request_budget::account> m_account;
     common::duration m_timeout{0};
     bool m_has_connection = false;
     bool m_request_sent = false;
--- a/source/core/net/http_client.h
+++ b/source/core/net/http_client.h
@@ -4,6 +4,7 @@
 #include "core/net/connection_wait.h"
 #include "core/net/endpoint.h"
 #include "core/net/http_message.h"
+#include "core/net/request_guard.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -22,6 +23,8 @@
     bad_response,
     cancelled,
     pool_exhausted,
+    /// The response exceeds its limits or the memory for the messages of the process.
+    response_too_large,
 };
 
 [[nodiscard]] std::string_view to_string(http_failure_kind kind);
@@ -44,6 +47,8 @@
     common::duration connect_timeout = std::chrono::seconds(1);
     /// Idle connections older than this are closed instead of reused.
     common::duration idle_timeout = std::chrono::seconds(30);
+    /// Shared by all servers and clients of a process; without it the process has no limit in all.
+    std::shared_ptr<request_guard> guard = nullptr;
 };
 
 /// HTTP/1.1 client with a pool of persistent connections per endpoint. It never retries a request.
--- a/source/core/net/http_server.cpp
+++ b/source/core/net/http_server.cpp
@@ -13,10 +13,12 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <optional>
 #include <unordered_set>
 #include <utility>
+#include <vector>
 
 namespace buckthornspar::net {
 
@@ -30,6 +32,10 @@
 // After the start of a stop, requests are still answered for this long, with "Connection: close".
 // Otherwise, a client that has just sent a request would lose it.
 constexpr auto late_request_window = std::chrono::milliseconds(300);
+// After that period, the rest of a request must arrive, and a response be read, within this time.
+constexpr auto unfinished_window = std::chrono::seconds(2);
+constexpr auto accept_retry = std::chrono::milliseconds(10);
+constexpr std::size_t discard_read_bytes = std::size_t{64} << 10U;
 
 class session;
 
@@ -44,11 +50,16 @@
           limits(lim),
           handler(h),
           acceptor(l.context()),
-          late_request_timer(l.context()) {}
+          late_request_timer(l.context()),
+          accept_timer(l.context()) {}
 
     void accept();
     void begin_stop(in_progress_guard guard);
     void finish_stop();
+    void end_unfinished();
+    void on_accepted(tcp::socket socket);
+    void retry_accept();
+    void note(refusal_reason reason) const;
     [[nodiscard]] in_progress_guard make_in_progress_guard();
 
     asio::io_context& context;
@@ -56,6 +67,9 @@
     http_handler& handler;
     tcp::acceptor acceptor;
     asio::steady_timer late_request_timer;
+    asio::steady_timer accept_timer;
+    // Target of reads whose bytes nobody uses.
+    std::vector<char> discarded = std::vector<char>(discard_read_bytes);
     std::unordered_set<session*> sessions;
     std::atomic<std::size_t> in_progress{0};
     // Cleared by the server's destructor; the handler must not be called afterwards.
@@ -83,34 +97,50 @@
 }
 
 constexpr auto discard_timeout = std::chrono::seconds(1);
-constexpr std::size_t discard_read_bytes = std::size_t{64} << 10U;
-constexpr std::size_t max_discarded_bytes = std::size_t{64} << 20U;
+constexpr auto discard_time = std::chrono::seconds(5);
+// What a connection and a message need beside the body and the read buffer.
+constexpr std::size_t message_overhead_bytes = 4096;
+// A header, or trailers, at their limit and one read behind them.
+constexpr std::size_t max_buffer_bytes = std::size_t{256} << 10U;
+constexpr std::size_t idle_buffer_bytes = std::size_t{8} << 10U;
 
-class session : public std::enable_shared_from_this<session> {
+enum class session_phase { reading, in_progress, writing, discarding };
+
+class session : public std::enable_shared_from_this<session>, public budget_member {
 public:
     session(tcp::socket socket, std::shared_ptr<http_server::state> server)
-        : m_stream(std::move(socket)), m_server(std::move(server)) {
+        : m_stream(std::move(socket)), m_server(std::move(server)), m_buffer(max_buffer_bytes) {
         m_server->sessions.insert(this);
+        if (m_server->limits.guard) {
+            m_account.emplace(m_server->limits.guard->budget, *this, m_server.get());
+        }
     }
 
     session(const session&) = delete;
     session& operator=(const session&) = delete;
 
-    ~session() { m_server->sessions.erase(this); }
+    ~session() override { m_server->sessions.erase(this); }
 
     void read() {
+        const request_limits& limits = m_server->limits.request;
         m_parser.emplace();
-        m_parser->body_limit(m_server->limits.max_body_bytes);
+        m_parser->body_limit(limits.max_body_bytes);
+        m_parser->header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
         m_stream.expires_after(m_server->limits.idle_timeout);
-        m_reading = true;
+        m_progress.reset();
+        m_phase = session_phase::reading;
+        if (m_account) {
+            m_account->clear();
+        }
         async_read_message(
             m_stream, m_buffer, *m_parser,
+            [this](const arrived_part& part) { return on_part(part); },
             [self = shared_from_this()](beast::error_code failure) { self->on_read(failure); });
     }
 
-    // A request that has been received in part is read to its end.
+    // A request that has been received in part may arrive within the unfinished window.
     void close_if_idle() {
-        if (!m_reading) {
+        if (m_phase != session_phase::reading) {
             return;
         }
         if (m_parser->got_some()) {
@@ -120,9 +150,56 @@
         m_stream.cancel();
     }
 
+    void end_unfinished() {
+        if (m_phase == session_phase::reading) {
+            m_refusal = refusal_reason::stopping;
+            m_stream.cancel();
+        } else if (m_phase == session_phase::writing) {
+            m_server->note(refusal_reason::response_not_read);
+            m_stream.close();
+        }
+    }
+
 private:
+    void on_evicted(eviction_reason reason) override {
+        m_refusal = reason == eviction_reason::memory ? refusal_reason::memory_full
+                                                      : refusal_reason::connections_full;
+        if (reason == eviction_reason::memory && m_phase == session_phase::reading) {
+            m_stream.cancel();
+            return;
+        }
+        m_server->note(m_phase == session_phase::writing ? refusal_reason::response_not_read
+                                                         : *m_refusal);
+        m_stream.close();
+    }
+
+    // Returns false if the memory of the process does not suffice.
+    [[nodiscard]] bool account_for(budget_use use, std::size_t body_bytes) {
+        return !m_account ||
+               m_account->set(use, body_bytes + m_buffer.capacity() + message_overhead_bytes);
+    }
+
+    beast::error_code on_part(const arrived_part& part) {
+        if (!m_refusal) {
+            m_refusal = m_progress.add(m_server->limits.request, part,
+                                       std::chrono::steady_clock::now());
+        }
+        if (!m_refusal &&
+            !account_for(budget_use::receiving, m_parser->get().body().capacity())) {
+            m_refusal = refusal_reason::memory_full;
+        }
+        if (m_refusal) {
+            return asio::error::operation_aborted;
+        }
+        m_stream.expires_at(m_progress.deadline());
+        return {};
+    }
+
     void on_read(beast::error_code failure) {
-        m_reading = false;
+        if (m_refusal) {
+            refuse(*m_refusal);
+            return;
+        }
         if (failure) {
             on_read_failure(failure);
             return;
@@ -147,11 +224,16 @@
     void on_read_failure(beast::error_code failure) {
         m_keep_alive = false;
         if (failure == http::error::body_limit) {
-            write(error_response(413, "body_too_large",
-                                 "the request body is larger than " +
-                                     std::to_string(m_server->limits.max_body_bytes) + " bytes"));
+            refuse(refusal_reason::body_too_large);
+            return;
+        }
+        if (failure == http::error::header_limit || failure == http::error::buffer_overflow) {
+            refuse(refusal_reason::header_too_large);
             return;
         }
+        if (failure == beast::error::timeout && m_progress.has_begun()) {
+            m_server->note(refusal_reason::too_slow);
+        }
         const bool malformed =
             failure.category() == make_error_code(http::error::bad_method).category();
         if (malformed && failure != http::error::end_of_stream &&
@@ -163,10 +245,52 @@
         m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
     }
 
+    // The request has not reached the handler.
+    void refuse(refusal_reason reason) {
+        if (reason == refusal_reason::connections_full) {
+            return;
+        }
+        m_server->note(reason);
+        m_keep_alive = false;
+        m_parser.reset();
+        m_buffer.clear();
+        m_buffer.shrink_to_fit();
+        write(refusal_response(reason));
+    }
+
+    [[nodiscard]] http_response refusal_response(refusal_reason reason) const {
+        const request_limits& limits = m_server->limits.request;
+        switch (reason) {
+        case refusal_reason::body_too_large:
+            return error_response(413, "body_too_large",
+                                  "the request body is larger than " +
+                                      std::to_string(limits.max_body_bytes) + " bytes");
+        case refusal_reason::chunk_overhead:
+            return error_response(413, "chunk_overhead",
+                                  "the chunks of the body are too small or have long extensions");
+        case refusal_reason::header_too_large:
+            return error_response(431, "header_too_large",
+                                  "the request line, header fields and trailers are larger than " +
+                                      std::to_string(limits.max_header_bytes) + " bytes");
+        case refusal_reason::too_slow:
+            return error_response(408, "request_too_slow", "the request did not arrive in time");
+        default:
+            break;
+        }
+        auto response = error_response(503, "overloaded", "the request was not read to its end");
+        response.fields.set("Retry-After", "1");
+        return response;
+    }
+
     void dispatch(http_request request) {
         if (!m_server->open) {
             return;
         }
+        if (!account_for(budget_use::in_progress, request.body.capacity())) {
+            refuse(refusal_reason::memory_full);
+            return;
+        }
+        m_phase = session_phase::in_progress;
         m_stream.expires_never();
         auto reply_called = std::make_shared<std::atomic<bool>>(false);
         // The guard is kept until the response has been written.
@@ -192,18 +316,25 @@
     }
 
     void write(http_response response, in_progress_guard guard = {}) {
-        m_message = {};
-        m_message.version(11);
-        m_message.result(response.status);
+        m_message.emplace();
+        m_message->version(11);
+        m_message->result(response.status);
         for (const auto& [name, value] : response.fields.all()) {
-            m_message.set(name, value);
+            m_message->set(name, value);
         }
         m_keep_alive = m_keep_alive && !m_server->stopping;
-        m_message.keep_alive(m_keep_alive);
-        m_message.body() = std::move(response.body);
-        m_message.prepare_payload();
-        m_stream.expires_after(m_server->limits.idle_timeout);
-        http::async_write(m_stream, m_message,
+        m_message->keep_alive(m_keep_alive);
+        m_message->body() = std::move(response.body);
+        m_message->prepare_payload();
+        m_phase = session_phase::writing;
+        if (!account_for(budget_use::sending, m_message->body().capacity())) {
+            m_server->note(refusal_reason::response_not_read);
+            m_stream.close();
+            return;
+        }
+        m_stream.expires_after(m_server->stopping ? std::chrono::milliseconds(unfinished_window)
+                                                  : m_server->limits.request.request_timeout);
+        http::async_write(m_stream, *m_message,
                           [self = shared_from_this(),
                            guard = std::move(guard)](beast::error_code failure, std::size_t) {
                               self->on_written(failure);
@@ -212,15 +343,31 @@
 
     void on_written(beast::error_code failure) {
         if (failure) {
+            if (failure == beast::error::timeout) {
+                m_server->note(refusal_reason::response_not_read);
+            }
             return;
         }
+        // Assignment of an empty message would keep the memory of the body.
+        m_message.reset();
         if (!m_keep_alive || m_server->late_request_window_over) {
+            m_partial_request_guard.reset();
             beast::error_code ignored;
             m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-            m_discarded = 0;
+            m_phase = session_phase::discarding;
+            m_discard_end = std::chrono::steady_clock::now() + discard_time;
+            m_parser.reset();
+            m_buffer.clear();
+            m_buffer.shrink_to_fit();
+            if (m_account) {
+                m_account->clear();
+            }
             discard();
             return;
         }
+        if (m_buffer.capacity() > idle_buffer_bytes) {
+            m_buffer.shrink_to_fit();
+        }
         read();
     }
 
@@ -228,13 +375,13 @@
     // the connection, and the client would lose the response, for example the 413 for an oversized
     // body.
     void discard() {
-        m_buffer.clear();
-        m_stream.expires_after(discard_timeout);
+        m_stream.expires_at(
+            std::min(m_discard_end, std::chrono::steady_clock::now() + discard_timeout));
         m_stream.async_read_some(
-            m_buffer.prepare(discard_read_bytes),
+            asio::buffer(m_server->discarded),
             [self = shared_from_this()](beast::error_code failure, std::size_t size) {
                 self->m_discarded += size;
-                if (!failure && self->m_discarded < max_discarded_bytes) {
+                if (!failure && self->m_discarded < self->m_server->limits.max_discarded_bytes) {
                     self->discard();
                 }
             });
@@ -244,10 +391,15 @@
     std::shared_ptr<http_server::state> m_server;
     beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::string_body>> m_parser;
-    http::response<http::string_body> m_message;
+    std::optional<http::response<http::string_body>> m_message;
+    std::optional<request_budget::account> m_account;
+    request_progress m_progress;
+    // Set while the request is read: it gets this refusal, or its connection is closed.
+    std::optional<refusal_reason> m_refusal;
+    session_phase m_phase = session_phase::reading;
     std::size_t m_discarded = 0;
+    std::chrono::steady_clock::time_point m_discard_end;
     bool m_keep_alive = true;
-    bool m_reading = false;
     // Set when a stop finds a partly received request, until that request is dispatched.
     in_progress_guard m_partial_request_guard;
 };
@@ -260,15 +412,51 @@
             if (failure == asio::error::operation_aborted) {
                 return;
             }
-            if (!failure && self->sessions.size() < self->limits.max_connections) {
-                beast::error_code ignored;
-                socket.set_option(tcp::no_delay(true), ignored);
-                std::make_shared<session>(std::move(socket), self)->read();
+            if (failure == asio::error::no_descriptors || failure == asio::error::no_buffer_space ||
+                failure == asio::error::no_memory) {
+                self->retry_accept();
+                return;
+            }
+            if (!failure) {
+                self->on_accepted(std::move(socket));
             }
             self->accept();
         });
 }
 
+void http_server::state::on_accepted(tcp::socket socket) {
+    const bool has_room =
+        limits.guard ? limits.guard->budget.make_room_for_connection(this, sessions.size(),
+                                                                     limits.max_connections)
+                     : sessions.size() < limits.max_connections;
+    if (!has_room) {
+        note(refusal_reason::connections_full);
+        return;
+    }
+    beast::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    std::make_shared<session>(std::move(socket), shared_from_this())->read();
+}
+
+// The connection stays in the queue of the system, which reports it again at once.
+void http_server::state::retry_accept() {
+    if (limits.guard) {
+        (void)limits.guard->budget.evict_connection(nullptr);
+    }
+    accept_timer.expires_after(accept_retry);
+    accept_timer.async_wait([self = shared_from_this()](beast::error_code failure) {
+        if (!failure && self->acceptor.is_open()) {
+            self->accept();
+        }
+    });
+}
+
+void http_server::state::note(refusal_reason reason) const {
+    if (limits.guard) {
+        limits.guard->refusals.note(reason);
+    }
+}
+
 // Connections are accepted until the late request window ends, because the kernel may already have
 // completed connections on which a request is about to arrive.
 void http_server::state::begin_stop(in_progress_guard guard) {
@@ -288,6 +476,18 @@
     for (session* const s : sessions) {
         s->close_if_idle();
     }
+    late_request_timer.expires_after(unfinished_window);
+    late_request_timer.async_wait([self = shared_from_this()](beast::error_code failure) {
+        if (!failure) {
+            self->end_unfinished();
+        }
+    });
+}
+
+void http_server::state::end_unfinished() {
+    for (session* const s : sessions) {
+        s->end_unfinished();
+    }
 }
 
 in_progress_guard http_server::state::make_in_progress_guard() {
@@ -320,6 +520,11 @@
     return m_state->port;
 }
 
+void http_server::set_limits(const request_limits& limits, common::duration idle_timeout) {
+    m_state->limits.request = limits;
+    m_state->limits.idle_timeout = idle_timeout;
+}
+
 void http_server::stop_accepting() {
     // The guard is created here, not on the loop's thread, so that a caller that waits for
     // requests_in_progress() to become 0 also waits for the late request window.
--- a/source/core/net/http_server.h
+++ b/source/core/net/http_server.h
@@ -3,6 +3,8 @@
 #include "core/common/clock.h"
 #include "core/net/endpoint.h"
 #include "core/net/http_message.h"
+#include "core/net/request_guard.h"
+#include "core/net/request_progress.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -30,14 +32,19 @@
 };
 
 struct http_server_limits {
-    std::size_t max_body_bytes = 8U << 20U;
+    request_limits request = {};
     std::size_t max_connections = 4096;
-    /// Limit for reading a request or writing a response, and for keeping an idle connection.
+    /// Limit for keeping an idle connection. A response is given the time of a request.
     common::duration idle_timeout = std::chrono::seconds(60);
+    /// How much of a refused request is read, so that its client sees the response.
+    std::size_t max_discarded_bytes = std::size_t{64} << 20U;
+    /// Shared by all servers and clients of a process; without it the process has no limit in all.
+    std::shared_ptr<request_guard> guard = nullptr;
 };
 
-/// HTTP/1.1 server with keep-alive. Malformed requests, bodies over the limit and unsupported
-/// methods get a 4xx response with an error type and do not reach the handler.
+/// HTTP/1.1 server with keep-alive. Malformed requests, requests over a limit and unsupported
+/// methods get a 4xx response with an error type and do not reach the handler. If the memory of the
+/// process does not suffice, unfinished requests get a 503 response, or their connection is closed.
 class http_server {
 public:
     /// Binds the address; throws net_error when that fails. Port 0 selects a free port.
@@ -49,9 +56,14 @@
 
     [[nodiscard]] std::uint16_t port() const;
 
+    /// Sets the limits of requests that begin afterwards, and the idle timeout. Must be called on
+    /// the loop's thread.
+    void set_limits(const request_limits& limits, common::duration idle_timeout);
+
     /// Begins a graceful stop. Further responses carry "Connection: close". After a short period
     /// for requests that clients have already sent, the listening socket and idle connections are
-    /// closed. Requests in progress still get their response. May be called from any thread.
+    /// closed. Requests in progress still get their response; requests that arrive in part and
+    /// responses that are not read are given up soon after. May be called from any thread.
     void stop_accepting();
 
     /// Number of requests whose response has not been written yet. A stop counts as one until its
--- a/source/core/peer/peer_node.cpp
+++ b/source/core/peer/peer_node.cpp
@@ -7,6 +7,7 @@
 #include "core/peer/peer_service.h"
 
 #include <capnp/rpc-twoparty.h>
+#include <capnp/rpc.h>
 #include <kj/async-io.h>
 
 #include <algorithm>
@@ -31,14 +32,46 @@
     return d.count() * kj::MICROSECONDS;
 }
 
+// The library allocates a message by its announced length before it has arrived. The largest
+// messages carry a few configurations.
+constexpr std::uint64_t max_message_words = (std::uint64_t{32} << 20U) / sizeof(capnp::word);
+constexpr auto accept_retry = 100 * kj::MILLISECONDS;
+
+capnp::ReaderOptions reader_options() {
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = max_message_words;
+    return options;
+}
+
+// Connection of a peer that calls this process.
+struct accepted_connection {
+    accepted_connection(kj::Own<kj::AsyncIoStream> s, capnp::Capability::Client service)
+        : stream(kj::mv(s)),
+          network(*stream, capnp::rpc::twoparty::Side::SERVER, reader_options()),
+          rpc(capnp::makeRpcServer(network, kj::mv(service))) {}
+
+    kj::Own<kj::AsyncIoStream> stream;
+    capnp::TwoPartyVatNetwork network;
+    capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc;
+};
+
 // Connection to one peer. The client queues calls made before the connection is established.
 struct connection {
     bool established = false;
     kj::Own<kj::AsyncIoStream> stream;
-    kj::Own<capnp::TwoPartyClient> rpc;
+    kj::Own<capnp::TwoPartyVatNetwork> network;
+    kj::Maybe<capnp::RpcSystem<capnp::rpc::twoparty::VatId>> rpc;
     std::optional<schema::Peer::Client> client;
 };
 
+capnp::Capability::Client
+bootstrap_of(capnp::RpcSystem<capnp::rpc::twoparty::VatId>& rpc) {
+    capnp::MallocMessageBuilder message;
+    auto server = message.initRoot<capnp::rpc::twoparty::VatId>();
+    server.setSide(capnp::rpc::twoparty::Side::SERVER);
+    return rpc.bootstrap(server);
+}
+
 using connection_ptr = std::shared_ptr<connection>;
 
 // State of the peer thread. Used on that thread only.
@@ -56,7 +89,7 @@
         const auto text = net::to_string(address);
         auto parsed = m_io.provider->getNetwork().parseAddress(text.c_str()).wait(m_io.waitScope);
         m_listener = parsed->listen();
-        m_tasks.add(m_server.listen(*m_listener));
+        m_tasks.add(accept());
         return static_cast<std::uint16_t>(m_listener->getPort());
     }
 
@@ -84,6 +117,31 @@
     }
 
 private:
+    kj::Promise<void> accept() {
+        return m_listener->accept().then(
+            [this](kj::Own<kj::AsyncIoStream> stream) {
+                if (m_accepted < m_limits.max_accepted_connections) {
+                    serve(kj::mv(stream));
+                } else {
+                    m_counters.get("refusals_total", "reason", "peer_connections_full").add();
+                }
+                return accept();
+            },
+            // Without a descriptor for it, a connection stays in the queue of the system.
+            [this](const kj::Exception& /*failure*/) {
+                m_counters.get("peer_task_failures_total").add();
+                return m_io.provider->getTimer().afterDelay(accept_retry).then(
+                    [this] { return accept(); });
+            });
+    }
+
+    void serve(kj::Own<kj::AsyncIoStream> stream) {
+        ++m_accepted;
+        auto accepted = kj::heap<accepted_connection>(kj::mv(stream), capnp::Capability::Client(m_server));
+        auto closed = accepted->network.onDisconnect();
+        m_tasks.add(closed.attach(kj::mv(accepted), kj::defer([this] { --m_accepted; })));
+    }
+
     connection_ptr connect(const net::endpoint& to) {
         connection_ptr& current = m_connections[to];
         if (current) {
@@ -115,9 +173,11 @@
                         KJ_EXCEPTION(DISCONNECTED, "connection closed before it was established"));
                 }
                 opened->stream = kj::mv(stream);
-                opened->rpc = kj::heap<capnp::TwoPartyClient>(*opened->stream);
+                opened->network = kj::heap<capnp::TwoPartyVatNetwork>(
+                    *opened->stream, capnp::rpc::twoparty::Side::CLIENT, reader_options());
+                auto& rpc = opened->rpc.emplace(capnp::makeRpcClient(*opened->network));
                 opened->established = true;
-                return opened->rpc->bootstrap().castAs<schema::Peer>();
+                return bootstrap_of(rpc).castAs<schema::Peer>();
             });
     }
 
@@ -142,7 +202,8 @@
     std::map<net::endpoint, connection_ptr> m_connections;
     std::vector<connection_ptr> m_closed;
     kj::Own<kj::ConnectionReceiver> m_listener;
-    capnp::TwoPartyServer m_server;
+    capnp::Capability::Client m_server;
+    std::size_t m_accepted = 0;
     // Last member, so that its destructor cancels the calls before their connections are destroyed.
     kj::TaskSet m_tasks;
 };
--- a/source/core/peer/peer_node.h
+++ b/source/core/peer/peer_node.h
@@ -22,6 +22,8 @@
     common::duration call_timeout = std::chrono::seconds(2);
     /// Limit of calls queued for the peer thread. Calls beyond it fail without being sent.
     std::size_t max_queued_calls = 8192;
+    /// Connections of callers; further ones are closed.
+    std::size_t max_accepted_connections = 512;
 };
 
 /// Client and server of the protocol between the processes of the system. One thread runs a KJ
--- a/source/core/server/server_settings.cpp
+++ b/source/core/server/server_settings.cpp
@@ -52,8 +52,8 @@
     s.drain_grace = milliseconds(settings.number("drain_grace_ms", {0, 60'000, "ms"}, 200));
     s.drain_timeout =
         milliseconds(settings.number("drain_timeout_ms", {100, 3'600'000, "ms"}, 30'000));
-    s.max_body_bytes = static_cast<std::size_t>(
-        settings.number("max_body_bytes", {1024, 64 << 20, "bytes"}, 8 << 20));
+    constexpr std::int64_t usual_body_bytes = std::int64_t{8} << 20U;
+    s.requests = net::read_request_settings(settings, usual_body_bytes);
     s.shards = read_shards(settings);
     return s;
 }
--- a/source/core/server/server_settings.h
+++ b/source/core/server/server_settings.h
@@ -2,6 +2,7 @@
 
 #include "core/common/clock.h"
 #include "core/net/endpoint.h"
+#include "core/net/request_settings.h"
 
 #include <cstddef>
 #include <string>
@@ -42,7 +43,7 @@
     common::duration drain_grace{};
     /// Time limit for finishing work in progress during a shutdown.
     common::duration drain_timeout{};
-    std::size_t max_body_bytes = 0;
+    net::request_settings requests;
     std::vector<shard_settings> shards;
 };
 
--- a/source/core/service/node_application.cpp
+++ b/source/core/service/node_application.cpp
@@ -31,7 +31,6 @@
 // A dead connection of a watch is only noticed after the watch's wait time, and a new configuration
 // must take effect within 2.5 s.
 constexpr auto configuration_wait = std::chrono::milliseconds(1300);
-constexpr std::size_t max_body_bytes = std::size_t{1} << 20U;
 
 // Starts without a response: as many as the link carries within this time, and at least one for
 // each of a few workers.
@@ -73,16 +72,21 @@
     }
 }
 
-net::http_client_limits client_limits() {
+net::http_client_limits client_limits(const std::shared_ptr<net::request_guard>& guard) {
     net::http_client_limits limits;
+    limits.guard = guard;
     limits.connect_timeout = std::chrono::milliseconds(600);
     return limits;
 }
 
-net::http_server_limits server_limits() {
+net::http_server_limits server_limits(const net::request_settings& settings,
+                                      const std::shared_ptr<net::request_guard>& guard) {
     net::http_server_limits limits;
-    limits.max_body_bytes = max_body_bytes;
+    limits.request = settings.limits;
+    limits.idle_timeout = settings.idle_timeout;
     limits.max_connections = 1500;
+    limits.max_discarded_bytes = settings.limits.max_body_bytes;
+    limits.guard = guard;
     return limits;
 }
 
@@ -107,7 +111,8 @@
       m_clock(clock),
       m_counters(counters),
       m_process(random_process_number()),
-      m_client(loop, client_limits()),
+      m_guard(net::make_request_guard(m_settings.requests.resources, counters)),
+      m_client(loop, client_limits(m_guard)),
       m_platform(platform_registry::instance().make(
           m_settings.adapter,
           platform_context{m_client, counters, m_settings.store, m_settings.advice})),
@@ -116,7 +121,7 @@
       m_directory(m_settings.state_retention),
       m_relay(m_client, m_store, m_health, [this] { return m_peers.relay_peer(); }),
       m_intake(m_store, m_relay, m_health, loop, clock, counters, m_settings.max_store_value_bytes),
-      m_admission(memory_for_jobs(m_settings.memory)),
+      m_admission(memory_for_jobs(m_settings.requests.resources.memory)),
       m_peers(make_peer_environment()),
       m_callers(make_caller_environment()),
       m_readiness(*this) {
@@ -214,12 +219,12 @@
 }
 
 void node_application::start() {
+    const auto limits = server_limits(m_settings.requests, m_guard);
     m_caller_server =
-        std::make_unique<net::http_server>(m_loop, m_settings.callers, server_limits(), m_callers);
-    m_readiness_server = std::make_unique<net::http_server>(m_loop, m_settings.readiness,
-                                                            server_limits(), m_readiness);
-    m_peer_server =
-        std::make_unique<net::http_server>(m_loop, m_settings.peers, server_limits(), m_peers);
+        std::make_unique<net::http_server>(m_loop, m_settings.callers, limits, m_callers);
+    m_readiness_server =
+        std::make_unique<net::http_server>(m_loop, m_settings.readiness, limits, m_readiness);
+    m_peer_server = std::make_unique<net::http_server>(m_loop, m_settings.peers, limits, m_peers);
     log_event(severity::info, "serving",
               {{"callers", net::to_string(m_settings.callers)},
                {"peers", net::to_string(m_settings.peers)},
@@ -265,6 +270,8 @@
                    {"revision", item.revision}});
         log_customer_defects(configuration);
         m_configuration = std::move(configuration);
+        const auto limits = limits_in_force(m_settings.requests, m_configuration->limits);
+        m_caller_server->set_limits(limits.limits, limits.idle_timeout);
     } catch (const common::error& e) {
         log_event(severity::error, "configuration_unreadable",
                   {{"revision", item.revision}, {"reason", e.what()}});
--- a/source/core/service/node_application.h
+++ b/source/core/service/node_application.h
@@ -75,6 +75,7 @@
     common::clock& m_clock;
     common::counters& m_counters;
     std::uint64_t m_process;
+    std::shared_ptr<net::request_guard> m_guard;
     net::http_client m_client;
     std::unique_ptr<platform_adapter> m_platform;
     store_health m_health;
--- a/source/core/service/node_settings.cpp
+++ b/source/core/service/node_settings.cpp
@@ -10,6 +10,7 @@
 constexpr std::int64_t min_value_bytes = std::int64_t{16} << 10U;
 constexpr std::int64_t usual_value_bytes = std::int64_t{1} << 20U;
 constexpr std::int64_t max_value_bytes = std::int64_t{64} << 20U;
+constexpr std::int64_t usual_body_bytes = std::int64_t{1} << 20U;
 constexpr std::int64_t day_ms = std::int64_t{24} * 3600 * 1000;
 
 net::endpoint read_endpoint(common::settings_section& settings, const char* key) {
@@ -56,8 +57,7 @@
     result.cancel_bound = read_ms(settings, "cancel_bound_ms", 2000, 3000);
     result.drain_bound = read_ms(settings, "drain_bound_ms", 2000, 2500);
     result.min_store_lease = read_ms(settings, "min_store_lease_ms", 1, 1000);
-    constexpr std::int64_t max_memory_mb = std::int64_t{1} << 24U;
-    result.memory = settings.number("memory_mb", {0, max_memory_mb, "MB"}, 0) << 20U;
+    result.requests = net::read_request_settings(settings, usual_body_bytes);
     result.max_store_value_bytes = static_cast<std::size_t>(settings.number(
         "store_value_bytes", {min_value_bytes, max_value_bytes, "bytes"}, usual_value_bytes));
     result.cpu_share = settings.real("cpu_share", 0.0, 1024.0, 1.0);
--- a/source/core/service/node_settings.h
+++ b/source/core/service/node_settings.h
@@ -2,6 +2,7 @@
 
 #include "core/common/clock.h"
 #include "core/net/endpoint.h"
+#include "core/net/request_settings.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -38,8 +39,8 @@
     common::duration drain_bound{};
     /// Shortest lease that the store grants.
     common::duration min_store_lease{};
-    /// Memory available to the process, in bytes; 0 when unknown.
-    std::int64_t memory = 0;
+    /// Limits of requests, with the memory and the descriptors of the process.
+    net::request_settings requests;
     /// Largest value of a key of the store.
     std::size_t max_store_value_bytes = 0;
     std::string order;
--- a/source/core/service/service_configuration.h
+++ b/source/core/service/service_configuration.h
@@ -2,6 +2,7 @@
 
 #include "core/customers/customer_directory.h"
 #include "core/dispatch/job.h"
+#include "core/service/caller_limits.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -24,6 +25,7 @@
     std::uint64_t version = 0;
     std::vector<queue_route> routes;
     customers::customer_directory customers;
+    caller_limits limits;
 
     /// The route of the host with the longest matching path prefix; nullptr when there is none.
     [[nodiscard]] const queue_route* find_route(std::string_view host, std::string_view path) const;
--- a/tests/process/uncontrolled_clients_test.cpp
+++ b/tests/process/uncontrolled_clients_test.cpp
@@ -9,6 +9,7 @@
 #include "process/process_usage.h"
 #include "process/temporary_directory.h"
 #include "soak/platform_store.h"
+#include "soak/soak_log.h"
 
 #include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
@@ -104,8 +105,7 @@
 
 private:
     void tick() {
-        const auto now = std::chrono::steady_clock::now().time_since_epoch();
-        m_store.advance(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+        m_store.advance(soak::now_ms());
         m_loop.post_after(20ms, [this] { tick(); });
     }
 
--- a/tests/unit/net/http_test.cpp
+++ b/tests/unit/net/http_test.cpp
@@ -63,7 +63,7 @@
 
     static http_server_limits small_limits() {
         http_server_limits limits;
-        limits.max_body_bytes = 1000;
+        limits.request.max_body_bytes = 1000;
         return limits;
     }
 
