Merge the limits of uncontrolled clients

The capability of a node takes its memory and descriptors from the settings of the budget, so that each key is read once.

--- a/source/core/service/node_settings.h
+++ b/source/core/service/node_settings.h
@@ -2,6 +2,7 @@
 
 #include "core/common/clock.h"
 #include "core/net/endpoint.h"
+#include "core/net/request_settings.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -38,8 +39,8 @@
     common::duration drain_bound{};
     /// Shortest lease that the store grants.
     common::duration min_store_lease{};
-    /// Memory available to the process, in bytes; 0 when unknown.
-    std::int64_t memory = 0;
+    /// Limits of requests, with the memory and the descriptors of the process.
+    net::request_settings requests;
     /// Largest value of a key of the store.
     std::size_t max_store_value_bytes = 0;
     std::string order;
@@ -47,8 +48,6 @@
     double cpu_share = 1.0;
     /// Capacity of the instance's network link in megabits per second; 0 when unknown.
     double link_mbps = 0.0;
-    /// File descriptors of the process; 0 when unknown.
-    std::int64_t max_fds = 0;
 };
 
 /// Throws common::settings_error.
