Count runs of unknown jobs against the caps, and check caps in random scenarios

Change: what stray runs may take on their workers counts against all caps until they have ended, as the capacity of workers that have not answered does.

--- a/source/core/customers/cap_ledger.cpp
+++ b/source/core/customers/cap_ledger.cpp
@@ -54,18 +54,13 @@
     }
 }
 
-bool cap_ledger::may_have_unreported_runs(customer_index customer) const {
-    return m_unreported &&
-           (!m_unreported->customers || m_unreported->customers->contains(customer));
-}
-
 resources cap_ledger::room(customer_index customer) const {
     if (customer == no_customer || !m_accounts.limit(customer)) {
         return {unlimited, unlimited, unlimited};
     }
-    auto used = m_accounts.used(customer);
-    if (may_have_unreported_runs(customer)) {
-        used += m_unreported->amount;
+    auto used = m_accounts.used(customer) + m_unreported.of_anybody;
+    if (m_unreported.some.contains(customer)) {
+        used += m_unreported.of_some;
     }
     return difference(*m_accounts.limit(customer), used);
 }
--- a/source/core/customers/cap_ledger.h
+++ b/source/core/customers/cap_ledger.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 namespace buckthornspar::customers {
@@ -21,11 +22,15 @@
 /// Amount of a resource that has no limit. Sums with amounts of a fleet do not overflow.
 inline constexpr std::int64_t unlimited = std::numeric_limits<std::int64_t>::max() / 4;
 
-/// Capacity that runs may take of which the owner does not know yet.
+/// Capacity that runs may take of which the owner does not know what they are.
 struct unreported_runs {
-    placement::resources amount;
-    /// The customers whose runs these may be; absent when they may be anybody's.
-    std::optional<std::unordered_set<customer_index>> customers;
+    /// Runs that may be anybody's.
+    placement::resources of_anybody;
+    /// Further runs, which may be those of some customers.
+    placement::resources of_some;
+    std::unordered_set<customer_index> some;
+
+    bool operator==(const unreported_runs&) const = default;
 };
 
 /// What the runs of each customer take over all workers, and the customers' caps. A customer that
@@ -56,17 +61,15 @@
     }
 
     /// Replaces what unreported runs may take; it counts against the caps.
-    void set_unreported(std::optional<unreported_runs> runs) { m_unreported = std::move(runs); }
+    void set_unreported(unreported_runs runs) { m_unreported = std::move(runs); }
 
     /// What the customer may start in addition. A component is negative when the cap has been
     /// lowered below what runs, and `unlimited` without a limit.
     [[nodiscard]] placement::resources room(customer_index customer) const;
 
 private:
-    [[nodiscard]] bool may_have_unreported_runs(customer_index customer) const;
-
     placement::quota_ledger m_accounts;
-    std::optional<unreported_runs> m_unreported;
+    unreported_runs m_unreported;
     bool m_any_caps = false;
 };
 
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -261,8 +261,9 @@
     [[nodiscard]] bool is_any_partly_listed(common::time_point now,
                                             const std::set<std::string>& workers) const;
     void skip_possible_run_numbers(job_entry& job) const;
-    /// What workers that have not answered this owner may run for customers with caps.
-    [[nodiscard]] std::optional<customers::unreported_runs> find_unreported_runs() const;
+    /// What may run for customers with caps, on workers that have not answered this owner or by
+    /// runs of unknown jobs.
+    [[nodiscard]] customers::unreported_runs find_unreported_runs() const;
     void log_adoption(common::time_point now, const worker_entry& worker, const poll_result& result,
                       bool through_peer) const;
     [[nodiscard]] bool is_unresponsive(const worker_entry& worker) const;
--- a/source/core/dispatch/dispatcher_recovery.cpp
+++ b/source/core/dispatch/dispatcher_recovery.cpp
@@ -22,6 +22,13 @@
     return worker.has_uncertain_runs() ? 0 : worker.report.start_time_ms;
 }
 
+// One unknown amount makes the sum unknown.
+void add_unreported(placement::resources& sum, const std::optional<placement::resources>& amount) {
+    constexpr placement::resources any_amount{customers::unlimited, customers::unlimited,
+                                              customers::unlimited};
+    sum = !amount || sum == any_amount ? any_amount : sum + *amount;
+}
+
 // Names of the workers, of the first ones only so that the line stays short.
 std::string list_names(const std::set<std::string>& workers) {
     constexpr std::size_t most = 8;
@@ -174,35 +181,37 @@
 
 // Jobs that were accepted after the take-over may start at once, but not above the cap of their
 // customer: what a former owner started on a worker is unknown until the worker has answered, or
-// until such runs have certainly ended. Until then its whole capacity counts.
-std::optional<customers::unreported_runs> dispatcher::find_unreported_runs() const {
-    if (!m_workers.usage().any_caps() || (m_recovered && m_jobs_on_unresponsive_workers.empty())) {
-        return std::nullopt;
-    }
+// until such runs have certainly ended. Until then its whole capacity counts. So does what stray
+// runs may take, which end within the time of a stop.
+customers::unreported_runs dispatcher::find_unreported_runs() const {
     customers::unreported_runs runs;
-    const auto add = [&](const std::string& id) {
+    if (!m_workers.usage().any_caps()) {
+        return runs;
+    }
+    for (const auto& [id, run] : m_pending_stops) {
         const auto* const worker = m_workers.find(id);
-        if (worker == nullptr || worker->adopted || m_key_seen_at > former_runs_end(id)) {
-            return;
+        if (worker != nullptr && m_workers.is_of_unknown_demand(*worker, run)) {
+            add_unreported(runs.of_anybody, m_workers.unknown_usage(*worker));
         }
-        const auto& capacity = worker->report.capacity;
-        if (capacity == placement::resources{}) {
-            // The record of workers has no capacities.
-            runs.amount = {customers::unlimited, customers::unlimited, customers::unlimited};
-        } else if (runs.amount.cpu_milli < customers::unlimited) {
-            runs.amount += capacity;
+    }
+    const auto add_workers = [&](placement::resources& sum, const std::set<std::string>& ids) {
+        for (const auto& id : ids) {
+            const auto* const worker = m_workers.find(id);
+            if (worker != nullptr && !worker->adopted && m_key_seen_at <= former_runs_end(id)) {
+                add_unreported(sum, m_workers.unknown_usage(*worker));
+            }
         }
     };
-    std::for_each(m_unadopted.begin(), m_unadopted.end(), add);
-    if (!m_jobs_on_unresponsive_workers.empty()) {
-        std::for_each(m_unresponsive_workers.begin(), m_unresponsive_workers.end(), add);
+    if (!m_recovered) {
+        add_workers(runs.of_anybody, m_unadopted);
     }
-    if (m_recovered) {
-        runs.customers.emplace();
-        for (const auto& id : m_jobs_on_unresponsive_workers) {
-            if (const auto job = m_jobs.find(id); job != m_jobs.end()) {
-                runs.customers->insert(job->second.customer);
-            }
+    if (m_jobs_on_unresponsive_workers.empty()) {
+        return runs;
+    }
+    add_workers(m_recovered ? runs.of_some : runs.of_anybody, m_unresponsive_workers);
+    for (const auto& id : m_jobs_on_unresponsive_workers) {
+        if (const auto job = m_jobs.find(id); job != m_jobs.end()) {
+            runs.some.insert(job->second.customer);
         }
     }
     return runs;
--- a/source/core/dispatch/dispatcher_runs.cpp
+++ b/source/core/dispatch/dispatcher_runs.cpp
@@ -13,8 +13,6 @@
 
 // The other members of a gang end by themselves within this time after the first one.
 constexpr auto gang_end_delay = std::chrono::milliseconds(600);
-// More than any worker has. The actual capacity is unknown while the worker is not listed.
-constexpr placement::resources unknown_demand{std::int64_t{1} << 40, std::int64_t{1} << 40, 0};
 constexpr unsigned max_exclusion_doublings = 3;
 // At most one worker in this many is excluded for failed runs at the same time.
 constexpr std::size_t exclusion_divisor = 3;
--- a/source/core/dispatch/worker_registry.cpp
+++ b/source/core/dispatch/worker_registry.cpp
@@ -310,6 +310,26 @@
     return lost;
 }
 
+bool worker_registry::is_of_unknown_demand(const worker_entry& worker, const run_key& run) {
+    const auto placed = worker.runs.find(run);
+    return placed != worker.runs.end() && placed->second.demand == unknown_demand;
+}
+
+std::optional<placement::resources> worker_registry::unknown_usage(const worker_entry& worker) {
+    auto rest = worker.report.capacity;
+    if (rest == placement::resources{}) {
+        return std::nullopt;
+    }
+    for (const auto& [run, placed] : worker.runs) {
+        if (placed.demand != unknown_demand) {
+            rest -= placed.demand;
+        }
+    }
+    return placement::resources{std::max<std::int64_t>(rest.cpu_milli, 0),
+                                std::max<std::int64_t>(rest.memory_mb, 0),
+                                std::max<std::int64_t>(rest.accelerators, 0)};
+}
+
 bool worker_registry::is_usage_consistent() const {
     std::vector<placement::resources> sums(m_usage.size());
     const auto add = [&sums](customers::customer_index customer,
--- a/source/core/dispatch/worker_registry.h
+++ b/source/core/dispatch/worker_registry.h
@@ -11,6 +11,11 @@
 
 namespace buckthornspar::dispatch {
 
+/// Demand of a run of an unknown job, so that nothing is placed beside it: more than any worker
+/// has. The actual capacity is unknown while the worker is not listed.
+inline constexpr placement::resources unknown_demand{std::int64_t{1} << 40, std::int64_t{1} << 40,
+                                                     0};
+
 /// Index of a worker; stable during an owner's term and not reused within it.
 using worker_slot = std::uint32_t;
 
@@ -263,6 +268,12 @@
     /// What the runs of each customer take.
     [[nodiscard]] customers::cap_ledger& usage() { return m_usage; }
     [[nodiscard]] const customers::cap_ledger& usage() const { return m_usage; }
+    /// The run is that of an unknown job, placed with unknown_demand.
+    [[nodiscard]] static bool is_of_unknown_demand(const worker_entry& worker, const run_key& run);
+    /// What runs that the owner does not know may take on the worker; absent when its capacity is
+    /// not known.
+    [[nodiscard]] static std::optional<placement::resources>
+    unknown_usage(const worker_entry& worker);
     /// Whether usage() is what the runs and the open starts take.
     [[nodiscard]] bool is_usage_consistent() const;
 
--- a/source/core/emulation/emulated_owner.cpp
+++ b/source/core/emulation/emulated_owner.cpp
@@ -89,6 +89,7 @@
     const auto& plans = m_counters.get("plans_total");
     const auto plans_before = plans.value();
     m_engine.on_time(now);
+    m_platform.m_observer.on_owner_acted(m_engine);
     const bool planned = plans.value() != plans_before;
     // As in the service's owner, actions are sent when the plan is complete.
     m_processor.spend(planned ? settings.plan_cost : common::duration(0),
--- a/source/core/emulation/emulated_platform.cpp
+++ b/source/core/emulation/emulated_platform.cpp
@@ -29,6 +29,7 @@
 void platform_observer::on_cancel_accepted(const std::string&) {}
 void platform_observer::on_cancel_acknowledged(const std::string&) {}
 void platform_observer::on_drain_acknowledged(const emulated_worker&) {}
+void platform_observer::on_owner_acted(const dispatch::dispatcher&) {}
 
 emulated_platform::emulated_platform(const platform_settings& settings, platform_observer& observer,
                                      std::uint64_t seed)
@@ -48,6 +49,17 @@
     m_queues = std::move(queues);
 }
 
+bool emulated_platform::set_customers(std::vector<customers::customer_settings> customers) {
+    if (!store_up()) {
+        return false;
+    }
+    m_customers = std::move(customers);
+    m_job_changes.append([customers = m_customers](emulated_owner& owner) {
+        owner.engine().on_customers(customers);
+    });
+    return true;
+}
+
 void emulated_platform::add_worker(const dispatch::worker_report& report) {
     m_fleet.add(now(), report);
     publish(report.id);
@@ -223,6 +235,7 @@
     m_owner = std::make_unique<emulated_owner>(*this, m_owner_fence, settings);
     auto& engine = m_owner->engine();
     engine.on_queues(m_queues);
+    engine.on_customers(m_customers);
     for (const auto& [id, link] : m_links) {
         if (link.listed) {
             auto report = m_fleet.find(id)->report;
--- a/source/core/emulation/emulated_platform.h
+++ b/source/core/emulation/emulated_platform.h
@@ -78,6 +78,8 @@
     virtual void on_cancel_acknowledged(const std::string& job);
     /// The store has acknowledged a worker's report that it is draining.
     virtual void on_drain_acknowledged(const emulated_worker& worker);
+    /// An owner has handled events and has made the plans that were due.
+    virtual void on_owner_acted(const dispatch::dispatcher& owner);
 
 protected:
     platform_observer() = default;
@@ -95,6 +97,8 @@
     emulated_platform& operator=(const emulated_platform&) = delete;
 
     void set_queues(std::vector<dispatch::queue_settings> queues);
+    /// Returns false when the store does not respond; the customers are as before then.
+    bool set_customers(std::vector<customers::customer_settings> customers);
     void add_worker(const dispatch::worker_report& report);
     /// Starts the election of the first owner, or of the next one when there is none.
     void elect();
@@ -240,6 +244,7 @@
     common::rng m_rng;
     emulated_fleet m_fleet;
     std::vector<dispatch::queue_settings> m_queues;
+    std::vector<customers::customer_settings> m_customers;
     std::map<std::string, worker_link_state> m_links;
     std::vector<pending_poll> m_pending_polls;
 
--- a/tests/scenario/dispatch/dispatch_invariants.cpp
+++ b/tests/scenario/dispatch/dispatch_invariants.cpp
@@ -1,6 +1,7 @@
 #include "scenario/dispatch/dispatch_invariants.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace buckthornspar::scenario {
 
@@ -15,6 +16,10 @@
 constexpr common::duration drain_bound = std::chrono::milliseconds(2500);
 // A shrunk capacity counts only after this time: that of contact, and one report of the worker.
 constexpr common::duration capacity_bound = std::chrono::milliseconds(5500);
+// A cap counts this long after the store has taken another one (config_apply_ms).
+constexpr common::duration cap_bound = std::chrono::milliseconds(4000);
+// Part of a cap by which a start may exceed it (quota_overage), beside the task itself.
+constexpr double cap_overage = 0.1;
 // Platform limits for a task that crashes its workers: crashes after which it may be given up, and
 // crashes after which this many further starts break the rule.
 constexpr std::uint32_t crashes_to_give_up = 2;
@@ -31,6 +36,7 @@
                                          const dispatch::start_order& order) {
     const auto& run = order.run;
     check_capacity(worker);
+    check_cap(run);
     check_no_concurrent_run(worker, run);
     check_step_order(run);
     auto& task = m_tasks[run.task];
@@ -122,6 +128,56 @@
     }
 }
 
+void dispatch_invariants::on_cap_set(const std::string& customer, std::int64_t cpu_milli) {
+    m_caps[customer].emplace_back(m_platform->now(), cpu_milli);
+}
+
+std::int64_t dispatch_invariants::highest_cap(const std::string& customer) const {
+    constexpr auto no_limit = std::numeric_limits<std::int64_t>::max() / 2;
+    const auto known = m_caps.find(customer);
+    if (known == m_caps.end()) {
+        return no_limit;
+    }
+    std::int64_t highest = 0;
+    const auto& caps = known->second;
+    for (std::size_t i = 0; i < caps.size(); ++i) {
+        const bool replaced = i + 1 < caps.size() && m_platform->is_store_stable() &&
+                              caps[i + 1].first + cap_bound < m_platform->now();
+        if (!replaced) {
+            highest = std::max(highest, caps[i].second == 0 ? no_limit : caps[i].second);
+        }
+    }
+    return highest;
+}
+
+void dispatch_invariants::check_cap(const run_key& run) const {
+    auto& fleet = m_platform->fleet();
+    const auto& spec = *fleet.job(run.task.job);
+    if (spec.customer.empty()) {
+        return;
+    }
+    std::int64_t used = 0;
+    for (const auto& [id, worker] : fleet.workers()) {
+        for (const auto& [other, running] : worker.runs) {
+            if (fleet.job(other.task.job)->customer == spec.customer) {
+                used += running.demand.cpu_milli;
+            }
+        }
+    }
+    const auto cap = highest_cap(spec.customer);
+    const auto task = spec.steps[run.task.step].demand.cpu_milli;
+    if (static_cast<double>(used - task) > static_cast<double>(cap) * (1.0 + cap_overage)) {
+        throw violation(describe(run) + " starts above the cap of " + spec.customer + ": " +
+                        std::to_string(used) + " of " + std::to_string(cap));
+    }
+}
+
+void dispatch_invariants::on_owner_acted(const dispatch::dispatcher& owner) {
+    if (!owner.workers().is_usage_consistent()) {
+        throw violation("the ledger of the customers differs from their runs");
+    }
+}
+
 void dispatch_invariants::check_no_concurrent_run(const emulation::emulated_worker& worker,
                                                   const run_key& run) const {
     for (auto& [id, other] : m_platform->fleet().workers()) {
--- a/tests/scenario/dispatch/dispatch_invariants.h
+++ b/tests/scenario/dispatch/dispatch_invariants.h
@@ -34,6 +34,9 @@
     void on_cancel_accepted(const std::string& job) override;
     void on_cancel_acknowledged(const std::string& job) override;
     void on_drain_acknowledged(const emulation::emulated_worker& worker) override;
+    void on_owner_acted(const dispatch::dispatcher& owner) override;
+    /// The store has taken a cap of the customer; 0 for no limit.
+    void on_cap_set(const std::string& customer, std::int64_t cpu_milli);
 
 private:
     using worker_incarnation = std::pair<std::string, std::int64_t>;
@@ -64,6 +67,9 @@
     void check_capacity(const emulation::emulated_worker& worker) const;
     void check_no_concurrent_run(const emulation::emulated_worker& worker,
                                  const dispatch::run_key& run) const;
+    void check_cap(const dispatch::run_key& run) const;
+    /// The highest cap of the customer that an owner may know.
+    [[nodiscard]] std::int64_t highest_cap(const std::string& customer) const;
     void check_step_order(const dispatch::run_key& run) const;
     void check_cancellation(const dispatch::run_key& run) const;
     void check_draining(const emulation::emulated_worker& worker,
@@ -81,6 +87,8 @@
     /// Jobs of which a worker has started a task.
     std::set<std::string> m_begun;
     std::set<std::string> m_ended;
+    /// The caps of each customer in thousandths of a processor, and when they were set.
+    std::map<std::string, std::vector<std::pair<common::time_point, std::int64_t>>> m_caps;
 };
 
 } // namespace buckthornspar::scenario
--- a/tests/scenario/dispatch/dispatch_scenario_test.cpp
+++ b/tests/scenario/dispatch/dispatch_scenario_test.cpp
@@ -88,6 +88,14 @@
     BOOST_TEST(failure.empty(), failure);
 }
 
+// Guards against starts above the cap of a customer while caps change, owners and workers are lost,
+// answers are lost and orders are carried out late, and against a ledger that loses or doubles a
+// run on any of these ways (QUOTA).
+BOOST_AUTO_TEST_CASE(random_caps_pass) {
+    const auto failure = run_random(random_runs, random_cap_script, make_dispatch_world);
+    BOOST_TEST(failure.empty(), failure);
+}
+
 // The cases below guard against checks that cannot fail: each gives the owner one kind of wrong
 // information and expects the matching violation.
 BOOST_AUTO_TEST_CASE(an_overcommitted_worker_is_detected) {
@@ -106,6 +114,12 @@
     BOOST_TEST(mutation_is_detected("crashes", "has crashed"));
 }
 
+BOOST_AUTO_TEST_CASE(a_start_above_the_cap_is_detected) {
+    const auto failure =
+        find_mutation_failure("caps", mutation_runs, random_cap_script, make_dispatch_world);
+    BOOST_TEST(contains(failure, "above the cap"), failure);
+}
+
 BOOST_AUTO_TEST_CASE(a_start_of_a_cancelled_job_is_detected) {
     BOOST_TEST(mutation_is_detected("cancel", "after its job was cancelled"));
 }
--- a/tests/scenario/dispatch/dispatch_world.h
+++ b/tests/scenario/dispatch/dispatch_world.h
@@ -24,6 +24,8 @@
 /// As random_partition_script(), with silent workers and several changes of owner, without
 /// cancellations and drains.
 [[nodiscard]] script random_succession_script(std::uint64_t seed);
+/// As random_dispatch_script(), with customers whose caps change, and several owners lost.
+[[nodiscard]] script random_cap_script(std::uint64_t seed);
 /// More than half of the workers are lost for good and owners are lost in turn. The script ends
 /// when all jobs must have ended.
 [[nodiscard]] script random_lost_majority_script(std::uint64_t seed);
--- a/tests/scenario/dispatch/random_script.cpp
+++ b/tests/scenario/dispatch/random_script.cpp
@@ -17,6 +17,9 @@
 // Longer than a successor waits for the workers of its predecessor.
 constexpr std::uint64_t max_partition_ms = 16'000;
 constexpr std::uint64_t min_long_task_ms = 6'000;
+constexpr std::uint64_t max_customers = 3;
+// Tasks of a gang and their cores, see add_job().
+constexpr std::uint64_t widest_gang_cores = 32;
 // Beyond and below the time limits of store calls.
 constexpr std::uint64_t max_lateness_ms = 3'000;
 // At the largest factor, an event takes 0.4 s and a plan 2 s.
@@ -173,6 +176,44 @@
         return m_script;
     }
 
+    script make_with_caps() {
+        static_cast<void>(make());
+        for (std::uint64_t i = 0; i < 6; ++i) {
+            add_job("capped" + std::to_string(i));
+        }
+        add_long_job("long");
+        for (auto& s : m_script.steps) {
+            if (s.verb == "submit") {
+                s.args.set("customer", "c" + std::to_string(m_rng.below(max_customers)));
+                // An owner that is lost loses one count of crashes (issue 26).
+                s.args.set("deadly", "false");
+            }
+        }
+        const auto last = milliseconds(500 + busy_ms);
+        for (std::uint64_t i = 0; i < max_customers; ++i) {
+            add_cap(milliseconds(10), i, 1);
+            for (auto changes = m_rng.below(4); changes > 0; --changes) {
+                add_cap(time(), i, 1);
+            }
+            // All jobs fit in the end: a gang takes up to this many cores.
+            add_cap(last, i, widest_gang_cores);
+        }
+        for (auto losses = m_rng.below(3); losses > 0; --losses) {
+            add(time(), m_rng.chance(0.5) ? "kill_owner" : "stop_owner", {});
+        }
+        // Orders that are carried out late, maybe by the next incarnation of the worker.
+        const auto late = worker();
+        const auto at = time();
+        add(at, "delay_orders",
+            {{"worker", late}, {"for", random_duration(max_fault_ms)}, {"by", "1500ms"}});
+        if (m_rng.chance(0.5)) {
+            add(at + milliseconds(static_cast<std::int64_t>(m_rng.below(3000))), "crash_worker",
+                {{"worker", late}, {"for", random_duration(700)}});
+        }
+        sort_steps(m_script);
+        return m_script;
+    }
+
     script make() {
         const auto jobs = 3 + m_rng.below(8);
         for (std::uint64_t i = 0; i < jobs; ++i) {
@@ -251,6 +292,12 @@
         }
     }
 
+    void add_cap(common::duration at, std::uint64_t customer, std::uint64_t least_cores) {
+        add(at, "set_cap",
+            {{"customer", "c" + std::to_string(customer)},
+             {"cores", std::to_string(least_cores + m_rng.below(widest_gang_cores))}});
+    }
+
     void add_long_job(const std::string& id) {
         const auto ms = min_long_task_ms + m_rng.below(min_long_task_ms);
         add(time(), "submit",
@@ -477,6 +524,10 @@
     return generator(seed).make();
 }
 
+script random_cap_script(std::uint64_t seed) {
+    return generator(seed).make_with_caps();
+}
+
 script random_partition_script(std::uint64_t seed) {
     return generator(seed).make_with_partitions();
 }
--- a/tests/unit/dispatch/customer_caps_test.cpp
+++ b/tests/unit/dispatch/customer_caps_test.cpp
@@ -215,6 +215,20 @@
     BOOST_TEST(used("a") == 60);
 }
 
+// Guards against a successor that starts tasks beside a run of a job that ended under its
+// predecessor: its demand and its customer are unknown.
+BOOST_AUTO_TEST_CASE(a_stray_run_counts_until_it_has_ended) {
+    set_cap("a", 60);
+    stops_take_time = true;
+    running["w1"].push_back({{{"cancelled", 0, 0, 0}, 1}, "", 0});
+    become_owner({"w1", "w2"}, 10, record_of({"w1", "w2"}));
+    submit("new", 3, 20);
+    BOOST_TEST(started("new") == 0U);
+    end_run("w1", {{"cancelled", 0, 0, 0}, 1}, run_end::stopped);
+    advance(500ms);
+    BOOST_TEST(started("new") == 3U);
+}
+
 // Pattern: one customer at its cap with thousands of urgent jobs. Guards against others that starve
 // behind them, and against calls for advice that nobody can use.
 BOOST_AUTO_TEST_CASE(thousands_of_capped_steps_do_not_starve_others) {
