Limit the time for which a cap is kept for a wide gang

Cause: what was left of a cap was kept for the first step that waited for it until it started. A gang that needs most of the cap kept the customer's other jobs waiting for as long as a single long run lasted, with most of the cap unused.

Change: cap_holds keeps it while at least half of the cap is in use, and for 2 s after that; then other steps start until half of it is used again.

--- a/source/core/customers/cap_budget.h
+++ b/source/core/customers/cap_budget.h
@@ -25,6 +25,8 @@
         const auto& a = account(customer);
         return a.room - a.claimed;
     }
+    /// Whether the customer uses at least half of its cap, in any resource that it limits.
+    [[nodiscard]] bool is_half_used(customer_index customer);
     /// Whether the tasks fit under the customer's cap when nothing of it runs.
     [[nodiscard]] bool fits_empty(customer_index customer, const placement::resources& demand,
                                   std::int64_t count) const;
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -334,7 +334,7 @@
 
     // dispatcher_plan.cpp
     void plan(common::time_point now);
-    [[nodiscard]] plan_limits limits_of_plan(common::time_point now) const;
+    [[nodiscard]] plan_limits limits_of_plan(common::time_point now);
     /// Tasks of the job may have begun to wait: its steps are placed in order before the next plan.
     void note_waiting(const std::string& job) { m_jobs_to_order.insert(job); }
     void note_all_waiting();
@@ -394,6 +394,7 @@
     lasting_state_log m_missing_authority_log;
     std::map<std::string, queue_settings> m_queues;
     std::vector<customers::customer_settings> m_customers;
+    customers::cap_holds m_cap_holds;
     /// Queues known from accepted jobs only, by the revision of the latest of these.
     std::map<std::string, std::uint64_t> m_unconfigured_queues;
     std::map<std::string, job_entry> m_jobs;
--- a/source/core/dispatch/dispatcher_plan.cpp
+++ b/source/core/dispatch/dispatcher_plan.cpp
@@ -214,7 +214,7 @@
                          std::chrono::milliseconds(critical_path_ms(job.spec, step));
 }
 
-plan_limits dispatcher::limits_of_plan(common::time_point now) const {
+plan_limits dispatcher::limits_of_plan(common::time_point now) {
     plan_limits limits;
     limits.suspect_distance = m_settings.crashes.window;
     limits.crash_limit = m_settings.crashes.attributed_limit;
@@ -231,6 +231,7 @@
     limits.preemption = now >= m_next_preemption;
     if (m_workers.usage().any_caps()) {
         limits.caps = &m_workers.usage();
+        limits.cap_holds = &m_cap_holds;
     }
     return limits;
 }
--- a/source/core/dispatch/plan_state.h
+++ b/source/core/dispatch/plan_state.h
@@ -2,6 +2,7 @@
 
 #include "core/common/clock.h"
 #include "core/customers/cap_budget.h"
+#include "core/customers/cap_holds.h"
 #include "core/dispatch/dispatch_actions.h"
 #include "core/dispatch/step_order.h"
 #include "core/dispatch/worker_registry.h"
@@ -57,6 +58,8 @@
     bool preemption = false;
     /// What customers run, with their caps; null when no customer has one.
     const customers::cap_ledger* caps = nullptr;
+    /// Set along with caps.
+    customers::cap_holds* cap_holds = nullptr;
 };
 
 /// A run to be stopped for more urgent work.
--- a/source/core/dispatch/step_planner.cpp
+++ b/source/core/dispatch/step_planner.cpp
@@ -61,8 +61,10 @@
     const auto demand = step.spec->allocation();
     const std::int64_t wanted = step.spec->gang ? std::int64_t{step.spec->count} : 1;
     if (m_plan.tasks_under_cap(step) < wanted) {
-        return m_plan.caps.fits_empty(step.customer, demand, wanted) ? cap_effect::customer
-                                                                     : cap_effect::step;
+        const bool hold = m_plan.caps.fits_empty(step.customer, demand, wanted) &&
+                          m_plan.limits.cap_holds->may_hold(
+                              step.customer, m_plan.now, m_plan.caps.is_half_used(step.customer));
+        return hold ? cap_effect::customer : cap_effect::step;
     }
     const auto& tickets = step.state->tickets;
     const bool first_request =
--- a/tests/unit/customers/cap_ledger_test.cpp
+++ b/tests/unit/customers/cap_ledger_test.cpp
@@ -111,9 +111,9 @@
     common::counters counters;
     customer_gauges gauges(counters);
     cap_ledger ledger;
-    std::vector<customer_settings> all;
+    std::vector<customer_settings> all(100);
     for (int i = 0; i < 100; ++i) {
-        all.push_back(capped("c" + std::to_string(i), {1000 + i, 0, 0}));
+        all[static_cast<std::size_t>(i)] = capped("c" + std::to_string(i), {1000 + i, 0, 0});
     }
     ledger.set_caps(all);
     for (int i = 0; i < 100; ++i) {
--- a/tests/unit/dispatch/customer_caps_test.cpp
+++ b/tests/unit/dispatch/customer_caps_test.cpp
@@ -130,6 +130,20 @@
     BOOST_TEST(started("later") == 1U);
 }
 
+// Pattern: a gang that needs most of the cap beside one long run. Guards against jobs of the
+// customer that stand for the length of that run, with most of the cap unused.
+BOOST_AUTO_TEST_CASE(the_cap_is_kept_for_a_gang_for_a_limited_time) {
+    set_cap("a", 45);
+    become_owner({"w1", "w2"});
+    submit("long", 1, 10);
+    submit("gang", 4, 10, "a", true);
+    submit("later", 1, 5);
+    advance(1500ms);
+    BOOST_TEST(started("later") == 0U);
+    advance(1s);
+    BOOST_TEST(started("later") == 1U);
+}
+
 // Guards against a customer whose other jobs stand because one can no longer fit, and against an
 // accepted job that fails for its cap.
 BOOST_AUTO_TEST_CASE(a_gang_that_never_fits_waits_alone) {
