--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -261,8 +261,9 @@
     [[nodiscard]] bool is_any_partly_listed(common::time_point now,
                                             const std::set<std::string>& workers) const;
     void skip_possible_run_numbers(job_entry& job) const;
-    /// What workers that have not answered this owner may run for customers with caps.
-    [[nodiscard]] std::optional<customers::unreported_runs> find_unreported_runs() const;
+    /// What may run for customers with caps, on workers that have not answered this owner or by
+    /// runs of unknown jobs.
+    [[nodiscard]] customers::unreported_runs find_unreported_runs() const;
     void log_adoption(common::time_point now, const worker_entry& worker, const poll_result& result,
                       bool through_peer) const;
     [[nodiscard]] bool is_unresponsive(const worker_entry& worker) const;
@@ -333,7 +334,7 @@
 
     // dispatcher_plan.cpp
     void plan(common::time_point now);
-    [[nodiscard]] plan_limits limits_of_plan(common::time_point now) const;
+    [[nodiscard]] plan_limits limits_of_plan(common::time_point now);
     /// Tasks of the job may have begun to wait: its steps are placed in order before the next plan.
     void note_waiting(const std::string& job) { m_jobs_to_order.insert(job); }
     void note_all_waiting();
@@ -393,6 +394,7 @@
     lasting_state_log m_missing_authority_log;
     std::map<std::string, queue_settings> m_queues;
     std::vector<customers::customer_settings> m_customers;
+    customers::cap_holds m_cap_holds;
     /// Queues known from accepted jobs only, by the revision of the latest of these.
     std::map<std::string, std::uint64_t> m_unconfigured_queues;
     std::map<std::string, job_entry> m_jobs;
--- a/tests/unit/dispatch/customer_caps_test.cpp
+++ b/tests/unit/dispatch/customer_caps_test.cpp
@@ -130,6 +130,20 @@
     BOOST_TEST(started("later") == 1U);
 }
 
+// Pattern: a gang that needs most of the cap beside one long run. Guards against jobs of the
+// customer that stand for the length of that run, with most of the cap unused.
+BOOST_AUTO_TEST_CASE(the_cap_is_kept_for_a_gang_for_a_limited_time) {
+    set_cap("a", 45);
+    become_owner({"w1", "w2"});
+    submit("long", 1, 10);
+    submit("gang", 4, 10, "a", true);
+    submit("later", 1, 5);
+    advance(1500ms);
+    BOOST_TEST(started("later") == 0U);
+    advance(1s);
+    BOOST_TEST(started("later") == 1U);
+}
+
 // Guards against a customer whose other jobs stand because one can no longer fit, and against an
 // accepted job that fails for its cap.
 BOOST_AUTO_TEST_CASE(a_gang_that_never_fits_waits_alone) {
@@ -215,6 +229,20 @@
     BOOST_TEST(used("a") == 60);
 }
 
+// Guards against a successor that starts tasks beside a run of a job that ended under its
+// predecessor: its demand and its customer are unknown.
+BOOST_AUTO_TEST_CASE(a_stray_run_counts_until_it_has_ended) {
+    set_cap("a", 60);
+    stops_take_time = true;
+    running["w1"].push_back({{{"cancelled", 0, 0, 0}, 1}, "", 0});
+    become_owner({"w1", "w2"}, 10, record_of({"w1", "w2"}));
+    submit("new", 3, 20);
+    BOOST_TEST(started("new") == 0U);
+    end_run("w1", {{"cancelled", 0, 0, 0}, 1}, run_end::stopped);
+    advance(500ms);
+    BOOST_TEST(started("new") == 3U);
+}
+
 // Pattern: one customer at its cap with thousands of urgent jobs. Guards against others that starve
 // behind them, and against calls for advice that nobody can use.
 BOOST_AUTO_TEST_CASE(thousands_of_capped_steps_do_not_starve_others) {
