Let an owner on a narrow link recover and shed work

With nodes of 10 Mbit/s only, the owner's watch of the jobs timed out again and again while the same page grew: no plan was made for 8 s, and a recovery took 8.3 s from owner_won to owner_begins. Calls for many items now have at least the time that 1 MB takes on half of the link, an owner on such a link loads the records in turn, and an owner that can carry the fleet only in part sheds polls and ticket requests in a stated order when it is behind. Wide links and suitable owners are not affected.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -555,7 +555,7 @@
     if (worker->runs.empty() && !unsaved) {
         schedule_poll(*worker, now + m_settings.idle_poll_interval);
     } else {
-        schedule_poll(*worker, unsaved ? now + m_settings.idle_poll_interval / 4 : now);
+        schedule_poll(*worker, unsaved ? now + m_settings.ended_poll_pause : now);
     }
     m_replan_needed = true;
 }
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -59,6 +59,9 @@
     /// leases there have been over for this time, also when no other node confirms its silence.
     /// Longer than an owner's link is full as a rule.
     common::duration silence_limit = std::chrono::seconds(30);
+    /// Pause before the next poll of a worker whose ended runs are not stored yet: it would answer
+    /// at once.
+    common::duration ended_poll_pause = std::chrono::milliseconds(300);
     /// A stop is sent again when the run has not ended within this time.
     common::duration stop_retry_interval = std::chrono::milliseconds(700);
     /// Consecutive failed runs of different tasks after which a worker is excluded from placement.
@@ -158,6 +161,12 @@
     /// Ticket requests that these nodes could begin now.
     void set_advice_slots(const advice_slots& slots) { m_advice_slots = slots; }
 
+    /// Sets dispatcher_settings::poll_wait and ended_poll_pause.
+    void set_poll_pace(common::duration wait, common::duration pause) {
+        m_settings.poll_wait = wait;
+        m_settings.ended_poll_pause = pause;
+    }
+
     /// Planned shutdown of the owner: no new starts.
     void drain() { m_draining = true; }
 
--- a/source/core/service/node_application.cpp
+++ b/source/core/service/node_application.cpp
@@ -122,7 +122,8 @@
       m_client(loop, client_limits()),
       m_platform(platform_registry::instance().make(
           m_settings.adapter,
-          platform_context{m_client, counters, m_settings.store, m_settings.advice})),
+          platform_context{m_client, counters, m_settings.store, m_settings.advice,
+                           store_page_time(m_settings.link_mbps)})),
       m_health(clock),
       m_store(m_platform->store(), m_health),
       m_directory(m_settings.state_retention),
@@ -226,7 +227,10 @@
                     m_election->mark_lost(reason, fence);
                 }
             },
-            [this] { m_peers.notify_peers(); }};
+            [this] { m_peers.notify_peers(); },
+            store_page_time(m_settings.link_mbps),
+            m_settings.link_mbps > 0.0 &&
+                suitability_of(capability_of(m_settings), m_fleet).value < 1.0};
 }
 
 void node_application::start() {
--- a/source/core/service/node_capability.cpp
+++ b/source/core/service/node_capability.cpp
@@ -62,6 +62,17 @@
     return result;
 }
 
+common::duration store_page_time(double link_mbps) {
+    constexpr double page_megabits = 1024.0 * 1024.0 * 8.0 / 1e6;
+    if (link_mbps <= 0.0) {
+        return common::duration(0);
+    }
+    // Slower links than this are not waited for: the limit of a call would hide a dead connection.
+    constexpr double max_seconds = 4.0;
+    return std::chrono::duration_cast<common::duration>(
+        std::chrono::duration<double>(std::min(max_seconds, 2.0 * page_megabits / link_mbps)));
+}
+
 common::duration claim_delay_of(const node_capability& node, const fleet_size& fleet) {
     if (node.link_mbps <= 0.0) {
         return node.cpu_share < small_cpu_share ? small_node_claim_delay : common::duration(0);
--- a/source/core/service/node_capability.h
+++ b/source/core/service/node_capability.h
@@ -63,6 +63,10 @@
 /// of the fleet it can carry. A node without a known link speed goes by its processor alone.
 [[nodiscard]] common::duration claim_delay_of(const node_capability& node, const fleet_size& fleet);
 
+/// Time in which half of the link carries a full page of the store (1 MB); 0 when the speed is
+/// unknown.
+[[nodiscard]] common::duration store_page_time(double link_mbps);
+
 /// A live node as the owner knows it.
 struct ownership_candidate {
     std::string node;
--- a/source/core/service/owner_controller.cpp
+++ b/source/core/service/owner_controller.cpp
@@ -6,7 +6,6 @@
 #include "core/service/store_keys.h"
 
 #include <algorithm>
-#include <numeric>
 #include <utility>
 
 namespace buckthornspar::service {
@@ -42,6 +41,7 @@
 owner_controller::owner_controller(owner_environment environment, std::uint64_t fence)
     : m_env(std::move(environment)),
       m_dispatcher(m_env.dispatcher, m_env.counters),
+      m_shedding(m_env.may_shed),
       m_fence(fence) {}
 
 std::function<bool()> owner_controller::make_active_check() {
@@ -162,7 +162,8 @@
         check_store();
         m_dispatcher.on_changes_known(changes_known_until(now, *m_active_watcher),
                                       changes_known_until(now, *m_worker_watcher));
-        m_dispatcher.set_advice_slots(m_advice_balancer.free_slots(now));
+        m_dispatcher.set_advice_slots(m_shedding.limit(m_advice_balancer.free_slots(now),
+                                                       m_dispatcher.pending_ticket_requests()));
         const auto& plans = m_env.counters.get("plans_total");
         const auto plans_before = plans.value();
         m_dispatcher.on_time(now);
@@ -213,45 +214,6 @@
     m_store_down = down;
 }
 
-// A line or two a second, from the owner only. They show whether a late decision was made with late
-// input (ages of the watches), behind a busy event loop (delay), or because planning took long, and
-// why the work that waits is not started.
-void owner_controller::report_load(common::time_point now) {
-    const auto load = m_load.take(now);
-    m_env.counters.get("owner_loop_delay_ms").set(common::to_milliseconds(load.max_delay));
-    m_env.counters.get("owner_jobs_age_ms").set(common::to_milliseconds(m_active_watcher->age()));
-    const auto& queued = m_dispatcher.pending_by_queue();
-    const auto pending_jobs =
-        std::accumulate(queued.begin(), queued.end(), std::size_t{0},
-                        [](std::size_t sum, const auto& entry) { return sum + entry.second; });
-    const auto reach = m_dispatcher.quorum_reach(now);
-    m_env.counters.get("owner_quorum_workers").set(static_cast<std::int64_t>(reach.workers));
-    m_env.counters.get("owner_quorum_accepted").set(static_cast<std::int64_t>(reach.accepted));
-    log_event(severity::info, "owner_load",
-              {{"delay_ms", common::to_milliseconds(load.max_delay)},
-               {"events", load.events},
-               {"plans", load.plans},
-               {"plan_ms", common::to_milliseconds(load.plan_time)},
-               {"longest_plan_ms", common::to_milliseconds(load.max_plan_time)},
-               {"jobs_age_ms", common::to_milliseconds(m_active_watcher->age())},
-               {"list_age_ms", common::to_milliseconds(m_worker_watcher->age())},
-               {"store_down", m_store_down ? 1 : 0},
-               {"jobs", m_dispatcher.jobs().size()},
-               {"pending_jobs", pending_jobs},
-               {"job_memory_kb", m_dispatcher.job_memory() / 1024},
-               {"pending_starts", m_dispatcher.pending_starts()}});
-    const auto waiting = m_dispatcher.waiting();
-    if (waiting.total() > 0) {
-        log_event(
-            m_dispatcher.is_stalled(now) ? severity::warning : severity::info, "owner_waits",
-            {{"causes", waiting.describe()},
-             {"authority", m_dispatcher.has_authority(now) ? 1 : 0},
-             {"permitted_ms", common::to_milliseconds(m_dispatcher.starts_permitted_until() - now)},
-             {"recovered", m_dispatcher.recovered() ? 1 : 0},
-             {"ticket_requests", m_dispatcher.pending_ticket_requests()}});
-    }
-}
-
 void owner_controller::schedule_wakeup(common::time_point due) {
     const auto now = m_env.clock.now();
     // Timers may fire slightly late. A pending timer that is due earlier is sufficient, because it
--- a/source/core/service/owner_controller.h
+++ b/source/core/service/owner_controller.h
@@ -6,6 +6,7 @@
 #include "core/net/event_loop.h"
 #include "core/service/advice_balancer.h"
 #include "core/service/job_directory.h"
+#include "core/service/load_shedding.h"
 #include "core/service/owner_load.h"
 #include "core/service/peer_messages.h"
 #include "core/service/platform_adapter.h"
@@ -49,6 +50,10 @@
     std::function<void(std::string_view reason)> report_lost;
     /// The job directory has new entries.
     std::function<void()> on_directory_changed;
+    /// Time that a full page of the store takes over the node's link; 0 when unknown.
+    common::duration page_time{0};
+    /// The node can carry the fleet only in part: it sheds work while it is overloaded.
+    bool may_shed = false;
 };
 
 /// See dispatch::dispatcher_settings::owner.
@@ -85,6 +90,12 @@
 private:
     // owner_controller_loading.cpp
     void load();
+    void load_prefix(const std::string& prefix, std::function<void(prefix_contents)> complete);
+    /// Reads the prefixes one after another, so that each page has the link for itself.
+    void load_in_turn();
+    void on_active_loaded(prefix_contents contents);
+    void on_progress_loaded(prefix_contents contents);
+    void on_workers_loaded(prefix_contents contents);
     void load_key(std::string_view key,
                   std::optional<dispatch::store_item> owner_controller::*target);
     void on_loaded();
@@ -104,6 +115,10 @@
     void on_worker_snapshot(const std::vector<dispatch::store_item>& items);
     void on_worker_item(const dispatch::store_item& item);
 
+    // owner_controller_reporting.cpp
+    void report_load(common::time_point now);
+    void update_shedding(common::duration loop_delay);
+
     // owner_controller.cpp
     /// Processes once after all events that are ready now.
     void process_soon();
@@ -113,7 +128,6 @@
                                                          const prefix_watcher& watcher) const;
     [[nodiscard]] dispatch::store_contact contact() const;
     void check_store();
-    void report_load(common::time_point now);
     void schedule_wakeup(common::time_point due);
     void execute_action(dispatch::dispatch_action& action);
     void send_poll(const dispatch::poll_call& call);
@@ -133,6 +147,7 @@
     advice_balancer m_advice_balancer;
     response_timeout m_worker_timeout;
     owner_load m_load;
+    load_shedding m_shedding;
     std::uint64_t m_fence = 0;
     bool m_active = true;
     bool m_loaded = false;
--- a/source/core/service/owner_controller_loading.cpp
+++ b/source/core/service/owner_controller_loading.cpp
@@ -22,6 +22,9 @@
 // Short, because starts are permitted only for a limited time after an answered call was sent.
 constexpr auto watch_wait = std::chrono::milliseconds(500);
 constexpr auto load_retry_delay = std::chrono::milliseconds(100);
+// With a page that takes longer than this, three pages at the same time would not arrive within the
+// time limit of their calls, and would be asked for again.
+constexpr auto max_parallel_page_time = std::chrono::milliseconds(300);
 // Longest time for which the loading of records holds up the event loop.
 constexpr auto load_step_time = std::chrono::milliseconds(10);
 
@@ -45,25 +48,53 @@
 
 void owner_controller::load() {
     const auto self = shared_from_this();
-    auto& store = m_env.store;
     m_pending_loads = 5;
     load_key(workers_key, &owner_controller::m_workers_record);
     load_key(sequence_key, &owner_controller::m_sequence);
-    read_all(store, m_env.loop, std::string(active_prefix), make_active_check(),
-             [self](prefix_contents contents) {
-                 self->m_active_contents = std::move(contents);
-                 self->on_loaded();
-             });
-    read_all(store, m_env.loop, std::string(progress_prefix), make_active_check(),
-             [self](prefix_contents contents) {
-                 self->m_progress_items = std::move(contents.items);
-                 self->on_loaded();
-             });
-    read_all(store, m_env.loop, m_env.platform.format().worker_prefix(), make_active_check(),
-             [self](prefix_contents contents) {
-                 self->m_worker_contents = std::move(contents);
-                 self->on_loaded();
-             });
+    if (m_env.page_time > max_parallel_page_time) {
+        load_in_turn();
+        return;
+    }
+    load_prefix(std::string(active_prefix),
+                [self](prefix_contents contents) { self->on_active_loaded(std::move(contents)); });
+    load_prefix(std::string(progress_prefix), [self](prefix_contents contents) {
+        self->on_progress_loaded(std::move(contents));
+    });
+    load_prefix(m_env.platform.format().worker_prefix(),
+                [self](prefix_contents contents) { self->on_workers_loaded(std::move(contents)); });
+}
+
+void owner_controller::load_prefix(const std::string& prefix,
+                                   std::function<void(prefix_contents)> complete) {
+    read_all(m_env.store, m_env.loop, prefix, make_active_check(), std::move(complete));
+}
+
+void owner_controller::load_in_turn() {
+    const auto self = shared_from_this();
+    load_prefix(m_env.platform.format().worker_prefix(), [self](prefix_contents workers) {
+        self->on_workers_loaded(std::move(workers));
+        self->load_prefix(std::string(active_prefix), [self](prefix_contents active) {
+            self->on_active_loaded(std::move(active));
+            self->load_prefix(std::string(progress_prefix), [self](prefix_contents progress) {
+                self->on_progress_loaded(std::move(progress));
+            });
+        });
+    });
+}
+
+void owner_controller::on_active_loaded(prefix_contents contents) {
+    m_active_contents = std::move(contents);
+    on_loaded();
+}
+
+void owner_controller::on_progress_loaded(prefix_contents contents) {
+    m_progress_items = std::move(contents.items);
+    on_loaded();
+}
+
+void owner_controller::on_workers_loaded(prefix_contents contents) {
+    m_worker_contents = std::move(contents);
+    on_loaded();
 }
 
 void owner_controller::load_key(std::string_view key,
@@ -227,10 +258,11 @@
         }
         process_soon();
     };
-    m_active_watcher = std::make_shared<prefix_watcher>(
-        m_env.store, m_env.loop,
-        watch_settings{std::string(active_prefix), watch_wait, min_active_watch_interval},
-        std::move(receiver));
+    m_active_watcher =
+        std::make_shared<prefix_watcher>(m_env.store, m_env.loop,
+                                         watch_settings{std::string(active_prefix), watch_wait,
+                                                        min_active_watch_interval, m_env.page_time},
+                                         std::move(receiver));
     m_active_watcher->start_after(known.revision, known.read_at);
 }
 
@@ -251,11 +283,11 @@
         }
         process_soon();
     };
-    m_worker_watcher =
-        std::make_shared<prefix_watcher>(m_env.store, m_env.loop,
-                                         watch_settings{m_env.platform.format().worker_prefix(),
-                                                        watch_wait, min_worker_watch_interval},
-                                         std::move(receiver));
+    m_worker_watcher = std::make_shared<prefix_watcher>(
+        m_env.store, m_env.loop,
+        watch_settings{m_env.platform.format().worker_prefix(), watch_wait,
+                       min_worker_watch_interval, m_env.page_time},
+        std::move(receiver));
     m_worker_watcher->start_after(known.revision, known.read_at);
 }
 
--- a/source/core/service/platform_adapter.h
+++ b/source/core/service/platform_adapter.h
@@ -48,6 +48,8 @@
     common::counters& counters;
     net::endpoint store;
     net::endpoint advice;
+    /// Time that a full page of the store takes over the node's link; 0 when unknown.
+    common::duration page_time{0};
 };
 
 /// Access to the platform: its formats, store, workers and advice service.
--- a/source/core/service/prefix_watcher.cpp
+++ b/source/core/service/prefix_watcher.cpp
@@ -15,8 +15,10 @@
 // The store answers a watch that is far behind in pages, of about 500 items or 1 MB, without saying
 // so. An answer with at least this many events may be such a page and does not bring all changes.
 constexpr std::size_t possible_page_events = 100;
-// Watch calls fail within 0.6 s after the time for which they wait.
-constexpr auto max_failure_delay = std::chrono::milliseconds(900);
+// Watch calls fail within 0.6 s, or the time that a page takes over a narrow link, after the time
+// for which they wait.
+constexpr common::duration max_failure_delay = std::chrono::milliseconds(900);
+constexpr common::duration max_failure_slack = std::chrono::milliseconds(300);
 
 struct prefix_reader : std::enable_shared_from_this<prefix_reader> {
     prefix_reader(dispatch::shared_store& s, net::event_loop& l) : store(s), loop(l) {}
@@ -181,7 +183,9 @@
     m_last_call_failed =
         result.status != store_status::ok && result.status != store_status::history_gone;
     m_failing = m_last_call_failed &&
-                m_clock.now() - sent_at < m_settings.watch_timeout + max_failure_delay;
+                m_clock.now() - sent_at <
+                    m_settings.watch_timeout +
+                        std::max(max_failure_delay, m_settings.page_time + max_failure_slack);
     if (result.status == store_status::history_gone) {
         read();
         return;
--- a/source/core/service/prefix_watcher.h
+++ b/source/core/service/prefix_watcher.h
@@ -17,6 +17,8 @@
     common::duration watch_timeout = std::chrono::seconds(10);
     /// Delay between two watch calls, so that changes close together need only one call.
     common::duration min_watch_interval{0};
+    /// Time that a full page of events takes over the node's link.
+    common::duration page_time{0};
 };
 
 /// All items with a prefix.
--- a/tests/unit/platform/clients_test.cpp
+++ b/tests/unit/platform/clients_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <future>
+#include <utility>
 
 using namespace buckthornspar;
 using namespace buckthornspar::platform;
@@ -289,4 +290,24 @@
     BOOST_TEST(stops_before_poll < orders);
 }
 
+// Pattern: narrow link. Guards against a watch whose answer never arrives in time, so that the same
+// page is sent again and again and the owner's information ages.
+BOOST_AUTO_TEST_CASE(a_watch_waits_for_a_page_over_a_narrow_link) {
+    peer.silent = true;
+    const auto late_answer = [&](store_client& from) {
+        return wait<dispatch::store_result>([&](auto done) {
+                   from.watch("p/", 1, 0ms, std::move(done));
+                   loop.post_after(900ms, [this] {
+                       for (const auto& reply : std::exchange(peer.kept, {})) {
+                           reply(net::json_response(200, R"({"events":[],"as_of":2})"));
+                       }
+                   });
+               })
+            .status;
+    };
+    BOOST_TEST((late_answer(store) == dispatch::store_status::unknown));
+    store_client narrow(client, address(), counters, 1700ms);
+    BOOST_TEST((late_answer(narrow) == dispatch::store_status::ok));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/service/owner_controller_test.cpp
+++ b/tests/unit/service/owner_controller_test.cpp
@@ -1,6 +1,7 @@
 #include "core/service/owner_controller.h"
 
 #include "core/dispatch/progress.h"
+#include "core/service/node_capability.h"
 #include "core/service/store_keys.h"
 #include "fakes/fake_platform.h"
 #include "unit/service/service_fixture.h"
@@ -35,6 +36,68 @@
     mutable common::duration m_lost{0};
 };
 
+/// Counts the calls and the bytes of their answers, as HTTP and JSON with values in base64.
+class counting_store final : public dispatch::shared_store {
+public:
+    explicit counting_store(dispatch::shared_store& store) : m_store(store) {}
+
+    std::size_t calls = 0;
+    std::size_t bytes = 0;
+    /// Ranges without an answer now, and the highest number of them.
+    std::size_t ranges = 0;
+    std::size_t most_ranges = 0;
+
+    void read(const std::string& key, dispatch::store_completion complete) override {
+        m_store.read(key, count(std::move(complete)));
+    }
+    void range(const std::string& prefix, const std::string& after,
+               dispatch::store_completion complete) override {
+        most_ranges = std::max(most_ranges, ++ranges);
+        m_store.range(prefix, after,
+                      count([this, complete = std::move(complete)](dispatch::store_result result) {
+                          --ranges;
+                          complete(std::move(result));
+                      }));
+    }
+    void watch(const std::string& prefix, std::uint64_t after, common::duration wait,
+               dispatch::store_completion complete) override {
+        m_store.watch(prefix, after, wait, count(std::move(complete)));
+    }
+    void commit(const dispatch::store_commit& change,
+                dispatch::store_completion complete) override {
+        for (const auto& row : change.put) {
+            bytes += item_bytes + row.key.size() + row.value.size() * 4 / 3;
+        }
+        m_store.commit(change, count(std::move(complete)));
+    }
+    void open_lease(common::duration ttl, dispatch::store_completion complete) override {
+        m_store.open_lease(ttl, count(std::move(complete)));
+    }
+    void keep_lease(std::uint64_t lease, dispatch::store_completion complete) override {
+        m_store.keep_lease(lease, count(std::move(complete)));
+    }
+    void end_lease(std::uint64_t lease, dispatch::store_completion complete) override {
+        m_store.end_lease(lease, count(std::move(complete)));
+    }
+
+private:
+    static constexpr std::size_t call_bytes = 600;
+    static constexpr std::size_t item_bytes = 80;
+
+    dispatch::store_completion count(dispatch::store_completion complete) {
+        ++calls;
+        bytes += call_bytes;
+        return [this, complete = std::move(complete)](dispatch::store_result result) {
+            for (const auto& item : result.items) {
+                bytes += item_bytes + item.key.size() + item.value.size() * 4 / 3;
+            }
+            complete(std::move(result));
+        };
+    }
+
+    dispatch::shared_store& m_store;
+};
+
 struct controller_fixture : service_fixture {
     controller_fixture() {
         dispatcher.cancel_bound = 2500ms;
@@ -86,7 +149,8 @@
                 return may_act;
             },
             [this](std::string_view reason) { lost = reason; },
-            [] {}};
+            [] {},
+            page_time};
         controller = std::make_shared<owner_controller>(environment, fence);
         dispatch::queue_settings queue;
         queue.name = "q";
@@ -121,7 +185,9 @@
     slow_clock slow;
     common::counters counters;
     store_health health{clock};
-    monitored_store monitored{store, health};
+    counting_store counted{store};
+    monitored_store monitored{counted, health};
+    common::duration page_time{0};
     fakes::fake_platform platform{loop, store};
     job_directory directory{120s};
     dispatch::dispatcher_settings dispatcher;
@@ -603,4 +669,41 @@
     BOOST_TEST(fleet.jobs == 1U);
 }
 
+// Pattern: narrow link, all nodes have lost power. Guards against a recovery that takes longer than
+// 15 s over 10 Mbit/s: the bytes and calls that it needs are counted, with 350 workers that answer
+// one poll each, 2,600 jobs, and 6,000 that have ended.
+BOOST_AUTO_TEST_CASE(a_recovery_fits_a_link_of_10_megabits) {
+    constexpr std::size_t workers = 350;
+    constexpr int jobs = 2600;
+    constexpr int ended_jobs = 6000;
+    // A third of what the link carries in 15 s: callers, other nodes and repeated calls share it.
+    constexpr std::size_t link_bytes = 15 * 10'000'000 / 8 / 3;
+    // A request and its answer with headers and a list of eight runs.
+    constexpr std::size_t poll_bytes = 1400;
+    store.page_items = 500;
+    page_time = store_page_time(10.0);
+    BOOST_TEST((page_time > 1s));
+    for (int i = 0; i < jobs; ++i) {
+        submit("job-" + std::to_string(i), 1000, 600);
+    }
+    for (int i = 0; i < ended_jobs; ++i) {
+        dispatch::job_progress progress;
+        progress.state = dispatch::job_state::completed;
+        progress.accepted_by = "edge-tbilisi-a-1";
+        progress.origin.queue = "q";
+        store.apply(
+            {{},
+             {{progress_key("ended-" + std::to_string(i)), dispatch::write_progress(progress), 0}},
+             {}});
+    }
+    begin_term(claim(workers));
+    BOOST_REQUIRE(run_until([&] { return controller->loaded(); }, 30s));
+    BOOST_TEST(controller->pending()->fleet.jobs == static_cast<std::size_t>(jobs));
+    BOOST_TEST(counted.most_ranges == 1U);
+    BOOST_REQUIRE(run_until([&] { return controller->is_quiet(); }, 10s));
+    BOOST_TEST_MESSAGE("calls " << counted.calls << ", bytes " << counted.bytes);
+    BOOST_TEST(counted.bytes + workers * poll_bytes < link_bytes);
+    BOOST_TEST(counted.calls < 100U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
