Limit ticket requests only while starts wait for the link

An owner on 10 Mbit/s that shed ticket requests had few starts on the way and up to 670 steps that waited for tickets, so that the limit left workers idle. It now applies only while the starts without a response take half of what the link carries.

--- a/source/core/service/load_shedding.cpp
+++ b/source/core/service/load_shedding.cpp
@@ -61,8 +61,11 @@
 }
 
 dispatch::advice_slots load_shedding::limit(dispatch::advice_slots slots,
-                                            std::size_t pending_requests) const {
-    if (const auto most = max_ticket_requests()) {
+                                            std::size_t pending_requests, bool starts_wait) const {
+    // Tickets that are asked for while starts wait expire before they are used. When no start
+    // waits, fewer requests would only leave workers idle.
+    const auto most = starts_wait ? max_ticket_requests() : 0;
+    if (most != 0) {
         slots.calls = std::min(slots.calls, most - std::min(most, pending_requests));
         slots.long_calls = std::min(slots.long_calls, slots.calls);
     }
--- a/source/core/service/load_shedding.h
+++ b/source/core/service/load_shedding.h
@@ -21,7 +21,8 @@
 
 /// Decides what an owner leaves out when it can carry the fleet only in part. In this order:
 /// level 1, polls of busy workers wait longer for ends of runs; level 2, they also follow each
-/// other more slowly after an end; level 3, fewer ticket requests at a time. Renewals of leases and
+/// other more slowly after an end; level 3, fewer ticket requests at a time
+/// while starts wait for the link anyway. Renewals of leases and
 /// the polls of idle workers stay as they are, because leases and the owner's authority need them.
 class load_shedding {
 public:
@@ -39,11 +40,13 @@
 
     [[nodiscard]] unsigned level() const { return m_level; }
     [[nodiscard]] poll_pace pace(const dispatch::dispatcher_settings& usual) const;
-    /// Ticket requests without a response that are permitted; 0 for no limit.
+    /// Ticket requests without a response that are permitted while starts wait for the link; 0 for
+    /// no limit.
     [[nodiscard]] std::size_t max_ticket_requests() const;
-    /// The slots that remain with so many requests without a response.
-    [[nodiscard]] dispatch::advice_slots limit(dispatch::advice_slots slots,
-                                               std::size_t pending_requests) const;
+    /// The slots that remain with so many requests without a response. starts_wait: the starts
+    /// without a response take half of what the link carries or more.
+    [[nodiscard]] dispatch::advice_slots
+    limit(dispatch::advice_slots slots, std::size_t pending_requests, bool starts_wait) const;
 
 private:
     bool m_enabled;
--- a/source/core/service/owner_controller.cpp
+++ b/source/core/service/owner_controller.cpp
@@ -162,8 +162,11 @@
         check_store();
         m_dispatcher.on_changes_known(changes_known_until(now, *m_active_watcher),
                                       changes_known_until(now, *m_worker_watcher));
+        const bool starts_wait =
+            m_dispatcher.pending_starts() * 2 >= m_env.dispatcher.max_pending_starts;
         m_dispatcher.set_advice_slots(m_shedding.limit(m_advice_balancer.free_slots(now),
-                                                       m_dispatcher.pending_ticket_requests()));
+                                                       m_dispatcher.pending_ticket_requests(),
+                                                       starts_wait));
         const auto& plans = m_env.counters.get("plans_total");
         const auto plans_before = plans.value();
         m_dispatcher.on_time(now);
--- a/tests/unit/service/load_shedding_test.cpp
+++ b/tests/unit/service/load_shedding_test.cpp
@@ -87,7 +87,7 @@
     BOOST_TEST(shedding.level() == 0U);
     dispatch::advice_slots slots;
     slots.calls = 80;
-    BOOST_TEST(shedding.limit(slots, 70).calls == 80U);
+    BOOST_TEST(shedding.limit(slots, 70, true).calls == 80U);
 }
 
 // Guards against ticket requests beyond the limit, counted with those that are on the way.
@@ -97,10 +97,20 @@
     const auto most = shedding.max_ticket_requests();
     dispatch::advice_slots slots;
     slots.calls = 80;
-    BOOST_TEST(shedding.limit(slots, 0).calls == most);
-    BOOST_TEST(shedding.limit(slots, most - 1).calls == 1U);
-    BOOST_TEST(shedding.limit(slots, most + 5).calls == 0U);
-    BOOST_TEST(shedding.limit(slots, most + 5).long_calls == 0U);
+    BOOST_TEST(shedding.limit(slots, 0, true).calls == most);
+    BOOST_TEST(shedding.limit(slots, most - 1, true).calls == 1U);
+    BOOST_TEST(shedding.limit(slots, most + 5, true).calls == 0U);
+    BOOST_TEST(shedding.limit(slots, most + 5, true).long_calls == 0U);
+}
+
+// Guards against workers that stay idle because tickets are not asked for although the link has
+// room for starts.
+BOOST_AUTO_TEST_CASE(tickets_are_asked_for_while_no_start_waits) {
+    load_shedding shedding(true);
+    run(shedding, 10, behind());
+    dispatch::advice_slots slots;
+    slots.calls = 80;
+    BOOST_TEST(shedding.limit(slots, 70, false).calls == 80U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
