--- a/source/core/net/http_client.cpp
+++ b/source/core/net/http_client.cpp
@@ -29,11 +29,10 @@
 
 namespace {
 
-constexpr common::name_table<http_failure_kind, 7> failure_names{"http failure",
-                                                                 {"connect_failed", "timed_out",
-                                                                  "connection_lost", "bad_response",
-                                                                  "cancelled", "pool_exhausted",
-                                                                  "response_too_large"}};
+constexpr common::name_table<http_failure_kind, 7> failure_names{
+    "http failure",
+    {"connect_failed", "timed_out", "connection_lost", "bad_response", "cancelled",
+     "pool_exhausted", "response_too_large"}};
 
 http::verb to_verb(http_method method) {
     switch (method) {
--- a/source/core/net/http_server.cpp
+++ b/source/core/net/http_server.cpp
@@ -181,11 +181,10 @@
 
     beast::error_code on_part(const arrived_part& part) {
         if (!m_refusal) {
-            m_refusal = m_progress.add(m_server->limits.request, part,
-                                       std::chrono::steady_clock::now());
+            m_refusal =
+                m_progress.add(m_server->limits.request, part, std::chrono::steady_clock::now());
         }
-        if (!m_refusal &&
-            !account_for(budget_use::receiving, m_parser->get().body().capacity())) {
+        if (!m_refusal && !account_for(budget_use::receiving, m_parser->get().body().capacity())) {
             m_refusal = refusal_reason::memory_full;
         }
         if (m_refusal) {
@@ -425,10 +424,9 @@
 }
 
 void http_server::state::on_accepted(tcp::socket socket) {
-    const bool has_room =
-        limits.guard ? limits.guard->budget.make_room_for_connection(this, sessions.size(),
-                                                                     limits.max_connections)
-                     : sessions.size() < limits.max_connections;
+    const bool has_room = limits.guard ? limits.guard->budget.make_room_for_connection(
+                                             this, sessions.size(), limits.max_connections)
+                                       : sessions.size() < limits.max_connections;
     if (!has_room) {
         note(refusal_reason::connections_full);
         return;
--- a/source/core/net/read_message.h
+++ b/source/core/net/read_message.h
@@ -129,8 +129,8 @@
 };
 
 /// Reads one HTTP message into the parser and calls complete(error_code). After each part that
-/// leaves the message unfinished it calls progress(arrived_part), and goes on unless that returns an
-/// error. The stream, the buffer and the parser must outlive the call.
+/// leaves the message unfinished it calls progress(arrived_part), and goes on unless that returns
+/// an error. The stream, the buffer and the parser must outlive the call.
 template <typename Stream, typename Parser, typename Progress, typename Complete>
 void async_read_message(Stream& stream, boost::beast::flat_buffer& buffer, Parser& parser,
                         Progress progress, Complete complete) {
--- a/source/core/net/request_budget.h
+++ b/source/core/net/request_budget.h
@@ -33,8 +33,8 @@
 };
 
 /// Memory for the messages of all connections of a process, and number of the connections that it
-/// accepts. Requests that are in progress and responses of other processes are never evicted; of the
-/// others the largest go first, and of those of about the same size the oldest. For one thread.
+/// accepts. Requests that are in progress and responses of other processes are never evicted; of
+/// the others the largest go first, and of those of about the same size the oldest. For one thread.
 class request_budget {
 public:
     class account;
--- a/source/core/net/request_guard.cpp
+++ b/source/core/net/request_guard.cpp
@@ -38,8 +38,8 @@
     }
     std::size_t sockets = system_limit;
     if (resources.max_fds > 0) {
-        sockets = std::min(
-            sockets, static_cast<std::size_t>(std::max<std::int64_t>(0, resources.max_fds - file_fds)));
+        sockets = std::min(sockets, static_cast<std::size_t>(
+                                        std::max<std::int64_t>(0, resources.max_fds - file_fds)));
     }
     // The rest is for connections to peers, the store and workers.
     return std::max(min_connections, sockets - sockets / 3);
@@ -47,9 +47,8 @@
 
 std::shared_ptr<request_guard> make_request_guard(const process_resources& resources,
                                                   common::counters& counters) {
-    return std::make_shared<request_guard>(message_memory(resources),
-                                           accepted_connections(resources, system_descriptors()),
-                                           counters);
+    return std::make_shared<request_guard>(
+        message_memory(resources), accepted_connections(resources, system_descriptors()), counters);
 }
 
 } // namespace buckthornspar::net
--- a/source/core/peer/peer_node.cpp
+++ b/source/core/peer/peer_node.cpp
@@ -64,8 +64,7 @@
     std::optional<schema::Peer::Client> client;
 };
 
-capnp::Capability::Client
-bootstrap_of(capnp::RpcSystem<capnp::rpc::twoparty::VatId>& rpc) {
+capnp::Capability::Client bootstrap_of(capnp::RpcSystem<capnp::rpc::twoparty::VatId>& rpc) {
     capnp::MallocMessageBuilder message;
     auto server = message.initRoot<capnp::rpc::twoparty::VatId>();
     server.setSide(capnp::rpc::twoparty::Side::SERVER);
@@ -130,14 +129,16 @@
             // Without a descriptor for it, a connection stays in the queue of the system.
             [this](const kj::Exception& /*failure*/) {
                 m_counters.get("peer_task_failures_total").add();
-                return m_io.provider->getTimer().afterDelay(accept_retry).then(
-                    [this] { return accept(); });
+                return m_io.provider->getTimer().afterDelay(accept_retry).then([this] {
+                    return accept();
+                });
             });
     }
 
     void serve(kj::Own<kj::AsyncIoStream> stream) {
         ++m_accepted;
-        auto accepted = kj::heap<accepted_connection>(kj::mv(stream), capnp::Capability::Client(m_server));
+        auto accepted =
+            kj::heap<accepted_connection>(kj::mv(stream), capnp::Capability::Client(m_server));
         auto closed = accepted->network.onDisconnect();
         m_tasks.add(closed.attach(kj::mv(accepted), kj::defer([this] { --m_accepted; })));
     }
