--- a/source/core/net/http_client.cpp
+++ b/source/core/net/http_client.cpp
@@ -71,7 +71,7 @@
 } // namespace
 
 struct http_client::state : std::enable_shared_from_this<state> {
-    state(event_loop& l, http_client_limits lim) : context(l.context()), limits(lim) {}
+    state(event_loop& l, http_client_limits lim) : context(l.context()), limits(std::move(lim)) {}
 
     [[nodiscard]] std::unique_ptr<beast::tcp_stream> take_idle(const endpoint& to);
     void add_idle(const endpoint& to, std::unique_ptr<beast::tcp_stream> stream);
@@ -372,7 +372,7 @@
 }
 
 http_client::http_client(event_loop& loop, http_client_limits limits)
-    : m_state(std::make_shared<state>(loop, limits)) {}
+    : m_state(std::make_shared<state>(loop, std::move(limits))) {}
 
 http_client::~http_client() = default;
 
--- a/source/core/net/http_server.cpp
+++ b/source/core/net/http_server.cpp
@@ -4,6 +4,7 @@
 #include "core/net/event_loop.h"
 #include "core/net/net_error.h"
 #include "core/net/read_message.h"
+#include "core/net/refusal_response.h"
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/io_context.hpp>
@@ -47,7 +48,7 @@
 struct http_server::state : std::enable_shared_from_this<state> {
     state(event_loop& l, http_server_limits lim, http_handler& h)
         : context(l.context()),
-          limits(lim),
+          limits(std::move(lim)),
           handler(h),
           acceptor(l.context()),
           late_request_timer(l.context()),
@@ -254,31 +255,7 @@
         m_parser.reset();
         m_buffer.clear();
         m_buffer.shrink_to_fit();
-        write(refusal_response(reason));
-    }
-
-    [[nodiscard]] http_response refusal_response(refusal_reason reason) const {
-        const request_limits& limits = m_server->limits.request;
-        switch (reason) {
-        case refusal_reason::body_too_large:
-            return error_response(413, "body_too_large",
-                                  "the request body is larger than " +
-                                      std::to_string(limits.max_body_bytes) + " bytes");
-        case refusal_reason::chunk_overhead:
-            return error_response(413, "chunk_overhead",
-                                  "the chunks of the body are too small or have long extensions");
-        case refusal_reason::header_too_large:
-            return error_response(431, "header_too_large",
-                                  "the request line, header fields and trailers are larger than " +
-                                      std::to_string(limits.max_header_bytes) + " bytes");
-        case refusal_reason::too_slow:
-            return error_response(408, "request_too_slow", "the request did not arrive in time");
-        default:
-            break;
-        }
-        auto response = error_response(503, "overloaded", "the request was not read to its end");
-        response.fields.set("Retry-After", "1");
-        return response;
+        write(refusal_response(reason, m_server->limits.request));
     }
 
     void dispatch(http_request request) {
@@ -495,7 +472,7 @@
 
 http_server::http_server(event_loop& loop, const endpoint& listen, http_server_limits limits,
                          http_handler& handler)
-    : m_state(std::make_shared<state>(loop, limits, handler)) {
+    : m_state(std::make_shared<state>(loop, std::move(limits), handler)) {
     try {
         const tcp::endpoint address(asio::ip::make_address(listen.address), listen.port);
         m_state->acceptor.open(address.protocol());
