Place entitled work first and keep the room that gangs gather

A customer that sends more than its weight in jobs a second competed with all others at each scarce place, and gangs waited for seconds because steps earlier in the order took the room that stopped runs had left for them.

Gangs hold gathered room from plan to plan, stay with the workers whose tickets they have, and may stop more than one run on a worker. Nothing of this acts without customers in the configuration.

--- a/source/core/dispatch/dispatch_actions.h
+++ b/source/core/dispatch/dispatch_actions.h
@@ -19,6 +19,8 @@
     /// Expected service time of the call, and the priority of the queue (0 is the most urgent).
     common::duration expected{0};
     int priority = 0;
+    /// The job exceeds its customer's rate.
+    bool excess = false;
 };
 
 /// Calls to the advice service that are expected to take longer than this count as long.
--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -64,6 +64,8 @@
 
 void dispatcher::on_customers(const std::vector<customers::customer_settings>& customers) {
     m_customers = customers;
+    m_shares.set_customers(customers);
+    note_all_waiting();
     m_replan_needed = true;
 }
 
@@ -129,6 +131,8 @@
     m_queued_by_queue[spec.queue] += state == job_state::queued ? 1 : 0;
     m_scheduled_job_count += spec.schedule.repeats > 0 ? 1 : 0;
     m_job_memory += memory_of(job.spec);
+    const auto* const queue = queue_of(job.spec);
+    m_shares.add(job, queue != nullptr && queue->priority == 0);
     m_jobs.emplace(spec.id, std::move(job));
     note_waiting(spec.id);
     m_actions.emplace_back(
@@ -178,6 +182,7 @@
     m_queued_by_queue[job.spec.queue] -= job.state == job_state::queued ? 1 : 0;
     job.state = state;
     m_waiting.erase_job(job.spec.id);
+    m_shares.erase(job.spec.id);
     mark_dirty(job);
     log_event(severity::info, "job_ended",
               {{"job", job.spec.id},
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -7,6 +7,7 @@
 #include "core/dispatch/crash_attribution.h"
 #include "core/dispatch/dispatch_actions.h"
 #include "core/dispatch/job_entry.h"
+#include "core/dispatch/job_shares.h"
 #include "core/dispatch/step_planner.h"
 #include "core/dispatch/waiting_report.h"
 #include "core/dispatch/waiting_steps.h"
@@ -332,6 +333,8 @@
     // dispatcher_plan.cpp
     void plan(common::time_point now);
     [[nodiscard]] plan_limits limits_of_plan(common::time_point now) const;
+    /// Decides which of the jobs that have arrived are within their customers' rates.
+    void update_shares(common::time_point now);
     /// Tasks of the job may have begun to wait: its steps are placed in order before the next plan.
     void note_waiting(const std::string& job) { m_jobs_to_order.insert(job); }
     void note_all_waiting();
@@ -343,7 +346,7 @@
     [[nodiscard]] bool is_waiting(common::time_point now, const task_key& step);
     /// Absent when all waiting tasks of the step are delayed.
     [[nodiscard]] std::optional<waiting_step> find_startable(common::time_point now,
-                                                             const task_key& step);
+                                                             const step_position& position);
     [[nodiscard]] static std::int64_t due_ms(const job_spec& spec, std::uint32_t occurrence);
     [[nodiscard]] std::int64_t unix_ms(common::time_point now) const;
     [[nodiscard]] std::vector<worker_free_capacity> collect_free_capacities(common::time_point now);
@@ -401,6 +404,10 @@
     /// Steps that may have waiting tasks. Jobs that may have runs that no worker reported are left
     /// out, and those in m_jobs_to_order may be missing.
     waiting_steps m_waiting;
+    job_shares m_shares;
+    /// See plan_limits.
+    std::vector<bool> m_kept_for_gangs;
+    std::vector<gang_hold> m_gang_holds;
     std::set<std::string> m_jobs_to_order;
     /// Jobs with later occurrences, by the Unix time in milliseconds at which the next one is due.
     std::set<std::pair<std::int64_t, std::string>> m_scheduled_jobs;
--- a/source/core/dispatch/dispatcher_plan.cpp
+++ b/source/core/dispatch/dispatcher_plan.cpp
@@ -20,6 +20,9 @@
 // Share of the nodes that may be occupied by ticket requests when an optional one is added, so that
 // the others do not wait.
 constexpr std::size_t optional_request_percent = 60;
+// Work in excess leaves this part of the limits on starts and ticket requests to entitled work,
+// half of it for long requests: entitled jobs that arrive next must not wait for the answers.
+constexpr std::size_t entitled_divisor = 4;
 // Part of the bounds on late starts that is left for timers and for the rounding of worker clocks.
 constexpr auto start_bound_margin = std::chrono::milliseconds(100);
 // Starts with less validity than this would often reach their workers too late.
@@ -75,6 +78,7 @@
 
 // The order is kept between plans, because thousands of jobs may wait after an outage.
 void dispatcher::order_waiting_steps(common::time_point now) {
+    update_shares(now);
     const auto now_ms = unix_ms(now);
     while (!m_scheduled_jobs.empty() && m_scheduled_jobs.begin()->first <= now_ms) {
         m_jobs_to_order.insert(m_scheduled_jobs.begin()->second);
@@ -89,6 +93,21 @@
     m_jobs_to_order.clear();
 }
 
+void dispatcher::update_shares(common::time_point now) {
+    if (m_shares.has_unsettled()) {
+        placement::resources fleet;
+        for (const auto* const worker : m_workers.slots()) {
+            if (worker != nullptr) {
+                fleet += worker->report.capacity;
+            }
+        }
+        m_shares.settle(now, fleet);
+    }
+    for (const auto& id : m_shares.take_aged(now)) {
+        note_waiting(id);
+    }
+}
+
 void dispatcher::order_steps_of(common::time_point now, job_entry& job) {
     const auto* const queue = queue_of(job.spec);
     if (queue == nullptr || is_final(job.state) || may_have_unreported_runs(job)) {
@@ -110,7 +129,8 @@
             }
             mark_ready(now, job, s, state);
             const task_key step{job.spec.id, number, s, 0};
-            m_waiting.insert(queue->name, position_of(job, step, state, *queue, m_settings.order));
+            const auto position = position_of(job, step, state, *queue, m_settings.order);
+            m_waiting.insert(queue->name, m_shares.place(position));
         }
     }
     m_counters.get("plan_steps_examined_total").add(static_cast<std::int64_t>(examined));
@@ -152,14 +172,21 @@
 }
 
 std::optional<waiting_step> dispatcher::find_startable(common::time_point now,
-                                                       const task_key& step) {
+                                                       const step_position& position) {
+    const auto& step = position.step;
     auto& job = m_jobs.at(step.job);
     auto& state = *job.find_step(step);
     const auto& spec = job.spec_of(step);
     for (auto index = state.tasks.next_open(0); index < state.tasks.size();
          index = state.tasks.next_open(index + 1)) {
         if (state.may_start(spec, index, now, m_settings.crashes.attributed_limit)) {
-            return waiting_step{step, &spec, queue_of(job.spec), &state, index, job.possible_runs};
+            return waiting_step{step,
+                                &spec,
+                                queue_of(job.spec),
+                                &state,
+                                index,
+                                job.possible_runs,
+                                is_excess(position)};
         }
     }
     return std::nullopt;
@@ -216,6 +243,14 @@
         limits.optional_requests = most - std::min(most, m_advice_calls.size());
     }
     limits.preemption = now >= m_next_preemption;
+    if (m_shares.is_active()) {
+        limits.steady_gangs = true;
+        limits.kept_for_gangs = m_kept_for_gangs;
+        limits.holds = m_gang_holds;
+        limits.starts_kept = m_settings.max_pending_starts / entitled_divisor;
+        limits.advice_kept = {m_requesting_nodes / entitled_divisor,
+                              m_requesting_nodes / (2 * entitled_divisor)};
+    }
     return limits;
 }
 
@@ -236,7 +271,7 @@
             scan.report(waiting_scan::outcome::gone);
             continue;
         }
-        const auto step = find_startable(now, position->step);
+        const auto step = find_startable(now, *position);
         planned += step ? 1U : 0U;
         const bool placed = step && planner.plan(*step);
         if (!placed) {
@@ -255,6 +290,8 @@
     const auto result = planner.take();
     m_counters.get("plan_candidates_examined_total")
         .add(static_cast<std::int64_t>(result.candidates_examined));
+    m_kept_for_gangs = result.kept_for_gangs;
+    m_gang_holds = result.holds;
     execute_plan(now, result);
 }
 
@@ -334,6 +371,7 @@
     const auto* const queue = queue_of(job.spec);
     placed.priority = queue == nullptr ? 0 : queue->priority;
     placed.preemptible = spec.checkpointing && !spec.gang && !spec.long_running;
+    placed.excess = m_shares.is_excess(task.job);
     if (auto* const step = job.find_step(task)) {
         mark_ready(now, job, task.step, *step);
         placed.latest_end = step->latest_start + std::chrono::milliseconds(spec.estimate_ms);
@@ -382,6 +420,7 @@
     placed.last_order_at = now;
     placed.expected_end = now + std::chrono::milliseconds(spec.estimate_ms);
     describe_run(now, placed, job, planned.task);
+    m_shares.on_begun(planned.task.job);
     step.set_current(planned.task.index, {worker.report.id, planned.run});
     task.progress.last_run = planned.run;
     if (m_settings.order == placement_order::smallest || job.spec.schedule.repeats > 0) {
@@ -423,6 +462,7 @@
         call.request.workers.push_back(m_workers.at(slot)->report.id);
     }
     call.priority = planned_request.queue->priority;
+    call.excess = planned_request.excess;
     call.expected = advice_time(*planned_request.queue, planned_request.workers.size());
     take_slot(m_advice_slots, call.expected);
     tickets.calls[call.id] = planned_request.workers;
--- a/source/core/dispatch/plan_state.cpp
+++ b/source/core/dispatch/plan_state.cpp
@@ -21,7 +21,60 @@
       reservations(capacities.size()),
       limits(plan_limits),
       now(time),
-      requested(capacities.size()) {}
+      requested(capacities.size()) {
+    for (const auto& known : limits.holds) {
+        if (known.until <= now) {
+            continue;
+        }
+        const auto& held = m_holds.emplace_back(known);
+        for (const auto& [w, tasks] : held.workers) {
+            if (w < reservations.size()) {
+                reservations[w].push_back({held.demand * tasks, now, &held.step});
+            }
+        }
+    }
+}
+
+const gang_hold* plan_state::find_hold(const waiting_step& step) const {
+    const auto found = std::find_if(m_holds.begin(), m_holds.end(), [&step](const gang_hold& held) {
+        return held.step == step.step;
+    });
+    return found == m_holds.end() ? nullptr : &*found;
+}
+
+bool plan_state::is_held_on(const waiting_step& step, worker_slot w) const {
+    return std::any_of(reservations[w].begin(), reservations[w].end(),
+                       [&step](const capacity_reservation& reservation) {
+                           return reservation.holder != nullptr && *reservation.holder == step.step;
+                       });
+}
+
+void plan_state::hold(const waiting_step& step, const tasks_by_worker& workers,
+                      common::time_point until) {
+    if (const auto* const known = find_hold(step)) {
+        until = known->until;
+        release(step);
+    }
+    const auto& held = m_holds.emplace_back(gang_hold{step.step, demand, workers, until});
+    for (const auto& [w, tasks] : workers) {
+        reservations[w].push_back({demand * tasks, now, &held.step});
+    }
+}
+
+void plan_state::release(const waiting_step& step) {
+    const auto* const held = find_hold(step);
+    if (held == nullptr) {
+        return;
+    }
+    for (const auto& [w, tasks] : held->workers) {
+        if (w < reservations.size()) {
+            std::erase_if(reservations[w], [held](const capacity_reservation& reservation) {
+                return reservation.holder == &held->step;
+            });
+        }
+    }
+    m_holds.remove_if([held](const gang_hold& other) { return &other == held; });
+}
 
 const std::vector<bool>& plan_state::workers_of(const std::string& service) {
     const auto [position, added] = m_services.try_emplace(service);
@@ -59,6 +112,7 @@
 // because a plan covers hundreds of steps and workers.
 void plan_state::select(const waiting_step& step) {
     demand = step.spec->allocation();
+    excess = step.excess;
     candidates.clear();
     has_eligible_workers = false;
     m_selected_service = &workers_of(step.queue->service);
@@ -101,13 +155,14 @@
 
 placement::resources plan_state::available_capacity(const waiting_step& step, worker_slot w) const {
     auto available = capacities[w].free;
-    if (step.queue->priority == 0 || reservations[w].empty()) {
+    if ((step.queue->priority == 0 && !step.excess) || reservations[w].empty()) {
         return available;
     }
     const auto expected = std::chrono::milliseconds(step.spec->estimate_ms) * backfill_margin;
     const auto end = now + std::chrono::duration_cast<common::duration>(expected);
     for (const auto& reservation : reservations[w]) {
-        if (end > reservation.until) {
+        const bool own = reservation.holder != nullptr && *reservation.holder == step.step;
+        if (end > reservation.until && !own) {
             available -= reservation.amount;
         }
     }
@@ -138,7 +193,7 @@
 
 bool plan_state::may_start(std::size_t count) const {
     const auto pending = limits.pending_starts + result.starts.size();
-    const auto most = limits.max_pending_starts;
+    const auto most = limits.max_pending_starts - (excess ? limits.starts_kept : 0);
     return pending + count <= most || (count > most && pending <= most / 4);
 }
 
--- a/source/core/dispatch/plan_state.h
+++ b/source/core/dispatch/plan_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/common/clock.h"
+#include "core/dispatch/capacity_fit.h"
 #include "core/dispatch/dispatch_actions.h"
 #include "core/dispatch/step_order.h"
 #include "core/dispatch/worker_registry.h"
@@ -8,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <limits>
+#include <list>
 #include <map>
 #include <set>
 #include <string>
@@ -38,6 +40,15 @@
     const queue_settings* queue = nullptr;
     std::vector<worker_slot> workers;
     std::string_view reason;
+    bool excess = false;
+};
+
+/// Room that is kept for a gang from plan to plan while runs are stopped for it.
+struct gang_hold {
+    task_key step;
+    placement::resources demand;
+    tasks_by_worker workers;
+    common::time_point until;
 };
 
 struct plan_limits {
@@ -54,6 +65,17 @@
     std::uint32_t crash_limit = std::numeric_limits<std::uint32_t>::max();
     /// Whether runs may be preempted.
     bool preemption = false;
+    /// Workers on which the last plan kept room for gangs, by slot. Tasks that are placed before
+    /// the gangs avoid them where other workers have room.
+    std::vector<bool> kept_for_gangs;
+    /// Whether gangs keep the room for which runs are stopped, and the workers for which they have
+    /// asked for tickets.
+    bool steady_gangs = false;
+    /// The holds that the last plan left.
+    std::vector<gang_hold> holds;
+    /// Part of the limits that steps in excess leave to entitled ones.
+    std::size_t starts_kept = 0;
+    advice_slots advice_kept{0, 0};
 };
 
 /// A run to be stopped for more urgent work.
@@ -66,6 +88,9 @@
     std::vector<planned_start> starts;
     std::vector<ticket_request> ticket_requests;
     std::vector<preempted_run> preemptions;
+    /// See plan_limits.
+    std::vector<bool> kept_for_gangs;
+    std::vector<gang_hold> holds;
     /// Workers that were examined for steps.
     std::size_t candidates_examined = 0;
 };
@@ -74,6 +99,8 @@
 struct capacity_reservation {
     placement::resources amount;
     common::time_point until;
+    /// The step of the hold; null for a reservation of this plan only.
+    const task_key* holder = nullptr;
 };
 
 /// A worker on which a step may run, with its ticket if the queue requires one.
@@ -102,8 +129,8 @@
         return c.ticket == nullptr || c.ticket->expires > now + ticket_margin;
     }
     /// Free capacity that the step may use on the worker. Reservations of gangs are not available
-    /// to a step that does not end before the gang's start, unless the step has the most urgent
-    /// priority.
+    /// to a step that does not end before the gang's start, unless the step is entitled and has the
+    /// most urgent priority.
     [[nodiscard]] placement::resources available_capacity(const waiting_step& step,
                                                           worker_slot w) const;
     /// Number of tasks of the step that the worker may still receive.
@@ -116,7 +143,21 @@
     /// itself need not wait until nothing is pending, which may never be the case beside other
     /// work.
     [[nodiscard]] bool may_start(std::size_t count) const;
+    /// Room on the worker is kept for a gang, in this plan or in the last one.
+    [[nodiscard]] bool is_kept_for_gang(worker_slot w) const {
+        return !reservations[w].empty() ||
+               (w < limits.kept_for_gangs.size() && limits.kept_for_gangs[w]);
+    }
     void start(const waiting_step& step, std::uint32_t index, worker_slot w, std::uint32_t run);
+    /// Keeps the room for the gang in later plans, too, in place of what is held for it. A new hold
+    /// ends at the given time.
+    void hold(const waiting_step& step, const tasks_by_worker& workers, common::time_point until);
+    [[nodiscard]] bool is_held(const waiting_step& step) const {
+        return find_hold(step) != nullptr;
+    }
+    /// The room on the worker is held for the gang.
+    [[nodiscard]] bool is_held_on(const waiting_step& step, worker_slot w) const;
+    void release(const waiting_step& step);
     /// Places nothing more on the worker.
     void withdraw(worker_slot w);
 
@@ -130,9 +171,14 @@
     /// Room for which tickets have been requested for tasks of the steps planned so far, by slot.
     std::vector<placement::resources> requested;
 
+    /// The holds as they are now, for the next plan.
+    [[nodiscard]] std::vector<gang_hold> holds() const { return {m_holds.begin(), m_holds.end()}; }
+    [[nodiscard]] std::size_t hold_count() const { return m_holds.size(); }
+
     // The selected step.
     placement::resources demand;
     std::vector<worker_candidate> candidates;
+    bool excess = false;
     /// The step may run on some worker, with or without room.
     bool has_eligible_workers = false;
 
@@ -146,8 +192,11 @@
 
     [[nodiscard]] const std::vector<bool>& workers_of(const std::string& service);
     [[nodiscard]] bool is_rejected(const waiting_step& step) const;
+    [[nodiscard]] const gang_hold* find_hold(const waiting_step& step) const;
     void add_candidate(const waiting_step& step, worker_slot w, const ticket_state* ticket);
 
+    /// A list, because reservations refer to the steps.
+    std::list<gang_hold> m_holds;
     /// Usable workers of each service, by slot.
     std::map<std::string, std::vector<bool>> m_services;
     const std::vector<bool>* m_selected_service = nullptr;
--- a/source/core/dispatch/preemption.cpp
+++ b/source/core/dispatch/preemption.cpp
@@ -21,14 +21,22 @@
 bool may_preempt(const run_key& run, const placed_run& placed, int priority,
                  common::time_point now) {
     const auto remaining = placed.expected_end - now;
-    return placed.preemptible && placed.phase == run_phase::running && placed.priority > priority &&
-           run.run <= max_run_number && remaining > min_remainder &&
-           placed.latest_end - now - remaining > min_slack;
+    if (!placed.preemptible || placed.phase != run_phase::running || run.run > max_run_number ||
+        remaining <= min_remainder) {
+        return false;
+    }
+    if (placed.excess) {
+        // No time is owed to the job.
+        return placed.priority >= priority;
+    }
+    return placed.priority > priority && placed.latest_end - now - remaining > min_slack;
 }
 
-preemption_option find_preemption(const worker_entry& worker, const placement::resources& demand,
-                                  const placement::resources& available, std::int64_t max_gain,
-                                  int priority, common::time_point now) {
+std::vector<preemption_option> find_preemptions(const worker_entry& worker,
+                                                const placement::resources& demand,
+                                                const placement::resources& available,
+                                                std::int64_t max_gain, int priority,
+                                                common::time_point now) {
     std::vector<std::pair<const run_key*, const placed_run*>> victims;
     for (const auto& [run, placed] : worker.runs) {
         if (may_preempt(run, placed, priority, now)) {
@@ -38,20 +46,42 @@
     std::sort(victims.begin(), victims.end(), [](const auto& a, const auto& b) {
         return a.second->demand.cpu_milli > b.second->demand.cpu_milli;
     });
-    preemption_option option;
-    option.worker = worker.slot;
+    std::vector<preemption_option> options;
+    preemption_option next{worker.slot, 0, 0, {}};
     const auto before = count_fitting_tasks(demand, available);
+    std::int64_t gained = 0;
     auto freed = available;
     for (const auto& [run, placed] : victims) {
+        if (gained >= max_gain) {
+            break;
+        }
         freed += placed->demand;
-        option.stopped_cpu_milli += placed->demand.cpu_milli;
-        option.runs.push_back(*run);
-        option.gained_tasks = std::min(count_fitting_tasks(demand, freed) - before, max_gain);
-        if (option.gained_tasks > 0) {
-            return option;
+        next.stopped_cpu_milli += placed->demand.cpu_milli;
+        next.runs.push_back(*run);
+        next.gained_tasks =
+            std::min(count_fitting_tasks(demand, freed) - before, max_gain) - gained;
+        if (next.gained_tasks <= 0) {
+            continue;
+        }
+        gained += next.gained_tasks;
+        if (!options.empty()) {
+            // An option builds on the room that the ones before it leave, so it must not be chosen
+            // before them.
+            const auto& last = options.back();
+            next.stopped_cpu_milli =
+                std::max(next.stopped_cpu_milli,
+                         last.stopped_cpu_milli * next.gained_tasks / last.gained_tasks + 1);
         }
+        options.push_back(std::exchange(next, {worker.slot, 0, 0, {}}));
     }
-    return {worker.slot, 0, 0, {}};
+    return options;
+}
+
+preemption_option find_preemption(const worker_entry& worker, const placement::resources& demand,
+                                  const placement::resources& available, std::int64_t max_gain,
+                                  int priority, common::time_point now) {
+    auto options = find_preemptions(worker, demand, available, max_gain, priority, now);
+    return options.empty() ? preemption_option{worker.slot, 0, 0, {}} : std::move(options.front());
 }
 
 std::vector<preemption_option> choose_preemptions(std::vector<preemption_option> options,
--- a/source/core/dispatch/preemption.h
+++ b/source/core/dispatch/preemption.h
@@ -18,10 +18,19 @@
 };
 
 /// Whether the run may be stopped for work of the given priority. It must lose little: it continues
-/// from the checkpoint that a worker writes at a stop, and its job can still meet its objective.
+/// from the checkpoint that a worker writes at a stop, and its job can still meet its objective or
+/// exceeds its customer's rate. Only entitled work preempts.
 [[nodiscard]] bool may_preempt(const run_key& run, const placed_run& placed, int priority,
                                common::time_point now);
 
+/// As find_preemption(), with further options that make room for further tasks after the ones
+/// before them. Their cost grows, so that choose_preemptions() takes them in this order.
+[[nodiscard]] std::vector<preemption_option> find_preemptions(const worker_entry& worker,
+                                                              const placement::resources& demand,
+                                                              const placement::resources& available,
+                                                              std::int64_t max_gain, int priority,
+                                                              common::time_point now);
+
 /// The largest runs on the worker that make room for at least one further task with the demand.
 /// available is the capacity that the step may use now; at most max_gain tasks are counted.
 [[nodiscard]] preemption_option find_preemption(const worker_entry& worker,
--- a/source/core/dispatch/step_order.h
+++ b/source/core/dispatch/step_order.h
@@ -29,6 +29,8 @@
     std::uint32_t first_task = 0;
     /// See job_entry.
     std::uint32_t possible_runs = 0;
+    /// The job exceeds its customer's rate, see job_shares.
+    bool excess = false;
 
     /// Number of the next run of the task, or of all tasks of a gang.
     [[nodiscard]] std::uint32_t next_run(std::uint32_t index) const {
--- a/source/core/dispatch/step_planner.cpp
+++ b/source/core/dispatch/step_planner.cpp
@@ -3,6 +3,7 @@
 #include "core/dispatch/preemption.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -23,6 +24,15 @@
 // Time within which a worker ends a stopped run.
 constexpr common::duration stop_time = std::chrono::milliseconds(900);
 
+// Room is kept for a gang for this time after the first stop for it: for the stops, a request for
+// tickets and its repetition. Without it, steps that come first in the next plans would take what
+// the stops have freed, and the gang would stop further runs each time.
+constexpr common::duration hold_time = std::chrono::milliseconds(3000);
+// Gangs for which one plan stops runs, when they keep the room; the search costs processor time.
+constexpr std::size_t max_preempting_gangs = 2;
+// Gangs for which room is kept at a time. It is idle meanwhile.
+constexpr std::size_t max_held_gangs = 16;
+
 std::vector<worker_slot> workers_of(const tasks_by_worker& tasks) {
     std::vector<worker_slot> workers;
     for (const auto& entry : tasks) {
@@ -47,12 +57,16 @@
 
 plan_result step_planner::take() {
     m_tickets.add_deferred_requests();
+    m_plan.result.holds = m_plan.holds();
+    for (const auto& reserved : m_plan.reservations) {
+        m_plan.result.kept_for_gangs.push_back(!reserved.empty());
+    }
     return std::move(m_plan.result);
 }
 
 wait_cause step_planner::cause_of_wait(const waiting_step& step) const {
     if (!m_plan.may_start(1)) {
-        return wait_cause::start_limit;
+        return step.excess ? wait_cause::share : wait_cause::start_limit;
     }
     if (step.state->tasks[step.first_task].is_suspected()) {
         return wait_cause::suspected;
@@ -67,6 +81,9 @@
         room_with_tickets += m_plan.is_valid(c) ? tasks : 0;
     }
     const std::int64_t wanted = step.spec->gang ? std::int64_t{step.spec->count} : 1;
+    if (step.excess && step.state->tickets.calls.empty()) {
+        return wait_cause::share;
+    }
     const bool no_answer = step.queue->needs_tickets && step.state->tickets.asked.empty();
     return no_answer || (room >= wanted && room_with_tickets < wanted) ? wait_cause::tickets
                                                                        : wait_cause::capacity;
@@ -159,7 +176,7 @@
         const bool distant =
             !step.spec->preferred_rack.empty() && report.rack != step.spec->preferred_rack;
         const std::tuple score{task.failed_on.contains(report.id), distant,
-                               !m_plan.reservations[w].empty(),
+                               m_plan.is_kept_for_gang(w),
                                unused_share(capacity.free - demand, report.capacity)};
         if (!best || score < best_score) {
             best = w;
@@ -196,6 +213,9 @@
 
 bool step_planner::may_use(const waiting_step& step, const worker_candidate& c,
                            ticket_need need) const {
+    if (need == ticket_need::held) {
+        return m_plan.is_held_on(step, c.worker);
+    }
     if (need == ticket_need::granted || m_plan.is_valid(c)) {
         return true;
     }
@@ -245,15 +265,20 @@
     if (most_fitting_tasks(step, false) >= count && plan_fitting_gang(step)) {
         return;
     }
-    if (m_plan.limits.preemption && m_plan.result.preemptions.empty() &&
-        most_fitting_tasks(step, true) >= count && can_use_room(step) && preempt_for_gang(step) &&
-        reserve_after_stops(step)) {
+    if (may_preempt_for(step) && most_fitting_tasks(step, true) >= count && can_use_room(step) &&
+        preempt_for_gang(step) && reserve_after_stops(step)) {
         return;
     }
     m_tickets.request_for_blocked_gang(step);
     reserve_capacity_for_gang(step);
 }
 
+bool step_planner::may_preempt_for(const waiting_step& step) const {
+    return m_plan.limits.preemption && !step.excess &&
+           m_preempting_gangs < (m_plan.limits.steady_gangs ? max_preempting_gangs : 1) &&
+           (m_plan.is_held(step) || m_plan.hold_count() < max_held_gangs);
+}
+
 // Starts the gang, or reserves the capacity on which it fits now or once the stopped runs have
 // ended; false when it does not fit.
 bool step_planner::plan_fitting_gang(const waiting_step& step) {
@@ -261,9 +286,10 @@
     const auto ready = place_gang(step, ticket_need::valid, available_now);
     if (!ready.empty()) {
         if (m_plan.may_start(step.spec->count)) {
+            m_plan.release(step);
             start_gang(step, ready);
         } else {
-            reserve_now(ready);
+            keep_room(step, ready);
         }
         return true;
     }
@@ -272,7 +298,7 @@
     if (!step.state->tickets.calls.empty()) {
         const auto expected = place_gang(step, ticket_need::requested, available_now);
         if (!expected.empty()) {
-            reserve_now(expected);
+            keep_room(step, expected);
             return true;
         }
     }
@@ -280,7 +306,7 @@
     if (!fitting.empty()) {
         if (m_tickets.renew_for_gang(step, workers_of(fitting)) ||
             m_unasked_gangs++ < max_unasked_gangs) {
-            reserve_now(fitting);
+            keep_room(step, fitting);
         }
         return true;
     }
@@ -288,13 +314,25 @@
 }
 
 bool step_planner::reserve_after_stops(const waiting_step& step) {
-    const auto soon = place_gang(step, ticket_need::granted, [&](worker_slot w) {
+    const auto after_stops = [&](worker_slot w) {
         return m_plan.available_capacity(step, w) + m_plan.capacities[w].stopping;
-    });
+    };
+    // The workers that suit best change with every run that ends. Tickets for others would have to
+    // be requested each time, and expire before the stopped runs have ended.
+    tasks_by_worker soon;
+    if (m_plan.is_held(step)) {
+        soon = place_gang(step, ticket_need::held, after_stops);
+    }
+    if (soon.empty() && m_plan.limits.steady_gangs) {
+        soon = place_gang(step, ticket_need::requested, after_stops);
+    }
+    if (soon.empty()) {
+        soon = place_gang(step, ticket_need::granted, after_stops);
+    }
     if (soon.empty()) {
         return false;
     }
-    reserve_now(soon);
+    keep_room(step, soon);
     if (!has_valid_tickets(step, soon, stop_time)) {
         m_tickets.renew_for_gang(step, workers_of(soon));
     }
@@ -367,8 +405,13 @@
         const auto most = m_plan.remaining_tasks_on(step, w);
         const auto fitting = std::min(count_fitting_tasks(m_plan.demand, available), most);
         missing -= fitting;
-        options.push_back(find_preemption(*capacity.worker, m_plan.demand, available,
-                                          most - fitting, step.queue->priority, m_plan.now));
+        auto found = find_preemptions(*capacity.worker, m_plan.demand, available, most - fitting,
+                                      step.queue->priority, m_plan.now);
+        // Without steady gangs, a worker makes room for one task at a time.
+        const auto used =
+            m_plan.limits.steady_gangs ? found.size() : std::min<std::size_t>(1, found.size());
+        options.insert(options.end(), std::make_move_iterator(found.begin()),
+                       std::make_move_iterator(found.begin() + static_cast<std::ptrdiff_t>(used)));
     }
     const auto chosen = choose_preemptions(std::move(options), missing);
     for (const auto& option : chosen) {
@@ -378,7 +421,15 @@
             m_plan.result.preemptions.push_back({option.worker, run});
         }
     }
-    return !chosen.empty();
+    if (chosen.empty()) {
+        return false;
+    }
+    ++m_preempting_gangs;
+    if (m_plan.limits.steady_gangs && !m_plan.is_held(step)) {
+        // reserve_after_stops() chooses the workers.
+        m_plan.hold(step, {}, m_plan.now + hold_time);
+    }
+    return true;
 }
 
 void step_planner::start_gang(const waiting_step& step, const tasks_by_worker& workers) {
@@ -391,6 +442,14 @@
     }
 }
 
+void step_planner::keep_room(const waiting_step& step, const tasks_by_worker& workers) {
+    if (m_plan.is_held(step)) {
+        m_plan.hold(step, workers, m_plan.now);
+    } else {
+        reserve_now(workers);
+    }
+}
+
 // Reserves free capacity for a gang that starts as soon as its tickets or the limit of pending
 // starts permit.
 void step_planner::reserve_now(const tasks_by_worker& workers) {
--- a/source/core/dispatch/step_planner.h
+++ b/source/core/dispatch/step_planner.h
@@ -52,6 +52,7 @@
         valid,     ///< with a valid ticket
         requested, ///< also those that a request under way names
         granted,   ///< all that have ever been granted
+        held,      ///< those on which room is held for the gang
     };
     template <typename CapacityOf>
     [[nodiscard]] tasks_by_worker fit_gang(const waiting_step& step, ticket_need need,
@@ -71,6 +72,9 @@
     [[nodiscard]] bool can_use_room(const waiting_step& step) const;
     bool preempt_for_gang(const waiting_step& step);
     void start_gang(const waiting_step& step, const tasks_by_worker& workers);
+    [[nodiscard]] bool may_preempt_for(const waiting_step& step) const;
+    /// Keeps the room for the gang: in later plans as well if it is held.
+    void keep_room(const waiting_step& step, const tasks_by_worker& workers);
     void reserve_now(const tasks_by_worker& workers);
     void reserve_capacity_for_gang(const waiting_step& step);
     void reserve_capacity(const waiting_step& step, const tasks_by_worker& workers,
@@ -80,6 +84,7 @@
     ticket_planner m_tickets{m_plan};
     std::size_t m_reserved_gangs = 0;
     std::size_t m_unasked_gangs = 0;
+    std::size_t m_preempting_gangs = 0;
     /// The step of the suspected task that was planned last.
     std::optional<task_key> m_probed_step;
     /// Workers that get suspected tasks of the step that is being planned.
--- a/source/core/dispatch/ticket_planner.cpp
+++ b/source/core/dispatch/ticket_planner.cpp
@@ -16,6 +16,9 @@
 constexpr std::size_t max_advice_workers = 100;
 constexpr std::size_t max_slow_advice_workers = 60;
 constexpr double slow_advice_ms = 4.0;
+// Steps whose tasks start one by one leave the long calls, of which each node sends one at a time,
+// to gangs if a short call can name at least this many workers.
+constexpr double min_short_call_workers = 20.0;
 // Other granted workers with free capacity that a renewal names besides those that a gang is
 // planned on, as a share of these: some of the capacity is taken before the tickets arrive.
 constexpr std::size_t min_spare_renewals = 3;
@@ -31,21 +34,38 @@
 // the service.
 constexpr std::size_t max_parallel_calls = 3;
 
-std::size_t max_workers_per_call(const waiting_step& step) {
-    return step.queue->ticket_per_worker_ms > slow_advice_ms ? max_slow_advice_workers
-                                                             : max_advice_workers;
-}
-
 } // namespace
 
+std::size_t ticket_planner::max_named(const waiting_step& step) const {
+    const auto& queue = *step.queue;
+    const auto most =
+        queue.ticket_per_worker_ms > slow_advice_ms ? max_slow_advice_workers : max_advice_workers;
+    if (!m_plan.limits.steady_gangs || step.spec->gang || queue.ticket_per_worker_ms <= 0.0) {
+        return most;
+    }
+    const std::chrono::duration<double, std::milli> longest_short = long_advice_call;
+    const auto named = (longest_short.count() - queue.ticket_base_ms) / queue.ticket_per_worker_ms;
+    return named < min_short_call_workers ? most : std::min(most, static_cast<std::size_t>(named));
+}
+
 bool ticket_planner::may_request(const waiting_step& step) const {
     const auto& tickets = step.state->tickets;
     return step.queue->needs_tickets && tickets.calls.empty() && m_plan.now >= tickets.not_before;
 }
 
 bool ticket_planner::has_slot(const waiting_step& step) const {
-    const auto named = std::min(m_plan.candidates.size(), max_workers_per_call(step));
-    return permitted_calls(m_plan.limits.advice, advice_time(*step.queue, named)) > 0;
+    const auto named = std::min(m_plan.candidates.size(), max_named(step));
+    return permitted(step, advice_time(*step.queue, named)) > 0;
+}
+
+std::size_t ticket_planner::permitted(const waiting_step& step, common::duration expected) const {
+    auto slots = m_plan.limits.advice;
+    if (step.excess) {
+        const auto& kept = m_plan.limits.advice_kept;
+        slots.calls -= std::min(slots.calls, kept.calls);
+        slots.long_calls -= std::min(slots.long_calls, kept.long_calls);
+    }
+    return permitted_calls(slots, expected);
 }
 
 void ticket_planner::request_for_tasks(const waiting_step& step) {
@@ -130,14 +150,14 @@
 bool ticket_planner::add_requests(const waiting_step& step, std::vector<worker_slot> workers,
                                   std::string_view reason, std::size_t calls) {
     auto& slots = m_plan.limits.advice;
-    const auto named_by_one = std::min(workers.size(), max_workers_per_call(step));
+    const auto named_by_one = std::min(workers.size(), max_named(step));
     const auto expected = advice_time(*step.queue, named_by_one);
-    calls = std::min(calls, permitted_calls(slots, expected));
+    calls = std::min(calls, permitted(step, expected));
     if (workers.empty() || calls == 0) {
         return false;
     }
     const auto& capacities = m_plan.capacities;
-    const auto count = std::min(workers.size(), max_workers_per_call(step) * calls);
+    const auto count = std::min(workers.size(), max_named(step) * calls);
     std::partial_sort(workers.begin(), workers.begin() + static_cast<std::ptrdiff_t>(count),
                       workers.end(), [&capacities](worker_slot a, worker_slot b) {
                           return std::tuple(-capacities[a].free.cpu_milli, a) <
@@ -149,7 +169,8 @@
         for (std::size_t i = call; i < count; i += calls) {
             named.push_back(workers[i]);
         }
-        m_plan.result.ticket_requests.push_back({step.step, step.queue, std::move(named), reason});
+        m_plan.result.ticket_requests.push_back(
+            {step.step, step.queue, std::move(named), reason, step.excess});
         take_slot(slots, expected);
     }
     return true;
@@ -189,9 +210,8 @@
                              m_plan.total_task_capacity(step);
         const auto named =
             std::max<std::int64_t>(1, missing) * workers_named_per_grant / tasks_per_worker;
-        calls = std::clamp<std::size_t>(1 + static_cast<std::size_t>(named) /
-                                                max_workers_per_call(step),
-                                        1, max_parallel_calls);
+        calls = std::clamp<std::size_t>(1 + static_cast<std::size_t>(named) / max_named(step), 1,
+                                        max_parallel_calls);
     }
     add_requests(step, workers, reason, calls);
 }
@@ -210,7 +230,7 @@
 // Keeps the tickets of a blocked gang valid, so that it starts as soon as it fits. Otherwise the
 // capacity would be reserved, and idle, while the tickets are requested.
 bool ticket_planner::renew_expiring(const waiting_step& step) {
-    const auto named_most = std::min(m_plan.candidates.size(), max_workers_per_call(step));
+    const auto named_most = std::min(m_plan.candidates.size(), max_named(step));
     const auto expiry = m_plan.now + advice_time(*step.queue, named_most) + early_request_margin;
     std::vector<worker_slot> expiring;
     for (const auto& c : m_plan.candidates) {
@@ -243,8 +263,7 @@
     }
     const auto named =
         static_cast<std::size_t>(std::max<std::int64_t>(1, missing) * workers_named_per_grant);
-    const auto calls =
-        std::clamp<std::size_t>(1 + named / max_workers_per_call(step), 1, max_parallel_calls);
+    const auto calls = std::clamp<std::size_t>(1 + named / max_named(step), 1, max_parallel_calls);
     defer_requests(step, std::move(free), "free", calls);
 }
 
--- a/source/core/dispatch/ticket_planner.h
+++ b/source/core/dispatch/ticket_planner.h
@@ -41,6 +41,10 @@
         std::size_t calls = 1;
     };
 
+    /// Maximum number of workers that one call for the step names.
+    [[nodiscard]] std::size_t max_named(const waiting_step& step) const;
+    /// Number of calls of the expected duration that may be made for the step.
+    [[nodiscard]] std::size_t permitted(const waiting_step& step, common::duration expected) const;
     [[nodiscard]] bool is_unasked(const waiting_step& step, worker_slot w) const;
     [[nodiscard]] std::vector<worker_slot> unasked(const waiting_step& step) const;
     [[nodiscard]] std::vector<worker_slot> unasked_with_room(const waiting_step& step) const;
--- a/source/core/dispatch/waiting_report.h
+++ b/source/core/dispatch/waiting_report.h
@@ -21,10 +21,12 @@
     start_limit,   ///< too many starts have no response
     tickets,       ///< tickets are missing or have expired
     capacity,      ///< the workers that may run the step have too little free capacity
+    share,         ///< the customer exceeds its rate, and others go first
 };
-inline constexpr common::name_table<wait_cause, 7> wait_cause_names{
+inline constexpr common::name_table<wait_cause, 8> wait_cause_names{
     "wait cause",
-    {"recovery", "unknown_queue", "delayed", "suspected", "start_limit", "tickets", "capacity"}};
+    {"recovery", "unknown_queue", "delayed", "suspected", "start_limit", "tickets", "capacity",
+     "share"}};
 
 /// Number of waiting steps, or jobs, by cause.
 class wait_counts {
--- a/source/core/dispatch/worker_registry.h
+++ b/source/core/dispatch/worker_registry.h
@@ -65,6 +65,8 @@
     /// The run may be stopped for more urgent work: it continues from a checkpoint and is not part
     /// of a gang.
     bool preemptible = false;
+    /// The job exceeds its customer's rate.
+    bool excess = false;
     /// Latest end of the task that meets the objective of its job.
     common::time_point latest_end;
 
--- a/source/core/service/advice_balancer.cpp
+++ b/source/core/service/advice_balancer.cpp
@@ -137,7 +137,7 @@
 
 std::vector<advice_balancer::assignment> advice_balancer::take_ready(common::time_point now) {
     std::stable_sort(m_waiting.begin(), m_waiting.end(), [](const auto& a, const auto& b) {
-        return std::tuple(a.priority, a.id) < std::tuple(b.priority, b.id);
+        return std::tuple(a.excess, a.priority, a.id) < std::tuple(b.excess, b.priority, b.id);
     });
     std::vector<assignment> result;
     std::vector<dispatch::advice_call> remaining;
--- a/source/core/service/advice_balancer.h
+++ b/source/core/service/advice_balancer.h
@@ -36,7 +36,8 @@
     bool fail(const std::string& node, dispatch::advice_call call, common::time_point now);
     /// Calls that could be sent now besides those that are queued.
     [[nodiscard]] dispatch::advice_slots free_slots(common::time_point now) const;
-    /// Takes the calls that can be sent now from the queue, the most urgent first.
+    /// Takes the calls that can be sent now from the queue, those for entitled work and then the
+    /// most urgent first.
     [[nodiscard]] std::vector<assignment> take_ready(common::time_point now);
     void clear();
 
