--- a/source/core/dispatch/preemption.cpp
+++ b/source/core/dispatch/preemption.cpp
@@ -32,11 +32,9 @@
     return placed.priority > priority && placed.latest_end - now - remaining > min_slack;
 }
 
-std::vector<preemption_option> find_preemptions(const worker_entry& worker,
-                                                const placement::resources& demand,
-                                                const placement::resources& available,
-                                                std::int64_t max_gain, int priority,
-                                                common::time_point now) {
+preemption_option find_preemption(const worker_entry& worker, const placement::resources& demand,
+                                  const placement::resources& available, std::int64_t max_gain,
+                                  int priority, common::time_point now) {
     std::vector<std::pair<const run_key*, const placed_run*>> victims;
     for (const auto& [run, placed] : worker.runs) {
         if (may_preempt(run, placed, priority, now)) {
@@ -46,42 +44,20 @@
     std::sort(victims.begin(), victims.end(), [](const auto& a, const auto& b) {
         return a.second->demand.cpu_milli > b.second->demand.cpu_milli;
     });
-    std::vector<preemption_option> options;
-    preemption_option next{worker.slot, 0, 0, {}};
+    preemption_option option;
+    option.worker = worker.slot;
     const auto before = count_fitting_tasks(demand, available);
-    std::int64_t gained = 0;
     auto freed = available;
     for (const auto& [run, placed] : victims) {
-        if (gained >= max_gain) {
-            break;
-        }
         freed += placed->demand;
-        next.stopped_cpu_milli += placed->demand.cpu_milli;
-        next.runs.push_back(*run);
-        next.gained_tasks =
-            std::min(count_fitting_tasks(demand, freed) - before, max_gain) - gained;
-        if (next.gained_tasks <= 0) {
-            continue;
-        }
-        gained += next.gained_tasks;
-        if (!options.empty()) {
-            // An option builds on the room that the ones before it leave, so it must not be chosen
-            // before them.
-            const auto& last = options.back();
-            next.stopped_cpu_milli =
-                std::max(next.stopped_cpu_milli,
-                         last.stopped_cpu_milli * next.gained_tasks / last.gained_tasks + 1);
+        option.stopped_cpu_milli += placed->demand.cpu_milli;
+        option.runs.push_back(*run);
+        option.gained_tasks = std::min(count_fitting_tasks(demand, freed) - before, max_gain);
+        if (option.gained_tasks > 0) {
+            return option;
         }
-        options.push_back(std::exchange(next, {worker.slot, 0, 0, {}}));
     }
-    return options;
-}
-
-preemption_option find_preemption(const worker_entry& worker, const placement::resources& demand,
-                                  const placement::resources& available, std::int64_t max_gain,
-                                  int priority, common::time_point now) {
-    auto options = find_preemptions(worker, demand, available, max_gain, priority, now);
-    return options.empty() ? preemption_option{worker.slot, 0, 0, {}} : std::move(options.front());
+    return {worker.slot, 0, 0, {}};
 }
 
 std::vector<preemption_option> choose_preemptions(std::vector<preemption_option> options,
--- a/source/core/dispatch/preemption.h
+++ b/source/core/dispatch/preemption.h
@@ -23,14 +23,6 @@
 [[nodiscard]] bool may_preempt(const run_key& run, const placed_run& placed, int priority,
                                common::time_point now);
 
-/// As find_preemption(), with further options that make room for further tasks after the ones
-/// before them. Their cost grows, so that choose_preemptions() takes them in this order.
-[[nodiscard]] std::vector<preemption_option> find_preemptions(const worker_entry& worker,
-                                                              const placement::resources& demand,
-                                                              const placement::resources& available,
-                                                              std::int64_t max_gain, int priority,
-                                                              common::time_point now);
-
 /// The largest runs on the worker that make room for at least one further task with the demand.
 /// available is the capacity that the step may use now; at most max_gain tasks are counted.
 [[nodiscard]] preemption_option find_preemption(const worker_entry& worker,
--- a/source/core/dispatch/step_planner.cpp
+++ b/source/core/dispatch/step_planner.cpp
@@ -3,7 +3,6 @@
 #include "core/dispatch/preemption.h"
 
 #include <algorithm>
-#include <iterator>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -405,13 +404,8 @@
         const auto most = m_plan.remaining_tasks_on(step, w);
         const auto fitting = std::min(count_fitting_tasks(m_plan.demand, available), most);
         missing -= fitting;
-        auto found = find_preemptions(*capacity.worker, m_plan.demand, available, most - fitting,
-                                      step.queue->priority, m_plan.now);
-        // Without steady gangs, a worker makes room for one task at a time.
-        const auto used =
-            m_plan.limits.steady_gangs ? found.size() : std::min<std::size_t>(1, found.size());
-        options.insert(options.end(), std::make_move_iterator(found.begin()),
-                       std::make_move_iterator(found.begin() + static_cast<std::ptrdiff_t>(used)));
+        options.push_back(find_preemption(*capacity.worker, m_plan.demand, available,
+                                          most - fitting, step.queue->priority, m_plan.now));
     }
     const auto chosen = choose_preemptions(std::move(options), missing);
     for (const auto& option : chosen) {
