Merge the shares of customers

First version of the shares, with the caps: a step carries its customer and whether it is in excess; wait causes cap and share.

--- a/source/core/dispatch/preemption.cpp
+++ b/source/core/dispatch/preemption.cpp
@@ -21,9 +21,15 @@
 bool may_preempt(const run_key& run, const placed_run& placed, int priority,
                  common::time_point now) {
     const auto remaining = placed.expected_end - now;
-    return placed.preemptible && placed.phase == run_phase::running && placed.priority > priority &&
-           run.run <= max_run_number && remaining > min_remainder &&
-           placed.latest_end - now - remaining > min_slack;
+    if (!placed.preemptible || placed.phase != run_phase::running || run.run > max_run_number ||
+        remaining <= min_remainder) {
+        return false;
+    }
+    if (placed.excess) {
+        // No time is owed to the job.
+        return placed.priority >= priority;
+    }
+    return placed.priority > priority && placed.latest_end - now - remaining > min_slack;
 }
 
 preemption_option find_preemption(const worker_entry& worker, const placement::resources& demand,
--- a/source/core/dispatch/preemption.h
+++ b/source/core/dispatch/preemption.h
@@ -18,7 +18,8 @@
 };
 
 /// Whether the run may be stopped for work of the given priority. It must lose little: it continues
-/// from the checkpoint that a worker writes at a stop, and its job can still meet its objective.
+/// from the checkpoint that a worker writes at a stop, and its job can still meet its objective or
+/// exceeds its customer's rate. Only entitled work preempts.
 [[nodiscard]] bool may_preempt(const run_key& run, const placed_run& placed, int priority,
                                common::time_point now);
 
--- a/source/core/dispatch/step_order.h
+++ b/source/core/dispatch/step_order.h
@@ -30,6 +30,8 @@
     /// See job_entry.
     std::uint32_t possible_runs = 0;
     customers::customer_index customer = customers::no_customer;
+    /// The job exceeds its customer's rate, see job_shares.
+    bool excess = false;
 
     /// Number of the next run of the task, or of all tasks of a gang.
     [[nodiscard]] std::uint32_t next_run(std::uint32_t index) const {
--- a/source/core/dispatch/waiting_report.h
+++ b/source/core/dispatch/waiting_report.h
@@ -22,11 +22,12 @@
     tickets,       ///< tickets are missing or have expired
     capacity,      ///< the workers that may run the step have too little free capacity
     cap,           ///< the customer runs as much as its cap allows
+    share,         ///< the customer exceeds its rate, and others go first
 };
-inline constexpr common::name_table<wait_cause, 8> wait_cause_names{
+inline constexpr common::name_table<wait_cause, 9> wait_cause_names{
     "wait cause",
     {"recovery", "unknown_queue", "delayed", "suspected", "start_limit", "tickets", "capacity",
-     "cap"}};
+     "cap", "share"}};
 
 /// Number of waiting steps, or jobs, by cause.
 class wait_counts {
--- a/source/programs/buckthornspar-bench/plan_backlog.cpp
+++ b/source/programs/buckthornspar-bench/plan_backlog.cpp
@@ -88,10 +88,6 @@
         return result;
     }
 
-    static std::string customer_name(std::size_t number) {
-        return "customer" + std::to_string(number);
-    }
-
     static worker_report describe(const std::string& id) {
         worker_report report;
         report.id = id;
@@ -103,12 +99,19 @@
         return report;
     }
 
+    static std::string customer_name(std::size_t number) {
+        return "customer" + std::to_string(number);
+    }
+
     void submit(const std::string& queue, std::uint32_t tasks, std::int64_t cpu_milli, bool gang) {
         job_spec spec;
         spec.id = "job" + std::to_string(m_next_job++);
         spec.queue = queue;
         if (m_customer_count > 0) {
-            spec.customer = customer_name(m_next_job % m_customer_count);
+            // A tenth of the customers sends half of the jobs.
+            const auto some = m_next_job % 2 == 0 ? std::max<std::size_t>(1, m_customer_count / 10)
+                                                  : m_customer_count;
+            spec.customer = customer_name(m_next_job % some);
         }
         step_spec step;
         step.count = tasks;
