Learn the speed of workers and kinds of work that disturb each other

The scheduler took all workers for alike and a run's expected end from its estimate alone. On a fleet of unlike workers the slowest member held a whole gang, and urgent work ran where packing put it. core/learning compares the tasks of a step with each other once all have ended, learns each worker's speed from the median, the error of a queue's estimates, and which kinds of work (image, else queue) slow each other down. Runs are compared as a whole step because those that end first are the shorter ones: comparing in the order of ends gave all workers a falling speed.

Gangs and tasks prefer fast workers, expected ends follow the step and the worker, and kinds that disturb each other are kept apart where there is room.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -50,6 +50,7 @@
     : m_settings(std::move(settings)),
       m_counters(counters),
       m_workers(m_settings.leases),
+      m_observer(m_settings.learning, counters),
       m_authority(m_settings.authority) {}
 
 void dispatcher::on_queues(const std::vector<queue_settings>& queues) {
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -7,6 +7,7 @@
 #include "core/dispatch/crash_attribution.h"
 #include "core/dispatch/dispatch_actions.h"
 #include "core/dispatch/job_entry.h"
+#include "core/dispatch/run_observer.h"
 #include "core/dispatch/step_planner.h"
 #include "core/dispatch/waiting_report.h"
 #include "core/dispatch/waiting_steps.h"
@@ -75,6 +76,7 @@
     /// owner's network link until their workers refuse them as late.
     std::size_t max_pending_starts = 0;
     crash_settings crashes;
+    learning::learning_settings learning;
     /// Largest value that the store takes.
     std::size_t max_record_bytes = std::size_t{1} << 20U;
 };
@@ -166,6 +168,7 @@
     /// Memory in bytes that the jobs take before their tasks are started.
     [[nodiscard]] std::int64_t job_memory() const { return m_job_memory; }
     [[nodiscard]] const worker_registry& workers() const { return m_workers; }
+    [[nodiscard]] run_observer& observer() { return m_observer; }
     [[nodiscard]] std::uint64_t fence() const { return m_fence; }
     /// A majority of the recorded workers accepts the owner's orders, and the store has shown its
     /// key within the time that their number allows.
@@ -375,6 +378,7 @@
     dispatcher_settings m_settings;
     common::counters& m_counters;
     worker_registry m_workers;
+    run_observer m_observer;
     scheduling::authority m_authority;
     /// Workers in the stored record, and in the one that is being written, of which a majority is
     /// needed. A successor counts over the same ones.
--- a/source/core/dispatch/dispatcher_orders.cpp
+++ b/source/core/dispatch/dispatcher_orders.cpp
@@ -185,6 +185,7 @@
 void dispatcher::handle_worker_restart(common::time_point now, const std::string& id,
                                        const worker_registry::update& change) {
     auto& worker = *m_workers.find(id);
+    m_observer.on_restart(worker.slot);
     m_workers_dirty = true;
     // It holds for the former incarnation only.
     m_recorded_wait_ends.erase(id);
--- a/source/core/dispatch/dispatcher_plan.cpp
+++ b/source/core/dispatch/dispatcher_plan.cpp
@@ -216,6 +216,7 @@
         limits.optional_requests = most - std::min(most, m_advice_calls.size());
     }
     limits.preemption = now >= m_next_preemption;
+    limits.learnt = &m_observer.learnt();
     return limits;
 }
 
@@ -380,8 +381,9 @@
     placed.start_valid_until_ms = order.valid_until_ms;
     placed.open_orders = 1;
     placed.last_order_at = now;
-    placed.expected_end = now + std::chrono::milliseconds(spec.estimate_ms);
     describe_run(now, placed, job, planned.task);
+    m_observer.on_start(worker, run, placed, {spec, job.spec.queue, order.checkpoint.empty()});
+    placed.expected_end = now + m_observer.expected_duration(worker, run, spec, job.spec.queue);
     step.set_current(planned.task.index, {worker.report.id, planned.run});
     task.progress.last_run = planned.run;
     if (m_settings.order == placement_order::smallest || job.spec.schedule.repeats > 0) {
--- a/source/core/dispatch/dispatcher_runs.cpp
+++ b/source/core/dispatch/dispatcher_runs.cpp
@@ -100,6 +100,7 @@
         last_run = std::max(last_run, reported.run.run);
     }
     describe_run(now, placed, job->second, reported.run.task);
+    m_observer.on_start(worker, reported.run, placed, {spec, job->second.spec.queue, false});
     log_event(severity::info, "run_adopted",
               {{"task", to_string(reported.run.task)},
                {"run", reported.run.run},
@@ -127,6 +128,11 @@
     m_unsaved_workers.insert(worker.report.id);
     const auto position = worker.runs.find(reported.run);
     const auto started = position == worker.runs.end() ? now : position->second.ordered_at;
+    const auto job = m_jobs.find(reported.run.task.job);
+    if (position != worker.runs.end() && job != m_jobs.end()) {
+        m_observer.on_end(now, worker, reported, position->second,
+                          {job->second.spec_of(reported.run.task), job->second.spec.queue, true});
+    }
     m_workers.release(worker, reported.run);
     m_counters.get("runs_ended_total", "how", run_end_names.name(reported.how)).add();
     log_event(severity::info, "run_ended",
--- a/source/core/dispatch/job.h
+++ b/source/core/dispatch/job.h
@@ -33,6 +33,8 @@
     /// The tasks use processor time left over by others; no processor capacity is reserved for
     /// them.
     bool filler = false;
+    /// Names what the tasks run; tasks of the same image behave alike. Empty when unknown.
+    std::string image;
     /// Label that a worker must have; empty for any worker.
     std::string required_label;
     /// Rack that holds the data; empty when no rack is preferred.
--- a/source/core/dispatch/job_entry.cpp
+++ b/source/core/dispatch/job_entry.cpp
@@ -323,7 +323,8 @@
     for (const auto& step : spec.steps) {
         bytes += static_cast<std::int64_t>(sizeof(step_spec) + sizeof(step_state)) + node_overhead +
                  static_cast<std::int64_t>(step.after.size() * sizeof(std::uint32_t)) +
-                 memory_of(step.required_label) + memory_of(step.preferred_rack);
+                 memory_of(step.image) + memory_of(step.required_label) +
+                 memory_of(step.preferred_rack);
     }
     return bytes;
 }
--- a/source/core/dispatch/plan_state.cpp
+++ b/source/core/dispatch/plan_state.cpp
@@ -21,7 +21,8 @@
       reservations(capacities.size()),
       limits(plan_limits),
       now(time),
-      requested(capacities.size()) {}
+      requested(capacities.size()),
+      preference(plan_limits.learnt, capacities.size()) {}
 
 const std::vector<bool>& plan_state::workers_of(const std::string& service) {
     const auto [position, added] = m_services.try_emplace(service);
@@ -158,6 +159,7 @@
         planned.ticket = ticket->ticket;
     }
     capacities[w].free -= demand;
+    preference.note_start(*step.spec, *step.queue, *capacities[w].worker);
     started.insert(w);
     if (step.spec->max_per_worker != 0) {
         ++m_present_tasks[capacities[w].worker->report.id];
--- a/source/core/dispatch/plan_state.h
+++ b/source/core/dispatch/plan_state.h
@@ -3,6 +3,7 @@
 #include "core/common/clock.h"
 #include "core/dispatch/dispatch_actions.h"
 #include "core/dispatch/step_order.h"
+#include "core/dispatch/worker_preference.h"
 #include "core/dispatch/worker_registry.h"
 
 #include <cstddef>
@@ -54,6 +55,8 @@
     std::uint32_t crash_limit = std::numeric_limits<std::uint32_t>::max();
     /// Whether runs may be preempted.
     bool preemption = false;
+    /// What is known of workers and kinds of work; null when nothing is.
+    const learning::run_learning* learnt = nullptr;
 };
 
 /// A run to be stopped for more urgent work.
@@ -133,6 +136,8 @@
     // The selected step.
     placement::resources demand;
     std::vector<worker_candidate> candidates;
+    /// Prefers some of the workers on which a step fits.
+    worker_preference preference;
     /// The step may run on some worker, with or without room.
     bool has_eligible_workers = false;
 
--- a/source/core/dispatch/progress.cpp
+++ b/source/core/dispatch/progress.cpp
@@ -77,6 +77,7 @@
     put(object, "speculative", step.speculative);
     put(object, "long_running", step.long_running);
     put(object, "filler", step.filler);
+    put(object, "image", step.image);
     put(object, "required_label", step.required_label);
     put(object, "preferred_rack", step.preferred_rack);
     put(object, "max_per_worker", std::int64_t{step.max_per_worker});
@@ -98,6 +99,7 @@
     step.speculative = flag_of(object, "speculative");
     step.long_running = flag_of(object, "long_running");
     step.filler = flag_of(object, "filler");
+    step.image = text_of(object, "image");
     step.required_label = text_of(object, "required_label");
     step.preferred_rack = text_of(object, "preferred_rack");
     step.max_per_worker = static_cast<std::uint32_t>(number_of(object, "max_per_worker"));
--- a/source/core/dispatch/step_planner.cpp
+++ b/source/core/dispatch/step_planner.cpp
@@ -146,7 +146,8 @@
                                                      const task_state& task) const {
     const auto& demand = m_plan.demand;
     std::optional<worker_slot> best;
-    std::tuple<bool, bool, bool, double> best_score;
+    const auto preferred = m_plan.preference.of_step(step);
+    std::tuple<bool, bool, bool, worker_rank, double> best_score;
     for (const auto& c : m_plan.candidates) {
         const auto w = c.worker;
         const auto& capacity = m_plan.capacities[w];
@@ -159,7 +160,7 @@
         const bool distant =
             !step.spec->preferred_rack.empty() && report.rack != step.spec->preferred_rack;
         const std::tuple score{task.failed_on.contains(report.id), distant,
-                               !m_plan.reservations[w].empty(),
+                               !m_plan.reservations[w].empty(), preferred.rank(*capacity.worker),
                                unused_share(capacity.free - demand, report.capacity)};
         if (!best || score < best_score) {
             best = w;
@@ -191,7 +192,9 @@
     if (sum < static_cast<std::int64_t>(step.spec->count)) {
         return {};
     }
-    return allocate_tasks(std::move(fitting), step.spec->count);
+    const auto preferred = m_plan.preference.of_step(step);
+    return allocate_tasks(preferred.select_for_gang(std::move(fitting), m_plan.capacities),
+                          step.spec->count);
 }
 
 bool step_planner::may_use(const waiting_step& step, const worker_candidate& c,
--- a/source/core/dispatch/worker_registry.h
+++ b/source/core/dispatch/worker_registry.h
@@ -2,6 +2,7 @@
 
 #include "core/common/clock.h"
 #include "core/dispatch/worker_link.h"
+#include "core/learning/observed_run.h"
 
 #include <map>
 #include <optional>
@@ -67,6 +68,7 @@
     bool preemptible = false;
     /// Latest end of the task that meets the objective of its job.
     common::time_point latest_end;
+    learning::observed_run observed;
 
     void update_progress(common::time_point now, int reported);
 };
--- /dev/null
+++ b/tests/unit/learning/main.cpp
@@ -0,0 +1,2 @@
+#define BOOST_TEST_MODULE learning
+#include <boost/test/unit_test.hpp>
