--- a/source/core/dispatch/plan_state.cpp
+++ b/source/core/dispatch/plan_state.cpp
@@ -22,7 +22,8 @@
       limits(plan_limits),
       caps(plan_limits.caps),
       now(time),
-      requested(capacities.size()) {
+      requested(capacities.size()),
+      preference(plan_limits.learnt, capacities.size()) {
     for (const auto& known : limits.holds) {
         if (known.until <= now) {
             continue;
@@ -221,6 +222,7 @@
     }
     capacities[w].free -= demand;
     caps.take(step.customer, demand);
+    preference.note_start(*step.spec, *step.queue, *capacities[w].worker);
     started.insert(w);
     if (step.spec->max_per_worker != 0) {
         ++m_present_tasks[capacities[w].worker->report.id];
--- a/source/core/dispatch/plan_state.h
+++ b/source/core/dispatch/plan_state.h
@@ -6,6 +6,7 @@
 #include "core/dispatch/capacity_fit.h"
 #include "core/dispatch/dispatch_actions.h"
 #include "core/dispatch/step_order.h"
+#include "core/dispatch/worker_preference.h"
 #include "core/dispatch/worker_registry.h"
 
 #include <cstddef>
@@ -82,6 +83,8 @@
     /// Part of the limits that steps in excess leave to entitled ones.
     std::size_t starts_kept = 0;
     advice_slots advice_kept{0, 0};
+    /// What is known of workers and kinds of work; null when nothing is.
+    const learning::run_learning* learnt = nullptr;
 };
 
 /// A run to be stopped for more urgent work.
@@ -188,6 +191,8 @@
     placement::resources demand;
     std::vector<worker_candidate> candidates;
     bool excess = false;
+    /// Prefers some of the workers on which a step fits.
+    worker_preference preference;
     /// The step may run on some worker, with or without room.
     bool has_eligible_workers = false;
 
--- a/source/core/dispatch/worker_registry.h
+++ b/source/core/dispatch/worker_registry.h
@@ -3,6 +3,7 @@
 #include "core/common/clock.h"
 #include "core/customers/cap_ledger.h"
 #include "core/dispatch/worker_link.h"
+#include "core/learning/observed_run.h"
 
 #include <map>
 #include <optional>
@@ -77,6 +78,7 @@
     bool excess = false;
     /// Latest end of the task that meets the objective of its job.
     common::time_point latest_end;
+    learning::observed_run observed;
 
     void update_progress(common::time_point now, int reported);
 };
