Record the customers of runs on silent workers

Runs of a cancelled job were on a worker that was silent through a change of owner; the successor had seen the job end and counted them for nobody.

Change: the record of workers names the customers of runs on unresponsive workers; a successor counts the capacity of these workers against their caps until they have answered or the runs are over.

--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -263,7 +263,7 @@
     void skip_possible_run_numbers(job_entry& job) const;
     /// What may run for customers with caps, on workers that have not answered this owner or by
     /// runs of unknown jobs.
-    [[nodiscard]] customers::unreported_runs find_unreported_runs() const;
+    [[nodiscard]] customers::unreported_runs find_unreported_runs();
     void log_adoption(common::time_point now, const worker_entry& worker, const poll_result& result,
                       bool through_peer) const;
     [[nodiscard]] bool is_unresponsive(const worker_entry& worker) const;
@@ -430,6 +430,7 @@
     /// up, until they answer, and the jobs that may have runs there.
     std::set<std::string> m_unresponsive_workers;
     std::set<std::string> m_jobs_on_unresponsive_workers;
+    std::set<std::string> m_customers_on_unresponsive_workers;
     /// When runs of former owners on workers have certainly ended, by the record that was read.
     std::map<std::string, common::time_point> m_recorded_wait_ends;
     /// See is_wait_recorded(). The record is due again at m_waits_due, with shorter waits.
--- a/source/core/dispatch/dispatcher_recovery.cpp
+++ b/source/core/dispatch/dispatcher_recovery.cpp
@@ -102,6 +102,7 @@
         }
     }
     m_jobs_on_unresponsive_workers = record.jobs_on_unresponsive_workers;
+    m_customers_on_unresponsive_workers = record.customers_on_unresponsive_workers;
     for (auto& recorded : record.suspects) {
         m_recorded_suspects[recorded.suspect.run.task.job].push_back(std::move(recorded));
     }
@@ -143,8 +144,12 @@
         }
         if (is_unresponsive(worker)) {
             record.unresponsive_workers.insert(id);
-            for (const auto& entry : worker.runs) {
-                record.jobs_on_unresponsive_workers.insert(entry.first.task.job);
+            for (const auto& [run, placed] : worker.runs) {
+                record.jobs_on_unresponsive_workers.insert(run.task.job);
+                if (placed.customer != customers::no_customer) {
+                    record.customers_on_unresponsive_workers.insert(
+                        m_workers.usage().name(placed.customer));
+                }
             }
             if (worker.ends_received > worker.ends_saved) {
                 // A successor cannot read ended runs that are not in the store yet.
@@ -157,6 +162,8 @@
     }
     record.jobs_on_unresponsive_workers.insert(m_jobs_on_unresponsive_workers.begin(),
                                                m_jobs_on_unresponsive_workers.end());
+    record.customers_on_unresponsive_workers.insert(m_customers_on_unresponsive_workers.begin(),
+                                                    m_customers_on_unresponsive_workers.end());
     record_suspects(record);
     if (!m_settings.owner.empty() && (!m_keeps_former_quorum || m_former_owners_known)) {
         record.owners = {m_settings.owner};
@@ -183,7 +190,7 @@
 // customer: what a former owner started on a worker is unknown until the worker has answered, or
 // until such runs have certainly ended. Until then its whole capacity counts. So does what stray
 // runs may take, which end within the time of a stop.
-customers::unreported_runs dispatcher::find_unreported_runs() const {
+customers::unreported_runs dispatcher::find_unreported_runs() {
     customers::unreported_runs runs;
     if (!m_workers.usage().any_caps()) {
         return runs;
@@ -209,6 +216,10 @@
         return runs;
     }
     add_workers(m_recovered ? runs.of_some : runs.of_anybody, m_unresponsive_workers);
+    for (const auto& name : m_customers_on_unresponsive_workers) {
+        runs.some.insert(m_workers.usage().open_account(name));
+    }
+    // Records of earlier versions name no customers.
     for (const auto& id : m_jobs_on_unresponsive_workers) {
         if (const auto job = m_jobs.find(id); job != m_jobs.end()) {
             runs.some.insert(job->second.customer);
@@ -342,6 +353,7 @@
                    {"jobs", m_jobs_on_unresponsive_workers.size()}});
         m_unreported_runs_possible |= !m_unresponsive_workers.empty();
         m_jobs_on_unresponsive_workers.clear();
+        m_customers_on_unresponsive_workers.clear();
         note_all_waiting();
         m_workers_dirty = true;
         m_replan_needed = true;
--- a/source/core/dispatch/worker_record.cpp
+++ b/source/core/dispatch/worker_record.cpp
@@ -52,6 +52,9 @@
                           {"workers", std::move(workers)},
                           {"silent", json::value_from(record.unresponsive_workers)},
                           {"silent_jobs", json::value_from(record.jobs_on_unresponsive_workers)}};
+    if (!record.customers_on_unresponsive_workers.empty()) {
+        document["silent_customers"] = json::value_from(record.customers_on_unresponsive_workers);
+    }
     if (record.unreported_runs) {
         document["unreported_runs"] = true;
     }
@@ -103,6 +106,10 @@
         record.jobs_on_unresponsive_workers =
             json::value_to<std::set<std::string>>(value.at("silent_jobs"));
         // These are absent in the records of earlier versions.
+        if (const auto* const customers = value.as_object().if_contains("silent_customers")) {
+            record.customers_on_unresponsive_workers =
+                json::value_to<std::set<std::string>>(*customers);
+        }
         if (const auto* const unreported = value.as_object().if_contains("unreported_runs")) {
             record.unreported_runs = unreported->as_bool();
         }
--- a/source/core/dispatch/worker_record.h
+++ b/source/core/dispatch/worker_record.h
@@ -33,6 +33,8 @@
     /// runs there.
     std::set<std::string> unresponsive_workers;
     std::set<std::string> jobs_on_unresponsive_workers;
+    /// Customers of these runs; their jobs may have ended meanwhile.
+    std::set<std::string> customers_on_unresponsive_workers;
     /// Workers from the list above that have not answered the owner, and for how long runs may
     /// still exist there from now on. The owner sends them no lease and no start before a record
     /// without them is stored, so that the wait for them goes on under its successor.
--- a/tests/unit/dispatch/customer_caps_test.cpp
+++ b/tests/unit/dispatch/customer_caps_test.cpp
@@ -229,6 +229,32 @@
     BOOST_TEST(used("a") == 60);
 }
 
+// Guards against a successor that starts tasks beside runs of a job that was cancelled, on a worker
+// that stays silent through the change of owner, and against other customers that wait for it.
+BOOST_AUTO_TEST_CASE(runs_of_ended_jobs_on_a_silent_worker_count) {
+    set_cap("a", 60);
+    set_cap("b", 60);
+    for (const auto* const id : {"w1", "w2"}) {
+        engine.on_worker(now, report(id));
+    }
+    unreachable["w2"] = true;
+    auto record = make_record({"w1", "w2"});
+    record.unresponsive_workers = {"w2"};
+    record.jobs_on_unresponsive_workers = {"cancelled"};
+    record.customers_on_unresponsive_workers = {"a"};
+    engine.take_over(now, 10, write_worker_record(record));
+    settle();
+    submit("new", 1, 20);
+    submit("other", 1, 20, "b");
+    BOOST_TEST(started("new") == 0U);
+    BOOST_TEST(started("other") == 1U);
+    settle();
+    // Until the runs have certainly ended, a further successor learns of them, too.
+    BOOST_TEST(read_worker_record(worker_record).customers_on_unresponsive_workers.contains("a"));
+    advance(40s);
+    BOOST_TEST(started("new") == 1U);
+}
+
 // Guards against a successor that starts tasks beside a run of a job that ended under its
 // predecessor: its demand and its customer are unknown.
 BOOST_AUTO_TEST_CASE(a_stray_run_counts_until_it_has_ended) {
