Move the check of caps out of the step planner

Change: cap_gate decides which steps of a plan may be planned under the caps. In the scan of waiting steps, 8 visited or 64 unvisited steps that a cap forbids count as a blocked one. plan-backlog can have caps that are reached.

--- a/source/core/dispatch/dispatcher_plan.cpp
+++ b/source/core/dispatch/dispatcher_plan.cpp
@@ -32,13 +32,13 @@
 constexpr std::size_t max_idle_steps_per_job = 256;
 constexpr std::size_t max_idle_steps = 8192;
 
-waiting_scan::outcome blocked_outcome(step_planner::cap_effect effect) {
+waiting_scan::outcome blocked_outcome(cap_effect effect) {
     switch (effect) {
-    case step_planner::cap_effect::none:
+    case cap_effect::none:
         return waiting_scan::outcome::blocked;
-    case step_planner::cap_effect::step:
+    case cap_effect::step:
         return waiting_scan::outcome::capped;
-    case step_planner::cap_effect::customer:
+    case cap_effect::customer:
         return waiting_scan::outcome::held;
     }
     return waiting_scan::outcome::blocked;
--- a/source/core/dispatch/plan_state.cpp
+++ b/source/core/dispatch/plan_state.cpp
@@ -143,12 +143,6 @@
     return pending + count <= most || (count > most && pending <= most / 4);
 }
 
-std::int64_t plan_state::tasks_under_cap(const waiting_step& step) {
-    return caps.is_limited(step.customer)
-               ? count_fitting_tasks(step.spec->allocation(), caps.room(step.customer))
-               : unlimited_tasks;
-}
-
 void plan_state::withdraw(worker_slot w) {
     capacities[w].worker = nullptr;
     std::erase_if(candidates, [w](const worker_candidate& c) { return c.worker == w; });
--- a/source/core/dispatch/plan_state.h
+++ b/source/core/dispatch/plan_state.h
@@ -123,8 +123,6 @@
     /// work.
     [[nodiscard]] bool may_start(std::size_t count) const;
     void start(const waiting_step& step, std::uint32_t index, worker_slot w, std::uint32_t run);
-    /// Number of tasks of the step that may start under the cap of its customer.
-    [[nodiscard]] std::int64_t tasks_under_cap(const waiting_step& step);
     /// Places nothing more on the worker.
     void withdraw(worker_slot w);
 
--- a/source/core/dispatch/step_planner.cpp
+++ b/source/core/dispatch/step_planner.cpp
@@ -34,7 +34,7 @@
 } // namespace
 
 bool step_planner::plan(const waiting_step& step) {
-    m_cap_effect = check_cap(step);
+    m_cap_effect = m_caps.check(step);
     if (m_cap_effect != cap_effect::none) {
         return false;
     }
@@ -47,48 +47,10 @@
         plan_tasks(step);
         withdraw_suspect_workers();
     }
-    claim_cap(step, before, requests_before);
+    m_caps.claim(step, before, requests_before);
     return m_plan.result.starts.size() > before;
 }
 
-// A step that its cap forbids now gets neither room nor tickets, and no run is stopped for it.
-// Otherwise, smaller steps of the customer would take what is left of the cap again and again, and
-// a gang might wait forever.
-step_planner::cap_effect step_planner::check_cap(const waiting_step& step) {
-    if (!m_plan.caps.is_limited(step.customer)) {
-        return cap_effect::none;
-    }
-    const auto demand = step.spec->allocation();
-    const std::int64_t wanted = step.spec->gang ? std::int64_t{step.spec->count} : 1;
-    if (m_plan.tasks_under_cap(step) < wanted) {
-        const bool hold = m_plan.caps.fits_empty(step.customer, demand, wanted) &&
-                          m_plan.limits.cap_holds->may_hold(
-                              step.customer, m_plan.now, m_plan.caps.is_half_used(step.customer));
-        return hold ? cap_effect::customer : cap_effect::step;
-    }
-    const auto& tickets = step.state->tickets;
-    const bool first_request =
-        step.queue->needs_tickets && tickets.asked.empty() && tickets.calls.empty();
-    const bool claimed =
-        first_request &&
-        count_fitting_tasks(demand, m_plan.caps.unclaimed_room(step.customer)) < wanted;
-    return claimed ? cap_effect::step : cap_effect::none;
-}
-
-void step_planner::claim_cap(const waiting_step& step, std::size_t starts_before,
-                             std::size_t requests_before) {
-    const bool requested = !step.state->tickets.calls.empty() ||
-                           m_plan.result.ticket_requests.size() > requests_before;
-    if (!requested || !m_plan.caps.is_limited(step.customer)) {
-        return;
-    }
-    const auto& state = *step.state;
-    const auto started = static_cast<std::int64_t>(m_plan.result.starts.size() - starts_before);
-    const auto waiting =
-        std::int64_t{state.tasks.size()} - state.succeeded - state.placed - started;
-    m_plan.caps.claim(step.customer, m_plan.demand * waiting);
-}
-
 plan_result step_planner::take() {
     m_tickets.add_deferred_requests();
     return std::move(m_plan.result);
@@ -121,7 +83,7 @@
 
 void step_planner::plan_tasks(const waiting_step& step) {
     const auto& tasks = step.state->tasks;
-    auto permitted = m_plan.tasks_under_cap(step);
+    auto permitted = m_caps.permitted_tasks(step);
     for (auto index = step.first_task; index < tasks.size(); index = tasks.next_open(index + 1)) {
         const auto& task = tasks[index];
         if (!may_start_task(step, index)) {
--- a/source/core/dispatch/step_planner.h
+++ b/source/core/dispatch/step_planner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/dispatch/cap_gate.h"
 #include "core/dispatch/capacity_fit.h"
 #include "core/dispatch/plan_state.h"
 #include "core/dispatch/ticket_planner.h"
@@ -22,13 +23,6 @@
 /// Runs are preempted for at most one gang. Has no side effects.
 class step_planner {
 public:
-    /// How the cap of its customer kept the last step of plan() from being placed.
-    enum class cap_effect {
-        none,     ///< not at all
-        step,     ///< the step alone waits: others of the customer may be placed
-        customer, ///< what is left of the cap is kept for the step
-    };
-
     step_planner(std::vector<worker_free_capacity> free_capacities, const plan_limits& limits,
                  common::time_point now)
         : m_plan(std::move(free_capacities), limits, now) {}
@@ -37,15 +31,13 @@
 
     /// Returns whether tasks of the step were placed.
     bool plan(const waiting_step& step);
+    /// How the cap of its customer kept the last step of plan() from being placed.
     [[nodiscard]] cap_effect effect_of_cap() const { return m_cap_effect; }
     /// Why nothing of the step was placed; the step is that of the last call of plan().
     [[nodiscard]] wait_cause cause_of_wait(const waiting_step& step) const;
     [[nodiscard]] plan_result take();
 
 private:
-    [[nodiscard]] cap_effect check_cap(const waiting_step& step);
-    void claim_cap(const waiting_step& step, std::size_t starts_before,
-                   std::size_t requests_before);
     void plan_tasks(const waiting_step& step);
     [[nodiscard]] bool may_start_task(const waiting_step& step, std::uint32_t index) const;
     void plan_suspect(const waiting_step& step, std::uint32_t index);
@@ -89,6 +81,7 @@
 
     plan_state m_plan;
     ticket_planner m_tickets{m_plan};
+    cap_gate m_caps{m_plan};
     cap_effect m_cap_effect = cap_effect::none;
     std::size_t m_reserved_gangs = 0;
     std::size_t m_unasked_gangs = 0;
--- a/source/core/dispatch/waiting_steps.cpp
+++ b/source/core/dispatch/waiting_steps.cpp
@@ -17,10 +17,12 @@
 // must not keep the others waiting forever: each step is examined within
 // (waiting steps) / (depth / turn_divisor) plans.
 constexpr std::size_t turn_divisor = 4;
-// Steps that a cap forbids are passed over without a search for a worker. So many of them count as
-// one blocked step, which bounds the plan beside thousands of them and leaves the others their
-// turn.
-constexpr std::size_t capped_per_blocked = 64;
+// Steps that a cap forbids cost a plan little, because no worker is searched for them, and those
+// that are not even visited cost less. A blocked step counts as much as this, so that a plan beside
+// thousands of them is bounded and the other steps get their turn.
+constexpr std::size_t capped_weight = 8;
+constexpr std::size_t held_weight = 1;
+constexpr std::size_t blocked_weight = 64;
 
 } // namespace
 
@@ -79,7 +81,7 @@
         ++m_held_steps;
         const auto visited = first->position++;
         --first->remaining;
-        count_capped(*first, *visited);
+        count_capped(*first, *visited, held_weight);
         close_if_done();
     }
 }
@@ -97,7 +99,7 @@
         if (result == outcome::held) {
             hold(*visited);
         }
-        count_capped(at, *visited);
+        count_capped(at, *visited, capped_weight);
     }
     close_if_done();
 }
@@ -112,8 +114,10 @@
     m_held[position.customer] = true;
 }
 
-void waiting_scan::count_capped(cursor& at, const step_position& visited) {
-    if (++at.capped % capped_per_blocked == 0) {
+void waiting_scan::count_capped(cursor& at, const step_position& visited, std::size_t weight) {
+    at.capped += weight;
+    if (at.capped >= blocked_weight) {
+        at.capped -= blocked_weight;
         count_blocked(at, visited);
     }
 }
--- a/source/core/dispatch/waiting_steps.h
+++ b/source/core/dispatch/waiting_steps.h
@@ -68,7 +68,7 @@
         std::size_t remaining = 0;
         std::size_t blocked = 0;
         bool beyond_head = false;
-        /// Steps that a cap forbids.
+        /// Weight of the steps that a cap forbids, below that of one blocked step.
         std::size_t capped = 0;
     };
 
@@ -76,7 +76,7 @@
         return position.customer < m_held.size() && m_held[position.customer];
     }
     void hold(const step_position& position);
-    void count_capped(cursor& at, const step_position& visited);
+    void count_capped(cursor& at, const step_position& visited, std::size_t weight);
     /// Ends the scan of the current queue when it has no further steps or too many were blocked.
     void close_if_done();
 
--- a/source/programs/buckthornspar-bench/plan_backlog.cpp
+++ b/source/programs/buckthornspar-bench/plan_backlog.cpp
@@ -23,8 +23,11 @@
 class overloaded_owner {
 public:
     overloaded_owner(std::uint64_t seed, std::size_t workers, std::size_t jobs,
-                     std::size_t customer_count)
-        : m_random(seed), m_engine({}, m_counters), m_customer_count(customer_count) {
+                     std::size_t customer_count, std::int64_t cap_cores)
+        : m_random(seed),
+          m_engine({}, m_counters),
+          m_customer_count(customer_count),
+          m_cap_cores(cap_cores) {
         m_engine.on_customers(make_customers());
         m_engine.on_queues({make_queue("fill", 1, false), make_queue("urgent", 0, true),
                             make_queue("gang", 1, true), make_queue("bulk", 2, true)});
@@ -78,12 +81,11 @@
         return queue;
     }
 
-    /// Their caps are above what they run, so that the decisions are those without customers.
     [[nodiscard]] std::vector<customers::customer_settings> make_customers() const {
         std::vector<customers::customer_settings> result(m_customer_count);
         for (std::size_t i = 0; i < result.size(); ++i) {
             result[i].name = customer_name(i);
-            result[i].cap = {1'000'000 * cores, 0, 0};
+            result[i].cap = {m_cap_cores * cores, 0, 0};
         }
         return result;
     }
@@ -218,6 +220,7 @@
     common::counters m_counters;
     dispatcher m_engine;
     std::size_t m_customer_count;
+    std::int64_t m_cap_cores;
     common::time_point m_now{std::chrono::seconds(100)};
     std::uint64_t m_next_job = 0;
     std::map<std::string, std::vector<running_run>> m_running;
@@ -230,15 +233,18 @@
 public:
     [[nodiscard]] std::string summary() const override {
         return "processor time of the owner's plans with a backlog (workers=540, "
-               "jobs=100+1000+5000, customers=0, rounds=200)";
+               "jobs=100+1000+5000, customers=0, cap=1000000, rounds=200)";
     }
 
     void run(const bench_run& run) override {
         const auto workers = run.settings.number("workers", 540);
         const auto rounds = run.settings.number("rounds", 200);
         const auto customer_count = run.settings.number("customers", 0);
+        // Cores of each customer. The default leaves the decisions as they are without customers.
+        const auto cap = run.settings.number("cap", 1'000'000);
         for (const auto& jobs : run.settings.list("jobs", "100+1000+5000")) {
-            overloaded_owner owner(run.seed, workers, std::stoul(jobs), customer_count);
+            overloaded_owner owner(run.seed, workers, std::stoul(jobs), customer_count,
+                                   static_cast<std::int64_t>(cap));
             const auto plans = owner.count("plans_total");
             const auto steps = owner.count("plan_steps_examined_total");
             const auto candidates = owner.count("plan_candidates_examined_total");
@@ -255,7 +261,7 @@
             }
             result_row row;
             row.setting("workers", workers).setting("jobs", jobs);
-            row.setting("customers", customer_count);
+            row.setting("customers", customer_count).setting("cap", cap);
             row.result("plan_mean_us", sum / static_cast<double>(times.size()));
             row.result("plan_max_us", *std::max_element(times.begin(), times.end()));
             row.result("steps", per_plan(owner.count("plan_steps_examined_total") - steps));
