--- a/source/core/dispatch/plan_state.h
+++ b/source/core/dispatch/plan_state.h
@@ -158,8 +158,6 @@
                (w < limits.kept_for_gangs.size() && limits.kept_for_gangs[w]);
     }
     void start(const waiting_step& step, std::uint32_t index, worker_slot w, std::uint32_t run);
-    /// Number of tasks of the step that may start under the cap of its customer.
-    [[nodiscard]] std::int64_t tasks_under_cap(const waiting_step& step);
     /// Keeps the room for the gang in later plans, too, in place of what is held for it. A new hold
     /// ends at the given time.
     void hold(const waiting_step& step, const tasks_by_worker& workers, common::time_point until);
