Do not take a local shortage for the end of an owner

In a trial in which a small node owned first and handed over, that node reported the end of its successor 4 ms after the election, from a connection that failed at once, and replaced the live owner with its delayed claim 3 s later. A connection that fails for lack of descriptors or ports in this process no longer counts as refused, and an owner that has answered since is not taken for ended. That the node lacked descriptors is a guess from its load; the log did not name the error.

--- a/source/core/net/http_client.cpp
+++ b/source/core/net/http_client.cpp
@@ -48,6 +48,14 @@
     return http::verb::get;
 }
 
+// The connection was not attempted, so that the failure tells nothing about the peer.
+bool is_local_shortage(beast::error_code failure) {
+    return failure == asio::error::no_descriptors || failure == asio::error::no_buffer_space ||
+           failure == asio::error::no_memory || failure == asio::error::address_in_use ||
+           failure == boost::system::errc::too_many_files_open_in_system ||
+           failure == boost::system::errc::address_not_available;
+}
+
 struct idle_connection {
     std::unique_ptr<beast::tcp_stream> stream;
     std::chrono::steady_clock::time_point idle_since;
@@ -192,7 +200,8 @@
             return;
         }
         if (failure) {
-            fail(http_failure_kind::connect_failed);
+            fail(is_local_shortage(failure) ? http_failure_kind::pool_exhausted
+                                            : http_failure_kind::connect_failed);
             return;
         }
         beast::error_code ignored;
--- a/source/core/net/http_client.h
+++ b/source/core/net/http_client.h
@@ -21,7 +21,7 @@
     connection_lost,
     bad_response,
     cancelled,
-    pool_exhausted,
+    pool_exhausted, ///< no connection or descriptor is free in this process
 };
 
 [[nodiscard]] std::string_view to_string(http_failure_kind kind);
--- a/source/core/service/node_application.cpp
+++ b/source/core/service/node_application.cpp
@@ -167,7 +167,8 @@
             &m_admission,
             comparable_capability(m_settings),
             [this] { return may_claim(); },
-            [this](const fleet_size& fleet) { on_fleet(fleet); }};
+            [this](const fleet_size& fleet) { on_fleet(fleet); },
+            [this](std::uint64_t fence) { m_election->on_owner_alive(fence); }};
 }
 
 caller_api::environment node_application::make_caller_environment() {
--- a/source/core/service/owner_election.cpp
+++ b/source/core/service/owner_election.cpp
@@ -215,6 +215,13 @@
     schedule_claim_if_vacant();
 }
 
+// A connection can be refused while the process goes on. A delayed claim must not follow from it.
+void owner_election::on_owner_alive(std::uint64_t fence) {
+    if (m_ended_fence == fence) {
+        m_ended_fence = 0;
+    }
+}
+
 void owner_election::commit_claim(std::uint64_t lease, common::time_point opened_at) {
     if (owned_by_other_process() || m_stopping) {
         // Another node has claimed the ownership while the lease was being opened.
--- a/source/core/service/owner_election.h
+++ b/source/core/service/owner_election.h
@@ -63,6 +63,8 @@
     /// The owner reports that it has resigned: the owner key is read again. With ended, its process
     /// has certainly ended and its key is replaced without waiting for the lease to expire.
     void on_owner_suspected(const owner_record& owner, bool ended);
+    /// The owner with this fence has answered, so that its process has not ended.
+    void on_owner_alive(std::uint64_t fence);
     /// Planned stop: ends the lease, if this node is the owner, and then calls back.
     void resign(std::function<void()> complete);
     /// Planned hand-over: ends the term with this fence, and leaves the next claim to other nodes
--- a/source/core/service/peer_exchange.cpp
+++ b/source/core/service/peer_exchange.cpp
@@ -366,6 +366,9 @@
         }
         m_position = page.next;
         m_last_owner_answer = now;
+        if (m_env.on_owner_alive) {
+            m_env.on_owner_alive(fence);
+        }
     } catch (const std::exception& e) {
         log_event(severity::warning, "peer_answer_unreadable", {{"reason", e.what()}});
         m_position = 0;
--- a/source/core/service/peer_exchange.h
+++ b/source/core/service/peer_exchange.h
@@ -50,6 +50,8 @@
         std::function<bool()> may_claim{};
         /// The owner has told the size of the fleet.
         std::function<void(const fleet_size&)> on_fleet{};
+        /// The followed owner, with this fence, has answered.
+        std::function<void(std::uint64_t fence)> on_owner_alive{};
     };
 
     explicit peer_exchange(environment env) : m_env(std::move(env)) {}
--- a/tests/unit/service/owner_election_test.cpp
+++ b/tests/unit/service/owner_election_test.cpp
@@ -409,4 +409,23 @@
     BOOST_TEST(restarted.won[0] > former.won[0]);
 }
 
+// Pattern: a node without free descriptors. Guards against a delayed claim that replaces a live
+// owner, because one connection to it failed long before.
+BOOST_AUTO_TEST_CASE(an_owner_that_answers_again_is_not_replaced) {
+    candidate a(*this, "a", 1);
+    BOOST_REQUIRE(run_until([&] { return a.won.size() == 1; }));
+    candidate weak(*this, "s1", 2, 1, 300ms);
+    run_for(50ms);
+    owner_record ended;
+    ended.node = "a";
+    ended.process = 1;
+    ended.fence = a.won[0];
+    weak.election->on_owner_suspected(ended, true);
+    run_for(150ms);
+    weak.election->on_owner_alive(a.won[0]);
+    run_for(600ms);
+    BOOST_TEST(weak.won.empty());
+    BOOST_TEST(a.lost.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
