--- a/source/core/net/http_client.h
+++ b/source/core/net/http_client.h
@@ -22,7 +22,7 @@
     connection_lost,
     bad_response,
     cancelled,
-    pool_exhausted,
+    pool_exhausted, ///< no connection or descriptor is free in this process
     /// The response exceeds its limits or the memory for the messages of the process.
     response_too_large,
 };
