--- a/source/core/emulation/emulated_platform.cpp
+++ b/source/core/emulation/emulated_platform.cpp
@@ -48,6 +48,10 @@
     m_queues = std::move(queues);
 }
 
+void emulated_platform::set_customers(std::vector<customers::customer_settings> customers) {
+    m_customers = std::move(customers);
+}
+
 void emulated_platform::add_worker(const dispatch::worker_report& report) {
     m_fleet.add(now(), report);
     publish(report.id);
@@ -223,6 +227,7 @@
     m_owner = std::make_unique<emulated_owner>(*this, m_owner_fence, settings);
     auto& engine = m_owner->engine();
     engine.on_queues(m_queues);
+    engine.on_customers(m_customers);
     for (const auto& [id, link] : m_links) {
         if (link.listed) {
             auto report = m_fleet.find(id)->report;
--- a/source/core/emulation/emulated_platform.h
+++ b/source/core/emulation/emulated_platform.h
@@ -95,6 +95,7 @@
     emulated_platform& operator=(const emulated_platform&) = delete;
 
     void set_queues(std::vector<dispatch::queue_settings> queues);
+    void set_customers(std::vector<customers::customer_settings> customers);
     void add_worker(const dispatch::worker_report& report);
     /// Starts the election of the first owner, or of the next one when there is none.
     void elect();
@@ -240,6 +241,7 @@
     common::rng m_rng;
     emulated_fleet m_fleet;
     std::vector<dispatch::queue_settings> m_queues;
+    std::vector<customers::customer_settings> m_customers;
     std::map<std::string, worker_link_state> m_links;
     std::vector<pending_poll> m_pending_polls;
 
--- a/tests/scenario/dispatch/dispatch_scenario_test.cpp
+++ b/tests/scenario/dispatch/dispatch_scenario_test.cpp
@@ -46,6 +46,13 @@
     BOOST_TEST(failure.empty(), failure);
 }
 
+// Guards against rules that are broken, and jobs that never end, when a customer exceeds its rate
+// and gangs hold room while workers and owners fail.
+BOOST_AUTO_TEST_CASE(random_runs_with_customers_pass) {
+    const auto failure = run_random(random_runs, random_customers_script, make_dispatch_world);
+    BOOST_TEST(failure.empty(), failure);
+}
+
 // Guards against tasks that run twice when a former owner still reaches workers that its successor
 // does not reach (issue 36).
 BOOST_AUTO_TEST_CASE(random_partitions_pass) {
--- a/tests/scenario/dispatch/dispatch_world.cpp
+++ b/tests/scenario/dispatch/dispatch_world.cpp
@@ -41,6 +41,7 @@
         }
         m_platform.set_queues({attempts, tickets});
         m_cores = s.setup.number("cores", 32);
+        add_customers(s.setup.number("customers", 0));
         add_workers(s.setup.number("workers", 4));
         m_platform.elect();
     }
@@ -183,6 +184,9 @@
         dispatch::job_spec spec;
         spec.id = a.text("job");
         spec.queue = a.text("queue", "plain");
+        if (!m_customers.empty()) {
+            spec.customer = m_customers[m_submitted++ % m_customers.size()];
+        }
         dispatch::step_spec step;
         step.count = static_cast<std::uint32_t>(a.number("tasks", 1));
         step.demand = {a.number("cores", 1) * 1000, mib, 0};
@@ -225,6 +229,16 @@
         m_platform.cancel(a.text("job"));
     }
 
+    // All jobs of the first customer are in excess.
+    void add_customers(std::int64_t count) {
+        std::vector<customers::customer_settings> settings;
+        for (std::int64_t i = 0; i < count; ++i) {
+            m_customers.push_back("c" + std::to_string(i));
+            settings.push_back({m_customers.back(), {}, i == 0 ? 0.0 : 1.0, {}});
+        }
+        m_platform.set_customers(std::move(settings));
+    }
+
     void add_workers(std::int64_t count) {
         for (std::int64_t i = 0; i < count; ++i) {
             const auto number = m_worker_count++;
@@ -258,6 +272,8 @@
     dispatch_invariants m_invariants;
     emulation::emulated_platform m_platform;
     std::string m_mutation;
+    std::vector<std::string> m_customers;
+    std::size_t m_submitted = 0;
     std::int64_t m_cores = 0;
     std::int64_t m_worker_count = 0;
 };
--- a/tests/scenario/dispatch/random_script.cpp
+++ b/tests/scenario/dispatch/random_script.cpp
@@ -477,6 +477,12 @@
     return generator(seed).make();
 }
 
+script random_customers_script(std::uint64_t seed) {
+    auto result = generator(seed).make();
+    result.setup.set("customers", "2");
+    return result;
+}
+
 script random_partition_script(std::uint64_t seed) {
     return generator(seed).make_with_partitions();
 }
