--- a/tests/scenario/dispatch/random_script.cpp
+++ b/tests/scenario/dispatch/random_script.cpp
@@ -528,6 +528,12 @@
     return generator(seed).make_with_caps();
 }
 
+script random_customers_script(std::uint64_t seed) {
+    auto result = generator(seed).make();
+    result.setup.set("customers", "2");
+    return result;
+}
+
 script random_partition_script(std::uint64_t seed) {
     return generator(seed).make_with_partitions();
 }
