--- a/source/core/learning/interference.h
+++ b/source/core/learning/interference.h
@@ -21,7 +21,7 @@
 
 /// How much kinds of work slow each other down on a worker, for pairs of at most 32 kinds. A pair
 /// is believed when runs beside the neighbour take longer than runs without it by more than chance
-/// explains. Slowdowns are natural logarithms. Takes 36 bytes an ordered pair, at most 36 kB.
+/// explains. Slowdowns are natural logarithms. Takes 28 bytes an ordered pair, at most 28 kB.
 class interference {
 public:
     /// A pair is believed for the first time, or no longer.
--- a/source/core/service/node_application.cpp
+++ b/source/core/service/node_application.cpp
@@ -184,6 +184,7 @@
     dispatcher.cancel_bound = m_settings.cancel_bound;
     dispatcher.drain_bound = m_settings.drain_bound;
     dispatcher.order = dispatch::placement_order_names.value(m_settings.order);
+    dispatcher.learning = {m_settings.learn_speeds, m_settings.learn_interference};
     dispatcher.max_record_bytes = m_settings.max_store_value_bytes;
     dispatcher.max_pending_starts = max_pending_starts(m_settings.link_mbps);
     return {m_loop,
--- a/source/core/service/node_settings.cpp
+++ b/source/core/service/node_settings.cpp
@@ -63,6 +63,8 @@
     result.cpu_share = settings.real("cpu_share", 0.0, 1024.0, 1.0);
     result.link_mbps = settings.real("link_mbps", 0.0, 1e6, 0.0);
     result.order = settings.text("order", "deadline");
+    result.learn_speeds = settings.flag("learn_speeds", true);
+    result.learn_interference = settings.flag("learn_interference", true);
     return result;
 }
 
--- a/source/core/service/node_settings.h
+++ b/source/core/service/node_settings.h
@@ -43,6 +43,9 @@
     /// Largest value of a key of the store.
     std::size_t max_store_value_bytes = 0;
     std::string order;
+    /// What the owner learns of runs for its decisions.
+    bool learn_speeds = true;
+    bool learn_interference = true;
     /// Processor time available to the process, in cores.
     double cpu_share = 1.0;
     /// Capacity of the instance's network link in megabits per second; 0 when unknown.
--- a/source/programs/buckthornspar-bench/plan_backlog.cpp
+++ b/source/programs/buckthornspar-bench/plan_backlog.cpp
@@ -4,6 +4,7 @@
 #include "processor_time.h"
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <memory>
 #include <string>
@@ -22,13 +23,19 @@
 /// start.
 class overloaded_owner {
 public:
-    overloaded_owner(std::uint64_t seed, std::size_t workers, std::size_t jobs)
+    /// With uneven workers the speeds are known from the start.
+    overloaded_owner(std::uint64_t seed, std::size_t workers, std::size_t jobs, bool uneven)
         : m_random(seed), m_engine({}, m_counters) {
         m_engine.on_queues({make_queue("fill", 1, false), make_queue("urgent", 0, true),
                             make_queue("gang", 1, true), make_queue("bulk", 2, true)});
         m_engine.set_requesting_nodes(32);
         for (std::size_t i = 0; i < workers; ++i) {
             m_engine.on_worker(m_now, describe("w" + std::to_string(i)));
+            if (uneven) {
+                constexpr std::array speeds{0.6, 1.0, 1.6};
+                m_engine.observer().learnt().set_known_speed(static_cast<worker_slot>(i),
+                                                             speeds[i % speeds.size()]);
+            }
         }
         m_engine.take_over(m_now, 10, "");
         save();
@@ -210,14 +217,15 @@
 public:
     [[nodiscard]] std::string summary() const override {
         return "processor time of the owner's plans with a backlog (workers=540, "
-               "jobs=100+1000+5000, rounds=200)";
+               "jobs=100+1000+5000, rounds=200, uneven=0)";
     }
 
     void run(const bench_run& run) override {
         const auto workers = run.settings.number("workers", 540);
         const auto rounds = run.settings.number("rounds", 200);
+        const auto uneven = run.settings.number("uneven", 0) != 0;
         for (const auto& jobs : run.settings.list("jobs", "100+1000+5000")) {
-            overloaded_owner owner(run.seed, workers, std::stoul(jobs));
+            overloaded_owner owner(run.seed, workers, std::stoul(jobs), uneven);
             const auto plans = owner.count("plans_total");
             const auto steps = owner.count("plan_steps_examined_total");
             const auto candidates = owner.count("plan_candidates_examined_total");
--- a/tests/unit/platform/format_test.cpp
+++ b/tests/unit/platform/format_test.cpp
@@ -104,7 +104,7 @@
     const auto job = wire_format().read_submission(
         R"({"spec":"t","steps":[{"count":4,"cpu":500,"mem_mb":256,"estimate_ms":900,)"
         R"("affinity":"r1-3"},{"count":20,"cpu":2000,"mem_mb":1024,"estimate_ms":7000,"after":[0],)"
-        R"("checkpointing":true,"gang":true,"max_per_server":2}]})");
+        R"("checkpointing":true,"gang":true,"max_per_server":2,"image":"tiles:4"}]})");
     BOOST_TEST(job.payload == "t");
     BOOST_REQUIRE(job.steps.size() == 2U);
     BOOST_TEST(job.steps[0].count == 4U);
@@ -114,6 +114,8 @@
     BOOST_TEST(job.steps[1].gang);
     BOOST_TEST(job.steps[1].checkpointing);
     BOOST_TEST(job.steps[1].max_per_worker == 2U);
+    BOOST_TEST(job.steps[0].image.empty());
+    BOOST_TEST(job.steps[1].image == "tiles:4");
 }
 
 // Guards against malformed submissions that crash the process.
