Ask for tickets of fast workers first

A gang may use only the workers that the advice service grants, and requests named those with the most free processors, whatever their speed. The free processors now count at the worker's learnt speed; on an even fleet the order is as before.

--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -168,6 +168,7 @@
     /// Memory in bytes that the jobs take before their tasks are started.
     [[nodiscard]] std::int64_t job_memory() const { return m_job_memory; }
     [[nodiscard]] const worker_registry& workers() const { return m_workers; }
+    /// What has been learnt of workers and kinds of work; it may be told as well.
     [[nodiscard]] run_observer& observer() { return m_observer; }
     [[nodiscard]] std::uint64_t fence() const { return m_fence; }
     /// A majority of the recorded workers accepts the owner's orders, and the store has shown its
--- a/source/core/dispatch/dispatcher_runs.cpp
+++ b/source/core/dispatch/dispatcher_runs.cpp
@@ -129,7 +129,8 @@
     const auto position = worker.runs.find(reported.run);
     const auto started = position == worker.runs.end() ? now : position->second.ordered_at;
     const auto job = m_jobs.find(reported.run.task.job);
-    if (position != worker.runs.end() && job != m_jobs.end()) {
+    if (position != worker.runs.end() && job != m_jobs.end() &&
+        position->second.observed.comparable) {
         m_observer.on_end(now, worker, reported, position->second,
                           {job->second.spec_of(reported.run.task), job->second.spec.queue, true});
     }
--- a/source/core/dispatch/ticket_planner.cpp
+++ b/source/core/dispatch/ticket_planner.cpp
@@ -4,7 +4,6 @@
 #include "core/dispatch/capacity_fit.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace buckthornspar::dispatch {
@@ -126,7 +125,7 @@
     }
 }
 
-// Requests tickets for the workers with the most free processor capacity.
+// Requests tickets for the workers with the most free processor capacity, fast ones first.
 bool ticket_planner::add_requests(const waiting_step& step, std::vector<worker_slot> workers,
                                   std::string_view reason, std::size_t calls) {
     auto& slots = m_plan.limits.advice;
@@ -136,18 +135,19 @@
     if (workers.empty() || calls == 0) {
         return false;
     }
-    const auto& capacities = m_plan.capacities;
     const auto count = std::min(workers.size(), max_workers_per_call(step) * calls);
-    std::partial_sort(workers.begin(), workers.begin() + static_cast<std::ptrdiff_t>(count),
-                      workers.end(), [&capacities](worker_slot a, worker_slot b) {
-                          return std::tuple(-capacities[a].free.cpu_milli, a) <
-                                 std::tuple(-capacities[b].free.cpu_milli, b);
-                      });
+    std::vector<std::pair<std::int64_t, worker_slot>> order;
+    order.reserve(workers.size());
+    for (const auto w : workers) {
+        order.emplace_back(-m_plan.preference.effective_cpu(m_plan.capacities[w]), w);
+    }
+    std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(count),
+                      order.end());
     // Distributes the workers over the calls so that each call names some of the best.
     for (std::size_t call = 0; call < calls && call < count; ++call) {
         std::vector<worker_slot> named;
         for (std::size_t i = call; i < count; i += calls) {
-            named.push_back(workers[i]);
+            named.push_back(order[i].second);
         }
         m_plan.result.ticket_requests.push_back({step.step, step.queue, std::move(named), reason});
         take_slot(slots, expected);
--- a/source/core/dispatch/worker_preference.cpp
+++ b/source/core/dispatch/worker_preference.cpp
@@ -67,6 +67,14 @@
     return *known;
 }
 
+std::int64_t worker_preference::effective_cpu(const worker_free_capacity& capacity) const {
+    if (m_learnt == nullptr || !m_learnt->is_uneven() || capacity.worker == nullptr) {
+        return capacity.free.cpu_milli;
+    }
+    const auto speed = std::exp(m_learnt->log_speed(capacity.worker->slot));
+    return std::llround(static_cast<double>(capacity.free.cpu_milli) * speed);
+}
+
 void worker_preference::note_start(const step_spec& spec, const queue_settings& queue,
                                    const worker_entry& worker) {
     if (m_learnt != nullptr && m_learnt->has_interference()) {
--- a/source/core/dispatch/worker_preference.h
+++ b/source/core/dispatch/worker_preference.h
@@ -57,6 +57,8 @@
         bool m_by_speed = false;
     };
     [[nodiscard]] step_preference of_step(const waiting_step& step) const;
+    /// The free processor capacity at the common speed, in thousandths of a core.
+    [[nodiscard]] std::int64_t effective_cpu(const worker_free_capacity& capacity) const;
     /// A task of the step starts on the worker.
     void note_start(const step_spec& spec, const queue_settings& queue, const worker_entry& worker);
 
--- a/source/core/learning/interference.cpp
+++ b/source/core/learning/interference.cpp
@@ -69,7 +69,8 @@
     const auto present = at_begin & at_end;
     const auto absent = ~(at_begin | at_end);
     const auto explained = slowdown(kind, present);
-    for (kind_index k = 0; k < m_kinds.size(); ++k) {
+    const auto kinds = static_cast<kind_index>(m_kinds.size());
+    for (kind_index k = 0; k < kinds; ++k) {
         auto& pair = pair_of(kind, k);
         // What other believed neighbours explain is not put down to this one.
         if ((present & set_of(k)) != 0) {
--- a/tests/unit/dispatch/learning_test.cpp
+++ b/tests/unit/dispatch/learning_test.cpp
@@ -144,6 +144,20 @@
     BOOST_TEST(starts.size() == 10U);
 }
 
+// Load: a gang whose workers the advice service has to grant. Guards against tickets for slow
+// workers alone, which leave a gang no choice.
+BOOST_AUTO_TEST_CASE(tickets_are_requested_for_fast_workers_first) {
+    engine.on_queues({ticket_queue()});
+    engine.set_requesting_nodes(4);
+    learn_slow_workers();
+    engine.on_job(now, job("granted", 2, 50 * cores, "t"), {}, 11);
+    advance(50ms);
+    BOOST_TEST_REQUIRE(advice.size() == 1U);
+    const auto& named = advice[0].request.workers;
+    BOOST_TEST_REQUIRE(named.size() == 4U);
+    BOOST_TEST((std::set<std::string>{named[0], named[1]} == std::set<std::string>{"w2", "w3"}));
+}
+
 // Load: runs that fail late on some workers, as on a worker at fault. Guards against speeds learnt
 // from runs that did not do their work.
 BOOST_AUTO_TEST_CASE(workers_whose_runs_fail_are_not_taken_for_slow) {
