--- a/source/programs/buckthornspar-bench/plan_backlog.cpp
+++ b/source/programs/buckthornspar-bench/plan_backlog.cpp
@@ -4,6 +4,7 @@
 #include "processor_time.h"
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <memory>
 #include <string>
@@ -22,8 +23,9 @@
 /// start.
 class overloaded_owner {
 public:
+    /// With uneven workers the speeds are known from the start.
     overloaded_owner(std::uint64_t seed, std::size_t workers, std::size_t jobs,
-                     std::size_t customer_count, std::int64_t cap_cores)
+                     std::size_t customer_count, std::int64_t cap_cores, bool uneven)
         : m_random(seed),
           m_engine({}, m_counters),
           m_customer_count(customer_count),
@@ -34,6 +36,11 @@
         m_engine.set_requesting_nodes(32);
         for (std::size_t i = 0; i < workers; ++i) {
             m_engine.on_worker(m_now, describe("w" + std::to_string(i)));
+            if (uneven) {
+                constexpr std::array speeds{0.6, 1.0, 1.6};
+                m_engine.observer().learnt().set_known_speed(static_cast<worker_slot>(i),
+                                                             speeds[i % speeds.size()]);
+            }
         }
         m_engine.take_over(m_now, 10, "");
         save();
@@ -236,7 +243,7 @@
 public:
     [[nodiscard]] std::string summary() const override {
         return "processor time of the owner's plans with a backlog (workers=540, "
-               "jobs=100+1000+5000, customers=0, cap=1000000, rounds=200)";
+               "jobs=100+1000+5000, customers=0, cap=1000000, rounds=200, uneven=0)";
     }
 
     void run(const bench_run& run) override {
@@ -245,9 +252,10 @@
         const auto customer_count = run.settings.number("customers", 0);
         // Cores of each customer. The default leaves the decisions as they are without customers.
         const auto cap = run.settings.number("cap", 1'000'000);
+        const auto uneven = run.settings.number("uneven", 0) != 0;
         for (const auto& jobs : run.settings.list("jobs", "100+1000+5000")) {
             overloaded_owner owner(run.seed, workers, std::stoul(jobs), customer_count,
-                                   static_cast<std::int64_t>(cap));
+                                   static_cast<std::int64_t>(cap), uneven);
             const auto plans = owner.count("plans_total");
             const auto steps = owner.count("plan_steps_examined_total");
             const auto candidates = owner.count("plan_candidates_examined_total");
