Bound the polls of an owner on a narrow link

At a take-over 314 workers listed their runs at the same time, and until the ends of runs were stored each of them sent the same list again every 0.3 s. On 10 Mbit/s the lists missed the time limits of the polls, so that 333 workers counted as unreachable and the information on jobs aged by 9 s. An owner that can carry the fleet only in part now keeps at most the polls without a response that its link carries in 150 ms, and polls a worker with unstored ends after 0.7 s, or at once when they are stored. The shedding of polls after ends is not needed any more and has gone.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -27,6 +27,8 @@
 // Delay before a failed poll is repeated; it is multiplied by the number of failures up to a limit.
 constexpr auto poll_retry_delay = std::chrono::milliseconds(150);
 constexpr unsigned max_poll_retry_factor = 6;
+// A poll that the limit of pending polls holds back is looked at again after this time.
+constexpr auto poll_limit_delay = std::chrono::milliseconds(10);
 // Planning runs at least this often even without events, because tickets expire and exclusions end.
 constexpr auto max_plan_interval = std::chrono::milliseconds(50);
 // Shortest time between two plans, so that events arriving together are handled in one plan.
@@ -413,6 +415,10 @@
     }
 }
 
+bool dispatcher::is_poll_limit_reached() const {
+    return m_settings.max_pending_polls != 0 && m_pending_polls >= m_settings.max_pending_polls;
+}
+
 void dispatcher::send_polls(common::time_point now) {
     const bool permitted = may_order(now);
     for (const auto slot : m_polls_due.take_due(now)) {
@@ -420,6 +426,10 @@
         if (worker == nullptr || worker->poll_pending) {
             continue;
         }
+        if (is_poll_limit_reached()) {
+            schedule_poll(*worker, now + poll_limit_delay);
+            continue;
+        }
         poll_call call;
         call.id = m_next_call++;
         call.order.worker = worker->report.id;
@@ -445,6 +455,7 @@
                           worker->ends_received == worker->ends_saved &&
                           !worker->has_uncertain_runs();
         call.order.wait = wait ? m_settings.poll_wait : common::duration(0);
+        m_pending_polls += wait ? 0 : 1;
         worker->poll_pending = true;
         worker->poll_call = call.id;
         m_actions.emplace_back(std::move(call));
@@ -453,6 +464,9 @@
 
 void dispatcher::on_poll_result(common::time_point now, const poll_call& call,
                                 common::time_point sent_at, const poll_result& result) {
+    if (call.order.wait == common::duration(0)) {
+        m_pending_polls -= std::min<std::size_t>(m_pending_polls, 1);
+    }
     auto* worker = m_workers.find(call.order.worker);
     if (worker == nullptr || worker->poll_call != call.id) {
         return;
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -77,6 +77,10 @@
     /// Maximum number of starts without a response; 0 for no limit. More would queue up at the
     /// owner's network link until their workers refuse them as late.
     std::size_t max_pending_starts = 0;
+    /// Maximum number of polls that are to be answered at once and have no response; 0 for no
+    /// limit. At a take-over all workers list their runs: more lists than the owner's link carries
+    /// within the time limit of a poll would be lost and sent again.
+    std::size_t max_pending_polls = 0;
     crash_settings crashes;
     /// Largest value that the store takes.
     std::size_t max_record_bytes = std::size_t{1} << 20U;
@@ -161,11 +165,8 @@
     /// Ticket requests that these nodes could begin now.
     void set_advice_slots(const advice_slots& slots) { m_advice_slots = slots; }
 
-    /// Sets dispatcher_settings::poll_wait and ended_poll_pause.
-    void set_poll_pace(common::duration wait, common::duration pause) {
-        m_settings.poll_wait = wait;
-        m_settings.ended_poll_pause = pause;
-    }
+    /// Sets dispatcher_settings::poll_wait.
+    void set_poll_wait(common::duration wait) { m_settings.poll_wait = wait; }
 
     /// Planned shutdown of the owner: no new starts.
     void drain() { m_draining = true; }
@@ -213,6 +214,7 @@
     void mark_begun(const task_key& task, begin_evidence evidence);
     void send_polls(common::time_point now);
     void schedule_poll(worker_entry& worker, common::time_point due);
+    [[nodiscard]] bool is_poll_limit_reached() const;
     struct batch_size {
         std::size_t rows = 0;
         std::size_t bytes = 0;
@@ -497,6 +499,8 @@
 
     std::uint64_t m_next_call = 1;
     std::size_t m_pending_starts = 0;
+    /// Polls with a wait of 0 that have no response.
+    std::size_t m_pending_polls = 0;
     /// The take-over, or the last start since then that a worker has confirmed.
     common::time_point m_last_start_at;
     std::size_t m_requesting_nodes = 0;
--- a/source/core/service/load_shedding.cpp
+++ b/source/core/service/load_shedding.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr unsigned max_level = 3;
+constexpr unsigned max_level = 2;
 // One window can be behind because of a burst. Levels are taken back more slowly than they are
 // taken, so that the level does not change with every burst.
 constexpr unsigned windows_to_raise = 2;
@@ -17,7 +17,6 @@
 constexpr auto max_loop_delay = std::chrono::milliseconds(200);
 // Shorter than the authority of an owner (2 s) by more than a response takes.
 constexpr common::duration long_poll_wait = std::chrono::milliseconds(900);
-constexpr common::duration long_poll_pause = std::chrono::milliseconds(600);
 // Enough for the most urgent steps.
 constexpr std::size_t few_ticket_requests = 24;
 
@@ -50,14 +49,12 @@
     return m_level != before;
 }
 
-load_shedding::poll_pace load_shedding::pace(const dispatch::dispatcher_settings& usual) const {
-    return {m_level >= 1 ? std::max(usual.poll_wait, long_poll_wait) : usual.poll_wait,
-            m_level >= 2 ? std::max(usual.ended_poll_pause, long_poll_pause)
-                         : usual.ended_poll_pause};
+common::duration load_shedding::poll_wait(common::duration usual) const {
+    return m_level >= 1 ? std::max(usual, long_poll_wait) : usual;
 }
 
 std::size_t load_shedding::max_ticket_requests() const {
-    return m_level >= 3 ? few_ticket_requests : 0;
+    return m_level >= 2 ? few_ticket_requests : 0;
 }
 
 dispatch::advice_slots load_shedding::limit(dispatch::advice_slots slots,
--- a/source/core/service/load_shedding.h
+++ b/source/core/service/load_shedding.h
@@ -20,18 +20,11 @@
 };
 
 /// Decides what an owner leaves out when it can carry the fleet only in part. In this order:
-/// level 1, polls of busy workers wait longer for ends of runs; level 2, they also follow each
-/// other more slowly after an end; level 3, fewer ticket requests at a time
-/// while starts wait for the link anyway. Renewals of leases and
-/// the polls of idle workers stay as they are, because leases and the owner's authority need them.
+/// level 1, polls of busy workers wait longer for ends of runs; level 2, fewer ticket requests at a
+/// time while starts wait for the link anyway. Renewals of leases and the polls of idle workers
+/// stay as they are, because leases and the owner's authority need them.
 class load_shedding {
 public:
-    struct poll_pace {
-        /// dispatcher_settings::poll_wait and ended_poll_pause.
-        common::duration wait{0};
-        common::duration pause{0};
-    };
-
     /// With enabled false the level stays 0.
     explicit load_shedding(bool enabled) : m_enabled(enabled) {}
 
@@ -39,7 +32,8 @@
     bool on_window(const load_signals& signals);
 
     [[nodiscard]] unsigned level() const { return m_level; }
-    [[nodiscard]] poll_pace pace(const dispatch::dispatcher_settings& usual) const;
+    /// See dispatcher_settings::poll_wait.
+    [[nodiscard]] common::duration poll_wait(common::duration usual) const;
     /// Ticket requests without a response that are permitted while starts wait for the link; 0 for
     /// no limit.
     [[nodiscard]] std::size_t max_ticket_requests() const;
--- a/source/core/service/node_application.cpp
+++ b/source/core/service/node_application.cpp
@@ -41,13 +41,27 @@
 constexpr double start_bytes = 900.0;
 constexpr std::size_t min_pending_starts = 16;
 
-std::size_t max_pending_starts(double link_mbps) {
+// Polls that are answered at once: a worker lists all its runs, after a loss of power a few dozen.
+constexpr double poll_bytes = 2000.0;
+// While ended runs are not stored, a worker answers each poll with the same list. An owner that can
+// carry the fleet only in part asks less often; the poll after the store's answer comes at once.
+constexpr common::duration slow_ended_poll_pause = std::chrono::milliseconds(700);
+
+std::size_t messages_on_link(double link_mbps, double bytes) {
     constexpr double bytes_per_megabit = 125'000.0;
     if (link_mbps <= 0.0) {
         return 0;
     }
     return std::max(min_pending_starts, static_cast<std::size_t>(link_mbps * bytes_per_megabit *
-                                                                 max_start_queue_s / start_bytes));
+                                                                 max_start_queue_s / bytes));
+}
+
+std::size_t max_pending_starts(double link_mbps) {
+    return messages_on_link(link_mbps, start_bytes);
+}
+
+std::size_t max_pending_polls(double link_mbps) {
+    return messages_on_link(link_mbps, poll_bytes);
 }
 
 // The rest is for the process itself, for the runs on the workers, and for the records of the jobs
@@ -204,6 +218,12 @@
     dispatcher.order = dispatch::placement_order_names.value(m_settings.order);
     dispatcher.max_record_bytes = m_settings.max_store_value_bytes;
     dispatcher.max_pending_starts = max_pending_starts(m_settings.link_mbps);
+    const bool may_shed = m_settings.link_mbps > 0.0 &&
+                          suitability_of(capability_of(m_settings), m_fleet).value < 1.0;
+    if (may_shed) {
+        dispatcher.max_pending_polls = max_pending_polls(m_settings.link_mbps);
+        dispatcher.ended_poll_pause = slow_ended_poll_pause;
+    }
     return {m_loop,
             m_clock,
             m_counters,
@@ -230,8 +250,7 @@
             },
             [this] { m_peers.notify_peers(); },
             store_page_time(m_settings.link_mbps),
-            m_settings.link_mbps > 0.0 &&
-                suitability_of(capability_of(m_settings), m_fleet).value < 1.0};
+            may_shed};
 }
 
 void node_application::start() {
--- a/source/core/service/owner_controller.cpp
+++ b/source/core/service/owner_controller.cpp
@@ -298,10 +298,11 @@
 
 void owner_controller::send_poll(const poll_call& call) {
     const auto* const worker = m_dispatcher.workers().find(call.order.worker);
+    const auto sent_at = m_env.clock.now();
     if (worker == nullptr) {
+        m_dispatcher.on_poll_result(sent_at, call, sent_at, {});
         return;
     }
-    const auto sent_at = m_env.clock.now();
     const auto complete = [self = shared_from_this(), call, sent_at](const poll_result& result) {
         if (!self->m_active) {
             return;
--- a/source/core/service/owner_controller_reporting.cpp
+++ b/source/core/service/owner_controller_reporting.cpp
@@ -60,13 +60,12 @@
     if (!m_shedding.on_window(signals)) {
         return;
     }
-    const auto pace = m_shedding.pace(m_env.dispatcher);
-    m_dispatcher.set_poll_pace(pace.wait, pace.pause);
+    const auto poll_wait = m_shedding.poll_wait(m_env.dispatcher.poll_wait);
+    m_dispatcher.set_poll_wait(poll_wait);
     m_env.counters.get("owner_shedding_level").set(m_shedding.level());
     log_event(severity::warning, "owner_shedding",
               {{"level", m_shedding.level()},
-               {"poll_wait_ms", common::to_milliseconds(pace.wait)},
-               {"poll_pause_ms", common::to_milliseconds(pace.pause)},
+               {"poll_wait_ms", common::to_milliseconds(poll_wait)},
                {"ticket_requests", m_shedding.max_ticket_requests()},
                {"jobs_age_ms", common::to_milliseconds(signals.jobs_age)},
                {"list_age_ms", common::to_milliseconds(signals.list_age)},
--- a/tests/unit/dispatch/pending_starts_test.cpp
+++ b/tests/unit/dispatch/pending_starts_test.cpp
@@ -2,6 +2,10 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <set>
+#include <string>
+#include <variant>
+
 using namespace buckthornspar;
 using namespace buckthornspar::dispatch;
 using namespace buckthornspar::dispatch::test;
@@ -72,4 +76,36 @@
     BOOST_TEST(take_starts().size() == 6U);
 }
 
+// Pattern: take-over over a narrow link. Guards against lists of all workers at the same time,
+// which miss the time limit of the polls and are sent again: each worker is polled once, a few at a
+// time.
+BOOST_AUTO_TEST_CASE(polls_wait_while_others_have_no_response) {
+    constexpr std::size_t limit = 4;
+    dispatcher_settings settings;
+    settings.max_pending_polls = limit;
+    dispatcher owner(settings, counters);
+    for (int i = 0; i < 30; ++i) {
+        owner.on_worker(now, report("w" + std::to_string(i)));
+    }
+    owner.take_over(now, 10, "");
+    std::set<std::string> polled;
+    for (int round = 0; round < 60; ++round) {
+        now += 10ms;
+        owner.on_time(now);
+        std::size_t sent = 0;
+        for (const auto& action : owner.take_actions()) {
+            if (const auto* const call = std::get_if<poll_call>(&action)) {
+                ++sent;
+                polled.insert(call->order.worker);
+                poll_result result;
+                // Every third poll is lost.
+                result.status = sent % 3 == 0 ? order_status::no_answer : order_status::accepted;
+                owner.on_poll_result(now + 5ms, *call, now, result);
+            }
+        }
+        BOOST_TEST(sent <= limit);
+    }
+    BOOST_TEST(polled.size() == 30U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/service/load_shedding_test.cpp
+++ b/tests/unit/service/load_shedding_test.cpp
@@ -30,13 +30,10 @@
     load_shedding shedding(true);
     run(shedding, 2, behind());
     BOOST_TEST(shedding.level() == 1U);
-    BOOST_TEST((shedding.pace(usual).wait > usual.poll_wait));
-    BOOST_TEST((shedding.pace(usual).pause == usual.ended_poll_pause));
-    run(shedding, 2, behind());
-    BOOST_TEST((shedding.pace(usual).pause > usual.ended_poll_pause));
+    BOOST_TEST((shedding.poll_wait(usual.poll_wait) > usual.poll_wait));
     BOOST_TEST(shedding.max_ticket_requests() == 0U);
     run(shedding, 10, behind());
-    BOOST_TEST(shedding.level() == 3U);
+    BOOST_TEST(shedding.level() == 2U);
     BOOST_TEST(shedding.max_ticket_requests() > 0U);
 }
 
@@ -45,9 +42,9 @@
     const dispatch::dispatcher_settings usual;
     load_shedding shedding(true);
     run(shedding, 10, behind());
-    const auto pace = shedding.pace(usual);
-    BOOST_TEST((pace.wait + pace.pause < usual.authority));
-    BOOST_TEST((2 * (pace.wait + pace.pause) < usual.leases.lease));
+    const auto wait = shedding.poll_wait(usual.poll_wait);
+    BOOST_TEST((wait + usual.idle_poll_interval / 2 < usual.authority));
+    BOOST_TEST((2 * wait < usual.leases.lease));
 }
 
 // Guards against a level that changes with each burst, and against one that stays for good.
