Test a stop and a repeated id beside uncontrolled clients

Cause: a refusal says that nothing was run, and a planned stop may not be held up by clients that leave requests unfinished; neither was shown with real processes.

Change: two cases of process_uncontrolled_clients.

--- a/tests/process/uncontrolled_clients_test.cpp
+++ b/tests/process/uncontrolled_clients_test.cpp
@@ -155,6 +155,13 @@
         return m_http.call(m_callers, std::move(request));
     }
 
+    call_result query(const std::string& id) {
+        net::http_request request;
+        request.target = "/q/" + id;
+        request.fields.set("Host", queue_host);
+        return m_http.call(m_callers, std::move(request));
+    }
+
 private:
     port_reservation m_ports;
     temporary_directory m_files;
@@ -310,6 +317,22 @@
               3 * megabyte});
 }
 
+// Guards against a refused request that is stored, so that its repetition is a second job or
+// another one.
+BOOST_AUTO_TEST_CASE(a_repeated_id_after_a_refusal_is_one_job) {
+    const std::string id = "00c6f5e1cc1bd6b7";
+    client_crowd crowd(node.callers(), 24,
+                       {post_head("Content-Length: 1073741824\r\n\r\n") + std::string(submission),
+                        "b", 64 * kilobyte});
+    crowd.send_all();
+    BOOST_TEST(node.query(id).status == 410U);
+    BOOST_TEST(node.submit(id).status == 200U);
+    BOOST_TEST(node.submit(id).status == 200U);
+    const auto job = node.query(id);
+    BOOST_TEST(job.status == 200U, job.body);
+    check_node("00c6f5e1cc1bd6b8");
+}
+
 // Guards against responses that are kept for clients that do not read them.
 BOOST_AUTO_TEST_CASE(answers_that_the_client_does_not_read) {
     store.put("op/notes", std::string(megabyte / 2, 'n'));
@@ -355,6 +378,15 @@
     check_entry();
 }
 
+// Guards against a stop that waits for the rest of requests until its time limit, and then fails.
+BOOST_AUTO_TEST_CASE(unfinished_requests_do_not_hold_up_a_stop) {
+    const std::string head = "POST /v1/jobs HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n";
+    client_crowd crowd(http, 24, {head, "b", head.size() + 99});
+    crowd.send_all();
+    BOOST_TEST(caller.get(http, "/healthz").status == 200U);
+    BOOST_TEST(process->terminate(45s) == 0);
+}
+
 // Guards against a frame of the peer protocol whose announced length is allocated and awaited.
 BOOST_AUTO_TEST_CASE(peer_frames_with_a_false_length) {
     // One segment of 8 million words, the largest that the library takes by default, all of zeros.
