Test the limits of callers that the configuration gives

Cause: the configuration's limits for bodies, headers, header time and idle time had not been read before; a wrong order of settings and configuration would go unseen.

--- a/tests/unit/platform/format_test.cpp
+++ b/tests/unit/platform/format_test.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <chrono>
+
 using namespace buckthornspar;
 using namespace buckthornspar::platform;
 
@@ -200,4 +202,17 @@
     BOOST_CHECK_THROW(static_cast<void>(decode_base64("b$9k")), common::format_error);
 }
 
+// Guards against limits for callers that are not read, and against a configuration that is refused
+// because of odd ones.
+BOOST_AUTO_TEST_CASE(limits_of_callers_are_read) {
+    const auto limits = wire_format()
+                            .read_configuration(R"({"version":1,"routes":[],"limits":{
+        "max_body_bytes":5000,"max_header_bytes":2000,"header_timeout_ms":3000,"idle_timeout_ms":-4}})")
+                            .limits;
+    BOOST_TEST((limits.max_body_bytes == std::size_t{5000}));
+    BOOST_TEST((limits.max_header_bytes == std::size_t{2000}));
+    BOOST_TEST((limits.header_timeout == std::chrono::seconds(3)));
+    BOOST_TEST(!limits.idle_timeout.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
