Let late steps wait behind those that can meet their objective

In the order by deadline, steps that are late already go first, and with too little room all become late. With customers in the configuration, a less urgent step that cannot meet its objective goes behind those that can, until 1.5 objectives after its latest start.

--- a/source/core/dispatch/dispatcher_plan.cpp
+++ b/source/core/dispatch/dispatcher_plan.cpp
@@ -130,7 +130,10 @@
             mark_ready(now, job, s, state);
             const task_key step{job.spec.id, number, s, 0};
             const auto position = position_of(job, step, state, *queue, m_settings.order);
-            m_waiting.insert(queue->name, m_shares.place(position));
+            const bool by_deadline = m_settings.order == placement_order::deadline;
+            const auto objective = std::chrono::milliseconds(by_deadline ? objective_ms(job) : 0);
+            m_waiting.insert(queue->name,
+                             m_shares.place(now, position, {state.latest_start, objective}));
         }
     }
     m_counters.get("plan_steps_examined_total").add(static_cast<std::int64_t>(examined));
--- a/source/core/dispatch/job_shares.cpp
+++ b/source/core/dispatch/job_shares.cpp
@@ -82,7 +82,17 @@
     m_order.erase(job);
 }
 
-step_position job_shares::place(const step_position& by_urgency) const {
+std::vector<std::string> job_shares::take_aged(common::time_point now) {
+    auto jobs = m_order.take_aged(now);
+    while (!m_changes.empty() && m_changes.begin()->first <= now) {
+        jobs.push_back(m_changes.begin()->second);
+        m_changes.erase(m_changes.begin());
+    }
+    return jobs;
+}
+
+step_position job_shares::place(common::time_point now, const step_position& by_urgency,
+                                const step_deadline& deadline) {
     if (!is_active()) {
         return by_urgency;
     }
@@ -91,6 +101,14 @@
     position.rank *= 2;
     const auto share = m_order.class_of(by_urgency.step.job);
     if (share == customers::share_class::entitled) {
+        // In the order by deadline alone, steps that are late already go before those that are not,
+        // and with too little room all of them become late.
+        const auto goes_first_at = deadline.latest_start + deadline.objective * 3 / 2;
+        if (by_urgency.rank > 0 && deadline.objective.count() > 0 && now < goes_first_at) {
+            const bool late = now >= deadline.latest_start;
+            position.rank += late ? 1 : 0;
+            m_changes.emplace(late ? goes_first_at : deadline.latest_start, by_urgency.step.job);
+        }
         return position;
     }
     if (share == customers::share_class::urgent) {
--- a/source/core/dispatch/job_shares.h
+++ b/source/core/dispatch/job_shares.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -47,12 +48,19 @@
     [[nodiscard]] bool is_excess(const std::string& job) const {
         return m_order.class_of(job) == customers::share_class::excess;
     }
-    /// The position of a step of the job, given the one that it has by its urgency.
-    [[nodiscard]] step_position place(const step_position& by_urgency) const;
+    /// The latest start of a step that meets its job's objective, and the objective; 0 when the
+    /// order is not by deadline.
+    struct step_deadline {
+        common::time_point latest_start;
+        common::duration objective{0};
+    };
+    /// The position of a step, given the one that it has by its urgency. A less urgent step that
+    /// can no longer meet its objective goes behind those that can, until three quarters of the
+    /// time to three times the objective have passed; it goes first then.
+    [[nodiscard]] step_position place(common::time_point now, const step_position& by_urgency,
+                                      const step_deadline& deadline);
     /// Jobs whose steps have a new position because of their age.
-    [[nodiscard]] std::vector<std::string> take_aged(common::time_point now) {
-        return m_order.take_aged(now);
-    }
+    [[nodiscard]] std::vector<std::string> take_aged(common::time_point now);
     [[nodiscard]] std::map<std::string, customers::excess_backlog> backlogs() const {
         return m_order.backlogs();
     }
@@ -68,6 +76,8 @@
     };
 
     customers::share_order m_order;
+    /// When entitled jobs change their position.
+    std::set<std::pair<common::time_point, std::string>> m_changes;
     /// By the revision of the acceptance and the id.
     std::map<std::pair<std::uint64_t, std::string>, unsettled_job> m_unsettled;
 };
--- a/tests/unit/dispatch/shares_test.cpp
+++ b/tests/unit/dispatch/shares_test.cpp
@@ -237,4 +237,26 @@
     BOOST_TEST(count_excess(100, 200) >= 75U);
 }
 
+// Pattern: more entitled work than room. Guards against steps that are late already and make all
+// others late, and against late steps that wait forever.
+BOOST_AUTO_TEST_CASE(late_steps_go_behind_those_that_can_meet_their_objective) {
+    job_shares shares;
+    shares.set_customers({customer("a", 10.0)});
+    const auto place = [&](const char* name, common::time_point at, common::time_point start) {
+        return shares.place(at, {1, start, {name, 0, 0, 0}}, {start, 10s});
+    };
+    BOOST_TEST((place("old", now, now + 1s) < place("new", now, now + 2s)));
+    BOOST_TEST(shares.take_aged(now).empty());
+    const auto late = now + 1s;
+    BOOST_TEST(shares.take_aged(late) == std::vector<std::string>{"old"});
+    BOOST_TEST((place("new", late, now + 2s) < place("old", late, now + 1s)));
+    const auto first_again = now + 16s;
+    const auto changed = shares.take_aged(first_again);
+    BOOST_TEST(std::count(changed.begin(), changed.end(), "old") == 1);
+    BOOST_TEST((place("old", first_again, now + 1s) < place("last", first_again, now + 20s)));
+    // Without customers the order is by deadline alone.
+    shares.set_customers({});
+    BOOST_TEST((place("old", late, now + 1s) < place("new", late, now + 2s)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
