--- a/tests/unit/customers/share_order_test.cpp
+++ b/tests/unit/customers/share_order_test.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <cmath>
 #include <string>
 
 using namespace buckthornspar;
@@ -19,7 +20,7 @@
     std::size_t send(const std::string& name, double per_second, common::duration length,
                      double fleet_seconds = 0.001, bool urgent = false) {
         const auto count = static_cast<std::size_t>(
-            per_second * std::chrono::duration<double>(length).count() + 0.5);
+            std::lround(per_second * std::chrono::duration<double>(length).count()));
         std::size_t entitled = 0;
         for (std::size_t i = 0; i < count; ++i) {
             const auto at =
