--- a/source/core/dispatch/ticket_planner.cpp
+++ b/source/core/dispatch/ticket_planner.cpp
@@ -143,11 +143,14 @@
     }
     std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(count),
                       order.end());
+    for (std::size_t i = 0; i < count; ++i) {
+        workers[i] = order[i].second;
+    }
     // Distributes the workers over the calls so that each call names some of the best.
     for (std::size_t call = 0; call < calls && call < count; ++call) {
         std::vector<worker_slot> named;
         for (std::size_t i = call; i < count; i += calls) {
-            named.push_back(order[i].second);
+            named.push_back(workers[i]);
         }
         m_plan.result.ticket_requests.push_back({step.step, step.queue, std::move(named), reason});
         take_slot(slots, expected);
--- a/source/programs/buckthornspar-bench/uneven_workers.cpp
+++ b/source/programs/buckthornspar-bench/uneven_workers.cpp
@@ -188,7 +188,9 @@
 
     void end_due_runs() {
         while (!m_ends.empty() && m_ends.begin()->first <= m_now) {
-            for (const auto& [worker, run] : m_ends.begin()->second) {
+            for (const auto& placed : m_ends.begin()->second) {
+                const auto& worker = placed.first;
+                const auto& run = placed.second;
                 const auto erased = std::erase_if(
                     m_running[worker], [&run](const running_run& r) { return r.run == run; });
                 if (erased > 0) {
