Ask for more evidence of a pair that disturbs

Eight samples of the worker, 24 runs on each side and 6 standard errors are needed now; the tests still find the disturbing pair and believe no other in ten seeds.

--- a/source/core/learning/interference.cpp
+++ b/source/core/learning/interference.cpp
@@ -11,11 +11,11 @@
 
 // Runs that an estimate remembers; older ones fade.
 constexpr float memory = 96.0F;
-constexpr float min_runs = 16.0F;
+constexpr float min_runs = 24.0F;
 // Slowdown below which keeping kinds apart is not worth a worse choice otherwise.
 constexpr double min_slowdown = 0.12;
 // All pairs are looked at after each run, so that chance has thousands of opportunities.
-constexpr double needed_errors = 5.0;
+constexpr double needed_errors = 6.0;
 // A believed pair is given up below these.
 constexpr double kept_slowdown = 0.06;
 constexpr double kept_errors = 2.5;
--- a/source/core/learning/worker_speed.cpp
+++ b/source/core/learning/worker_speed.cpp
@@ -12,6 +12,9 @@
 // Standard errors by which a worker counts as deviating. Without any real difference 0.3 % do.
 constexpr double deviation_errors = 3.0;
 constexpr std::size_t deviation_samples = 4;
+// Runs on a worker share the error of its observed speed, so that chance in a few early samples
+// would count many times.
+constexpr std::size_t observed_samples = 8;
 // With this share of deviating workers, and at least four, the fleet is uneven for certain, so
 // that less evidence is needed of each worker.
 constexpr std::size_t uneven_divisor = 5;
@@ -86,8 +89,8 @@
     if (entry.known) {
         return entry.believed;
     }
-    return entry.samples.size() < deviation_samples ? std::nullopt
-                                                    : std::optional(entry.samples.median());
+    return entry.samples.size() < observed_samples ? std::nullopt
+                                                   : std::optional(entry.samples.median());
 }
 
 bool worker_speed::is_fleet_uneven() const {
--- a/tests/unit/learning/interference_test.cpp
+++ b/tests/unit/learning/interference_test.cpp
@@ -70,6 +70,7 @@
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
         auto learning = make_learning();
         std::vector<double> speeds;
+        speeds.reserve(60);
         for (int w = 0; w < 60; ++w) {
             speeds.push_back(w % 3 == 0 ? 0.6 : w % 3 == 1 ? 1.0 : 1.6);
         }
--- a/tests/unit/learning/worker_speed_test.cpp
+++ b/tests/unit/learning/worker_speed_test.cpp
@@ -15,6 +15,7 @@
 
 std::vector<double> uneven_fleet(std::size_t workers) {
     std::vector<double> speeds;
+    speeds.reserve(workers);
     for (std::size_t i = 0; i < workers; ++i) {
         speeds.push_back(i % 3 == 0 ? 0.6 : i % 3 == 1 ? 1.0 : 1.6);
     }
