--- a/tests/unit/customers/customer_directory_test.cpp
+++ b/tests/unit/customers/customer_directory_test.cpp
@@ -56,6 +56,7 @@
 // Guards against a key that identifies its former customer after a move to another one.
 BOOST_AUTO_TEST_CASE(many_customers_are_found_by_their_keys) {
     std::vector<customer_settings> many;
+    many.reserve(10'000);
     for (int i = 0; i < 10'000; ++i) {
         many.push_back({"c" + std::to_string(i), {"k" + std::to_string(i)}, 1.0, {}});
     }
