--- a/tests/unit/service/peer_exchange_test.cpp
+++ b/tests/unit/service/peer_exchange_test.cpp
@@ -247,7 +247,7 @@
     BOOST_TEST(!follower.directory.pending_of("q", clock.now(), 60s).has_value());
     std::optional<dispatch::known_state> state = dispatch::known_state{job_state::running, {}};
     bool asked = false;
-    follower.exchange.ask_state("b", [&](std::optional<dispatch::known_state> answer) {
+    follower.exchange.ask_state("b", [&](const std::optional<dispatch::known_state>& answer) {
         state = answer;
         asked = true;
     });
