Let clients of refused requests see the refusal again

Cause: a server read no more of a refused request than the largest body before it closed the connection, so that a client that sent 9 MB to an entry lost its 413 to a reset (process_bad_input failed, as it did in three runs by hand). Change: up to 64 MB are read and dropped again, within 5 s, through a buffer that all connections share. Result: process_bad_input and test_net pass; the bounds of process_uncontrolled_clients are not changed.

--- a/source/core/net/http_server.cpp
+++ b/source/core/net/http_server.cpp
@@ -99,6 +99,8 @@
 
 constexpr auto discard_timeout = std::chrono::seconds(1);
 constexpr auto discard_time = std::chrono::seconds(5);
+// Discarding takes no memory. A client that sends less than this in time receives its refusal.
+constexpr std::size_t max_discarded_bytes = std::size_t{64} << 20U;
 // What a connection and a message need beside the body and the read buffer.
 constexpr std::size_t message_overhead_bytes = 4096;
 // A header, or trailers, at their limit and one read behind them.
@@ -357,7 +359,7 @@
             asio::buffer(m_server->discarded),
             [self = shared_from_this()](beast::error_code failure, std::size_t size) {
                 self->m_discarded += size;
-                if (!failure && self->m_discarded < self->m_server->limits.max_discarded_bytes) {
+                if (!failure && self->m_discarded < max_discarded_bytes) {
                     self->discard();
                 }
             });
--- a/source/core/net/http_server.h
+++ b/source/core/net/http_server.h
@@ -36,8 +36,6 @@
     std::size_t max_connections = 4096;
     /// Limit for keeping an idle connection. A response is given the time of a request.
     common::duration idle_timeout = std::chrono::seconds(60);
-    /// How much of a refused request is read, so that its client sees the response.
-    std::size_t max_discarded_bytes = std::size_t{64} << 20U;
     /// Shared by all servers and clients of a process; without it the process has no limit in all.
     std::shared_ptr<request_guard> guard = nullptr;
 };
--- a/source/core/server/server_process.cpp
+++ b/source/core/server/server_process.cpp
@@ -56,7 +56,6 @@
     net::http_server_limits limits;
     limits.request = m_settings.requests.limits;
     limits.idle_timeout = m_settings.requests.idle_timeout;
-    limits.max_discarded_bytes = m_settings.requests.limits.max_body_bytes;
     limits.guard = net::make_request_guard(m_settings.requests.resources, m_counters);
     net::http_server http(m_loop, m_settings.listen, limits, admin);
     common::log_event(common::severity::info, "serving",
--- a/source/core/service/node_application.cpp
+++ b/source/core/service/node_application.cpp
@@ -112,7 +112,6 @@
     limits.request = settings.limits;
     limits.idle_timeout = settings.idle_timeout;
     limits.max_connections = 1500;
-    limits.max_discarded_bytes = settings.limits.max_body_bytes;
     limits.guard = guard;
     return limits;
 }
