Read the budget of a server on its own thread in a test

Cause: the thread sanitizer fails test_net: refused_requests_test read the budget while the loop's thread changed it. The server uses it on that thread only. Change: the test asks the loop; its assertions stay.

--- a/tests/unit/net/refused_requests_test.cpp
+++ b/tests/unit/net/refused_requests_test.cpp
@@ -65,6 +65,17 @@
         return text;
     }
 
+    struct budget_use {
+        std::size_t used = 0;
+        std::size_t connections = 0;
+    };
+    // The budget belongs to the loop's thread.
+    [[nodiscard]] budget_use budget_in_use() {
+        std::promise<budget_use> result;
+        loop.post([&] { result.set_value({guard->budget.used(), guard->budget.connections()}); });
+        return result.get_future().get();
+    }
+
     [[nodiscard]] std::int64_t refusals(std::string_view reason) {
         return counters.get("messages_refused_total", "reason", reason).value();
     }
@@ -117,7 +128,7 @@
 // memory, and against a refusal without the time after which to retry.
 BOOST_AUTO_TEST_CASE(a_large_unfinished_request_gives_way) {
     auto large = send("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 30000\r\n\r\nb");
-    while (guard->budget.used() < 30'000) {
+    while (budget_in_use().used < 30'000) {
         std::this_thread::sleep_for(1ms);
     }
     auto second = send("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 8000\r\n\r\nb");
@@ -139,10 +150,10 @@
         (void)send(chunked("5\r\nabc"));
     }
     BOOST_TEST(handler.requests == 20U);
-    while (guard->budget.used() > 0 || guard->budget.connections() > 0) {
+    for (auto use = budget_in_use(); use.used > 0 || use.connections > 0; use = budget_in_use()) {
         std::this_thread::sleep_for(1ms);
     }
-    BOOST_TEST(guard->budget.used() == 0U);
+    BOOST_TEST(budget_in_use().used == 0U);
 }
 
 // Guards against a stop that waits for a request whose rest does not arrive.
@@ -151,7 +162,7 @@
     auto idle = send("GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
     (void)response_of(std::move(idle));
     auto unfinished = send(chunked("5\r\nabc"));
-    while (guard->budget.used() == 0) {
+    while (budget_in_use().used == 0) {
         std::this_thread::sleep_for(1ms);
     }
     server.stop_accepting();
