Keep no keys in the dispatcher, and share the check of readiness

Cause: the dispatcher stored the customers with their keys and never read them; may_claim() repeated ready(); and an answer of the store without an item counted as a job that does not exist, as it had not before the customers. Change: the member goes, may_claim() asks ready(), and such an answer shows an existing job again.

--- a/source/core/dispatch/dispatcher.cpp
+++ b/source/core/dispatch/dispatcher.cpp
@@ -66,7 +66,6 @@
 }
 
 void dispatcher::on_customers(const std::vector<customers::customer_settings>& customers) {
-    m_customers = customers;
     m_workers.usage().set_caps(customers);
     m_shares.set_customers(customers);
     note_all_waiting();
--- a/source/core/dispatch/dispatcher.h
+++ b/source/core/dispatch/dispatcher.h
@@ -412,7 +412,6 @@
     common::time_point m_without_authority_since;
     lasting_state_log m_missing_authority_log;
     std::map<std::string, queue_settings> m_queues;
-    std::vector<customers::customer_settings> m_customers;
     customers::cap_holds m_cap_holds;
     /// Queues known from accepted jobs only, by the revision of the latest of these.
     std::map<std::string, std::uint64_t> m_unconfigured_queues;
--- a/source/core/service/job_intake.cpp
+++ b/source/core/service/job_intake.cpp
@@ -261,12 +261,11 @@
             retry(work, result.status, &job_intake::try_query);
             return;
         }
-        const bool exists = result.status == store_status::ok && !result.items.empty();
-        if (exists && !may_reach_record(*work, result.items.front().value)) {
+        if (!result.items.empty() && !may_reach_record(*work, result.items.front().value)) {
             finish(work, intake_outcome::no_such_job);
             return;
         }
-        read_progress_of(work, exists);
+        read_progress_of(work, result.status == store_status::ok);
     });
 }
 
--- a/source/core/service/node_application.cpp
+++ b/source/core/service/node_application.cpp
@@ -391,8 +391,7 @@
 }
 
 bool node_application::may_claim() const {
-    return m_configuration && !m_stopping && !m_health.last_call_failed() &&
-           m_health.has_answered() && m_health.time_since_answer() < max_store_silence;
+    return ready() && !m_health.last_call_failed();
 }
 
 void node_application::on_fleet(const fleet_size& fleet) {
