--- a/review/standins-3/clients.cpp
+++ b/review/standins-3/clients.cpp
@@ -33,6 +33,7 @@
     std::int64_t seconds = 0;
     std::int64_t gap_ms = 0;
     std::int64_t finish_s = 0;
+    std::int64_t ask_s = 0;
     std::string logs;
     std::ofstream record;
 };
@@ -130,9 +131,16 @@
            R"("estimate_ms":12000,"requires":"b"}]})";
 }
 
+// One gang of many small tasks.
+std::string gang_body() {
+    return R"({"spec":"work=6000 gang=20000;","steps":[{"count":20000,"cpu":10,"mem_mb":10,)"
+           R"("gang":true,"estimate_ms":6000}]})";
+}
+
 std::string large_body(const std::string& kind) {
     return kind == "tasks"      ? many_tasks_body()
            : kind == "fails"    ? failing_body()
+           : kind == "gang"     ? gang_body()
            : kind == "labelled" ? labelled_body()
                                 : many_steps_body();
 }
@@ -208,6 +216,7 @@
     s.seconds = given.number("seconds", 30);
     s.gap_ms = given.number("gap-ms", 200);
     s.finish_s = given.number("finish-s", 14);
+    s.ask_s = given.number("ask-s", 20);
     s.logs = given.text("logs");
     s.record.open(given.text("record"), std::ios::app);
 
@@ -253,9 +262,10 @@
     const auto asked_at = unix_ms();
     std::map<std::string, int> states;
     int unanswered = 0;
+    // A few answers that do not come show enough, and the run has to end.
+    const auto may_ask = [&] { return unanswered < 2 && unix_ms() < asked_at + s.ask_s * 1000; };
     for (auto& one : jobs) {
-        // A few answers that do not come show enough.
-        one.state = unanswered < 2 ? state_of(s, s.queue, one.id) : "not asked";
+        one.state = may_ask() ? state_of(s, s.queue, one.id) : "not asked";
         unanswered += one.state == "no answer" ? 1 : 0;
         ++states[one.state];
         write(s, "state " + one.id + ": " + one.state);
@@ -278,7 +288,7 @@
     // No task of theirs fails as often as the queue allows.
     int given_up = 0;
     for (const auto& id : large_ids) {
-        const auto state = unanswered < 2 ? state_of(s, s.large_queue, id) : "not asked";
+        const auto state = may_ask() ? state_of(s, s.large_queue, id) : "not asked";
         unanswered += state == "no answer" ? 1 : 0;
         given_up += state == "failed" ? 1 : 0;
         write(s, "state " + id + ": " + state);
--- a/review/standins-3/runner.cpp
+++ b/review/standins-3/runner.cpp
@@ -1,6 +1,7 @@
 // A runner of the platform. What a task does stands in its spec, before the first semicolon, as
 // words "name=value": "work" its time in milliseconds; "odd-fails" with a time: tasks with an odd
-// index fail in their first run, and work for that time in the later ones.
+// index fail in their first run, and work for that time in the later ones; "gang" the number of
+// members of a gang: a run ends "alone" when not all have begun 3 s after it.
 
 #include "net.h"
 
@@ -8,6 +9,7 @@
 
 #include <atomic>
 #include <deque>
+#include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <list>
@@ -21,6 +23,7 @@
 using namespace review;
 
 constexpr std::int64_t stop_ms = 60;
+constexpr std::int64_t gang_ms = 3000;
 constexpr std::size_t max_listed_ends = 500;
 
 struct run_id {
@@ -33,6 +36,8 @@
     std::int64_t begun = 0;
     std::int64_t ends = 0;
     std::string how;
+    std::int64_t members = 0;
+    std::string gang;
 };
 
 struct ended {
@@ -111,6 +116,7 @@
 
     void on_time() {
         const auto now = clock();
+        check_gangs(now);
         while (!m_due.empty() && m_due.begin()->first <= now) {
             const auto run = m_due.begin()->second;
             m_due.erase(m_due.begin());
@@ -203,6 +209,14 @@
             active.how = first ? "failed" : "done";
             work = first ? work : odd_fails;
         }
+        if (const auto members = word(spec, "gang"); members > 0) {
+            active.members = members;
+            active.gang = m_marks + "/" + run.task.substr(0, run.task.rfind('.')) + "-" +
+                          std::to_string(run.run);
+            std::filesystem::create_directory(active.gang);
+            std::ofstream(active.gang + "/" + run.task.substr(run.task.rfind('.') + 1));
+            m_gang_checks.emplace(active.begun + gang_ms, run);
+        }
         active.ends = active.begun + work;
         m_due.emplace(active.ends, run);
         m_running.emplace(run, active);
@@ -210,6 +224,25 @@
         answer(200, clocks());
     }
 
+    void check_gangs(std::int64_t now) {
+        while (!m_gang_checks.empty() && m_gang_checks.begin()->first <= now) {
+            const auto run = m_gang_checks.begin()->second;
+            m_gang_checks.erase(m_gang_checks.begin());
+            const auto found = m_running.find(run);
+            if (found == m_running.end()) {
+                continue;
+            }
+            auto& present = m_present[found->second.gang];
+            if (present < found->second.members) {
+                const std::filesystem::directory_iterator begun(found->second.gang);
+                present = std::distance(std::filesystem::begin(begun), std::filesystem::end(begun));
+            }
+            if (present < found->second.members) {
+                end(found, "alone");
+            }
+        }
+    }
+
     // Whether no runner has begun the task yet: the first leaves a mark in a folder that all share.
     bool begins_first(const std::string& task) const {
         const int mark = ::open((m_marks + "/" + task).c_str(), O_CREAT | O_EXCL | O_WRONLY, 0600);
@@ -314,6 +347,8 @@
     std::int64_t m_ends_before_lapse = 0;
     std::map<run_id, active_run> m_running;
     std::multimap<std::int64_t, run_id> m_due;
+    std::multimap<std::int64_t, run_id> m_gang_checks;
+    std::map<std::string, std::int64_t> m_present;
     std::map<std::string, std::int64_t> m_over;
     std::deque<ended> m_ended;
     std::list<waiting_hold> m_holds;
