--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -1,37 +1,22 @@
 #!/usr/bin/env bash
-# One task needs a label that a single runner has. That runner crashes CRASHES times, each time AFTER_S
-# seconds after it has begun the task, and is back DOWN_S seconds later; then it stays. TROUBLE=0 leaves
-# the crashes out. KEEP=FOLDER keeps the logs of the processes there.
+# A client hands in one gang of 20,000 small tasks, beside ordinary jobs.
+# TROUBLE=0 leaves it out. KEEP=FOLDER keeps the logs of the processes there.
 set -u
 case_dir=$(cd "$(dirname "$0")" && pwd)
 queues=plain,bulk
 # shellcheck source=../standins-3/cluster.sh
 . "$case_dir/../standins-3/cluster.sh"
-crashes=${CRASHES:-3}
-[ "${TROUBLE:-1}" = 0 ] && crashes=0
 start_cluster
-kill_runner 1
-start_runner 1 --label b
-say "runner 1 started with the label b"
-"$bin/clients" run --nodes "$callers" --queue plain --label a --large-queue bulk --kind labelled \
-    --large-jobs 1 --large-at-s 3 --large-gap-ms 500 --seconds 64 --gap-ms 200 \
-    --finish-s 14 --logs "$runner_logs" --record "$record" &
-clients_pid=$!
-for _ in $(seq "$crashes"); do
-    before=$(wc -l <"$work/runner-1.txt")
-    for _ in $(seq 150); do
-        tail -n +"$((before + 1))" "$work/runner-1.txt" | grep -q " start " && break
-        sleep 0.1
-    done
-    sleep "${AFTER_S:-5}"
-    kill_runner 1
-    say "runner 1 crashed"
-    sleep "${DOWN_S:-3}"
-    start_runner 1 --label b
-    say "runner 1 started again"
-done
-wait "$clients_pid"
+large_jobs=${LARGE:-1}
+[ "${TROUBLE:-1}" = 0 ] && large_jobs=0
+"$bin/clients" run --nodes "$callers" --queue plain --large-queue bulk --kind gang \
+    --large-jobs "$large_jobs" --large-at-s 4 --large-gap-ms 500 --seconds 30 --gap-ms 200 \
+    --finish-s 14 --logs "$runner_logs" --record "$record"
 result=$?
 end_cluster
-sort -n -s -k1,1 "$work/runner-1.txt" >>"$record"
+# GANG: a run ends alone, before its job is cancelled, with no disruption near.
+cat "$work"/runner-*.txt | grep " alone$" | sort -n >>"$record"
+alone=$(cat "$work"/runner-*.txt | grep -c " end .* alone$")
+echo "summary runs that ended alone: $alone" | tee -a "$record"
+[ "$alone" -gt 0 ] && result=1
 judge_jobs_and_nodes "$result"
