--- a/review/standins-3/clients.cpp
+++ b/review/standins-3/clients.cpp
@@ -61,13 +61,21 @@
            std::to_string(deadline_ms) + "\r\n";
 }
 
+std::string target_of(const std::string& queue, const std::string& id) {
+    std::string target = "/";
+    target += queue;
+    target += "/";
+    target += id;
+    return target;
+}
+
 // Like a client of the pages: after no answer, 429, 502, 503 or 504 it tries again, at another
 // node.
 bool submit(settings& s, const std::string& queue, const std::string& id, const std::string& body) {
     static std::atomic<std::size_t> turn{0};
     for (int attempt = 0; attempt < tries; ++attempt) {
         client to(s.nodes[turn++ % s.nodes.size()]);
-        const auto answer = to.call("POST", "/" + queue + "/" + id, fields(), body, deadline_ms);
+        const auto answer = to.call("POST", target_of(queue, id), fields(), body, deadline_ms);
         write(s, "submit " + id + " of " + std::to_string(body.size()) +
                      " bytes: " + std::to_string(answer.status));
         if (answer.status / 100 == 2) {
@@ -148,7 +156,7 @@
 std::string state_of(settings& s, const std::string& queue, const std::string& id) {
     for (int attempt = 0; attempt < tries; ++attempt) {
         client to(s.nodes[static_cast<std::size_t>(attempt) % s.nodes.size()]);
-        const auto answer = to.call("GET", "/" + queue + "/" + id, fields(), "", deadline_ms);
+        const auto answer = to.call("GET", target_of(queue, id), fields(), "", deadline_ms);
         const auto at = answer.body.find("\"state\":\"");
         if (answer.status == 200 && at != std::string::npos) {
             const auto begin = at + 9;
@@ -236,8 +244,10 @@
     std::vector<job> jobs;
     std::mutex jobs_lock;
     std::atomic<int> rejected{0};
+    constexpr std::size_t callers = 4;
     std::vector<std::thread> ordinary;
-    for (int i = 0; i < 4; ++i) {
+    ordinary.reserve(callers);
+    for (std::size_t i = 0; i < callers; ++i) {
         ordinary.emplace_back([&] {
             while (steady_ms() < begin + s.seconds * 1000) {
                 const auto id = new_id();
@@ -291,7 +301,7 @@
         const auto state = may_ask() ? state_of(s, s.large_queue, id) : "not asked";
         unanswered += state == "no answer" ? 1 : 0;
         given_up += state == "failed" ? 1 : 0;
-        write(s, "state " + id + ": " + state);
+        write(s, std::string("state ").append(id).append(": ").append(state));
     }
     std::ostringstream line;
     line << "summary ordinary accepted " << jobs.size() << " rejected " << rejected << " idle "
--- a/review/standins-3/platform.cpp
+++ b/review/standins-3/platform.cpp
@@ -204,7 +204,7 @@
         bool more = false;
         auto at = after.empty() ? m_items.lower_bound(prefix) : m_items.upper_bound(after);
         for (; at != m_items.end() && at->first.rfind(prefix, 0) == 0; ++at) {
-            if (items.size() >= max_page_items || (bytes > 0 && bytes >= max_page_bytes)) {
+            if (items.size() >= max_page_items || bytes >= max_page_bytes) {
                 more = true;
                 break;
             }
--- a/review/standins-3/runner.cpp
+++ b/review/standins-3/runner.cpp
@@ -214,7 +214,7 @@
             active.gang = m_marks + "/" + run.task.substr(0, run.task.rfind('.')) + "-" +
                           std::to_string(run.run);
             std::filesystem::create_directory(active.gang);
-            std::ofstream(active.gang + "/" + run.task.substr(run.task.rfind('.') + 1));
+            const std::ofstream mark(active.gang + "/" + run.task.substr(run.task.rfind('.') + 1));
             m_gang_checks.emplace(active.begun + gang_ms, run);
         }
         active.ends = active.begun + work;
@@ -292,14 +292,14 @@
         m_holds.push_back({clock() + wait, answer});
     }
 
-    void end(std::map<run_id, active_run>::iterator active, const std::string how) {
+    void end(std::map<run_id, active_run>::iterator active, std::string how) {
         const auto run = active->first;
         m_running.erase(active);
         auto& over = m_over[run.task];
         over = std::max(over, run.run);
-        m_ended.push_back({++m_last_end, run, how});
         m_log << unix_ms() << ' ' << m_id << " end " << run.task << ' ' << run.run << ' ' << how
               << std::endl;
+        m_ended.push_back({++m_last_end, run, std::move(how)});
     }
 
     std::string lists() {
